--- /dev/null
+++ b/biller/record.go
@@ -0,0 +1,83 @@
+// Package biller keeps the billing records: one for each request, whatever
+// retries, cascade steps, resends or crashes its request went through.
+//
+// Records are merged by request ID. Merging is commutative, associative and
+// idempotent, so that any number of hosts may deliver the same record in any
+// order and the ledger counts it once.
+//
+// # Usage
+//
+//	merged := biller.Merge(old, incoming)
+package biller
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+)
+
+// How a billed request ended.
+const (
+	// Complete means that the whole answer was produced.
+	Complete Ending = "complete"
+	// Cut means that the upstream broke off; what it produced is billed.
+	Cut Ending = "cut"
+	// Cancelled means that the caller left; what was produced is billed.
+	Cancelled Ending = "cancelled"
+)
+
+type (
+	// Ending says how a billed request ended.
+	Ending string
+
+	// Record is the bill of one request.
+	Record struct {
+		// ID is the request ID.
+		ID string `cbor:"id" json:"id"`
+		// Revision grows when the host that serves the request replaces the
+		// record by a later one.
+		Revision  uint32    `cbor:"revision" json:"revision"`
+		Workspace string    `cbor:"workspace" json:"workspace"`
+		Member    string    `cbor:"member" json:"member"`
+		Service   string    `cbor:"service,omitempty" json:"service,omitempty"`
+		Steps     []Step    `cbor:"steps,omitempty" json:"steps,omitempty"`
+		CostNanos int64     `cbor:"costNanos" json:"costNanos"`
+		Ending    Ending    `cbor:"ending" json:"ending"`
+		At        time.Time `cbor:"at" json:"at"`
+	}
+
+	// Step is one run of a model for a request; a cascade has several.
+	Step struct {
+		Model        string `cbor:"model" json:"model"`
+		Version      string `cbor:"version" json:"version"`
+		InputTokens  int64  `cbor:"inputTokens" json:"inputTokens"`
+		OutputTokens int64  `cbor:"outputTokens" json:"outputTokens"`
+		CostNanos    int64  `cbor:"costNanos" json:"costNanos"`
+	}
+)
+
+// Merge returns the record that stands for both a and b, which must have the
+// same ID: the one with the higher revision, and among equal revisions the
+// one that sorts higher, so that the order of arrival does not matter.
+func Merge(a, b Record) Record {
+	if a.Revision != b.Revision {
+		if a.Revision > b.Revision {
+			return a
+		}
+		return b
+	}
+	if bytes.Compare(sortKey(a), sortKey(b)) >= 0 {
+		return a
+	}
+	return b
+}
+
+func sortKey(r Record) []byte {
+	k := binary.BigEndian.AppendUint64(nil, uint64(r.CostNanos))
+	k = append(k, r.Ending...)
+	k = append(k, 0)
+	k = append(k, r.Workspace...)
+	k = append(k, 0)
+	k = append(k, r.Member...)
+	return binary.BigEndian.AppendUint64(k, uint64(r.At.UnixNano()))
+}
--- /dev/null
+++ b/claimer/claimer.go
@@ -0,0 +1,87 @@
+// Package claimer holds the durable claims that make a non-idempotent request
+// run at most once.
+//
+// A host claims the caller's idempotency key in the control group before it
+// sends the first byte upstream. Whoever finds a claim of somebody else never
+// runs the request: it waits, returns the stored response or says that the
+// outcome is unknown.
+//
+// # Usage
+//
+//	res, err := claims.Claim(ctx, claimer.Request{Key: key, Digest: sum, Owner: host, RequestID: id, Timeout: d})
+//	switch res.State {
+//	case claimer.Granted: // run it, then Finish or Release
+//	case claimer.Running: // another run is under way, ask again
+//	case claimer.Finished: // res.Response is the stored response
+//	case claimer.Lost: // the outcome is unknown
+//	}
+package claimer
+
+import "time"
+
+// States of a claim.
+const (
+	// Granted means that the asking request owns the claim and must run it.
+	Granted State = "granted"
+	// Running means that another request owns the claim and its deadline has
+	// not passed.
+	Running State = "running"
+	// Finished means that the request ran and its response is stored.
+	Finished State = "finished"
+	// Lost means that the request may have run and no response is stored.
+	Lost State = "lost"
+	// Reused means that the key was used before with another request body.
+	Reused State = "reused"
+	// Expired means that the key is older than the retention window.
+	Expired State = "expired"
+	// Invalid means that the key is not a UUIDv7 or lies in the future.
+	Invalid State = "invalid"
+)
+
+// MaxResponse is the size in bytes of the largest response body that is
+// stored. A larger one is replaced by a note that the request ran.
+const MaxResponse = 64 << 10
+
+type (
+	// State is the state of a claim as seen by one request.
+	State string
+
+	// Key names a claim.
+	Key struct {
+		Workspace string `cbor:"workspace"`
+		Service   string `cbor:"service"`
+		// Key is the caller's Idempotency-Key, a UUIDv7.
+		Key string `cbor:"key"`
+	}
+
+	// Request asks for a claim.
+	Request struct {
+		Key Key `cbor:"key"`
+		// Digest is the SHA-256 of method, path and body.
+		Digest [32]byte `cbor:"digest"`
+		// RequestID is the request that will run, and under which it is
+		// billed.
+		RequestID string `cbor:"requestId"`
+		// Owner is the name of the host that asks.
+		Owner string `cbor:"owner"`
+		// Timeout is the time after which the run must have ended.
+		Timeout time.Duration `cbor:"timeout"`
+	}
+
+	// Result is the answer to a Request.
+	Result struct {
+		State State `cbor:"state"`
+		// RequestID is the request that owns the claim.
+		RequestID string    `cbor:"requestId"`
+		Response  *Response `cbor:"response,omitempty"`
+	}
+
+	// Response is the stored response of a finished claim.
+	Response struct {
+		Status int    `cbor:"status"`
+		Type   string `cbor:"type,omitempty"`
+		Body   []byte `cbor:"body,omitempty"`
+		// Truncated says that the body exceeded MaxResponse and was dropped.
+		Truncated bool `cbor:"truncated,omitempty"`
+	}
+)
--- /dev/null
+++ b/declarer/view.go
@@ -0,0 +1,203 @@
+package declarer
+
+import (
+	"slices"
+	"time"
+)
+
+type (
+	// View is what the control group distributes to hosts: one accepted
+	// configuration and the decisions taken since on its roll-outs.
+	View struct {
+		// Version grows with every change and never goes back.
+		Version uint64 `cbor:"version"`
+		Config  Config `cbor:"config"`
+		// Progress holds one entry for each roll-out.
+		Progress []Progress `cbor:"progress,omitempty"`
+		// Quarantined lists versions that the change detector has taken out
+		// of use.
+		Quarantined []VersionRef `cbor:"quarantined,omitempty"`
+	}
+
+	// Progress is the state of one roll-out.
+	Progress struct {
+		Model   string `cbor:"model"`
+		Version string `cbor:"version"`
+		// Stage is the index of the current stage.
+		Stage int `cbor:"stage"`
+		// Share is the share of sessions that the version gets, 0 to 1.
+		Share float64      `cbor:"share"`
+		State RolloutState `cbor:"state"`
+		// Since is when the current stage began, by the leader's clock.
+		Since time.Time `cbor:"since"`
+		// Spent counts the requests that reached the version in this stage.
+		Spent int64 `cbor:"spent"`
+		// Reason says why the roll-out was halted.
+		Reason string `cbor:"reason,omitempty"`
+	}
+
+	// RolloutState is the state of a roll-out.
+	RolloutState string
+
+	// Catalog is a View indexed for look-ups on the request path. It is
+	// immutable.
+	Catalog struct {
+		View View
+
+		workspaces map[string]*Workspace
+		models     map[string]*Model
+		services   map[string]*Service
+		keys       map[string]KeyHolder
+		withdrawn  map[VersionRef]bool
+		quarantine map[VersionRef]bool
+		progress   map[string]*Progress
+		upstreams  map[VersionRef][]*Upstream
+		plain      map[string][]*Upstream
+	}
+
+	// KeyHolder is the workspace and member that an API key belongs to.
+	KeyHolder struct {
+		Workspace *Workspace
+		Member    string
+	}
+)
+
+// States of a roll-out.
+const (
+	// RolloutRunning assigns sessions to the version by share.
+	RolloutRunning RolloutState = "running"
+	// RolloutHalted assigns no more sessions and has been rolled back.
+	RolloutHalted RolloutState = "halted"
+	// RolloutDone has made the version the stable one.
+	RolloutDone RolloutState = "done"
+)
+
+// NewCatalog indexes v.
+func NewCatalog(v View) *Catalog {
+	c := &Catalog{
+		View:       v,
+		workspaces: make(map[string]*Workspace, len(v.Config.Workspaces)),
+		models:     make(map[string]*Model, len(v.Config.Models)),
+		services:   make(map[string]*Service, len(v.Config.Services)),
+		keys:       make(map[string]KeyHolder),
+		withdrawn:  make(map[VersionRef]bool, len(v.Config.Withdrawals)),
+		quarantine: make(map[VersionRef]bool, len(v.Quarantined)),
+		progress:   make(map[string]*Progress, len(v.Progress)),
+		upstreams:  make(map[VersionRef][]*Upstream),
+		plain:      make(map[string][]*Upstream),
+	}
+	for i := range v.Config.Workspaces {
+		w := &v.Config.Workspaces[i]
+		c.workspaces[w.Name] = w
+		for _, m := range w.Members {
+			for _, d := range m.KeyDigests {
+				c.keys[d] = KeyHolder{Workspace: w, Member: m.Name}
+			}
+		}
+	}
+	for i := range v.Config.Models {
+		c.models[v.Config.Models[i].Name] = &v.Config.Models[i]
+	}
+	for i := range v.Config.Services {
+		c.services[v.Config.Services[i].Name] = &v.Config.Services[i]
+	}
+	for _, w := range v.Config.Withdrawals {
+		c.withdrawn[VersionRef{w.Model, w.Version}] = true
+	}
+	for _, q := range v.Quarantined {
+		c.quarantine[q] = true
+	}
+	for i := range v.Progress {
+		c.progress[v.Progress[i].Model] = &v.Progress[i]
+	}
+	for i := range v.Config.Upstreams {
+		u := &v.Config.Upstreams[i]
+		for _, r := range u.Serves {
+			c.upstreams[r] = append(c.upstreams[r], u)
+		}
+		if u.Service != "" {
+			c.plain[u.Service] = append(c.plain[u.Service], u)
+		}
+	}
+	return c
+}
+
+// Workspace returns the workspace with that name, or nil.
+func (c *Catalog) Workspace(name string) *Workspace { return c.workspaces[name] }
+
+// Model returns the model with that name, or nil.
+func (c *Catalog) Model(name string) *Model { return c.models[name] }
+
+// Service returns the plain service with that name, or nil.
+func (c *Catalog) Service(name string) *Service { return c.services[name] }
+
+// Key returns the holder of the API key with the given digest, as made by
+// KeyDigest. The map is keyed by digests, so a look-up leaks no more than
+// timing on the digest of the key.
+func (c *Catalog) Key(digest string) (KeyHolder, bool) {
+	h, ok := c.keys[digest]
+	return h, ok
+}
+
+// Withdrawn reports whether the version was withdrawn.
+func (c *Catalog) Withdrawn(r VersionRef) bool { return c.withdrawn[r] }
+
+// Quarantined reports whether the change detector took the version out.
+func (c *Catalog) Quarantined(r VersionRef) bool { return c.quarantine[r] }
+
+// Rollout returns the progress of the model's roll-out, or nil.
+func (c *Catalog) Rollout(model string) *Progress { return c.progress[model] }
+
+// Upstreams returns the replicas that serve the version.
+func (c *Catalog) Upstreams(r VersionRef) []*Upstream { return c.upstreams[r] }
+
+// ServiceUpstreams returns the replicas of the plain service.
+func (c *Catalog) ServiceUpstreams(name string) []*Upstream { return c.plain[name] }
+
+// Version returns the declaration of a version, or nil.
+func (c *Catalog) Version(r VersionRef) *Version {
+	m := c.models[r.Model]
+	if m == nil {
+		return nil
+	}
+	i := slices.IndexFunc(m.Versions, func(v Version) bool { return v.Name == r.Version })
+	if i < 0 {
+		return nil
+	}
+	return &m.Versions[i]
+}
+
+// Allows reports whether the workspace may use the version at all; it does
+// not look at withdrawals.
+func (w *Workspace) Allows(r VersionRef) bool {
+	for _, a := range w.Models {
+		if a.Model != r.Model {
+			continue
+		}
+		return len(a.Versions) == 0 || slices.Contains(a.Versions, r.Version)
+	}
+	return false
+}
+
+// Find returns the call of the service that a request belongs to, the one
+// with the longest matching path, or nil.
+func (s *Service) Find(method, path string) *Call {
+	var best *Call
+	for i := range s.Calls {
+		c := &s.Calls[i]
+		if c.Method != method || !hasPathPrefix(path, c.Path) {
+			continue
+		}
+		if best == nil || len(c.Path) > len(best.Path) {
+			best = c
+		}
+	}
+	return best
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		return false
+	}
+	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/refuser/refuser.go
@@ -0,0 +1,146 @@
+// Package refuser defines the typed refusals that callers receive.
+//
+// A refusal has a stable code, the outcome of the request it answers and a
+// message that says what to do. The outcome is the part a caller may act on:
+// after NotRun the request can safely be sent again, after Unknown a
+// non-idempotent request must not be sent under a new key.
+//
+// # Usage
+//
+//	return refuser.New(refuser.QueueFull, refuser.NotRun,
+//		"workspace %q has %d requests waiting; retry after %s", name, n, wait)
+//
+//	if r, ok := refuser.As(err); ok && r.Outcome == refuser.NotRun {
+//		// Safe to send again.
+//	}
+package refuser
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Outcomes of a refused request.
+const (
+	// NotRun means that no upstream ran or will run the request.
+	NotRun Outcome = "notRun"
+	// Ran means that an upstream ran the request, but no whole answer is
+	// available.
+	Ran Outcome = "ran"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+)
+
+// Codes are stable: clients may match on them.
+const (
+	BadRequest         Code = "badRequest"
+	BodyTooLarge       Code = "bodyTooLarge"
+	Unauthorized       Code = "unauthorized"
+	UnknownModel       Code = "unknownModel"
+	UnknownService     Code = "unknownService"
+	ModelNotAllowed    Code = "modelNotAllowed"
+	VersionWithdrawn   Code = "versionWithdrawn"
+	SessionInvalid     Code = "sessionInvalid"
+	KeyRequired        Code = "keyRequired"
+	KeyInvalid         Code = "keyInvalid"
+	KeyExpired         Code = "keyExpired"
+	KeyReused          Code = "keyReused"
+	NoQuorum           Code = "noQuorum"
+	NoUpstream         Code = "noUpstream"
+	QueueFull          Code = "queueFull"
+	DeadlineTooShort   Code = "deadlineTooShort"
+	DeadlineExceeded   Code = "deadlineExceeded"
+	RetryBudget        Code = "retryBudgetSpent"
+	UpstreamFailed     Code = "upstreamFailed"
+	StreamCut          Code = "streamCut"
+	AnswerMismatch     Code = "answerMismatch"
+	OutcomeUnknown     Code = "outcomeUnknown"
+	ShuttingDown       Code = "shuttingDown"
+	NotConfigured      Code = "notConfigured"
+	Conflict           Code = "conflict"
+	InvalidDeclaration Code = "invalidDeclaration"
+	Internal           Code = "internal"
+)
+
+type (
+	// Outcome says whether the refused request ran.
+	Outcome string
+
+	// Code names the reason of a refusal.
+	Code string
+
+	// Refusal is the error type for everything that a caller is told.
+	Refusal struct {
+		Code    Code
+		Outcome Outcome
+		Message string
+		// RetryAfter is the time after which a retry may succeed; zero means
+		// that none is known.
+		RetryAfter time.Duration
+	}
+)
+
+var statuses = map[Code]int{
+	BadRequest:         http.StatusBadRequest,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	Unauthorized:       http.StatusUnauthorized,
+	UnknownModel:       http.StatusNotFound,
+	UnknownService:     http.StatusNotFound,
+	ModelNotAllowed:    http.StatusForbidden,
+	VersionWithdrawn:   http.StatusConflict,
+	SessionInvalid:     http.StatusBadRequest,
+	KeyRequired:        http.StatusBadRequest,
+	KeyInvalid:         http.StatusBadRequest,
+	KeyExpired:         http.StatusConflict,
+	KeyReused:          http.StatusUnprocessableEntity,
+	NoQuorum:           http.StatusServiceUnavailable,
+	NoUpstream:         http.StatusServiceUnavailable,
+	QueueFull:          http.StatusTooManyRequests,
+	DeadlineTooShort:   http.StatusServiceUnavailable,
+	DeadlineExceeded:   http.StatusGatewayTimeout,
+	RetryBudget:        http.StatusServiceUnavailable,
+	UpstreamFailed:     http.StatusBadGateway,
+	StreamCut:          http.StatusBadGateway,
+	AnswerMismatch:     http.StatusBadGateway,
+	OutcomeUnknown:     http.StatusBadGateway,
+	ShuttingDown:       http.StatusServiceUnavailable,
+	NotConfigured:      http.StatusServiceUnavailable,
+	Conflict:           http.StatusConflict,
+	InvalidDeclaration: http.StatusUnprocessableEntity,
+	Internal:           http.StatusInternalServerError,
+}
+
+// New returns a refusal whose message is formatted as by fmt.Sprintf.
+func New(code Code, outcome Outcome, format string, args ...any) *Refusal {
+	return &Refusal{Code: code, Outcome: outcome, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", r.Code, r.Outcome, r.Message)
+}
+
+// Status returns the HTTP status that goes with the code.
+func (r *Refusal) Status() int {
+	if s, ok := statuses[r.Code]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// After returns a copy of r that tells the caller to wait for d.
+func (r *Refusal) After(d time.Duration) *Refusal {
+	c := *r
+	c.RetryAfter = d
+	return &c
+}
+
+// As returns the refusal in the chain of err.
+func As(err error) (*Refusal, bool) {
+	var r *Refusal
+	ok := errors.As(err, &r)
+	return r, ok
+}
