--- a/declarer/declarer.go
+++ b/declarer/declarer.go
@@ -59,6 +59,10 @@
 	KindChat Kind = "chat"
 )
 
+// AnyModel is the model name of a request that leaves the choice of model to
+// the router.
+const AnyModel = "auto"
+
 type (
 	// Weigh is what a workspace weighs most.
 	Weigh string
@@ -137,7 +141,7 @@
 	Model struct {
 		Name   string `yaml:"name" cbor:"name"`
 		Intent `yaml:",inline"`
-		// Stable names the version that is used outside roll-outs.
+		// Stable names the version that is used outside rollouts.
 		Stable   string    `yaml:"stable" cbor:"stable"`
 		Versions []Version `yaml:"versions" cbor:"versions"`
 		CutOff   CutOff    `yaml:"cutOff,omitempty" cbor:"cutOff,omitempty"`
@@ -211,7 +215,7 @@
 		Guard   Guard   `yaml:"guard,omitempty" cbor:"guard,omitempty"`
 	}
 
-	// Stage is one step of a roll-out.
+	// Stage is one step of a rollout.
 	Stage struct {
 		// Share is the share of sessions, 0 to 1.
 		Share float64 `yaml:"share" cbor:"share"`
@@ -222,7 +226,7 @@
 		Budget int `yaml:"budget" cbor:"budget"`
 	}
 
-	// Guard bounds what a roll-out may do to its requests.
+	// Guard bounds what a rollout may do to its requests.
 	Guard struct {
 		// MinQuality is the share of rated answers that must pass, 0 to 1.
 		MinQuality float64 `yaml:"minQuality,omitempty" cbor:"minQuality,omitempty"`
--- a/declarer/view.go
+++ b/declarer/view.go
@@ -7,19 +7,19 @@
 
 type (
 	// View is what the control group distributes to hosts: one accepted
-	// configuration and the decisions taken since on its roll-outs.
+	// configuration and the decisions taken since on its rollouts.
 	View struct {
 		// Version grows with every change and never goes back.
 		Version uint64 `cbor:"version"`
 		Config  Config `cbor:"config"`
-		// Progress holds one entry for each roll-out.
+		// Progress holds one entry for each rollout.
 		Progress []Progress `cbor:"progress,omitempty"`
 		// Quarantined lists versions that the change detector has taken out
 		// of use.
 		Quarantined []VersionRef `cbor:"quarantined,omitempty"`
 	}
 
-	// Progress is the state of one roll-out.
+	// Progress is the state of one rollout.
 	Progress struct {
 		Model   string `cbor:"model"`
 		Version string `cbor:"version"`
@@ -32,11 +32,11 @@
 		Since time.Time `cbor:"since"`
 		// Spent counts the requests that reached the version in this stage.
 		Spent int64 `cbor:"spent"`
-		// Reason says why the roll-out was halted.
+		// Reason says why the rollout was halted.
 		Reason string `cbor:"reason,omitempty"`
 	}
 
-	// RolloutState is the state of a roll-out.
+	// RolloutState is the state of a rollout.
 	RolloutState string
 
 	// Catalog is a View indexed for look-ups on the request path. It is
@@ -62,7 +62,7 @@
 	}
 )
 
-// States of a roll-out.
+// States of a rollout.
 const (
 	// RolloutRunning assigns sessions to the version by share.
 	RolloutRunning RolloutState = "running"
@@ -145,7 +145,7 @@
 // Quarantined reports whether the change detector took the version out.
 func (c *Catalog) Quarantined(r VersionRef) bool { return c.quarantine[r] }
 
-// Rollout returns the progress of the model's roll-out, or nil.
+// Rollout returns the progress of the model's rollout, or nil.
 func (c *Catalog) Rollout(model string) *Progress { return c.progress[model] }
 
 // Upstreams returns the replicas that serve the version.
--- a/router/ports.go
+++ b/router/ports.go
@@ -22,7 +22,7 @@
 		// Catalog returns the newest configuration, or nil before the first.
 		Catalog() *declarer.Catalog
 		// Leased reports whether this host's lease is valid. Without it,
-		// versions in roll-out and models that refuse when cut off are not
+		// versions in rollout and models that refuse when cut off are not
 		// used.
 		Leased() bool
 	}
