--- /dev/null
+++ b/hoster/settings_test.go
@@ -0,0 +1,77 @@
+package hoster_test
+
+import (
+	"net/netip"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/hoster"
+)
+
+func TestHoster(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "hoster")
+}
+
+func settings() hoster.Settings {
+	addr := netip.MustParseAddrPort("127.0.0.1:7000")
+	insecure := hoster.TLSFiles{Insecure: true}
+	return hoster.Settings{
+		Name: "a1", Zone: "a", Entry: true, DataFolder: "data",
+		Hosts:   []hoster.Spec{{Name: "a1", Zone: "a", Addr: addr, Disk: true}},
+		Control: []string{"a1"},
+		Callers: addr, Operators: addr, Peers: addr,
+		SessionKeys:  [][]byte{make([]byte, 32)},
+		OperatorKeys: []string{"operator"},
+		CallerTLS:    insecure, PeerTLS: insecure, UpstreamTLS: insecure,
+	}
+}
+
+var _ = Describe("Settings", func() {
+	It("accepts a host that is entry and control at once", func() {
+		s := settings()
+		Expect(s.Validate()).To(Succeed())
+		Expect(s.Drain).To(Equal(hoster.DefaultDrain))
+	})
+
+	// Guards against a host that starts with settings that lose a promise,
+	// such as a control member without a disk or a port without TLS that
+	// nobody asked for.
+	DescribeTable("names the setting that is wrong", func(change func(*hoster.Settings), setting string) {
+		s := settings()
+		change(&s)
+		var wrong *hoster.SettingError
+		Expect(errors.As(s.Validate(), &wrong)).To(BeTrue())
+		Expect(wrong.Setting).To(Equal(setting))
+		Expect(wrong.Allowed).NotTo(BeEmpty())
+	},
+		Entry("unknown name", func(s *hoster.Settings) { s.Name = "x" }, "name"),
+		Entry("other zone", func(s *hoster.Settings) { s.Zone = "b" }, "zone"),
+		Entry("even control group", func(s *hoster.Settings) { s.Control = nil }, "control"),
+		Entry("control without a disk", func(s *hoster.Settings) { s.DataFolder = "" }, "data-folder"),
+		Entry("no peer port", func(s *hoster.Settings) { s.Peers = netip.AddrPort{} }, "peers"),
+		Entry("no caller port", func(s *hoster.Settings) { s.Callers = netip.AddrPort{} }, "callers"),
+		Entry("TLS neither set nor turned off", func(s *hoster.Settings) { s.PeerTLS = hoster.TLSFiles{} }, "peer-cert"),
+		Entry("no session key", func(s *hoster.Settings) { s.SessionKeys = nil }, "session-keys"),
+		Entry("short session key", func(s *hoster.Settings) { s.SessionKeys[0] = []byte("short") }, "session-keys"),
+		Entry("no operator key", func(s *hoster.Settings) { s.OperatorKeys = nil }, "operator-keys"),
+		Entry("negative drain", func(s *hoster.Settings) { s.Drain = -1 }, "drain"),
+	)
+
+	DescribeTable("reads hosts", func(text string, ok bool) {
+		s, err := hoster.ParseSpec(text)
+		Expect(err == nil).To(Equal(ok))
+		if ok {
+			Expect(s.String()).To(Equal(text))
+		}
+	},
+		Entry("with a disk", "a1@a=127.0.0.1:7000+disk", true),
+		Entry("without a disk", "a1@a=[::1]:7000", true),
+		Entry("no zone", "a1=127.0.0.1:7000", false),
+		Entry("no port", "a1@a=127.0.0.1", false),
+		Entry("a host name for an address", "a1@a=localhost:7000", false),
+	)
+})
