--- /dev/null
+++ b/journaler/recover.go
@@ -0,0 +1,214 @@
+package journaler
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	segmentPrefix = "log-"
+	segmentDigits = 16
+)
+
+// replay rebuilds the log from its frames.
+type replay struct {
+	meta    Meta
+	entries []Entry
+}
+
+func segmentName(seq uint64) string {
+	return fmt.Sprintf("%s%0*x", segmentPrefix, segmentDigits, seq)
+}
+
+// recover reads snapshot and segments, cuts off a torn tail and leaves the
+// journal with an open segment.
+func (j *Journal) recover() (State, error) {
+	seqs, err := j.scan()
+	if err != nil {
+		return State{}, err
+	}
+	var st State
+	if st.Snapshot, err = readSnapshot(j.fs); err != nil {
+		return State{}, err
+	}
+	var r replay
+	for i, seq := range seqs {
+		if i > 0 && seq != seqs[i-1]+1 {
+			return State{}, &CorruptError{File: segmentName(seqs[i-1] + 1), Reason: "the segment is missing"}
+		}
+		if err := j.load(&r, seq, i == len(seqs)-1); err != nil {
+			return State{}, err
+		}
+	}
+	st.Meta = r.meta
+	j.meta = r.meta
+	return st, j.finish(&st, &r)
+}
+
+// scan lists the segments in order and removes files that an interrupted
+// WriteFile left behind.
+func (j *Journal) scan() ([]uint64, error) {
+	names, err := j.fs.List()
+	if err != nil {
+		return nil, errors.Wrap(err, "list directory")
+	}
+	var seqs []uint64
+	for _, n := range names {
+		if strings.HasSuffix(n, tempSuffix) {
+			if err := j.fs.Remove(n); err != nil {
+				return nil, errors.Wrapf(err, "remove %q", n)
+			}
+			continue
+		}
+		digits, ok := strings.CutPrefix(n, segmentPrefix)
+		if !ok {
+			continue
+		}
+		seq, err := strconv.ParseUint(digits, 16, 64)
+		if err != nil || len(digits) != segmentDigits {
+			return nil, &CorruptError{File: n, Reason: "the name is not that of a segment"}
+		}
+		seqs = append(seqs, seq)
+	}
+	slices.Sort(seqs)
+	return seqs, nil
+}
+
+// load replays one segment. Only the newest one may end in a torn frame.
+func (j *Journal) load(r *replay, seq uint64, newest bool) error {
+	name := segmentName(seq)
+	f, err := j.fs.Open(name)
+	if err != nil {
+		return errors.Wrapf(err, "open %q", name)
+	}
+	b, err := f.ReadAll()
+	if err != nil {
+		return errors.Wrapf(err, "read %q", name)
+	}
+	seg := segment{seq: seq}
+	off := int64(0)
+	for off < int64(len(b)) {
+		p, n, ok := decodeFrame(seq, off, b[off:])
+		if !ok {
+			break
+		}
+		if err := r.apply(p, &seg); err != nil {
+			return &CorruptError{File: name, Offset: off, Reason: err.Error()}
+		}
+		off += n
+	}
+	torn := off < int64(len(b))
+	if (torn || off == 0) && !newest {
+		return &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and a newer segment exists"}
+	}
+	if torn && followed(seq, off, b) {
+		return &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and an intact one follows"}
+	}
+	return j.adopt(f, seg, off, torn, newest)
+}
+
+// adopt keeps the segment after its frames were read: it cuts a torn tail,
+// removes a segment whose creation was interrupted, and leaves the newest
+// segment open.
+func (j *Journal) adopt(f File, seg segment, size int64, torn, newest bool) error {
+	name := segmentName(seg.seq)
+	if size == 0 {
+		if err := f.Close(); err != nil {
+			return errors.Wrapf(err, "close %q", name)
+		}
+		if err := j.fs.Remove(name); err != nil {
+			return errors.Wrapf(err, "remove %q", name)
+		}
+		return errors.Wrap(j.fs.Sync(), "sync directory")
+	}
+	if torn {
+		if err := f.Truncate(size); err != nil {
+			return errors.Wrapf(err, "truncate %q", name)
+		}
+		if err := f.Sync(); err != nil {
+			return errors.Wrapf(err, "sync %q", name)
+		}
+	}
+	j.segments = append(j.segments, seg)
+	if newest {
+		j.file, j.size = f, size
+		return nil
+	}
+	return errors.Wrapf(f.Close(), "close %q", name)
+}
+
+// finish joins the entries to the snapshot and opens a segment if none is
+// open.
+func (j *Journal) finish(st *State, r *replay) error {
+	s := st.Snapshot
+	if j.file == nil {
+		if err := j.roll(nil); err != nil {
+			return err
+		}
+	}
+	if len(r.entries) == 0 {
+		return nil
+	}
+	first := r.entries[0].Index
+	if first > s.Index+1 {
+		return &CorruptError{File: segmentName(j.segments[0].seq), Reason: fmt.Sprintf(
+			"entries %d to %d are missing", s.Index+1, first-1)}
+	}
+	if first == s.Index+1 {
+		st.Entries = r.entries
+		return nil
+	}
+	at := s.Index - first
+	if at < uint64(len(r.entries)) && r.entries[at].Term == s.Term {
+		st.Entries = r.entries[at+1:]
+		return nil
+	}
+	// The snapshot came from another member and replaces the log, and a
+	// crash came between the two steps of Reset.
+	next := s.Index + 1
+	return j.roll(&next)
+}
+
+// apply adds the records of one frame.
+func (r *replay) apply(p []byte, seg *segment) error {
+	m, reset, entries, err := decodePayload(p)
+	if err != nil {
+		return err
+	}
+	if m != nil {
+		r.meta = *m
+	}
+	if reset != nil {
+		r.entries = nil
+	}
+	for _, e := range entries {
+		seg.last = max(seg.last, e.Index)
+		if err := r.add(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// add appends e, or replaces the entries from its index on.
+func (r *replay) add(e Entry) error {
+	if len(r.entries) == 0 {
+		r.entries = append(r.entries, e)
+		return nil
+	}
+	first := r.entries[0].Index
+	last := first + uint64(len(r.entries)) - 1
+	switch {
+	case e.Index > last+1:
+		return errors.Newf("entry %d follows entry %d", e.Index, last)
+	case e.Index < first:
+		r.entries = append(r.entries[:0:0], e)
+	default:
+		r.entries = append(r.entries[:e.Index-first], e)
+	}
+	return nil
+}
--- /dev/null
+++ b/replicator/replicator.go
@@ -0,0 +1,230 @@
+// Package replicator keeps one log of commands identical on the members of a
+// group and applies it to a state machine on each of them. It follows the
+// rules of Raft: a leader per term, elected by a majority, appends entries;
+// an entry that a majority has synced is committed.
+//
+// A candidate asks for pre-votes before it raises the term, a member that
+// heard from a leader within the election timeout refuses to vote, and a
+// leader that a majority has not answered for an election timeout steps down.
+// A member that returns from a partition therefore does not depose a working
+// leader. The same rules carry the leader's lease: while a majority answered
+// messages sent less than Lease ago, no other leader can have been elected,
+// and the leader serves reads without a round of messages. All times are
+// readings of the monotonic clock. A member that has just started refuses to
+// vote for one election timeout, because it may have answered a leader right
+// before it stopped.
+//
+// # Membership
+//
+// Members have identities that are drawn when their directory is first used.
+// A wiped directory gives a new identity, which cannot vote in the name of the
+// old one. A member without a log asks the configured peers to join. The
+// leader removes an older identity of the same name that has gone silent, adds
+// the new one as a learner, and makes it a voter once it has synced all that
+// is committed. One change is made at a time.
+//
+// The first group is formed by the peer whose name sorts first, and only after
+// every other configured peer has answered that it has no log either. All
+// peers must therefore be up once for a new group to form, and a host that
+// lost its disk cannot form a second group by mistake.
+//
+// # Usage
+//
+//	g, err := replicator.New(replicator.Options{
+//		Name: "a", Addr: addr, Peers: peers,
+//		FS: fs, Machine: machine, Transport: transport, Clock: timekeeper.System{},
+//	})
+//	go g.Run(ctx)
+//	result, index, err := g.Propose(ctx, cmd)
+//	if replicator.NotRun(err) {
+//		// The command certainly takes no effect.
+//	}
+//	index, err := g.Barrier(ctx) // then read the machine
+//
+// The core is a deterministic step function over messages, proposals and
+// ticks; Run puts a goroutine and the clock around it.
+package replicator
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailwall/journaler"
+)
+
+// Kinds of messages.
+const (
+	kindPreVote Kind = iota + 1
+	kindPreVoteReply
+	kindVote
+	kindVoteReply
+	kindAppend
+	kindAppendReply
+	kindSnapshot
+	kindSnapshotReply
+	kindJoin
+	kindJoinReply
+)
+
+// Kinds of log entries.
+const (
+	entryCommand uint8 = iota
+	// entryNoop is the first entry of a term; once it is committed, so are
+	// all entries of earlier terms.
+	entryNoop
+	entryConfig
+)
+
+type (
+	// Machine is the deterministic state machine behind the log. Its methods
+	// are called from one goroutine; readers of the state do their own
+	// locking.
+	Machine interface {
+		// Apply applies a committed command. The result reaches the caller of
+		// Propose.
+		Apply(index uint64, cmd []byte) []byte
+		// Snapshot returns the whole state.
+		Snapshot() ([]byte, error)
+		// Restore replaces the state by one that Snapshot returned.
+		Restore(data []byte) error
+	}
+
+	// Transport carries messages to other members. Send does not block; it
+	// may lose, delay, repeat and reorder messages. It must not change m.
+	Transport interface {
+		Send(to netip.AddrPort, m *Message)
+	}
+
+	// Peer is a host that may be a member.
+	Peer struct {
+		Name string
+		Addr netip.AddrPort
+	}
+
+	// Member is a member of the group.
+	Member struct {
+		// ID is the identity of the member's directory.
+		ID    string         `cbor:"id"`
+		Name  string         `cbor:"name"`
+		Addr  netip.AddrPort `cbor:"addr"`
+		Voter bool           `cbor:"voter"`
+	}
+
+	// Kind is the kind of a message.
+	Kind uint8
+
+	// Message is what members send each other. Its fields are used as the
+	// kind requires.
+	Message struct {
+		Kind Kind   `cbor:"kind"`
+		From string `cbor:"from"`
+		// To is the identity of the receiver; empty addresses whoever is at
+		// the address.
+		To   string `cbor:"to,omitempty"`
+		Term uint64 `cbor:"term,omitempty"`
+		// Index and LogTerm are the entry before Entries, the last entry of a
+		// candidate, or in replies the last matching entry.
+		Index   uint64            `cbor:"index,omitempty"`
+		LogTerm uint64            `cbor:"logTerm,omitempty"`
+		Entries []journaler.Entry `cbor:"entries,omitempty"`
+		Commit  uint64            `cbor:"commit,omitempty"`
+		// Sent is the leader's clock at sending; replies repeat it.
+		Sent   time.Duration `cbor:"sent,omitempty"`
+		Reject bool          `cbor:"reject,omitempty"`
+		Chunk  *Chunk        `cbor:"chunk,omitempty"`
+		Member *Member       `cbor:"member,omitempty"`
+		// Empty says in a join reply that the sender has no log either.
+		Empty bool `cbor:"empty,omitempty"`
+	}
+
+	// Chunk is a part of a snapshot, or in a reply how much has arrived.
+	Chunk struct {
+		Index  uint64 `cbor:"index"`
+		Term   uint64 `cbor:"term"`
+		Config []byte `cbor:"config,omitempty"`
+		Offset int    `cbor:"offset"`
+		Total  int    `cbor:"total"`
+		Data   []byte `cbor:"data,omitempty"`
+	}
+
+	// NotLeaderError says that this member is not the leader, so that the
+	// call had no effect.
+	NotLeaderError struct {
+		// Leader is the member that leads as far as is known; its name is
+		// empty when none is known.
+		Leader Member
+	}
+
+	// ProposalError says that a proposal has no result.
+	ProposalError struct {
+		// NotRun means that the command certainly has no effect, now or
+		// later. Otherwise it may still take effect.
+		NotRun bool
+		Err    error
+	}
+
+	// TooLargeError says that a command exceeds the limit. It has no effect.
+	TooLargeError struct{ Size, Limit int }
+
+	// MembershipError says why a membership change was refused.
+	MembershipError struct{ Reason string }
+)
+
+var (
+	errOverwritten = errors.New("another leader's entry took its place in the log")
+	errOverloaded  = errors.New("too many proposals are waiting")
+	errStopped     = errors.New("the member has stopped")
+)
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader.Name == "" {
+		return "this member does not lead the control group and knows no leader; retry"
+	}
+	return fmt.Sprintf("this member does not lead the control group; ask %s at %s", e.Leader.Name, e.Leader.Addr)
+}
+
+// Error implements error.
+func (e *ProposalError) Error() string {
+	if e.NotRun {
+		return fmt.Sprintf("the command has no effect: %v", e.Err)
+	}
+	return fmt.Sprintf("the command may take effect: %v", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ProposalError) Unwrap() error { return e.Err }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("command of %d bytes exceeds the limit of %d", e.Size, e.Limit)
+}
+
+// Error implements error.
+func (e *MembershipError) Error() string { return "membership change refused: " + e.Reason }
+
+// NotRun reports whether err, returned by Propose, means that the command
+// certainly has no effect, now or later.
+func NotRun(err error) bool {
+	var (
+		nl *NotLeaderError
+		pe *ProposalError
+		tl *TooLargeError
+	)
+	switch {
+	case errors.As(err, &pe):
+		return pe.NotRun
+	case errors.As(err, &nl), errors.As(err, &tl):
+		return true
+	}
+	return false
+}
+
+// canceled returns the error of a call whose context ended.
+func canceled(ctx context.Context, notRun bool) error {
+	return &ProposalError{NotRun: notRun, Err: context.Cause(ctx)}
+}
