Add the table of claims, the ledger and the outbox

Merge now compares the steps too: two records of equal revision that differed only there gave a total that depended on the order of arrival.

--- a/biller/record.go
+++ b/biller/record.go
@@ -8,6 +8,23 @@
 // # Usage
 //
 //	merged := biller.Merge(old, incoming)
+//
+// The control group keeps the records in a Ledger, which takes the time as a
+// parameter and gives the same state on every host:
+//
+//	var l biller.Ledger
+//	refused := l.Add(records, now, retention)
+//	l.Prune(now, retention, limit)
+//	totals := l.Totals()
+//
+// A host keeps the records that the control group has not acknowledged in an
+// Outbox, both its own and those it holds as a witness:
+//
+//	box := biller.NewOutbox(biller.OutboxOptions{})
+//	err := box.Own(rec)
+//	err := box.Hold(now, records)
+//	batch := box.Due(now, limit)
+//	box.Acknowledge(biller.Marks(batch))
 package biller
 
 import (
@@ -79,5 +96,17 @@
 	k = append(k, r.Workspace...)
 	k = append(k, 0)
 	k = append(k, r.Member...)
-	return binary.BigEndian.AppendUint64(k, uint64(r.At.UnixNano()))
+	k = append(k, 0)
+	k = append(k, r.Service...)
+	k = binary.BigEndian.AppendUint64(k, uint64(r.At.UnixNano()))
+	for _, s := range r.Steps {
+		k = append(k, s.Model...)
+		k = append(k, 0)
+		k = append(k, s.Version...)
+		k = append(k, 0)
+		k = binary.BigEndian.AppendUint64(k, uint64(s.InputTokens))
+		k = binary.BigEndian.AppendUint64(k, uint64(s.OutputTokens))
+		k = binary.BigEndian.AppendUint64(k, uint64(s.CostNanos))
+	}
+	return k
 }
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -15,6 +15,18 @@
 //	case claimer.Finished: // res.Response is the stored response
 //	case claimer.Lost: // the outcome is unknown
 //	}
+//
+// A request claims under one request ID, and not again under that ID once it
+// has released the claim: a release that is still under way would free the
+// claim while the request runs.
+//
+// The control group keeps the claims in a Table, which takes the time as a
+// parameter and gives the same answers on every host:
+//
+//	var t claimer.Table
+//	res := t.Claim(req, now, window)
+//	t.Finish(key, requestID, response)
+//	t.Prune(now, window, limit)
 package claimer
 
 import "time"
@@ -36,6 +48,10 @@
 	Expired State = "expired"
 	// Invalid means that the key is not a UUIDv7 or lies in the future.
 	Invalid State = "invalid"
+	// Released means that the asking request has released this claim before.
+	// A claim that arrives after its own release is a late duplicate; granting
+	// it would leave a claim that nobody runs.
+	Released State = "released"
 )
 
 // MaxResponse is the size in bytes of the largest response body that is
