--- a/biller/ledger.go
+++ b/biller/ledger.go
@@ -183,20 +183,13 @@
 	return out
 }
 
-// Records returns up to limit kept records whose ID sorts after the given
-// one, by ID, so that a reader can take the ledger in pages.
-func (l *Ledger) Records(after string, limit int) []Record {
-	ids := make([]string, 0, len(l.records))
-	for id := range l.records {
-		if id > after {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	out := make([]Record, 0, min(limit, len(ids)))
-	for _, id := range ids[:min(limit, len(ids))] {
-		out = append(out, l.records[id].record)
+// Records returns the single records that are kept, sorted by ID.
+func (l *Ledger) Records() []Record {
+	out := make([]Record, 0, len(l.records))
+	for _, e := range l.records {
+		out = append(out, e.record)
 	}
+	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
 
--- /dev/null
+++ b/controller/changes.go
@@ -0,0 +1,141 @@
+package controller
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+
+	"foxtailwall/declarer"
+	"foxtailwall/serializer"
+)
+
+// Kinds of declarations.
+const (
+	kindWorkspace  = "workspace"
+	kindModel      = "model"
+	kindService    = "service"
+	kindUpstream   = "upstream"
+	kindRollout    = "rollout"
+	kindWithdrawal = "withdrawal"
+	kindRetention  = "retention"
+
+	added   = "added"
+	changed = "changed"
+	removed = "removed"
+)
+
+type (
+	// ref names a declaration. A roll-out has the name of its model, since a
+	// model has one at most.
+	ref struct{ kind, name string }
+
+	// declaration is one declaration in canonical form.
+	declaration struct {
+		owner string
+		body  []byte
+	}
+
+	declarationChange struct {
+		ref
+		op string
+		// owner is the office that owns the declaration: before the change,
+		// or after it for an added one.
+		owner string
+	}
+)
+
+// String returns a line such as "changed model engraver of vancouver".
+func (c declarationChange) String() string {
+	s := c.op + " " + c.kind
+	if c.name != "" {
+		s += " " + c.name
+	}
+	if c.owner != "" {
+		s += " of " + c.owner
+	}
+	return s
+}
+
+// declarations indexes a configuration. The faults name what is declared
+// twice, since one of the two would escape the check of ownership.
+func declarations(c declarer.Config) (map[ref]declaration, []string) {
+	out := make(map[ref]declaration, len(c.Workspaces)+len(c.Models)+len(c.Upstreams)+1)
+	var faults []string
+	add := func(kind, name, owner string, v any) {
+		body, err := serializer.Marshal(v)
+		if err != nil {
+			faults = append(faults, fmt.Sprintf("%s %q: %v", kind, name, err))
+		}
+		r := ref{kind, name}
+		if _, ok := out[r]; ok {
+			faults = append(faults, fmt.Sprintf("%s %q is declared twice", kind, name))
+		}
+		out[r] = declaration{owner: owner, body: body}
+	}
+	for _, w := range c.Workspaces {
+		add(kindWorkspace, w.Name, w.Owner, w)
+	}
+	for _, v := range c.Models {
+		add(kindModel, v.Name, v.Owner, v)
+	}
+	for _, v := range c.Services {
+		add(kindService, v.Name, v.Owner, v)
+	}
+	for _, u := range c.Upstreams {
+		add(kindUpstream, u.Name, u.Owner, u)
+	}
+	for _, r := range c.Rollouts {
+		add(kindRollout, r.Model, r.Owner, r)
+	}
+	for _, w := range c.Withdrawals {
+		add(kindWithdrawal, w.Model+"/"+w.Version, w.Owner, w)
+	}
+	add(kindRetention, "", "", c.Retention)
+	return out, faults
+}
+
+// compareDeclarations lists the differences, sorted by kind and name.
+func compareDeclarations(old, next map[ref]declaration) []declarationChange {
+	var out []declarationChange
+	for r, d := range next {
+		before, ok := old[r]
+		switch {
+		case !ok && r.kind != kindRetention:
+			out = append(out, declarationChange{ref: r, op: added, owner: d.owner})
+		case ok && !bytes.Equal(before.body, d.body):
+			out = append(out, declarationChange{ref: r, op: changed, owner: before.owner})
+		}
+	}
+	for r, d := range old {
+		if _, ok := next[r]; !ok {
+			out = append(out, declarationChange{ref: r, op: removed, owner: d.owner})
+		}
+	}
+	slices.SortFunc(out, func(a, b declarationChange) int {
+		if c := strings.Compare(a.kind, b.kind); c != 0 {
+			return c
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	return out
+}
+
+// ownershipFaults names the changes that the office may not make. The
+// retention has no owner.
+func ownershipFaults(office string, changes []declarationChange) []string {
+	var out []string
+	for _, c := range changes {
+		if c.kind == kindRetention || c.owner == office {
+			continue
+		}
+		if c.op == added {
+			out = append(out, fmt.Sprintf("%s %q: office %q cannot add a declaration that %q owns; set owner: %s",
+				c.kind, c.name, office, c.owner, office))
+			continue
+		}
+		out = append(out, fmt.Sprintf("%s %q is owned by office %q; office %q cannot have it %s",
+			c.kind, c.name, c.owner, office, c.op))
+	}
+	return out
+}
