Add replica selection

A replica's score is its expected wait plus the prefill that its prefix cache does not save. Reports lag, so own work sent and completed since the sample is added and subtracted. A gap or a restart invalidates all earlier prefix entries of a replica, since the drop may be among the missed events.

--- /dev/null
+++ b/picker/pool.go
@@ -0,0 +1,68 @@
+package picker
+
+import "net/netip"
+
+// Where a replica of a pool is.
+const (
+	zoneNone zone = iota
+	zoneOwn
+	zoneOther
+)
+
+type (
+	zone uint8
+
+	// Target is a replica that a pool consists of.
+	Target struct {
+		Address netip.AddrPort
+		Zone    string
+		// Slots is the declared batch size, used until the replica reports
+		// one. Zero takes the default.
+		Slots int
+	}
+
+	// Pool is the set of replicas that may run a request, usually those of
+	// one version. It is immutable; the state of its replicas is shared with
+	// other pools of the same Picker.
+	Pool struct {
+		own, other, all []*Replica
+		zones           map[*Replica]zone
+	}
+)
+
+// Pool returns the pool of the given replicas.
+func (p *Picker) Pool(targets []Target) *Pool {
+	pool := &Pool{zones: make(map[*Replica]zone, len(targets))}
+	for _, t := range targets {
+		r := p.Replica(t.Address)
+		r.declare(t.Slots)
+		if pool.zones[r] != zoneNone {
+			continue
+		}
+		pool.all = append(pool.all, r)
+		if t.Zone == p.set.Zone {
+			pool.zones[r] = zoneOwn
+			pool.own = append(pool.own, r)
+			continue
+		}
+		pool.zones[r] = zoneOther
+		pool.other = append(pool.other, r)
+	}
+	return pool
+}
+
+// Replicas returns the replicas of the pool. The caller must not change the
+// slice.
+func (p *Pool) Replicas() []*Replica { return p.all }
+
+func (p *Pool) zone(r *Replica) zone { return p.zones[r] }
+
+// declare sets the batch size until the replica reports its own.
+func (r *Replica) declare(slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slots > 0 && r.reported.Slots == 0 {
+		r.slots = slots
+		r.update()
+	}
+}
--- /dev/null
+++ b/picker/replica_test.go
@@ -0,0 +1,171 @@
+package picker
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/timekeeper"
+)
+
+// naiveRequest is one own request with its whole history.
+type naiveRequest struct {
+	ticket     Ticket
+	sent, done time.Time
+	open       bool
+}
+
+// naiveLoad counts from the histories what a report sampled at that time
+// cannot have seen.
+func naiveLoad(reqs []*naiveRequest, reported int, at time.Time) int {
+	n, open := reported, 0
+	for _, r := range reqs {
+		if r.open {
+			open++
+		}
+		if r.sent.After(at) {
+			n++
+		}
+		if !r.open && r.done.After(at) {
+			n--
+		}
+	}
+	return max(n, open)
+}
+
+var _ = Describe("load estimate", func() {
+	// Guards against own work that is counted twice or not at all when
+	// reports lag, arrive out of order or belong to an old incarnation.
+	It("agrees with a recount from the whole history", func() {
+		const seed = 21
+		rng := rand.New(rand.NewPCG(seed, seed))
+		for range 50 {
+			now := time.Unix(1000, 0)
+			r := newReplica(netip.AddrPort{}, time.Second)
+			var reqs []*naiveRequest
+			reported, at, incarnation := 0, now, uint64(0)
+			r.report(LoadReport{At: now})
+			for range 300 {
+				now = now.Add(time.Duration(1+rng.IntN(20)) * time.Millisecond)
+				switch k := rng.IntN(20); {
+				case k < 9:
+					reqs = append(reqs, &naiveRequest{ticket: r.sent(now), sent: now, open: true})
+				case k < 17 && len(reqs) > 0:
+					q := reqs[rng.IntN(len(reqs))]
+					if q.open {
+						q.open, q.done = false, now
+						r.done(q.ticket, now, true)
+					}
+				case k < 19:
+					rep := LoadReport{Incarnation: incarnation, At: now.Add(-time.Duration(rng.IntN(200)) * time.Millisecond), Running: rng.IntN(9)}
+					r.report(rep)
+					if !rep.At.Before(at) {
+						reported, at = rep.Running, rep.At
+					}
+				default:
+					old := incarnation
+					incarnation++
+					r.report(LoadReport{Incarnation: incarnation, At: now, Running: 1})
+					for _, q := range reqs { // late ends of the old incarnation
+						if q.open {
+							r.done(q.ticket, now, false)
+						}
+					}
+					r.report(LoadReport{Incarnation: old, At: now.Add(time.Second), Running: 9})
+					reqs, reported, at = nil, 1, now
+				}
+				Expect(r.load()).To(Equal(naiveLoad(reqs, reported, at)))
+			}
+		}
+	})
+})
+
+var _ = Describe("prefixIndex", func() {
+	// Guards against a hit on a prefix that the replica dropped in a gap,
+	// lost in a restart or was told of too long ago. The naive index keeps a
+	// set for each replica and clears it when it is uncertain.
+	It("agrees with a naive index under gaps, restarts, late events and age", func() {
+		const seed, replicas, documents, depth = 5, 6, 4, 5
+		rng := rand.New(rand.NewPCG(seed, seed))
+		age := 30 * time.Second
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		x := newPrefixIndex(1000, age, clock.Now())
+		var rs [replicas]*Replica
+		var held [replicas]map[uint64]time.Time
+		var last, incarnation [replicas]uint64
+		for i := range rs {
+			rs[i], held[i], incarnation[i] = &Replica{}, map[uint64]time.Time{}, 1
+		}
+		hash := func(doc, d int) uint64 { return uint64(doc*100 + d) }
+		for range 20_000 {
+			i := rng.IntN(replicas)
+			clock.Advance(time.Duration(rng.IntN(40)) * 50 * time.Millisecond)
+			now := clock.Now()
+			inc, seq := incarnation[i], last[i]+1
+			switch rng.IntN(40) {
+			case 0:
+				seq += 1 + rng.Uint64N(3)
+				clear(held[i])
+			case 1:
+				incarnation[i]++
+				last[i] = 0
+				inc, seq = incarnation[i], 1
+				clear(held[i])
+			case 2:
+				seq = last[i] // a repeated event
+			case 3:
+				inc-- // an event of an old incarnation
+			}
+			e := CacheEvent{Seq: seq, Add: rng.IntN(3) > 0, Prefix: hash(rng.IntN(documents), 1+rng.IntN(depth))}
+			x.apply(rs[i], inc, []CacheEvent{e}, now)
+			if inc == incarnation[i] && seq > last[i] {
+				last[i] = seq
+				delete(held[i], e.Prefix)
+				if e.Add {
+					held[i][e.Prefix] = now.Add(age)
+				}
+			}
+			doc := rng.IntN(documents)
+			var buf [maxMatches]match
+			d := 1 + rng.IntN(depth)
+			var got, want []*Replica
+			for _, m := range x.matches(hash(doc, d), d, x.seconds(now), buf[:0]) {
+				got = append(got, m.replica)
+			}
+			for k := range rs {
+				if until, ok := held[k][hash(doc, d)]; ok && x.seconds(until) > x.seconds(now) {
+					want = append(want, rs[k])
+				}
+			}
+			Expect(got).To(ConsistOf(want))
+		}
+		Expect(x.holders.Len()).To(BeNumerically("<=", 1000))
+	})
+
+	// Guards against a bisection that misses the deepest held prefix, and
+	// against an index that grows without bound.
+	It("finds the deepest holder and stays bounded", func() {
+		now := time.Unix(1000, 0)
+		x := newPrefixIndex(64, time.Minute, now)
+		deep, shallow := &Replica{}, &Replica{}
+		prompt := make([]uint64, 40)
+		for i := range prompt {
+			prompt[i] = uint64(i + 1)
+		}
+		feed := func(r *Replica, from, n int) {
+			for i := from; i < from+n; i++ {
+				x.apply(r, 1, []CacheEvent{{Seq: uint64(i), Add: true, Prefix: uint64(i)}}, now)
+			}
+		}
+		feed(deep, 1, 31)
+		feed(shallow, 1, 10)
+		found := x.find(prompt, now, make([]match, 0, maxMatches))
+		Expect(found[0]).To(Equal(match{replica: deep, depth: 31}))
+		Expect(matched(found, shallow)).To(BeTrue())
+		feed(deep, 1000, 500)
+		Expect(x.holders.Len()).To(Equal(64))
+	})
+})
