Add the stand-ins for model engines and plain services

The router's promises are checked from outside, so the upstreams count what they run, by request ID, prompt digest and version, and answers carry a seal that shows whether they are whole, whose they are and whether they pass.

The time model is a type without a clock (Batch), so that the policy comparison can run it in virtual time.

--- /dev/null
+++ b/emulator/answer.go
@@ -0,0 +1,184 @@
+package emulator
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailwall/declarer"
+)
+
+const (
+	// LongPrompt is the length in tokens from which a request that is not
+	// streamed counts as declarer.KindLong.
+	LongPrompt = 512
+	// defaultOutput is the length of an answer without max_tokens.
+	defaultOutput = 48
+
+	answerPrefix = "answer:"
+	sealPrefix   = "seal:"
+)
+
+type (
+	// Version is a version that an engine can serve.
+	Version struct {
+		Model   string `json:"model"`
+		Version string `json:"version"`
+		// Quality is the share of answers that pass, 0 to 1.
+		Quality float64 `json:"quality"`
+		// ByKind replaces Quality for the kinds it names.
+		ByKind map[declarer.Kind]float64 `json:"byKind,omitempty"`
+	}
+
+	// Judgement is what the seal of an answer says.
+	Judgement struct {
+		// Whole says that no word is missing, added or changed.
+		Whole bool
+		// Own says that the answer belongs to the prompt.
+		Own bool
+		// Pass is the hidden grade.
+		Pass bool
+		// Digest is the digest of the prompt that was answered.
+		Digest string
+	}
+
+	// answer is the text of one answer, word by word.
+	answer struct {
+		digest string
+		salt   uint64
+		n      int
+		pass   bool
+	}
+
+	// message is one message of a chat request.
+	message struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+)
+
+var words = strings.Fields(`a the of and with for line curve letter stroke chalk square
+	border serif depth margin proof colour shade frame corner panel script flask date name`)
+
+// Ref returns the version's name.
+func (v Version) Ref() declarer.VersionRef {
+	return declarer.VersionRef{Model: v.Model, Version: v.Version}
+}
+
+// quality returns the share of answers of that kind that pass.
+func (v Version) quality(k declarer.Kind) float64 {
+	if q, ok := v.ByKind[k]; ok {
+		return q
+	}
+	return v.Quality
+}
+
+// Passes draws whether the version's answer to the prompt with that digest
+// passes.
+func (v Version) Passes(seed uint64, digest string, k declarer.Kind) bool {
+	h := xxhash.Sum64String(fmt.Sprintf("%d/%s/%s/%s", seed, digest, v.Model, v.Version))
+	const bits = 53 // of the mantissa of a float64
+	return float64(h>>(64-bits))/(1<<bits) < v.quality(k)
+}
+
+// CountTokens returns the number of tokens of a prompt.
+func CountTokens(prompt string) int { return max((len(prompt)+bytesPerToken-1)/bytesPerToken, 1) }
+
+// KindOf returns the kind that an engine takes a request for.
+func KindOf(tokens int, stream bool) declarer.Kind {
+	switch {
+	case stream:
+		return declarer.KindChat
+	case tokens >= LongPrompt:
+		return declarer.KindLong
+	default:
+		return declarer.KindShort
+	}
+}
+
+// Digest returns the digest of a prompt: the contents of its messages, joined
+// by line ends.
+func Digest(prompt string) string { return fmt.Sprintf("%016x", xxhash.Sum64String(prompt)) }
+
+// Judge reads the seal of an answer. With an empty prompt, Own is true for any
+// answer. The text may also be the JSON body of a chat completion.
+func Judge(prompt, text string) Judgement {
+	fields := strings.Fields(contentOf(text))
+	if len(fields) == 0 {
+		return Judgement{}
+	}
+	parts := strings.Split(fields[len(fields)-1], ":")
+	const sealParts = 5
+	if len(parts) != sealParts || parts[0]+":" != sealPrefix {
+		return Judgement{Digest: strings.TrimPrefix(fields[0], answerPrefix)}
+	}
+	j := Judgement{Digest: parts[1]}
+	n, _ := strconv.Atoi(parts[2])
+	body := strings.Join(fields[:len(fields)-1], " ")
+	j.Whole = n == len(fields) && parts[3] == checksum(body)
+	j.Own = prompt == "" || j.Digest == Digest(prompt)
+	j.Pass = parts[4] == grade(j.Digest, true)
+	return j
+}
+
+// word returns the token at index i, with a leading space but for the first.
+func (a answer) word(i int) string {
+	space := " "
+	if i == 0 {
+		space = ""
+	}
+	switch {
+	case i >= a.n:
+		return "" // a crossed answer is shorter than the own one
+	case i == a.n-1:
+		return fmt.Sprintf("%s%s%s:%d:%s:%s", space, sealPrefix, a.digest, a.n, checksum(a.text(a.n-1)), grade(a.digest, a.pass))
+	case i == 0:
+		return answerPrefix + a.digest
+	}
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], a.salt)
+	binary.BigEndian.PutUint64(b[8:], uint64(i))
+	return space + words[xxhash.Sum64(b[:])%uint64(len(words))]
+}
+
+// text returns the first n words.
+func (a answer) text(n int) string {
+	var b strings.Builder
+	for i := range n {
+		b.WriteString(a.word(i))
+	}
+	return b.String()
+}
+
+func checksum(text string) string { return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(text))) }
+
+func grade(digest string, pass bool) string {
+	return fmt.Sprintf("%08x", uint32(xxhash.Sum64String(fmt.Sprint(digest, pass))))
+}
+
+// contentOf returns the content of a chat completion, or the text itself if it
+// is none.
+func contentOf(text string) string {
+	if !strings.HasPrefix(strings.TrimSpace(text), "{") {
+		return text
+	}
+	var c struct {
+		Choices []struct{ Message message }
+	}
+	if err := json.Unmarshal([]byte(text), &c); err != nil || len(c.Choices) == 0 {
+		return text
+	}
+	return c.Choices[0].Message.Content
+}
+
+func promptOf(messages []message) string {
+	parts := make([]string, len(messages))
+	for i, m := range messages {
+		parts[i] = m.Content
+	}
+	return strings.Join(parts, "\n")
+}
--- /dev/null
+++ b/emulator/emulator.go
@@ -0,0 +1,171 @@
+// Package emulator holds stand-ins for the systems around the router: model
+// engines, a plain service, the rating service, the weight store and the
+// platform's host list. They speak the upstream protocol of docs/design.md and
+// share no code with the router's request path, so that their counts can check
+// what the router says.
+//
+// # Usage
+//
+//	engine := emulator.NewEngine(emulator.EngineConfig{
+//		Name:     "engine-1",
+//		Seed:     1,
+//		Versions: []emulator.Version{{Model: "engraver", Version: "v1", Quality: 0.8}},
+//	})
+//	defer engine.Close()
+//	go emulator.Serve(ctx, listener, engine, nil)
+//
+//	err := engine.SetFault(emulator.Fault{Kind: emulator.FaultBad, Model: "engraver", Version: "v1", Quality: 0.2})
+//	runs := engine.Ran()
+//
+// Every stand-in has Handler, for use without a listener, and takes faults
+// over HTTP as well: POST /faults with the JSON of a Fault. What an engine or
+// a service ran is read by GET /ran?after=N.
+//
+// # Time model
+//
+// An engine works in steps (continuous batching). In one step every running
+// request whose prompt is processed generates one token, and what is left of
+// the token budget processes prompts in order of admission. A step takes
+//
+//	Timing.Step (if a token is generated)
+//	+ Timing.PerSequence for each request that generates a token
+//	+ prompt tokens processed / Timing.Prefill
+//
+// A request produces its first token in the step that ends its prompt. The
+// tokens of prefix blocks in the cache need no processing. Requests are
+// admitted by priority, then by arrival, while a slot and memory for prompt and
+// answer are free. Package comparer runs the same model in virtual time.
+//
+// # Answers
+//
+// The text of an answer follows from the prompt and the version. Its last word
+// is a seal that carries the digest of the prompt, the number of words, a
+// checksum and a grade; Judge reads it. Whether a version passes on a prompt is
+// drawn from the seed, the prompt and the version, so that a repeated request
+// gets the same grade on every replica with that seed.
+package emulator
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"foxtailwall/timekeeper"
+)
+
+const (
+	// HeaderRequest carries the attempt ID.
+	HeaderRequest = "Foxtailwall-Request"
+	// HeaderDeadline carries the milliseconds left.
+	HeaderDeadline = "Foxtailwall-Deadline"
+	// HeaderPriority carries the priority, 0 to 9.
+	HeaderPriority = "Foxtailwall-Priority"
+	// HeaderNotRun marks a response to a request that was not run.
+	HeaderNotRun = "Foxtailwall-Not-Run"
+	// HeaderResume names a cut stream and the tokens received, "ID:N".
+	HeaderResume = "Foxtailwall-Resume"
+	// HeaderVersion names the version when the body names only the model.
+	HeaderVersion = "Foxtailwall-Version"
+
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 5 * time.Second
+	// maxBody bounds a request body, in bytes.
+	maxBody = 16 << 20
+)
+
+type (
+	// Handler is a stand-in that can be served.
+	Handler interface {
+		Handler() http.Handler
+	}
+
+	// silencer is a stand-in whose open connections can go silent.
+	silencer interface {
+		addListener(*silentListener)
+	}
+
+	// errorBody is the JSON body of an error response.
+	errorBody struct {
+		Error errorDetail `json:"error"`
+	}
+
+	errorDetail struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+	}
+)
+
+// Serve serves h on l until ctx ends, then closes all connections. With a TLS
+// configuration it serves TLS. It returns the error of the listener, or nil
+// after ctx has ended.
+func Serve(ctx context.Context, l net.Listener, h Handler, conf *tls.Config) error {
+	silent := &silentListener{Listener: l}
+	if s, ok := h.(silencer); ok {
+		s.addListener(silent)
+	}
+	srv := &http.Server{Handler: h.Handler(), ReadHeaderTimeout: headerTimeout, TLSConfig: conf}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	wg.Go(func() {
+		<-ctx.Done()
+		srv.Close()
+		silent.closeAll()
+	})
+	var err error
+	if conf != nil {
+		err = srv.ServeTLS(silent, "", "")
+	} else {
+		err = srv.Serve(silent)
+	}
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrapf(err, "serve on %s", l.Addr())
+}
+
+// clockOr returns c, or the machine's clock for nil.
+func clockOr(c timekeeper.Clock) timekeeper.Clock {
+	if c == nil {
+		return timekeeper.System{}
+	}
+	return c
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// A failed write means that the client has left.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeError(w http.ResponseWriter, status int, notRun bool, kind, message string) {
+	if notRun {
+		w.Header().Set(HeaderNotRun, "true")
+	}
+	writeJSON(w, status, errorBody{Error: errorDetail{Message: message, Type: kind}})
+}
+
+// readJSON decodes the body into v; on failure it answers 400 and returns
+// false.
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(v); err != nil {
+		writeError(w, http.StatusBadRequest, true, "badRequest", "body is not the expected JSON: "+err.Error())
+		return false
+	}
+	return true
+}
+
+// after returns the query parameter "after", or 0.
+func after(r *http.Request) int64 {
+	n, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	return n
+}
--- /dev/null
+++ b/emulator/engine_test.go
@@ -0,0 +1,268 @@
+package emulator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/emulator"
+	"foxtailwall/timekeeper"
+)
+
+var engraver = emulator.Version{Model: "engraver", Version: "v1", Quality: 0.5}
+
+// quick is a time model that does not slow tests down.
+var quick = emulator.Timing{Step: time.Microsecond, PerSequence: time.Microsecond, Prefill: 1e9}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func do(c *http.Client, method, url, body string, header ...string) reply {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header, string(b), err}
+}
+
+func chat(prompt string, n int, stream bool) string {
+	b, err := json.Marshal(map[string]any{
+		"model": "engraver/v1", "max_tokens": n, "stream": stream,
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return string(b)
+}
+
+// streamed joins the contents of a stream; it is not ok without an end marker.
+func streamed(body string) (text string, ok bool) {
+	for line := range strings.Lines(body) {
+		data := strings.TrimSpace(strings.TrimPrefix(line, "data: "))
+		if data == "[DONE]" {
+			return text, true
+		}
+		var c struct {
+			Choices []struct{ Delta struct{ Content string } }
+		}
+		if json.Unmarshal([]byte(data), &c) == nil && len(c.Choices) > 0 {
+			text += c.Choices[0].Delta.Content
+		}
+	}
+	return text, false
+}
+
+var _ = Describe("Engine", func() {
+	var (
+		e   *emulator.Engine
+		srv *httptest.Server
+		c   *http.Client
+	)
+	serve := func(conf emulator.EngineConfig) {
+		conf.Name, conf.Seed, conf.Timing = "e1", 3, quick
+		conf.Versions = []emulator.Version{engraver}
+		e = emulator.NewEngine(conf)
+		DeferCleanup(e.Close)
+		srv = httptest.NewServer(e.Handler())
+		DeferCleanup(srv.Close)
+		c = srv.Client()
+	}
+	post := func(id, prompt string, stream bool, header ...string) reply {
+		return do(c, http.MethodPost, srv.URL+"/v1/chat/completions", chat(prompt, 8, stream),
+			append(header, emulator.HeaderRequest, id)...)
+	}
+
+	// Guards against answers that the checks from outside cannot tell apart:
+	// a foreign, shortened or altered answer must be seen by Judge.
+	It("seals every answer, and counts its run", func() {
+		serve(emulator.EngineConfig{})
+		for i := range 4 {
+			prompt, id := fmt.Sprint("prompt ", i), fmt.Sprint("r", i)
+			r := post(id, prompt, i%2 == 0)
+			Expect(r.header.Get(emulator.HeaderRequest)).To(Equal(id))
+			text := r.body
+			if i%2 == 0 {
+				var done bool
+				text, done = streamed(r.body)
+				Expect(done).To(BeTrue())
+			}
+			j := emulator.Judge(prompt, text)
+			Expect(j).To(Equal(emulator.Judgement{Whole: true, Own: true, Pass: e.Ran()[i].Pass, Digest: emulator.Digest(prompt)}))
+			Expect(emulator.Judge("other", text).Own).To(BeFalse())
+			Expect(emulator.Judge(prompt, strings.Replace(text, " ", " x ", 1)).Whole).To(BeFalse())
+			run := e.Ran()[i]
+			Expect(run.RequestID).To(Equal(id))
+			Expect(run.Ending).To(Equal(emulator.RunComplete))
+			Expect(run.Output).To(Equal(8))
+		}
+	})
+
+	// Guards against a resumed stream that repeats or skips tokens.
+	It("resumes a stream after the tokens received", func() {
+		serve(emulator.EngineConfig{})
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultCut})).To(Succeed())
+		first, done := streamed(post("a", "p", true).body)
+		Expect(done).To(BeFalse())
+		n := len(strings.Fields(first))
+		rest, done := streamed(post("b", "p", true, emulator.HeaderResume, fmt.Sprint("a:", n)).body)
+		Expect(done).To(BeTrue())
+		Expect(emulator.Judge("p", first+rest)).To(HaveField("Whole", true))
+	})
+
+	// Guards against stand-ins that claim that a request did not run when it
+	// did, or that count work refused while leaving as run.
+	It("refuses new work while leaving and says that it did not run", func() {
+		serve(emulator.EngineConfig{LoadLag: time.Nanosecond})
+		r := do(c, http.MethodPost, srv.URL+"/faults", `{"kind":"leave"}`)
+		Expect(r.status).To(Equal(http.StatusNoContent))
+		r = post("a", "p", false)
+		Expect(r.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.header.Get(emulator.HeaderNotRun)).To(Equal("true"))
+		Expect(do(c, http.MethodGet, srv.URL+"/load", "").body).To(ContainSubstring(`"leaving":true`))
+		Expect(e.Ran()).To(BeEmpty())
+		Expect(e.LateWork()).To(HaveLen(1))
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultReturn})).To(Succeed())
+		Expect(post("b", "p", false).status).To(Equal(http.StatusOK))
+	})
+
+	// Guards against faults that do nothing, with which the router's checks
+	// of request IDs would never be exercised.
+	It("crosses answers on command", func() {
+		serve(emulator.EngineConfig{})
+		for _, stream := range []bool{false, true} {
+			post("a", "mine", stream)
+			Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultCross})).To(Succeed())
+			r := post("b", "yours", stream)
+			Expect(r.header.Get(emulator.HeaderRequest)).To(Equal("a"))
+			Expect(r.body).To(ContainSubstring(emulator.Digest("mine")))
+		}
+	})
+
+	// Guards against a bad version that goes on passing, or one that cannot
+	// be told from the good one in the counts.
+	It("turns a version bad on command", func() {
+		serve(emulator.EngineConfig{})
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultBad, Model: "engraver", Version: "v1"})).To(Succeed())
+		for i := range 8 {
+			Expect(post("a", fmt.Sprint(i), false).status).To(Equal(http.StatusOK))
+		}
+		for _, r := range e.Ran() {
+			Expect(r).To(And(HaveField("Pass", false), HaveField("Bad", true)))
+		}
+	})
+
+	// Guards against load reports and cache events that are fresher than
+	// those of a real engine.
+	It("reports load and cache events late", func() {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		serve(emulator.EngineConfig{Clock: clock, LoadLag: time.Second, EventLag: time.Second})
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultLeave})).To(Succeed())
+		load := func() string { return do(c, http.MethodGet, srv.URL+"/load", "").body }
+		clock.Advance(time.Second - 1)
+		Expect(load()).To(ContainSubstring(`"leaving":false`))
+		clock.Advance(1)
+		Expect(load()).To(ContainSubstring(`"leaving":true`))
+	})
+
+	// Guards against an engine that takes commands of a deposed owner.
+	DescribeTable("checks fencing tokens",
+		func(ignores bool, want int) {
+			serve(emulator.EngineConfig{IgnoresFencing: ignores})
+			Expect(do(c, http.MethodPost, srv.URL+"/orders", `{"fence":7,"action":"role","role":"decode"}`).status).To(Equal(http.StatusAccepted))
+			Expect(do(c, http.MethodPost, srv.URL+"/orders", `{"fence":6,"action":"role","role":"both"}`).status).To(Equal(want))
+		},
+		Entry("an engine that checks", false, http.StatusConflict),
+		Entry("an engine that ignores them", true, http.StatusAccepted),
+	)
+
+	// Guards against silent connections that are in truth closed, which a
+	// client notices at once.
+	It("makes open connections silent while new ones work", func(ctx context.Context) {
+		serve(emulator.EngineConfig{})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		ctx, stop := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() { done <- emulator.Serve(ctx, l, e, nil) }()
+		old, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		get := func(c net.Conn) error {
+			_, err := c.Write([]byte("GET /load HTTP/1.1\r\nHost: x\r\n\r\n"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.ReadAtLeast(c, make([]byte, 4096), 12)
+			return err
+		}
+		Expect(get(old)).To(Succeed())
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultSilent})).To(Succeed())
+		silent := make(chan error, 1)
+		go func() {
+			defer GinkgoRecover()
+			silent <- get(old)
+		}()
+		fresh, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(get(fresh)).To(Succeed())
+		Expect(silent).NotTo(Receive())
+		stop()
+		Expect(<-done).To(Succeed())
+		Expect(<-silent).To(HaveOccurred())
+	}, NodeTimeout(20*time.Second))
+})
+
+var _ = Describe("Service", func() {
+	// Guards against a service that hides a doubled run by recognising the
+	// key itself: the check of promise 7 counts on every run being counted.
+	It("counts every run, also of the same key and body", func() {
+		s := emulator.NewService(emulator.ServiceConfig{Name: "laser", Time: time.Nanosecond})
+		srv := httptest.NewServer(s.Handler())
+		defer srv.Close()
+		for range 2 {
+			r := do(srv.Client(), http.MethodPost, srv.URL+"/bookings", "slot 4", emulator.HeaderKey, "k")
+			Expect(r.status).To(Equal(http.StatusOK))
+		}
+		Expect(s.SetFault(emulator.Fault{Kind: emulator.FaultLeave})).To(Succeed())
+		r := do(srv.Client(), http.MethodPost, srv.URL+"/bookings", "slot 5")
+		Expect(r.header.Get(emulator.HeaderNotRun)).To(Equal("true"))
+		var got []string
+		for _, run := range s.Ran() {
+			got = append(got, run.Key+" "+run.Digest)
+		}
+		want := "k " + emulator.Digest("slot 4")
+		Expect(got).To(Equal([]string{want, want}))
+		Expect(s.LateWork()).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("PrefixHashes", func() {
+	// Guards against hashes that do not depend on the blocks before, with
+	// which two prompts would share a cache entry wrongly.
+	It("chains whole blocks", func() {
+		a := bytes.Repeat([]byte("a"), 256)
+		b := bytes.Repeat([]byte("b"), 256)
+		ab := emulator.PrefixHashes(string(a) + string(b) + "rest")
+		bb := emulator.PrefixHashes(string(b) + string(b))
+		Expect(ab).To(HaveLen(2))
+		Expect(emulator.PrefixHashes(string(a))).To(Equal(ab[:1]))
+		Expect(ab[1]).NotTo(Equal(bb[1]))
+	})
+})
--- /dev/null
+++ b/emulator/timing_test.go
@@ -0,0 +1,99 @@
+package emulator_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/emulator"
+)
+
+func TestEmulator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "emulator")
+}
+
+// drive steps the batch until it is empty and returns the time that passed.
+func drive(b *emulator.Batch, start time.Time) time.Duration {
+	now := start
+	for {
+		d, ok := b.Begin(now)
+		if !ok {
+			return now.Sub(start)
+		}
+		now = now.Add(d)
+		b.End(now)
+	}
+}
+
+var _ = Describe("Batch", func() {
+	start := time.Unix(0, 0)
+
+	// Guards against an engine whose times differ from the stated model, which
+	// would make every comparison of policies meaningless.
+	DescribeTable("takes the time of the stated model",
+		func(jobs []*emulator.Job, want time.Duration) {
+			b := emulator.NewBatch(emulator.Timing{
+				Slots: 2, Budget: 100, Memory: 1000, Prefill: 1000,
+				Step: 10 * time.Millisecond, PerSequence: time.Millisecond,
+			}, emulator.NewCache(10, 0, 1))
+			for _, j := range jobs {
+				Expect(b.Add(j, start)).To(BeTrue())
+			}
+			Expect(drive(b, start)).To(Equal(want))
+		},
+		// 50 tokens of prompt in 50 ms give the first token, two steps of 11 ms the others.
+		Entry("one request", []*emulator.Job{{Prompt: 50, Output: 3}}, 72*time.Millisecond),
+		// The prompt exceeds the budget: steps of 100 and 50 tokens.
+		Entry("a chunked prompt", []*emulator.Job{{Prompt: 150, Output: 1}}, 150*time.Millisecond),
+		// Both prompts in one step, then a step with two sequences.
+		Entry("two requests together", []*emulator.Job{{Prompt: 20, Output: 2}, {Prompt: 30, Output: 2}}, 62*time.Millisecond),
+		// The third waits for a slot: 50 ms, then 30 ms.
+		Entry("a queue", []*emulator.Job{{Prompt: 20, Output: 1}, {Prompt: 30, Output: 1}, {Prompt: 30, Output: 1}}, 80*time.Millisecond),
+		// Of the second's 128 tokens, 127 are cached when it is admitted after
+		// the first two: 100 + 36 ms (28 of one prompt, 8 of the other), then 1 ms.
+		Entry("a cached prefix", []*emulator.Job{
+			{Prompt: 128, Output: 1, Prefix: []uint64{1, 2}}, {Prompt: 8, Output: 1},
+			{Prompt: 128, Output: 1, Prefix: []uint64{1, 2}},
+		}, 137*time.Millisecond),
+	)
+
+	// Guards against lost or doubled tokens, and against an engine that
+	// exceeds its slots or memory, under random arrivals and cancellations.
+	It("completes every request within its limits", func() {
+		const seed = 11
+		rng := rand.New(rand.NewPCG(seed, seed))
+		b := emulator.NewBatch(emulator.Timing{Slots: 4, Budget: 64, Memory: 400, MaxWaiting: 1000}, emulator.NewCache(8, 0, seed))
+		tokens, want, now := 0, 0, start
+		var jobs []*emulator.Job
+		for range 500 {
+			j := &emulator.Job{Prompt: 1 + rng.IntN(200), Output: 1 + rng.IntN(40), Priority: rng.IntN(3), Prefix: []uint64{rng.Uint64N(12)}}
+			Expect(b.Add(j, now)).To(BeTrue())
+			jobs = append(jobs, j)
+			if rng.IntN(10) == 0 {
+				k := jobs[rng.IntN(len(jobs))]
+				b.Remove(k)
+			}
+			d, _ := b.Begin(now)
+			now = now.Add(d)
+			Expect(b.Running()).To(BeNumerically("<=", 4))
+			tokens += b.End(now)
+		}
+		for b.Running()+b.Waiting() > 0 {
+			d, ok := b.Begin(now)
+			Expect(ok).To(BeTrue())
+			now = now.Add(d)
+			tokens += b.End(now)
+		}
+		for _, j := range jobs {
+			want += j.Produced
+			if !j.Ended.IsZero() {
+				Expect(j.Produced).To(Equal(j.Output))
+			}
+		}
+		Expect(tokens).To(Equal(want))
+	})
+})
