--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -25,8 +25,10 @@
 // root returns the command with all its subcommands, one file each.
 func root() *cli.Command {
 	return &cli.Command{
-		Name:     "foxtailwall",
-		Usage:    "model-aware router for versions and cascades",
-		Commands: []*cli.Command{},
+		Name:  "foxtailwall",
+		Usage: "model-aware router for versions and cascades",
+		Commands: []*cli.Command{
+			standinCommand(),
+		},
 	}
 }
--- /dev/null
+++ b/cmd/foxtailwall/setting.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// settingError names a setting whose value is not allowed.
+type settingError struct {
+	setting string
+	value   string
+	allowed string
+}
+
+// Error implements error.
+func (e *settingError) Error() string {
+	return fmt.Sprintf("setting --%s is %q; allowed: %s", e.setting, e.value, e.allowed)
+}
+
+// addressSetting parses an address of the form IP:PORT.
+func addressSetting(name, value string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return a, &settingError{name, value, "IP:PORT, for example 127.0.0.1:9000"}
+	}
+	return a, nil
+}
--- /dev/null
+++ b/cmd/foxtailwall/standin.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"foxtailwall/emulator"
+	"foxtailwall/timekeeper"
+)
+
+const standinUsage = `Serves one stand-in for a system around the router, on one address:
+
+   engine    a model engine with continuous batching and a prefix cache
+   service   a plain service: GET is idempotent, POST makes a booking
+   rater     the rating service, which reads the grade hidden in an answer
+   weights   the weight store, limited to a rate
+   platform  the platform's list of hosts, which is taken from --host
+
+The address that it listens on is printed as the first line. The versions of
+an engine are given as MODEL/VERSION=QUALITY, the share of answers that pass:
+
+   foxtailwall standin --kind engine --name engine-1 --listen 127.0.0.1:9001 \
+      --version engraver/v1=0.82 --loadable engraver/v2=0.9
+
+Engines of one deployment must share --seed, so that a prompt gets the same
+grade on each of them. Faults are set while it runs:
+
+   curl -d '{"kind":"bad","model":"engraver","version":"v1","quality":0.2}' \
+      http://127.0.0.1:9001/faults
+   curl -d '{"kind":"leave"}' http://127.0.0.1:9001/faults
+   curl -d '{"kind":"late","count":3,"delay":2000000000}' http://127.0.0.1:9001/faults
+
+The kinds are bad, good, leave, return, silent, late, cross, stray, cut, error,
+stall, slow, restart and down. GET /ran?after=N lists what an engine or a
+service ran, for checks from outside. See package emulator for the time model.`
+
+// standinCommand returns the subcommand standin.
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "standin",
+		Usage:       "serve a stand-in for an engine, a service or the platform",
+		Description: standinUsage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "kind", Value: "engine", Usage: "engine, service, rater, weights or platform", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_KIND")},
+			&cli.StringFlag{Name: "name", Value: "standin", Usage: "name in the counts", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_NAME")},
+			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to listen on", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LISTEN")},
+			&cli.StringFlag{Name: "cert", Usage: "certificate file; with --key it serves TLS", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_CERT")},
+			&cli.StringFlag{Name: "key", Usage: "key file", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_KEY")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all randomness", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_SEED")},
+			&cli.StringSliceFlag{Name: "version", Usage: "version loaded at the start, MODEL/VERSION=QUALITY", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_VERSION")},
+			&cli.StringSliceFlag{Name: "loadable", Usage: "version that orders may load, MODEL/VERSION=QUALITY", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LOADABLE")},
+			&cli.StringFlag{Name: "weights", Usage: "address of the weight store for loads", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_WEIGHTS")},
+			&cli.IntFlag{Name: "slots", Usage: "requests batched at once, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_SLOTS")},
+			&cli.FloatFlag{Name: "prefill", Usage: "prompt tokens in a second, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_PREFILL")},
+			&cli.DurationFlag{Name: "step", Usage: "time of a step of the batch, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_STEP")},
+			&cli.IntFlag{Name: "cache", Usage: "prefix cache in blocks of 256 bytes, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_CACHE")},
+			&cli.FloatFlag{Name: "gap", Usage: "share of cache events lost", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_GAP")},
+			&cli.DurationFlag{Name: "lag", Usage: "age of load reports, ratings or the host list, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LAG")},
+			&cli.BoolFlag{Name: "ignore-fencing", Usage: "take orders with an old fencing token", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_IGNORE_FENCING")},
+			&cli.FloatFlag{Name: "missing", Usage: "share of ratings that never appear", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_MISSING")},
+			&cli.FloatFlag{Name: "rate", Usage: "fetches of weights in a second, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_RATE")},
+			&cli.StringSliceFlag{Name: "host", Usage: "host in the platform's list, IP:PORT", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_HOST")},
+		},
+		Action: runStandin,
+	}
+}
+
+func runStandin(ctx context.Context, c *cli.Command) error {
+	conf, err := standinTLS(c)
+	if err != nil {
+		return err
+	}
+	if _, err := addressSetting("listen", c.String("listen")); err != nil {
+		return err
+	}
+	h, stop, err := standin(c)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	l, err := net.Listen("tcp", c.String("listen"))
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", c.String("listen"))
+	}
+	fmt.Fprintln(c.Root().Writer, l.Addr())
+	return emulator.Serve(ctx, l, h, conf)
+}
+
+// standin makes the stand-in that the flags describe.
+func standin(c *cli.Command) (h emulator.Handler, stop func(), err error) {
+	stop = func() {}
+	switch kind := c.String("kind"); kind {
+	case "engine":
+		conf, err := engineConfig(c)
+		if err != nil {
+			return nil, nil, err
+		}
+		e := emulator.NewEngine(conf)
+		return e, e.Close, nil
+	case "service":
+		h = emulator.NewService(emulator.ServiceConfig{Name: c.String("name"), Time: c.Duration("step"), Concurrent: c.Int("slots")})
+	case "rater":
+		h = emulator.NewRater(emulator.RaterConfig{Seed: c.Uint64("seed"), Delay: c.Duration("lag"), Missing: c.Float("missing")})
+	case "weights":
+		h = emulator.NewWeightStore(emulator.WeightConfig{Rate: c.Float("rate")})
+	case "platform":
+		p := emulator.NewPlatform(emulator.PlatformConfig{Lag: c.Duration("lag")})
+		for _, s := range c.StringSlice("host") {
+			a, err := addressSetting("host", s)
+			if err != nil {
+				return nil, nil, err
+			}
+			p.Set(emulator.Host{Address: a, Incarnation: s, State: emulator.HostLive})
+		}
+		h = p
+	default:
+		return nil, nil, &settingError{"kind", kind, "engine, service, rater, weights, platform"}
+	}
+	return h, stop, nil
+}
+
+func engineConfig(c *cli.Command) (emulator.EngineConfig, error) {
+	conf := emulator.EngineConfig{
+		Name: c.String("name"), Seed: c.Uint64("seed"),
+		Timing:      emulator.Timing{Slots: c.Int("slots"), Prefill: c.Float("prefill"), Step: c.Duration("step")},
+		CacheBlocks: c.Int("cache"), EventGap: c.Float("gap"), LoadLag: c.Duration("lag"),
+		IgnoresFencing: c.Bool("ignore-fencing"), LoadTime: time.Second,
+	}
+	var err error
+	if conf.Versions, err = versionSettings("version", c.StringSlice("version")); err != nil {
+		return conf, err
+	}
+	if conf.Loadable, err = versionSettings("loadable", c.StringSlice("loadable")); err != nil {
+		return conf, err
+	}
+	if s := c.String("weights"); s != "" {
+		a, err := addressSetting("weights", s)
+		if err != nil {
+			return conf, err
+		}
+		conf.Weights = emulator.FetchWeights(http.DefaultClient, timekeeper.System{}, a)
+	}
+	return conf, nil
+}
+
+// versionSettings parses values of the form MODEL/VERSION=QUALITY.
+func versionSettings(name string, values []string) ([]emulator.Version, error) {
+	out := make([]emulator.Version, 0, len(values))
+	for _, s := range values {
+		ref, quality, _ := strings.Cut(s, "=")
+		model, version, ok := strings.Cut(ref, "/")
+		q, err := strconv.ParseFloat(quality, 64)
+		if !ok || err != nil || q < 0 || q > 1 {
+			return nil, &settingError{name, s, "MODEL/VERSION=QUALITY with a quality from 0 to 1"}
+		}
+		out = append(out, emulator.Version{Model: model, Version: version, Quality: q})
+	}
+	return out, nil
+}
+
+// standinTLS returns the TLS configuration, or nil for plain HTTP.
+func standinTLS(c *cli.Command) (*tls.Config, error) {
+	if c.String("cert") == "" && c.String("key") == "" {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(c.String("cert"), c.String("key"))
+	if err != nil {
+		return nil, errors.Wrap(err, "load --cert and --key")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}, nil
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -123,7 +123,8 @@
 		previous    *completion
 		listeners   []*silentListener
 		orders      orderState
-		kv          map[string][]byte
+		kv          map[string][]uint64
+		kvOrder     []string
 	}
 
 	loaded struct {
@@ -168,7 +169,7 @@
 	e := &Engine{
 		conf: conf, clock: clockOr(conf.Clock), wake: make(chan struct{}, 1),
 		bad: make(map[declarer.VersionRef]float64), faults: make(counts),
-		live: make(map[*work]struct{}), slow: 1, kv: make(map[string][]byte),
+		live: make(map[*work]struct{}), slow: 1, kv: make(map[string][]uint64),
 	}
 	for _, v := range conf.Versions {
 		e.versions = append(e.versions, loaded{Version: v, state: loadReady})
@@ -260,6 +261,8 @@
 	}
 	e.batch = NewBatch(e.conf.Timing, e.cache)
 	e.rate = 0
+	clear(e.kv)
+	e.kvOrder = nil
 	e.sample(now)
 }
 
@@ -355,6 +358,7 @@
 		}
 	}
 	e.runs = append(e.runs, r)
+	e.keepKV(w)
 	e.sample(e.clock.Now())
 }
 
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -184,6 +184,19 @@
 		Expect(load()).To(ContainSubstring(`"leaving":true`))
 	})
 
+	// Guards against an import that does not spare the prefill.
+	It("exports and imports the KV cache of a request", func() {
+		serve(emulator.EngineConfig{})
+		prompt := strings.Repeat("x", 1024)
+		post("a", prompt, false)
+		kv := do(c, http.MethodGet, srv.URL+"/kv/a", "").body
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultRestart})).To(Succeed())
+		Expect(do(c, http.MethodGet, srv.URL+"/kv/a", "").status).To(Equal(http.StatusNotFound))
+		Expect(do(c, http.MethodPut, srv.URL+"/kv/a", kv).status).To(Equal(http.StatusNoContent))
+		post("b", prompt, false)
+		Expect(e.Ran()[1].Cached).To(Equal(255))
+	})
+
 	// Guards against an engine that takes commands of a deposed owner.
 	DescribeTable("checks fencing tokens",
 		func(ignores bool, want int) {
--- a/emulator/report.go
+++ b/emulator/report.go
@@ -1,15 +1,14 @@
 package emulator
 
 import (
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
 )
 
-// maxKV bounds one KV cache export, in bytes.
-const maxKV = 1 << 20
+// maxKVKept bounds the requests whose KV cache can be exported.
+const maxKVKept = 1024
 
 type (
 	// RanBody is the response of an engine to GET /ran?after=N: the runs from
@@ -22,6 +21,11 @@
 		LateWork []time.Duration `json:"lateWork,omitempty"`
 	}
 
+	// kvBody stands for an exported KV cache: the hashes of its blocks.
+	kvBody struct {
+		Prefix []uint64 `json:"prefix"`
+	}
+
 	modelsBody struct {
 		Object string      `json:"object"`
 		Data   []modelBody `json:"data"`
@@ -84,28 +88,44 @@
 	writeJSON(w, http.StatusOK, RanBody{Next: int64(len(runs)), Runs: runs[from:], LateWork: e.LateWork()})
 }
 
-// exportKV serves GET /kv/ID.
+// keepKV makes the cache of a request available for export. The caller holds
+// mu.
+func (e *Engine) keepKV(w *work) {
+	if w.run.RequestID == "" || len(w.job.Prefix) == 0 {
+		return
+	}
+	if len(e.kvOrder) >= maxKVKept {
+		delete(e.kv, e.kvOrder[0])
+		e.kvOrder = e.kvOrder[1:]
+	}
+	e.kv[w.run.RequestID] = w.job.Prefix
+	e.kvOrder = append(e.kvOrder, w.run.RequestID)
+}
+
+// exportKV serves GET /kv/ID: the cache of the prompt of a request that this
+// engine ran.
 func (e *Engine) exportKV(w http.ResponseWriter, _ *http.Request, p httprouter.Params) {
 	e.mu.Lock()
-	b, ok := e.kv[p.ByName("id")]
+	prefix, ok := e.kv[p.ByName("id")]
 	e.mu.Unlock()
 	if !ok {
-		writeError(w, http.StatusNotFound, true, "noCache", "no KV cache is held under this ID")
+		writeError(w, http.StatusNotFound, true, "noCache", "the engine holds no KV cache of this request")
 		return
 	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(b)
+	writeJSON(w, http.StatusOK, kvBody{Prefix: prefix})
 }
 
-// importKV serves PUT /kv/ID.
-func (e *Engine) importKV(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxKV))
-	if err != nil {
-		writeError(w, http.StatusRequestEntityTooLarge, true, "tooLarge", "the KV cache exceeds 1 MiB")
+// importKV serves PUT /kv/ID: it puts the cache that another engine exported
+// into this one's.
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var b kvBody
+	if !readJSON(w, r, &b) {
 		return
 	}
 	e.mu.Lock()
-	e.kv[p.ByName("id")] = b
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	if e.cache != nil {
+		e.cache.Insert(b.Prefix, e.clock.Now())
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
