--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -31,6 +31,7 @@
 			printCommand(),
 			checkCommand(),
 			diffCommand(),
+			standinCommand(),
 		},
 	}
 }
