--- /dev/null
+++ b/journaler/journaler_test.go
@@ -0,0 +1,250 @@
+package journaler_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/journaler"
+)
+
+func TestJournaler(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "journaler")
+}
+
+// naive is the log as it should be: what was acknowledged, and the one
+// operation that was under way when a crash came.
+type naive struct {
+	meta    journaler.Meta
+	snap    journaler.Snapshot
+	entries []journaler.Entry
+}
+
+func (n naive) write(m *journaler.Meta, es []journaler.Entry) naive {
+	if m != nil {
+		n.meta = *m
+	}
+	if len(es) > 0 {
+		keep := slices.DeleteFunc(slices.Clone(n.entries), func(e journaler.Entry) bool { return e.Index >= es[0].Index })
+		n.entries = append(keep, es...)
+	}
+	return n
+}
+
+func (n naive) save(s journaler.Snapshot) naive {
+	n.snap = s
+	n.entries = slices.DeleteFunc(slices.Clone(n.entries), func(e journaler.Entry) bool { return e.Index <= s.Index })
+	return n
+}
+
+func (n naive) reset(s journaler.Snapshot) naive {
+	n.snap, n.entries = s, nil
+	return n
+}
+
+func (n naive) last() uint64 { return n.snap.Index + uint64(len(n.entries)) }
+
+func (n naive) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%v, snapshot %d %d %s %x\n", n.meta, n.snap.Index, n.snap.Term, n.snap.Config, sha256.Sum256(n.snap.Data))
+	for _, e := range n.entries {
+		fmt.Fprintf(&b, "%d %d %d %x\n", e.Index, e.Term, e.Kind, sha256.Sum256(e.Data))
+	}
+	return b.String()
+}
+
+func open(fs journaler.FS) (*journaler.Journal, naive) {
+	j, st, err := journaler.Open(fs)
+	Expect(err).NotTo(HaveOccurred())
+	return j, naive{st.Meta, st.Snapshot, st.Entries}
+}
+
+// operate does one random operation and returns the log as it should be
+// after it.
+func operate(rng *rand.Rand, j *journaler.Journal, n naive, term uint64) (naive, error) {
+	snap := func(i uint64) journaler.Snapshot {
+		return journaler.Snapshot{Index: i, Term: term, Config: []byte("conf"), Data: make([]byte, rng.IntN(3000))}
+	}
+	switch k := rng.IntN(10); {
+	case k < 7:
+		first := n.last() + 1
+		if len(n.entries) > 0 && rng.IntN(4) == 0 {
+			first -= rng.Uint64N(uint64(len(n.entries)))
+		}
+		es := make([]journaler.Entry, 1+rng.IntN(3))
+		for i := range es {
+			data := make([]byte, rng.IntN(1500))
+			for k := range data {
+				data[k] = byte(rng.Uint32())
+			}
+			es[i] = journaler.Entry{Index: first + uint64(i), Term: term, Data: data}
+		}
+		var m *journaler.Meta
+		if rng.IntN(3) == 0 {
+			m = &journaler.Meta{Term: term, Vote: "v", Member: "m"}
+		}
+		return n.write(m, es), j.Write(m, es)
+	case k < 9 && len(n.entries) > 0:
+		i := rng.IntN(len(n.entries))
+		s := snap(n.entries[i].Index)
+		s.Term = n.entries[i].Term
+		return n.save(s), j.Save(s)
+	default:
+		s := snap(n.last() + rng.Uint64N(3))
+		return n.reset(s), j.Reset(s)
+	}
+}
+
+var _ = Describe("Journal", func() {
+	// Guards against an acknowledged write that a crash undoes, against half
+	// of a batch that survives, and against a crash after which the
+	// directory cannot be opened.
+	DescribeTable("keeps what was acknowledged through crashes and failing operations",
+		func(seed uint64) {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			fs := &journaler.Memory{}
+			j, got := open(fs)
+			want := naive{}
+			for round := range 60 {
+				Expect(got.String()).To(Equal(want.String()))
+				calls := rng.IntN(40)
+				fs.Fault(func(op, name string) error {
+					if calls--; calls == 0 {
+						return errors.Newf("%s %s fails", op, name)
+					}
+					return nil
+				})
+				var err error
+				next := want
+				for step := 0; step < 8 && err == nil; step++ {
+					want = next
+					next, err = operate(rng, j, want, uint64(round*10+step+1))
+				}
+				if err == nil {
+					want = next
+				} else {
+					var fe *journaler.FailedError
+					Expect(errors.As(err, &fe)).To(BeTrue())
+					Expect(j.Write(nil, []journaler.Entry{{Index: want.last() + 1}})).To(MatchError(err.Error()))
+				}
+				fs.Fault(nil)
+				fs.Crash(rng)
+				j, got = open(fs)
+				// The operation that failed may have become durable or not.
+				if err != nil && got.String() == next.String() {
+					want = next
+				}
+			}
+		},
+		Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)),
+		Entry("seed 4", uint64(4)), Entry("seed 5", uint64(5)), Entry("seed 6", uint64(6)),
+	)
+
+	// Guards against a damaged disk that is taken for a torn tail, which
+	// would silently drop acknowledged entries.
+	It("refuses damage before the tail and names file and offset", func() {
+		fs := &journaler.Memory{}
+		j, _ := open(fs)
+		var offsets []int64
+		for i := range 3 {
+			offsets = append(offsets, size(fs, "log-0000000000000001"))
+			Expect(j.Write(nil, []journaler.Entry{{Index: uint64(i + 1), Data: []byte("data")}})).To(Succeed())
+		}
+		fs.Damage("log-0000000000000001", offsets[2]-1)
+		_, _, err := journaler.Open(fs)
+		var ce *journaler.CorruptError
+		Expect(errors.As(err, &ce)).To(BeTrue())
+		Expect(*ce).To(Equal(journaler.CorruptError{
+			File: "log-0000000000000001", Offset: offsets[1], Reason: ce.Reason,
+		}))
+	})
+
+	// Guards against recovery that starts from half a snapshot.
+	It("refuses a damaged snapshot", func() {
+		fs := &journaler.Memory{}
+		j, _ := open(fs)
+		Expect(j.Reset(journaler.Snapshot{Index: 7, Term: 1, Data: make([]byte, 100)})).To(Succeed())
+		fs.Damage("snapshot", 50)
+		_, _, err := journaler.Open(fs)
+		var ce *journaler.CorruptError
+		Expect(errors.As(err, &ce)).To(BeTrue())
+		Expect(ce.File).To(Equal("snapshot"))
+	})
+
+	// Guards against a small file that is older than the last WriteFile, or
+	// neither the old nor the new one, after a crash.
+	It("replaces a file durably and as a whole", func() {
+		rng := rand.New(rand.NewPCG(11, 11))
+		fs := &journaler.Memory{}
+		want := ""
+		for i := range 200 {
+			calls := rng.IntN(12)
+			fs.Fault(func(op, name string) error {
+				if calls--; calls == 0 {
+					return errors.Newf("%s %s fails", op, name)
+				}
+				return nil
+			})
+			next := strings.Repeat(fmt.Sprint(i), 1+rng.IntN(400))
+			err := journaler.WriteFile(fs, "view", []byte(next))
+			fs.Fault(nil)
+			fs.Crash(rng)
+			got, _, readErr := journaler.ReadFile(fs, "view")
+			Expect(readErr).NotTo(HaveOccurred())
+			if err == nil || string(got) == next {
+				want = next
+			}
+			Expect(string(got)).To(Equal(want))
+		}
+	})
+
+	// Guards against a sync for each entry of a batch, which would bound the
+	// group's throughput by the disk.
+	It("syncs a batch once", func() {
+		fs := &journaler.Memory{}
+		j, _ := open(fs)
+		before := fs.Syncs()
+		Expect(j.Write(&journaler.Meta{Term: 1}, make([]journaler.Entry, 100))).To(Succeed())
+		Expect(fs.Syncs() - before).To(Equal(1))
+	})
+
+	// Guards against differences between the fake and the real file system.
+	It("recovers from real files, over several segments", func() {
+		fs, err := journaler.NewOS(GinkgoT().TempDir() + "/group")
+		Expect(err).NotTo(HaveOccurred())
+		j, _ := open(fs)
+		want := naive{}
+		rng := rand.New(rand.NewPCG(9, 9))
+		for i := range 60 {
+			want, err = operate(rng, j, want, uint64(i+1))
+			Expect(err).NotTo(HaveOccurred())
+			if i%20 == 0 {
+				big := []journaler.Entry{{Index: want.last() + 1, Term: uint64(i + 1), Data: make([]byte, 17<<20)}}
+				want = want.write(nil, big)
+				Expect(j.Write(nil, big)).To(Succeed())
+			}
+			if i%7 == 0 {
+				Expect(j.Close()).To(Succeed())
+				var got naive
+				j, got = open(fs)
+				Expect(got.String()).To(Equal(want.String()))
+			}
+		}
+	})
+})
+
+func size(fs journaler.FS, name string) int64 {
+	f, err := fs.Open(name)
+	Expect(err).NotTo(HaveOccurred())
+	b, err := f.ReadAll()
+	Expect(err).NotTo(HaveOccurred())
+	return int64(len(b))
+}
