--- a/controller/machine.go
+++ b/controller/machine.go
@@ -105,26 +105,20 @@
 	return m.changed
 }
 
-// Totals returns the sums of the ledger and the number of refused records.
-func (m *Machine) Totals() (totals []biller.Total, refused int64) {
+// Ledger returns the sums of the ledger, the number of refused deliveries and
+// the single records that are kept, sorted by ID.
+func (m *Machine) Ledger() (totals []biller.Total, refused int64, recs []biller.Record) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.ledger.Totals(), m.ledger.Refusals()
+	return m.ledger.Totals(), m.ledger.Refusals(), m.ledger.Records()
 }
 
-// Records returns the single records of the ledger that are kept, sorted by
-// ID.
-func (m *Machine) Records() []biller.Record {
+// Sizes returns the number of claims, pins and single records that are kept,
+// and that of the refused deliveries of records.
+func (m *Machine) Sizes() (claims, pins, records int, refused int64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.ledger.Records()
-}
-
-// Sizes returns the number of claims, pins and single records that are kept.
-func (m *Machine) Sizes() (claims, pins, records int) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	return m.claims.Len(), len(m.pins.pins), m.ledger.Len()
+	return m.claims.Len(), len(m.pins.pins), m.ledger.Len(), m.ledger.Refusals()
 }
 
 func (m *Machine) item(s stamp, it *Item) Answer {
--- /dev/null
+++ b/messenger/hold.go
@@ -0,0 +1,305 @@
+package messenger
+
+import (
+	"cmp"
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailwall/biller"
+	"foxtailwall/counter"
+	"foxtailwall/router"
+	"foxtailwall/timekeeper"
+)
+
+const (
+	procHold    = "relay/hold"
+	procRelease = "relay/release"
+
+	// holdTimeout bounds one attempt to reach a witness. It is part of the
+	// time a caller waits for the end of its response.
+	holdTimeout = 250 * time.Millisecond
+	// holdAttempts bounds the witnesses that are tried for one record.
+	holdAttempts = 4
+	// witnessRest is the time for which a witness that failed is left out.
+	witnessRest = 2 * time.Second
+	// flushBatch is the number of records in one delivery.
+	flushBatch = 512
+	// flushPause is the time between two attempts while the control group
+	// cannot be reached.
+	flushPause = 250 * time.Millisecond
+	// releaseCalls bounds the calls that release records at witnesses.
+	releaseCalls = 4
+)
+
+var _ router.Bills = (*Bills)(nil)
+
+type (
+	// Witness is a host that can hold billing records for another.
+	Witness struct {
+		Name string
+		Zone string
+		Addr netip.AddrPort
+		// Disk says that the host keeps the records over a restart.
+		Disk bool
+	}
+
+	// Biller delivers records to the control group; Control implements it.
+	Biller interface {
+		Bill(ctx context.Context, recs []biller.Record) ([]biller.Refused, error)
+	}
+
+	// BillsOptions are the parts of a Bills.
+	BillsOptions struct {
+		// Name and Zone are those of this host.
+		Name, Zone string
+		Outbox     *biller.Outbox
+		Control    Biller
+		// Hosts lists the live hosts. This host may be among them.
+		Hosts func() []Witness
+		Peer  func(netip.AddrPort) *Peer
+		Clock timekeeper.Clock
+		Scope counter.Scope
+	}
+
+	// Bills takes the billing records of a host, has a witness hold them and
+	// delivers them. It implements router.Bills. Make it with NewBills; its
+	// deliveries need Run.
+	Bills struct {
+		opts BillsOptions
+
+		mu sync.Mutex
+		// resting holds the time until which a witness is left out.
+		resting map[netip.AddrPort]time.Time
+		// held holds the witness of each record of this host.
+		held map[string]netip.AddrPort
+	}
+
+	holdRequest struct {
+		Records []biller.Record `cbor:"records"`
+	}
+
+	releaseRequest struct {
+		Marks []biller.Mark `cbor:"marks"`
+	}
+
+	emptyResponse struct{}
+)
+
+// HandleHold registers the procedures by which this host holds records for
+// others. Bills on the same outbox delivers them.
+func HandleHold(m *Mux, box *biller.Outbox, clock timekeeper.Clock) {
+	Handle(m, procHold, func(_ context.Context, r *holdRequest) (*emptyResponse, error) {
+		if err := box.Hold(clock.Now(), r.Records); err != nil {
+			return nil, err
+		}
+		return &emptyResponse{}, nil
+	})
+	Handle(m, procRelease, func(_ context.Context, r *releaseRequest) (*emptyResponse, error) {
+		if err := box.Acknowledge(r.Marks); err != nil {
+			return nil, err
+		}
+		return &emptyResponse{}, nil
+	})
+}
+
+// NewBills returns the billing of a host.
+func NewBills(opts BillsOptions) *Bills {
+	return &Bills{
+		opts:    opts,
+		resting: make(map[netip.AddrPort]time.Time),
+		held:    make(map[string]netip.AddrPort),
+	}
+}
+
+// Hold implements router.Bills. It does not end with ctx, since a caller that
+// leaves is billed as well. The record enters the outbox after a witness has
+// it, so that its delivery knows whom to release.
+func (b *Bills) Hold(ctx context.Context, r biller.Record) (bool, error) {
+	ctx = context.WithoutCancel(ctx)
+	held := b.witness(ctx, r)
+	err := b.opts.Outbox.Own(r)
+	if held {
+		if err != nil {
+			b.opts.Scope.Counter("billing.outboxFull").Inc(1)
+		}
+		return true, nil
+	}
+	b.opts.Scope.Counter("billing.single").Inc(1)
+	if err != nil {
+		return false, err
+	}
+	return false, b.opts.Outbox.Persist(r)
+}
+
+// Run delivers records until ctx ends and returns the error of ctx.
+func (b *Bills) Run(ctx context.Context) error {
+	releases := pool.New().WithMaxGoroutines(releaseCalls)
+	defer releases.Wait()
+	for {
+		changed := b.opts.Outbox.Changed()
+		batch := b.opts.Outbox.Due(b.opts.Clock.Now(), flushBatch)
+		if len(batch) == 0 {
+			if err := b.wait(ctx, changed); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := b.flush(ctx, batch, releases); err != nil {
+			if err := timekeeper.Sleep(ctx, b.opts.Clock, flushPause); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// Drain delivers everything that is held, due or not, for a host that shuts
+// down. It returns the error of ctx if that ends first, with records left.
+func (b *Bills) Drain(ctx context.Context) error {
+	releases := pool.New().WithMaxGoroutines(releaseCalls)
+	defer releases.Wait()
+	for {
+		batch := b.opts.Outbox.Due(b.opts.Clock.Now().Add(biller.WitnessDelay), flushBatch)
+		if len(batch) == 0 {
+			return nil
+		}
+		if err := b.flush(ctx, batch, releases); err != nil {
+			if err := timekeeper.Sleep(ctx, b.opts.Clock, flushPause); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// wait returns when a record was added or one held for another falls due.
+func (b *Bills) wait(ctx context.Context, changed <-chan struct{}) error {
+	var due <-chan time.Time
+	if d, ok := b.opts.Outbox.Next(b.opts.Clock.Now()); ok {
+		t := b.opts.Clock.NewTimer(d)
+		defer t.Stop()
+		due = t.C()
+	}
+	select {
+	case <-changed:
+	case <-due:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return nil
+}
+
+// flush delivers one batch. A refused record is let go of as well: the ledger
+// will not take it later either.
+func (b *Bills) flush(ctx context.Context, batch []biller.Record, releases *pool.Pool) error {
+	refused, err := b.opts.Control.Bill(ctx, batch)
+	if err != nil {
+		b.opts.Scope.Counter("billing.flushFailed").Inc(1)
+		return err
+	}
+	for _, r := range refused {
+		b.opts.Scope.Counter("billing.refused", "reason", string(r.Reason)).Inc(1)
+	}
+	marks := biller.Marks(batch)
+	if err := b.opts.Outbox.Acknowledge(marks); err != nil {
+		b.opts.Scope.Counter("billing.diskFailed").Inc(1)
+	}
+	for addr, marks := range b.released(marks) {
+		releases.Go(func() { b.release(ctx, addr, marks) })
+	}
+	return nil
+}
+
+// release tells a witness to let go. If it fails the witness delivers the
+// records too, which changes nothing.
+func (b *Bills) release(ctx context.Context, addr netip.AddrPort, marks []biller.Mark) {
+	ctx, cancel := withTimeout(ctx, b.opts.Clock, attemptTimeout)
+	defer cancel()
+	_, err := Call[releaseRequest, emptyResponse](ctx, b.opts.Peer(addr), procRelease, &releaseRequest{Marks: marks})
+	if err != nil {
+		b.opts.Scope.Counter("billing.releaseFailed").Inc(1)
+	}
+}
+
+// witness has another host hold the record and reports whether one does.
+func (b *Bills) witness(ctx context.Context, r biller.Record) bool {
+	for _, w := range b.candidates() {
+		if b.hold(ctx, w, r) {
+			b.mu.Lock()
+			b.held[r.ID] = w.Addr
+			b.mu.Unlock()
+			return true
+		}
+		b.mu.Lock()
+		b.resting[w.Addr] = b.opts.Clock.Now().Add(witnessRest)
+		b.mu.Unlock()
+	}
+	return false
+}
+
+func (b *Bills) hold(ctx context.Context, w Witness, r biller.Record) bool {
+	ctx, cancel := withTimeout(ctx, b.opts.Clock, holdTimeout)
+	defer cancel()
+	_, err := Call[holdRequest, emptyResponse](ctx, b.opts.Peer(w.Addr), procHold, &holdRequest{Records: []biller.Record{r}})
+	return err == nil
+}
+
+// candidates returns the witnesses to try: hosts of this zone with a disk,
+// then other hosts of this zone, then hosts of other zones. Within a class
+// each host prefers another one, so that the load is spread.
+func (b *Bills) candidates() []Witness {
+	now := b.opts.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Witness
+	for _, w := range b.opts.Hosts() {
+		if until, ok := b.resting[w.Addr]; ok && now.Before(until) || w.Name == b.opts.Name {
+			continue
+		}
+		delete(b.resting, w.Addr)
+		out = append(out, w)
+	}
+	slices.SortFunc(out, func(x, y Witness) int {
+		return cmp.Or(
+			cmp.Compare(b.class(x), b.class(y)),
+			cmp.Compare(b.weight(x), b.weight(y)),
+			cmp.Compare(x.Name, y.Name),
+		)
+	})
+	return out[:min(len(out), holdAttempts)]
+}
+
+func (b *Bills) class(w Witness) int {
+	switch {
+	case w.Zone == b.opts.Zone && w.Disk:
+		return 0
+	case w.Zone == b.opts.Zone:
+		return 1
+	}
+	return 2
+}
+
+func (b *Bills) weight(w Witness) uint64 {
+	return xxhash.Sum64String(b.opts.Name + "\x00" + w.Name)
+}
+
+// released takes the marked records off the list of witnesses and returns
+// the marks by witness.
+func (b *Bills) released(marks []biller.Mark) map[netip.AddrPort][]biller.Mark {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[netip.AddrPort][]biller.Mark)
+	for _, m := range marks {
+		addr, ok := b.held[m.ID]
+		if !ok {
+			continue
+		}
+		delete(b.held, m.ID)
+		out[addr] = append(out[addr], m)
+	}
+	return out
+}
