Carry a request from the caller through router and dialer to the billed answer

Whole and streamed chat completions and calls of plain services go through server, router and dialer against an in-process engine. Checked with go test -race ./server: the answer is complete, billed once, and a resent booking gets the stored answer without a second run.

--- /dev/null
+++ b/dialer/exchange.go
@@ -0,0 +1,307 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailwall/refuser"
+	"foxtailwall/router"
+)
+
+const (
+	requestHeader  = "Foxtailwall-Request"
+	deadlineHeader = "Foxtailwall-Deadline"
+	priorityHeader = "Foxtailwall-Priority"
+	resumeHeader   = "Foxtailwall-Resume"
+	notRunHeader   = "Foxtailwall-Not-Run"
+
+	// maxInformational bounds the 1xx answers before the real one.
+	maxInformational = 8
+	// maxRetryAfter bounds what an upstream may ask callers to wait.
+	maxRetryAfter = time.Minute
+)
+
+// exchange is one request and its answer on one connection.
+type exchange struct {
+	d       *Dialer
+	a       *router.Attempt
+	c       *conn
+	w       *watch
+	ctx     context.Context
+	unhook  func() bool
+	resp    *http.Response
+	begun   time.Time
+	wait    time.Duration // Time to the header of the answer.
+	settled bool
+}
+
+// start sends the attempt and reads the header of its answer. On error the
+// connection is closed.
+func (d *Dialer) start(ctx context.Context, a *router.Attempt) (*exchange, error) {
+	c, err := d.get(ctx, a.Upstream, a.Fresh, a.Deadline)
+	if err != nil {
+		return nil, cancelled(ctx, err)
+	}
+	x := &exchange{d: d, a: a, c: c, ctx: ctx, begun: d.o.Clock.Now()}
+	c.raw.sent.Store(0)
+	x.w = d.watcher.add(func() { c.Close() })
+	x.w.until(a.Deadline)
+	x.unhook = context.AfterFunc(ctx, func() { c.Close() })
+	if a.Check != nil {
+		if err := a.Check(); err != nil {
+			x.giveBack()
+			return nil, &router.AttemptError{Kind: router.FailChecked, Outcome: refuser.NotRun, Err: err}
+		}
+	}
+	x.w.within(d.o.FirstByte)
+	if err := x.send(); err != nil {
+		return nil, x.fail(router.FailReset, err)
+	}
+	if err := x.header(); err != nil {
+		return nil, x.fail(router.FailReset, err)
+	}
+	x.wait = d.o.Clock.Since(x.begun)
+	if err := x.verify(); err != nil {
+		return nil, err
+	}
+	return x, nil
+}
+
+// send writes the request. Header and body go out together where the
+// connection allows it.
+func (x *exchange) send() error {
+	head := x.appendHead(make([]byte, 0, 512))
+	bufs := net.Buffers{head}
+	if len(x.a.Body) > 0 {
+		bufs = append(bufs, x.a.Body)
+	}
+	if x.c.Conn != net.Conn(x.c.raw) {
+		_, err := bufs.WriteTo(x.c.Conn)
+		return err
+	}
+	// The counting wrapper hides the vectored write, so count its result.
+	n, err := bufs.WriteTo(x.c.raw.Conn)
+	x.c.raw.sent.Add(n)
+	return err
+}
+
+func (x *exchange) appendHead(b []byte) []byte {
+	a := x.a
+	b = append(b, a.Method...)
+	b = append(b, ' ')
+	b = append(b, a.Path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = a.Upstream.Address.AppendTo(b)
+	b = append(b, "\r\n"...)
+	if len(a.Body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
+		b = appendField(b, "Content-Length", strconv.Itoa(len(a.Body)))
+	}
+	if a.ID != "" {
+		b = appendField(b, requestHeader, a.ID)
+	}
+	if !a.Deadline.IsZero() {
+		left := max(a.Deadline.Sub(x.begun).Milliseconds(), 0)
+		b = appendField(b, deadlineHeader, strconv.FormatInt(left, 10))
+	}
+	if a.Engine {
+		b = appendField(b, priorityHeader, strconv.Itoa(a.Priority))
+	}
+	if a.Resume != "" {
+		b = appendField(b, resumeHeader, a.Resume)
+	}
+	for k, vs := range a.Header {
+		for _, v := range vs {
+			b = appendField(b, k, v)
+		}
+	}
+	return append(b, "\r\n"...)
+}
+
+// appendField leaves out fields whose bytes could end the line, so that a
+// value from a caller cannot add fields or a request of its own.
+func appendField(b []byte, name, value string) []byte {
+	if !cleanField(name) || !cleanField(value) {
+		return b
+	}
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+func cleanField(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// header reads the header of the answer.
+func (x *exchange) header() error {
+	req := &http.Request{Method: x.a.Method}
+	for range maxInformational {
+		x.c.limit.armed, x.c.limit.left = true, maxHeader
+		resp, err := http.ReadResponse(x.c.br, req)
+		x.c.limit.armed = false
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			x.resp = resp
+			return nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return errors.Newf("the upstream switched protocols unasked")
+		}
+	}
+	return errors.Newf("the upstream sent more than %d informational answers", maxInformational)
+}
+
+// verify checks that the answer belongs to the attempt and that its end can
+// be told.
+func (x *exchange) verify() error {
+	got := x.resp.Header.Get(requestHeader)
+	if got != x.a.ID && (got != "" || x.a.Engine) {
+		return x.fail(router.FailMismatch, errors.Newf("the answer carries the ID %q, not %q", got, x.a.ID))
+	}
+	if x.resp.ContentLength < 0 && len(x.resp.TransferEncoding) == 0 && x.a.Method != http.MethodHead {
+		return x.fail(router.FailMalformed, errors.New("the answer has neither a length nor chunks, so its end cannot be told"))
+	}
+	return nil
+}
+
+// refusal returns the error for an answer whose status proves that the
+// request did not run, or nil.
+func (x *exchange) refusal() error {
+	if x.resp.Header.Get(notRunHeader) != "true" {
+		return nil
+	}
+	err := &router.AttemptError{
+		Kind: router.FailStatus, Outcome: refuser.NotRun, Status: x.resp.StatusCode,
+		RetryAfter: retryAfter(x.resp.Header), Err: errors.Newf("the upstream answered %s without running the request", x.resp.Status),
+	}
+	if _, rerr := x.read(); rerr != nil {
+		return err // The header is the proof; read has closed the connection.
+	}
+	x.finish()
+	return err
+}
+
+func retryAfter(h http.Header) time.Duration {
+	s, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return min(time.Duration(s)*time.Second, maxRetryAfter)
+}
+
+// read returns the whole body.
+func (x *exchange) read() ([]byte, error) {
+	if x.resp.ContentLength > x.d.o.MaxBody {
+		return nil, x.fail(router.FailMalformed, x.tooLarge())
+	}
+	var buf bytes.Buffer
+	if n := x.resp.ContentLength; n > 0 {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	r := &progressReader{r: x.resp.Body, x: x}
+	if _, err := buf.ReadFrom(io.LimitReader(r, x.d.o.MaxBody+1)); err != nil {
+		return nil, x.fail(router.FailCut, err)
+	}
+	if int64(buf.Len()) > x.d.o.MaxBody {
+		return nil, x.fail(router.FailMalformed, x.tooLarge())
+	}
+	return buf.Bytes(), nil
+}
+
+func (x *exchange) tooLarge() error {
+	return errors.Newf("the answer exceeds %d bytes", x.d.o.MaxBody)
+}
+
+// finish ends an exchange whose body was read to its end.
+func (x *exchange) finish() {
+	reusable := !x.resp.Close && x.c.br.Buffered() == 0
+	if !reusable && !x.resp.Close {
+		x.d.o.Scope.Counter("dialer.unread").Inc(1)
+	}
+	if !x.release() || !reusable {
+		x.c.Close()
+		return
+	}
+	x.d.put(x.c)
+}
+
+// giveBack ends an exchange of which nothing was sent.
+func (x *exchange) giveBack() {
+	if !x.release() {
+		x.c.Close()
+		return
+	}
+	x.d.put(x.c)
+}
+
+// release ends the watch and reports whether the connection is still open.
+func (x *exchange) release() bool {
+	x.settled = true
+	x.d.watcher.remove(x.w)
+	return x.unhook() && x.w.reason() == inTime
+}
+
+// fail closes the connection and returns the error that says what became of
+// the attempt. The kind stands unless the watch or the caller has stopped it.
+func (x *exchange) fail(kind router.FailKind, err error) error {
+	open := x.release()
+	x.c.Close()
+	switch {
+	case x.w.reason() == pastDeadline:
+		kind = router.FailDeadline
+	case x.w.reason() == noProgress && x.c.reused && x.resp == nil:
+		kind = router.FailSilent
+		x.d.purge(x.c.addr)
+	case x.w.reason() == noProgress:
+		kind = router.FailStalled
+	case !open:
+		kind = router.FailCancelled
+	}
+	x.d.o.Scope.Counter("dialer.failures", "kind", string(kind)).Inc(1)
+	out := refuser.Unknown
+	if x.c.raw.sent.Load() == 0 {
+		out = refuser.NotRun
+	}
+	return &router.AttemptError{Kind: kind, Outcome: out, Err: errors.Wrapf(err, "upstream %s", x.a.Upstream.Name)}
+}
+
+// cancelled replaces the kind of a failed dial when the caller has left.
+func cancelled(ctx context.Context, err error) error {
+	var ae *router.AttemptError
+	if ctx.Err() != nil && errors.As(err, &ae) {
+		ae.Kind = router.FailCancelled
+	}
+	return err
+}
+
+// progressReader notes every read of an answer as progress.
+type progressReader struct {
+	r io.Reader
+	x *exchange
+}
+
+// Read implements io.Reader.
+func (p *progressReader) Read(b []byte) (int, error) {
+	p.x.w.within(p.x.d.o.Between)
+	n, err := p.r.Read(b)
+	return n, err
+}
+
+// String describes the exchange in errors.
+func (x *exchange) String() string { return fmt.Sprintf("%s at %s", x.a.ID, x.a.Upstream.Name) }
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -58,6 +58,7 @@
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
+	AnswerNotStored    Code = "answerNotStored"
 	ShuttingDown       Code = "shuttingDown"
 	NotConfigured      Code = "notConfigured"
 	Conflict           Code = "conflict"
@@ -106,6 +107,7 @@
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
+	AnswerNotStored:    http.StatusConflict,
 	ShuttingDown:       http.StatusServiceUnavailable,
 	NotConfigured:      http.StatusServiceUnavailable,
 	Conflict:           http.StatusConflict,
--- /dev/null
+++ b/router/claim.go
@@ -0,0 +1,200 @@
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"foxtailwall/claimer"
+	"foxtailwall/refuser"
+	"foxtailwall/timekeeper"
+)
+
+const (
+	// claimPoll and claimPollMax bound the wait between two looks at a claim
+	// that another request holds. The wait doubles in between.
+	claimPoll    = 20 * time.Millisecond
+	claimPollMax = 500 * time.Millisecond
+	// claimTries bounds the tries to reach the control group for one step of
+	// a claim.
+	claimTries = 3
+	// uuidLength is the length of a key's only accepted form; the parser
+	// takes others, under which one UUID would have several keys.
+	uuidLength = 36
+)
+
+// checkKey checks the form of an idempotency key, so that a malformed one
+// costs no call of the control group.
+func checkKey(key string) error {
+	if key == "" {
+		return refuser.New(refuser.KeyRequired, refuser.NotRun,
+			"this call must not run twice: send a new UUIDv7 in Idempotency-Key, and the same one with a resend")
+	}
+	u, err := uuid.Parse(key)
+	if err != nil || len(key) != uuidLength || u.Version() != 7 || u.String() != key {
+		return refuser.New(refuser.KeyInvalid, refuser.NotRun,
+			"the Idempotency-Key must be a UUIDv7 in lower case, such as 0197f5d8-6c3a-7b6e-9d43-0f4c2a5b7e10")
+	}
+	return nil
+}
+
+// digestOf returns the digest by which a resend is known to be the same call.
+func digestOf(q *CallRequest) [sha256.Size]byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(q.Method), []byte(q.Path), []byte(q.Query), q.Body} {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part)))) // A hash never fails to write.
+		_, _ = h.Write(part)
+	}
+	return [sha256.Size]byte(h.Sum(nil))
+}
+
+// claimed runs a call that must not run twice: claim, run, finish or release.
+func (r *Router) claimed(ctx context.Context, c *call) (*CallAnswer, error) {
+	if r.o.Claims == nil {
+		return nil, refuser.New(refuser.NoQuorum, refuser.NotRun, "this host cannot reach the control group; retry later")
+	}
+	req := claimer.Request{
+		Key:    claimer.Key{Workspace: c.workspace.Name, Service: c.q.Service, Key: c.q.Key},
+		Digest: digestOf(c.q), RequestID: c.id, Owner: r.o.Host,
+	}
+	for wait := claimPoll; ; wait = min(2*wait, claimPollMax) {
+		req.Timeout = r.left(c.task)
+		if req.Timeout <= 0 {
+			return nil, stillRunning()
+		}
+		res, err := r.claim(ctx, c, req)
+		if err != nil {
+			return nil, err
+		}
+		if res.State == claimer.Granted {
+			return r.runClaimed(ctx, c, req.Key)
+		}
+		if res.State != claimer.Running {
+			return fromClaim(res)
+		}
+		if err := timekeeper.Sleep(ctx, r.o.Clock, min(wait, req.Timeout)); err != nil {
+			return nil, stillRunning()
+		}
+	}
+}
+
+func stillRunning() error {
+	return refuser.New(refuser.OutcomeUnknown, refuser.Unknown,
+		"an earlier request with this key has not ended; resend with the same key to learn its outcome")
+}
+
+// claim asks for the claim. An error that leaves open whether the claim was
+// stored is followed by another try under the same request ID: a claim that
+// already names this request is its own.
+func (r *Router) claim(ctx context.Context, c *call, req claimer.Request) (claimer.Result, error) {
+	var last error
+	for range claimTries {
+		if ctx.Err() != nil || r.left(c.task) <= 0 {
+			break
+		}
+		bounded, release := within(ctx, r.o.Clock, min(controlWait, r.left(c.task)))
+		res, err := r.o.Claims.Claim(bounded, req)
+		release()
+		if err == nil {
+			if res.State == claimer.Running && res.RequestID == req.RequestID {
+				res.State = claimer.Granted
+			}
+			return res, nil
+		}
+		last = err
+		if re, ok := refuser.As(err); ok {
+			return res, refuser.New(re.Code, refuser.NotRun, "%s", re.Message).After(re.RetryAfter)
+		}
+	}
+	// A claim that was stored after all would make a resend wait for nothing.
+	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Release(ctx, req.Key, req.RequestID) })
+	r.o.Scope.Counter("router.claimFailures").Inc(1)
+	return claimer.Result{}, refuser.New(refuser.NoQuorum, refuser.NotRun,
+		"the control group did not confirm the claim, and the call was not sent (%v); resend with the same key", last)
+}
+
+// runClaimed runs the call under a granted claim. From here on the caller's
+// leaving does not end the call: its outcome would be lost, and a resend could
+// only be told that it is unknown.
+func (r *Router) runClaimed(ctx context.Context, c *call, k claimer.Key) (*CallAnswer, error) {
+	ctx = context.WithoutCancel(ctx)
+	a, err := r.dispatch(ctx, c)
+	if err != nil {
+		if c.outcome == refuser.NotRun {
+			r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Release(ctx, k, c.id) })
+		}
+		return nil, claimedError(c, err)
+	}
+	resp := claimer.Response{Status: a.Status, Type: a.Header.Get("Content-Type"), Body: a.Body}
+	if len(resp.Body) > claimer.MaxResponse {
+		resp.Body, resp.Truncated = nil, true
+	}
+	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Finish(ctx, k, c.id, resp) })
+	r.billCall(ctx, c)
+	return &CallAnswer{Status: a.Status, Header: a.Header, Body: a.Body}, nil
+}
+
+// claimedError returns the refusal for a call that failed under its claim.
+func claimedError(c *call, err error) error {
+	if c.outcome == refuser.NotRun {
+		return err
+	}
+	return refuser.New(refuser.OutcomeUnknown, refuser.Unknown,
+		"the call may have run, but its answer was lost (%v); do not send it under a new key", err)
+}
+
+// settleClaim tells the control group how a claim ended. If that fails, the
+// claim stays as it is until its deadline and a resend is then told that the
+// outcome is unknown, which is never wrong.
+func (r *Router) settleClaim(ctx context.Context, fn func(context.Context) error) {
+	bounded, release := within(context.WithoutCancel(ctx), r.o.Clock, controlWait)
+	defer release()
+	for range claimTries {
+		if fn(bounded) == nil {
+			return
+		}
+		if timekeeper.Sleep(bounded, r.o.Clock, claimPoll) != nil {
+			break
+		}
+	}
+	r.o.Scope.Counter("router.claimsUnsettled").Inc(1)
+}
+
+// fromClaim returns what a claim says to a request that does not own it.
+func fromClaim(res claimer.Result) (*CallAnswer, error) {
+	switch res.State {
+	case claimer.Finished:
+		return stored(res)
+	case claimer.Reused:
+		return nil, refuser.New(refuser.KeyReused, refuser.NotRun,
+			"the Idempotency-Key was used for another call; send this one under a new key")
+	case claimer.Expired:
+		return nil, refuser.New(refuser.KeyExpired, refuser.NotRun,
+			"the Idempotency-Key is older than answers are kept, so a resend cannot be told from a first call")
+	case claimer.Invalid:
+		return nil, refuser.New(refuser.KeyInvalid, refuser.NotRun,
+			"the Idempotency-Key must be a UUIDv7 that was made just before the call")
+	default:
+		return nil, refuser.New(refuser.OutcomeUnknown, refuser.Unknown,
+			"an earlier request with this key may have run, but its answer was lost")
+	}
+}
+
+// stored returns the answer of the request that ran.
+func stored(res claimer.Result) (*CallAnswer, error) {
+	if res.Response == nil || res.Response.Truncated {
+		return nil, refuser.New(refuser.AnswerNotStored, refuser.Ran,
+			"the call ran as request %s, but its answer was too large to be stored", res.RequestID)
+	}
+	h := http.Header{}
+	if res.Response.Type != "" {
+		h.Set("Content-Type", res.Response.Type)
+	}
+	return &CallAnswer{
+		Status: res.Response.Status, Header: h, Body: res.Response.Body, Stored: true, Origin: res.RequestID,
+	}, nil
+}
--- /dev/null
+++ b/server/path_test.go
@@ -0,0 +1,72 @@
+package server_test
+
+import (
+	"net/http"
+	"net/netip"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/biller"
+)
+
+const (
+	wholeBody  = `{"model":"engraver","messages":[{"role":"user","content":"hello"}],"seed":4}`
+	streamBody = `{"model":"engraver","stream":true,"messages":[{"role":"user","content":"hello"}]}`
+	bookKey    = "0197f5d8-6c3a-7b6e-9d43-0f4c2a5b7e10"
+)
+
+var _ = Describe("an entry host", func() {
+	var (
+		e *engine
+		h *host
+	)
+	BeforeEach(func() {
+		e = newEngine(3)
+		DeferCleanup(e.Close)
+		at := []netip.AddrPort{addrOf(e.Listener)}
+		h = start(config(at, at, false))
+	})
+
+	// Guards against an answer that is altered, unbilled or billed twice.
+	It("returns a whole answer with one bill", func() {
+		resp, body := h.send("POST", "/v1/chat/completions", wholeBody)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), body)
+		Expect(body).To(ContainSubstring(`"model":"engraver/v1"`))
+		recs := h.bills.all()
+		Expect(recs).To(HaveLen(1))
+		Expect(recs[0].ID).To(Equal(resp.Header.Get("Foxtailwall-Request")))
+		Expect(recs[0].CostNanos).To(Equal(int64(3*10 + 3*100)))
+		Expect(recs[0].Ending).To(Equal(biller.Complete))
+	})
+
+	// Guards against a stream that loses chunks or its end marker, or ends
+	// before its bill is held.
+	It("returns a streamed answer with one bill", func() {
+		resp, body := h.send("POST", "/v1/chat/completions", streamBody)
+		Expect(resp.StatusCode).To(Equal(http.StatusOK), body)
+		Expect(strings.Count(body, "data: ")).To(Equal(3 + 1 + 1))
+		Expect(body).To(HaveSuffix("data: [DONE]\n\n"))
+		Expect(h.bills.all()).To(HaveLen(1))
+		Expect(h.bills.all()[0].Steps[0].OutputTokens).To(Equal(int64(3)))
+	})
+
+	// Guards against a booking that runs again when it is resent.
+	It("returns the stored answer of a booking to its resend", func() {
+		first, body := h.send("POST", "/services/laser/book?slot=4", "flask", "Idempotency-Key", bookKey)
+		Expect(first.StatusCode).To(Equal(http.StatusOK), body)
+		Expect(body).To(Equal("POST /book?slot=4 flask"))
+		again, stored := h.send("POST", "/services/laser/book?slot=4", "flask", "Idempotency-Key", bookKey)
+		Expect(stored).To(Equal(body))
+		Expect(again.Header.Get("Foxtailwall-Stored")).To(Equal(first.Header.Get("Foxtailwall-Request")))
+		Expect(e.calls.Load()).To(Equal(int64(1)))
+		Expect(h.bills.all()).To(HaveLen(1))
+	})
+
+	It("passes an idempotent call through", func() {
+		resp, body := h.send("GET", "/services/laser/status/4", "")
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		Expect(body).To(Equal("GET /status/4 "))
+	})
+})
