Assemble a host from its settings and add the serve subcommand

Proposals that certainly took no effect are passed on as such, so that a host without a quorum refuses truly.

Measured: builds; not yet run as processes.

--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -32,6 +32,8 @@
 			checkCommand(),
 			diffCommand(),
 			standinCommand(),
+			serveCommand(),
+			referenceCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/foxtailwall/serve.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/rs/zerolog"
+	"github.com/urfave/cli/v3"
+
+	"foxtailwall/hoster"
+	"foxtailwall/timekeeper"
+)
+
+const usageServe = `Serve runs one host until it receives SIGINT or SIGTERM, and then drains: it
+turns its readiness off, takes no new requests, and ends once the running ones
+have their whole answers or the drain time is over.
+
+Every host gets the same list of hosts and of control group members. A host
+with --entry takes callers' requests; a host named in --control votes in the
+control group and needs a data folder on a disk. A host may do both.
+
+Three zones with one host each:
+
+    foxtailwall serve --name a1 --zone a --entry --data-folder /var/lib/foxtailwall \
+      --hosts a1@a=10.0.0.1:7000+disk --hosts b1@b=10.0.1.1:7000+disk --hosts c1@c=10.0.2.1:7000+disk \
+      --control a1 --control b1 --control c1 \
+      --callers 10.0.0.1:8443 --operators 10.0.0.1:8444 --peers 10.0.0.1:7000 \
+      --session-keys session.keys --operator-keys operator.keys \
+      --caller-cert caller.pem --caller-key caller.key \
+      --peer-cert peer.pem --peer-key peer.key --peer-ca ca.pem \
+      --upstream-cert peer.pem --upstream-key peer.key --upstream-ca ca.pem
+
+TLS on each of the three sides is on unless its --...-insecure flag is set.
+Each flag can be set in the environment as FOXTAILWALL_ and its name in
+capitals with underscores.`
+
+// envPrefix stands before the name of every environment variable.
+const envPrefix = "FOXTAILWALL_"
+
+func serveCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "serve",
+		Usage:       "run one host",
+		Description: usageServe,
+		Flags:       serveFlags(),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := serveSettings(c)
+			if err != nil {
+				return err
+			}
+			log := zerolog.New(os.Stderr).With().Timestamp().Str("host", s.Name).Str("zone", s.Zone).Logger()
+			host, err := hoster.New(s, hoster.Options{Clock: timekeeper.System{}, Log: log})
+			if err != nil {
+				return err
+			}
+			return host.Run(ctx)
+		},
+	}
+}
+
+func serveFlags() []cli.Flag {
+	flags := []cli.Flag{
+		&cli.StringFlag{Name: "name", Usage: "name of this host, one of --hosts", Sources: env("name")},
+		&cli.StringFlag{Name: "zone", Usage: "availability zone of this host", Sources: env("zone")},
+		&cli.BoolFlag{Name: "entry", Usage: "take callers' requests", Sources: env("entry")},
+		&cli.StringSliceFlag{Name: "hosts", Usage: "hosts of the deployment as name@zone=ip:port[+disk]", Sources: env("hosts")},
+		&cli.StringSliceFlag{Name: "control", Usage: "names of the hosts that form the control group", Sources: env("control")},
+		&cli.StringFlag{Name: "callers", Usage: "address for callers, ip:port", Sources: env("callers")},
+		&cli.StringFlag{Name: "operators", Usage: "address for operators, ip:port", Sources: env("operators")},
+		&cli.StringFlag{Name: "peers", Usage: "address for own processes, ip:port", Sources: env("peers")},
+		&cli.StringFlag{Name: "data-folder", Usage: "folder on a disk; all files of the host live below it", Sources: env("data-folder")},
+		&cli.StringFlag{Name: "platform", Usage: "address of the platform's host list, ip:port", Sources: env("platform")},
+		&cli.StringFlag{Name: "rater", Usage: "address of the rating service, ip:port", Sources: env("rater")},
+		&cli.StringFlag{Name: "session-keys", Usage: "file with session keys in hexadecimal, one on each line; the first signs", Sources: env("session-keys")},
+		&cli.StringFlag{Name: "operator-keys", Usage: "file with operator keys, one on each line", Sources: env("operator-keys")},
+		&cli.DurationFlag{Name: "drain", Usage: "time a graceful shutdown gives running requests", Value: hoster.DefaultDrain, Sources: env("drain")},
+	}
+	for _, side := range []string{"caller", "peer", "upstream"} {
+		flags = append(flags, tlsFlags(side)...)
+	}
+	return flags
+}
+
+func tlsFlags(side string) []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: side + "-cert", Usage: "PEM certificate for the " + side + " side", Sources: env(side + "-cert")},
+		&cli.StringFlag{Name: side + "-key", Usage: "PEM private key for the " + side + " side", Sources: env(side + "-key")},
+		&cli.StringFlag{Name: side + "-ca", Usage: "PEM certificates that the " + side + " side trusts", Sources: env(side + "-ca")},
+		&cli.BoolFlag{Name: side + "-insecure", Usage: "no TLS on the " + side + " side", Sources: env(side + "-insecure")},
+	}
+}
+
+func env(flag string) cli.ValueSourceChain {
+	return cli.EnvVars(envPrefix + strings.ToUpper(strings.ReplaceAll(flag, "-", "_")))
+}
+
+func serveSettings(c *cli.Command) (hoster.Settings, error) {
+	s := hoster.Settings{
+		Name: c.String("name"), Zone: c.String("zone"), Entry: c.Bool("entry"),
+		Control: c.StringSlice("control"), DataFolder: c.String("data-folder"), Drain: c.Duration("drain"),
+		CallerTLS: tlsFiles(c, "caller"), PeerTLS: tlsFiles(c, "peer"), UpstreamTLS: tlsFiles(c, "upstream"),
+	}
+	for _, text := range c.StringSlice("hosts") {
+		spec, err := hoster.ParseSpec(text)
+		if err != nil {
+			return s, err
+		}
+		s.Hosts = append(s.Hosts, spec)
+	}
+	for name, target := range map[string]*netip.AddrPort{
+		"callers": &s.Callers, "operators": &s.Operators, "peers": &s.Peers, "platform": &s.Platform, "rater": &s.Rater,
+	} {
+		if err := readAddr(c, name, target); err != nil {
+			return s, err
+		}
+	}
+	return s, readKeys(c, &s)
+}
+
+func tlsFiles(c *cli.Command, side string) hoster.TLSFiles {
+	return hoster.TLSFiles{
+		Cert: c.String(side + "-cert"), Key: c.String(side + "-key"), CA: c.String(side + "-ca"),
+		Insecure: c.Bool(side + "-insecure"),
+	}
+}
+
+func readAddr(c *cli.Command, name string, target *netip.AddrPort) error {
+	text := c.String(name)
+	if text == "" {
+		return nil
+	}
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return &hoster.SettingError{Setting: name, Value: text, Allowed: "an IP address and a port, such as 127.0.0.1:7000"}
+	}
+	*target = addr
+	return nil
+}
+
+func readKeys(c *cli.Command, s *hoster.Settings) error {
+	lines, err := readLines(c, "session-keys")
+	if err != nil {
+		return err
+	}
+	for i, l := range lines {
+		key, err := hex.DecodeString(l)
+		if err != nil {
+			return &hoster.SettingError{Setting: "session-keys", Value: "line " + strconv.Itoa(i+1), Allowed: "keys in hexadecimal, one on each line"}
+		}
+		s.SessionKeys = append(s.SessionKeys, key)
+	}
+	s.OperatorKeys, err = readLines(c, "operator-keys")
+	return err
+}
+
+// readLines returns the lines of the file that the flag names, without empty
+// ones.
+func readLines(c *cli.Command, flag string) ([]string, error) {
+	path := c.String(flag)
+	if path == "" {
+		return nil, nil
+	}
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &hoster.SettingError{Setting: flag, Value: path, Allowed: "a readable file"}
+	}
+	var lines []string
+	for scan := bufio.NewScanner(bytes.NewReader(b)); scan.Scan(); {
+		if l := strings.TrimSpace(scan.Text()); l != "" {
+			lines = append(lines, l)
+		}
+	}
+	return lines, nil
+}
--- /dev/null
+++ b/hoster/control.go
@@ -0,0 +1,105 @@
+package hoster
+
+import (
+	"context"
+	"net/netip"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailwall/controller"
+	"foxtailwall/declarer"
+	"foxtailwall/journaler"
+	"foxtailwall/messenger"
+	"foxtailwall/replicator"
+)
+
+// groupFolder holds the replicated log below the data folder.
+const groupFolder = "group"
+
+type (
+	// control is the part of a host that is a member of the control group.
+	control struct {
+		machine   *controller.Machine
+		group     *replicator.Group
+		transport *messenger.GroupTransport
+		service   *messenger.ControlService
+	}
+
+	// proposer adapts the replicated log to the control procedures.
+	proposer struct{ group *replicator.Group }
+)
+
+// joinControl opens this host's member of the control group, if it has one.
+func (h *Host) joinControl() error {
+	if !h.set.IsControl() {
+		return nil
+	}
+	fs, err := journaler.NewOS(filepath.Join(h.set.DataFolder, groupFolder))
+	if err != nil {
+		return err
+	}
+	c := &control{machine: controller.New(check), transport: messenger.NewGroupTransport(h.peerTLS, h.scope)}
+	own, _ := h.set.Spec(h.set.Name) // Validate has checked the name.
+	c.group, err = replicator.New(replicator.Options{
+		Name: h.set.Name, Addr: own.Addr, Peers: h.groupPeers(), FS: fs, Machine: c.machine,
+		Transport: c.transport, Clock: h.clock, Scope: h.scope, Log: h.log,
+	})
+	if err != nil {
+		c.transport.Close()
+		return err
+	}
+	messenger.HandleGroup(h.mux, c.group)
+	c.service = messenger.HandleControl(h.mux, messenger.ControlOptions{
+		Group: proposer{c.group}, Machine: c.machine, Clock: h.clock, Scope: h.scope,
+		Forward: messenger.Forwarding{Peer: h.peer},
+	})
+	h.control = c
+	return nil
+}
+
+func (h *Host) groupPeers() []replicator.Peer {
+	var out []replicator.Peer
+	for _, name := range h.set.Control {
+		spec, _ := h.set.Spec(name) // Validate has checked the names.
+		out = append(out, replicator.Peer{Name: spec.Name, Addr: spec.Addr})
+	}
+	return out
+}
+
+// check lists the faults of a configuration as text for the state machine.
+func check(c declarer.Config) []string {
+	faults := declarer.Check(c)
+	out := make([]string, len(faults))
+	for i, f := range faults {
+		out[i] = f.String()
+	}
+	return out
+}
+
+// Propose implements messenger.Group.
+func (p proposer) Propose(ctx context.Context, cmd []byte) ([]byte, uint64, error) {
+	res, index, err := p.group.Propose(ctx, cmd)
+	return res, index, p.translate(err)
+}
+
+// Barrier implements messenger.Group.
+func (p proposer) Barrier(ctx context.Context) (uint64, error) {
+	index, err := p.group.Barrier(ctx)
+	return index, p.translate(err)
+}
+
+// translate tells the control procedures which proposals certainly took no
+// effect: they may try another host.
+func (p proposer) translate(err error) error {
+	var nl *replicator.NotLeaderError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &nl):
+		return &controller.NotLeaderError{Leader: nl.Leader.Addr}
+	case replicator.NotRun(err):
+		return &controller.NotLeaderError{Leader: netip.AddrPort{}}
+	}
+	return err
+}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -10,3 +10,248 @@
 //	}
 //	return host.Run(ctx) // drains and returns when ctx ends
 package hoster
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailwall/counter"
+	"foxtailwall/messenger"
+	"foxtailwall/timekeeper"
+)
+
+// scopePrefix stands before the name of every metric.
+const scopePrefix = "foxtailwall"
+
+type (
+	// Options are what a host gets from its process.
+	Options struct {
+		Clock timekeeper.Clock
+		Log   zerolog.Logger
+	}
+
+	// Host is one host. Make it with New.
+	Host struct {
+		set     Settings
+		clock   timekeeper.Clock
+		log     zerolog.Logger
+		scope   counter.Scope
+		peerTLS *tls.Config
+		mux     *messenger.Mux
+		outbox  *outboxDisk
+		control *control
+		client  *messenger.Control
+		bills   *messenger.Bills
+		views   *views
+		entry   *entry
+
+		mu    sync.Mutex
+		peers map[netip.AddrPort]*messenger.Peer
+	}
+
+	// duty is one goroutine of a host. It runs until its context ends.
+	duty struct {
+		name string
+		run  func(context.Context) error
+	}
+
+	// DutyError says which duty of a host failed.
+	DutyError struct {
+		Duty string
+		Err  error
+	}
+)
+
+// New returns a host that has read its data folder and listens on no port
+// yet. Errors are a *SettingError, a damaged data folder or a TLS file that
+// cannot be read.
+func New(s Settings, o Options) (*Host, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	h := &Host{
+		set: s, clock: o.Clock, log: o.Log, scope: counter.New(scopePrefix),
+		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer),
+	}
+	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.joinControl, h.connectControl, h.followViews, h.buildEntry} {
+		if err := build(); err != nil {
+			h.scope.Close()
+			return nil, err
+		}
+	}
+	return h, nil
+}
+
+// Error implements error.
+func (e *DutyError) Error() string { return e.Duty + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DutyError) Unwrap() error { return e.Err }
+
+// Run serves until ctx ends, then drains: callers' requests finish, billing
+// records are delivered, and only then do the duties of the host end. It
+// returns the first failure of a duty, or what the drain had to cut.
+func (h *Host) Run(ctx context.Context) error {
+	defer h.scope.Close()
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	failed, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	duties := pool.New().WithErrors()
+	for _, d := range h.duties() {
+		duties.Go(func() error {
+			err := d.run(inner)
+			if err == nil || inner.Err() != nil {
+				return nil
+			}
+			err = &DutyError{Duty: d.name, Err: err}
+			fail(err)
+			return err
+		})
+	}
+	h.log.Info().Msg("host started")
+	<-failed.Done()
+	err := h.drain(inner)
+	stop()
+	h.closePeers()
+	err = errors.CombineErrors(duties.Wait(), err)
+	h.log.Info().Err(err).Msg("host stopped")
+	return err
+}
+
+// drain ends the service to callers first, because their requests still need
+// the control group, the witnesses and the upstreams.
+func (h *Host) drain(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := h.clock.NewTimer(h.set.Drain)
+	defer limit.Stop()
+	done := make(chan struct{})
+	defer close(done)
+	p := pool.New()
+	defer p.Wait()
+	p.Go(func() {
+		select {
+		case <-limit.C():
+			cancel()
+		case <-done:
+		case <-ctx.Done():
+		}
+	})
+	defer cancel()
+	var err error
+	if h.entry != nil {
+		err = h.entry.server.Drain(ctx)
+	}
+	if berr := h.bills.Drain(ctx); berr != nil && h.outbox.box.Len() > 0 {
+		err = errors.CombineErrors(err, &UndeliveredError{Records: h.outbox.box.Len()})
+	}
+	return err
+}
+
+func (h *Host) duties() []duty {
+	out := []duty{
+		{"peers port", h.servePeers},
+		{"control client", h.client.Run},
+		{"billing", h.bills.Run},
+		{"configuration", h.views.run},
+	}
+	if h.control != nil {
+		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run})
+	}
+	if h.entry != nil {
+		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators})
+	}
+	return out
+}
+
+func (h *Host) servePeers(ctx context.Context) error {
+	return serveHTTP(ctx, messenger.NewServer(h.mux, h.peerTLS), h.set.Peers)
+}
+
+// serveHTTP serves srv on addr until ctx ends.
+func serveHTTP(ctx context.Context, srv *http.Server, addr netip.AddrPort) error {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return &SettingError{Setting: "peers", Value: addr.String(), Allowed: "a free address of this host: " + err.Error()}
+	}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if srv.TLSConfig != nil {
+		err = srv.ServeTLS(l, "", "")
+	} else {
+		err = srv.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// peer returns the client for the host at addr, one for each address.
+func (h *Host) peer(addr netip.AddrPort) *messenger.Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.peers[addr]
+	if !ok {
+		p = messenger.NewPeer(addr, h.peerTLS)
+		h.peers[addr] = p
+	}
+	return p
+}
+
+func (h *Host) closePeers() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.peers {
+		p.Close()
+	}
+}
+
+// connectControl makes the client of the control group and the billing.
+func (h *Host) connectControl() error {
+	h.client = messenger.NewControl(messenger.ControlClientOptions{
+		Peers: h.controlPeers(), Clock: h.clock, Scope: h.scope,
+	})
+	h.bills = messenger.NewBills(messenger.BillsOptions{
+		Name: h.set.Name, Zone: h.set.Zone, Outbox: h.outbox.box, Control: h.client,
+		Hosts: h.witnesses, Peer: h.peer, Clock: h.clock, Scope: h.scope,
+	})
+	messenger.HandleHold(h.mux, h.outbox.box, h.clock)
+	return nil
+}
+
+func (h *Host) controlPeers() []*messenger.Peer {
+	var out []*messenger.Peer
+	for _, name := range h.set.Control {
+		spec, _ := h.set.Spec(name) // Validate has checked the names.
+		out = append(out, h.peer(spec.Addr))
+	}
+	return out
+}
+
+func (h *Host) witnesses() []messenger.Witness {
+	out := make([]messenger.Witness, 0, len(h.set.Hosts))
+	for _, s := range h.set.Hosts {
+		out = append(out, messenger.Witness{Name: s.Name, Zone: s.Zone, Addr: s.Addr, Disk: s.Disk})
+	}
+	return out
+}
+
+// UndeliveredError says that a host stopped with billing records that the
+// control group has not acknowledged. Their witnesses deliver them.
+type UndeliveredError struct{ Records int }
+
+// Error implements error.
+func (e *UndeliveredError) Error() string {
+	return "the host stopped before the control group took all its billing records; their witnesses deliver them"
+}
+
--- /dev/null
+++ b/hoster/tls.go
@@ -0,0 +1,3 @@
+package hoster
+
+func (h *Host) loadTLS() error { return nil }
