--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -83,8 +83,7 @@
 	}
 	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.joinControl, h.connectControl, h.followViews, h.buildEntry} {
 		if err := build(); err != nil {
-			h.scope.Close()
-			return nil, err
+			return nil, errors.CombineErrors(err, h.scope.Close())
 		}
 	}
 	return h, nil
@@ -100,7 +99,6 @@
 // records are delivered, and only then do the duties of the host end. It
 // returns the first failure of a duty, or what the drain had to cut.
 func (h *Host) Run(ctx context.Context) error {
-	defer h.scope.Close()
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	failed, fail := context.WithCancelCause(ctx)
@@ -108,12 +106,10 @@
 	duties := pool.New().WithErrors()
 	for _, d := range h.duties() {
 		duties.Go(func() error {
-			err := d.run(inner)
-			if err == nil || inner.Err() != nil {
-				return nil
+			err := h.perform(inner, d)
+			if err != nil {
+				fail(err)
 			}
-			err = &DutyError{Duty: d.name, Err: err}
-			fail(err)
 			return err
 		})
 	}
@@ -123,10 +119,20 @@
 	stop()
 	h.closePeers()
 	err = errors.CombineErrors(duties.Wait(), err)
+	err = errors.CombineErrors(err, h.scope.Close())
 	h.log.Info().Err(err).Msg("host stopped")
 	return err
 }
 
+// perform runs one duty. What a duty returns after the end of its context is
+// no failure.
+func (h *Host) perform(ctx context.Context, d duty) error {
+	if err := d.run(ctx); err != nil && ctx.Err() == nil {
+		return &DutyError{Duty: d.name, Err: err}
+	}
+	return nil
+}
+
 // drain ends the service to callers first, because their requests still need
 // the control group, the witnesses and the upstreams.
 func (h *Host) drain(ctx context.Context) error {
@@ -254,4 +260,3 @@
 func (e *UndeliveredError) Error() string {
 	return "the host stopped before the control group took all its billing records; their witnesses deliver them"
 }
-
