--- a/dialer/answer.go
+++ b/dialer/answer.go
@@ -40,7 +40,10 @@
 	if err != nil {
 		return nil, err
 	}
-	ans := &router.Answer{Status: x.resp.StatusCode, Header: x.resp.Header, Body: body, FirstByte: x.wait}
+	ans := &router.Answer{
+		Status: x.resp.StatusCode, Header: x.resp.Header, Body: body,
+		FirstByte: x.wait, RetryAfter: retryAfter(x.resp.Header),
+	}
 	if a.Engine && ans.Status == http.StatusOK {
 		if err := x.fill(ans); err != nil {
 			return nil, err
@@ -157,20 +160,21 @@
 }
 
 // Close implements router.Stream.
-func (s *stream) Close() error {
+func (s *stream) Close() {
 	if s.x.settled {
-		return nil
+		return
 	}
 	if !s.done {
 		s.x.release()
-		return s.x.c.Close()
+		s.x.c.Close()
+		return
 	}
 	s.x.w.within(drainWait)
 	if _, err := s.events.Next(); !errors.Is(err, io.EOF) {
 		s.x.release()
 		s.x.d.o.Scope.Counter("dialer.unread").Inc(1)
-		return s.x.c.Close()
+		s.x.c.Close()
+		return
 	}
 	s.x.finish()
-	return nil
 }
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -151,7 +150,7 @@
 	req := &http.Request{Method: x.a.Method}
 	for range maxInformational {
 		x.c.limit.armed, x.c.limit.left = true, maxHeader
-		resp, err := http.ReadResponse(x.c.br, req)
+		resp, err := http.ReadResponse(x.c.br, req) //nolint:bodyclose // The exchange ends with its connection.
 		x.c.limit.armed = false
 		if err != nil {
 			return err
@@ -207,6 +206,9 @@
 
 // read returns the whole body.
 func (x *exchange) read() ([]byte, error) {
+	if x.a.Method == http.MethodHead {
+		return nil, nil // Its length is that of the body a GET would get.
+	}
 	if x.resp.ContentLength > x.d.o.MaxBody {
 		return nil, x.fail(router.FailMalformed, x.tooLarge())
 	}
@@ -302,6 +304,3 @@
 	n, err := p.r.Read(b)
 	return n, err
 }
-
-// String describes the exchange in errors.
-func (x *exchange) String() string { return fmt.Sprintf("%s at %s", x.a.ID, x.a.Upstream.Name) }
--- a/router/attempts.go
+++ b/router/attempts.go
@@ -22,15 +22,20 @@
 		tokens     int64
 		// mayRepeat says that attempts that may have run can be repeated.
 		mayRepeat bool
-		// do runs one attempt. An error that is no *AttemptError ends the
-		// job as it is.
-		do func(ctx context.Context, g target) (Observation, error)
+		// hedges says that a second attempt may run beside a slow one.
+		hedges bool
+		// do runs one attempt; a streamed answer has passed when it returns
+		// and is not among its results. An error that is no *AttemptError
+		// ends the job as it is.
+		do func(ctx context.Context, g target) (*Answer, Observation, error)
 	}
 
 	// target is the replica of an attempt.
 	target struct {
+		id       string
 		upstream *declarer.Upstream
 		fresh    bool
+		done     func()
 	}
 
 	// RejectedError is the answer of an upstream that found the request
@@ -48,40 +53,41 @@
 }
 
 // run makes attempts until one succeeds, none may follow or none can.
-func (r *Router) run(ctx context.Context, t *task, j job) error {
+func (r *Router) run(ctx context.Context, t *task, j job) (*Answer, error) {
 	var tried []*declarer.Upstream
 	var last *AttemptError
 	fresh := false
 	for n := 0; ; n++ {
 		if err := r.mayTry(ctx, t, n, last); err != nil {
-			return err
+			return nil, err
 		}
-		u, done, err := r.pick(t, j, tried)
+		g, err := r.pick(t, j, tried)
 		if err != nil {
-			return err
+			return nil, err
 		}
-		if u == nil {
-			return giveUp(t, last)
+		if g.upstream == nil {
+			return nil, giveUp(t, last)
 		}
-		err = r.attempt(ctx, j, target{upstream: u, fresh: fresh}, done)
+		g.fresh = fresh
+		ans, err := r.hedged(ctx, t, j, g, tried)
 		if err == nil {
-			return nil
+			return ans, nil
 		}
 		var ae *AttemptError
 		if !errors.As(err, &ae) {
-			return err
+			return nil, err
 		}
 		t.note(ae)
 		last = ae
 		if !repeatable(ae, j.mayRepeat) {
-			return giveUp(t, ae)
+			return nil, giveUp(t, ae)
 		}
 		if ae.Kind == FailSilent {
 			// The connection was at fault and not the replica, which holds
 			// the session's prefix cache: try it again on a new connection.
 			fresh = true
 		} else {
-			tried = append(tried, u)
+			tried = append(tried, g.upstream)
 		}
 	}
 }
@@ -109,11 +115,12 @@
 	return nil
 }
 
-// pick returns a replica, or nil if none is left.
-func (r *Router) pick(t *task, j job, tried []*declarer.Upstream) (*declarer.Upstream, func(), error) {
+// pick returns the target of the next attempt; it has no upstream if none is
+// left.
+func (r *Router) pick(t *task, j job, tried []*declarer.Upstream) (target, error) {
 	all, err := j.candidates()
 	if err != nil {
-		return nil, nil, err
+		return target{}, err
 	}
 	u, done, ok := r.o.Picker.Pick(PickRequest{
 		Ref: j.ref, Service: j.service, Candidates: all, Prompt: j.prompt, Tokens: j.tokens, Deadline: t.deadline,
@@ -123,16 +130,16 @@
 		},
 	})
 	if !ok {
-		return nil, nil, nil
+		return target{}, nil
 	}
-	return u, done, nil
+	return target{id: t.attemptID(), upstream: u, done: done}, nil
 }
 
 // attempt runs one attempt and reports it.
-func (r *Router) attempt(ctx context.Context, j job, g target, done func()) error {
+func (r *Router) attempt(ctx context.Context, j job, g target) (*Answer, error) {
 	began := r.o.Clock.Now()
-	o, err := j.do(ctx, g)
-	done()
+	ans, o, err := j.do(ctx, g)
+	g.done()
 	o.Ref, o.Took = j.ref, r.o.Clock.Since(began)
 	var ae *AttemptError
 	if errors.As(err, &ae) {
@@ -140,7 +147,7 @@
 		o.Leaving = ae.Kind == FailStatus && ae.Outcome == refuser.NotRun
 	}
 	r.o.Monitor.Report(g.upstream, o)
-	return err
+	return ans, err
 }
 
 // repeatable reports whether another attempt may follow the failed one.
--- a/router/call.go
+++ b/router/call.go
@@ -111,9 +111,8 @@
 
 // dispatch makes the attempts of the call.
 func (r *Router) dispatch(ctx context.Context, c *call) (*Answer, error) {
-	var ans *Answer
 	j := job{
-		service: c.q.Service, mayRepeat: c.decl.Idempotent,
+		service: c.q.Service, mayRepeat: c.decl.Idempotent, hedges: c.decl.Idempotent,
 		candidates: func() ([]*declarer.Upstream, error) {
 			cat, err := r.catalog()
 			if err != nil {
@@ -122,22 +121,18 @@
 			return cat.ServiceUpstreams(c.q.Service), nil
 		},
 	}
-	j.do = func(ctx context.Context, g target) (Observation, error) {
+	j.do = func(ctx context.Context, g target) (*Answer, Observation, error) {
 		a, err := r.o.Upstreams.Do(ctx, r.callAttempt(c, g))
 		if err != nil {
-			return Observation{}, asAttempt(err)
+			return nil, Observation{}, asAttempt(err)
 		}
 		o := Observation{FirstByte: a.FirstByte, Status: a.Status}
 		if c.decl.Idempotent && unavailable(a.Status) {
-			return o, judge(a.Status, "", nil, 0)
+			return nil, o, judge(a.Status, "", nil, a.RetryAfter)
 		}
-		ans = a
-		return o, nil
+		return a, o, nil
 	}
-	if err := r.run(ctx, c.task, j); err != nil {
-		return nil, err
-	}
-	return ans, nil
+	return r.run(ctx, c.task, j)
 }
 
 // unavailable statuses are those after which an idempotent call is repeated.
@@ -156,7 +151,7 @@
 		path += "?" + c.q.Query
 	}
 	return &Attempt{
-		ID: c.attemptID(), Upstream: g.upstream, Method: c.q.Method, Path: path, Header: c.q.Header, Body: c.q.Body,
+		ID: g.id, Upstream: g.upstream, Method: c.q.Method, Path: path, Header: c.q.Header, Body: c.q.Body,
 		// A reused connection may be closed by the peer just when a request
 		// arrives, which leaves it unknown whether the request ran.
 		Fresh:    g.fresh || !c.decl.Idempotent,
--- a/router/chat.go
+++ b/router/chat.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -46,7 +48,7 @@
 	defer release()
 	c := &chat{task: t, q: q}
 	var ans *Answer
-	err = r.planned(ctx, c, func(steps []declarer.VersionRef) error {
+	err = r.planned(c, func(steps []declarer.VersionRef) error {
 		ans, err = r.cascade(ctx, c, steps)
 		return err
 	})
@@ -57,12 +59,13 @@
 	if r.o.Ratings.Wants() {
 		r.o.Ratings.Offer(c.rateRequest(c.notice.Ref, ans.Text))
 	}
+	c.notice.Tokens = c.tokens()
 	return &ChatAnswer{Notice: c.notice, Status: ans.Status, Type: ans.Header.Get("Content-Type"), Body: ans.Body}, nil
 }
 
 // planned plans the request and runs it. If the plan was overtaken by a
 // withdrawal before anything was sent, it plans once more.
-func (r *Router) planned(ctx context.Context, c *chat, run func(steps []declarer.VersionRef) error) error {
+func (r *Router) planned(c *chat, run func(steps []declarer.VersionRef) error) error {
 	for n := 1; ; n++ {
 		steps, err := r.makePlan(c)
 		if err != nil {
@@ -151,24 +154,18 @@
 	if err != nil {
 		return nil, p, err
 	}
-	var ans *Answer
 	j := r.chatJob(c, p.ref)
-	j.do = func(ctx context.Context, g target) (Observation, error) {
+	j.hedges = true
+	j.do = func(ctx context.Context, g target) (*Answer, Observation, error) {
 		a, err := r.o.Upstreams.Do(ctx, r.chatAttempt(c, p.ref, g))
 		if err != nil {
-			return Observation{}, asAttempt(err)
+			return nil, Observation{}, asAttempt(err)
 		}
 		o := Observation{FirstByte: a.FirstByte, Status: a.Status, Tokens: a.Usage.Output}
-		if err := judge(a.Status, a.Header.Get("Content-Type"), a.Body, 0); err != nil {
-			return o, err
-		}
-		ans = a
-		return o, nil
-	}
-	if err := r.run(ctx, c.task, j); err != nil {
-		return nil, p, err
+		return a, o, judge(a.Status, a.Header.Get("Content-Type"), a.Body, a.RetryAfter)
 	}
-	return ans, p, nil
+	ans, err := r.run(ctx, c.task, j)
+	return ans, p, err
 }
 
 func (r *Router) chatJob(c *chat, ref declarer.VersionRef) job {
@@ -186,7 +183,7 @@
 
 func (r *Router) chatAttempt(c *chat, ref declarer.VersionRef, g target) *Attempt {
 	return &Attempt{
-		ID: c.attemptID(), Upstream: g.upstream, Method: http.MethodPost, Path: chatPath, Header: chatHeader,
+		ID: g.id, Upstream: g.upstream, Method: http.MethodPost, Path: chatPath, Header: chatHeader,
 		Body: c.q.Body(ref), Engine: true, Fresh: g.fresh, Deadline: c.deadline, Priority: c.priority,
 		Check: func() error { return r.check(c.workspace.Name, ref) },
 	}
@@ -211,6 +208,13 @@
 		c.notice.Moved = n.Moved
 	}
 	c.notice.Tokens = append(c.notice.Tokens, n.Tokens...)
+	delete(c.session.raw, n.Ref.Model)
+}
+
+// tokens returns the session tokens of the answer. Those of models that did
+// not run stay with the session.
+func (c *chat) tokens() []string {
+	return append(c.notice.Tokens, slices.Sorted(maps.Values(c.session.raw))...)
 }
 
 func (c *chat) rateRequest(ref declarer.VersionRef, text string) RateRequest {
--- a/router/decisions.go
+++ b/router/decisions.go
@@ -91,7 +91,8 @@
 	Observation struct {
 		// Ref is the version that ran; empty for a plain service.
 		Ref declarer.VersionRef
-		// Fail is empty if the attempt succeeded.
+		// Fail is empty if the attempt succeeded. FailCancelled, FailChecked
+		// and FailSilent say nothing about the upstream.
 		Fail   FailKind
 		Status int
 		// FirstByte is the time to the answer's beginning, for a stream to
--- a/router/session.go
+++ b/router/session.go
@@ -16,11 +16,15 @@
 	// the control group unless it returned a token.
 	own  bool
 	pins map[string]pinner.Pin // By model, from tokens.
+	raw  map[string]string     // The tokens themselves, by model.
 }
 
 // sessionOf reads the caller's tokens and session ID.
 func (r *Router) sessionOf(q *ChatRequest) (*session, error) {
-	s := &session{id: q.Session, own: q.Session != "", pins: make(map[string]pinner.Pin, len(q.Tokens))}
+	s := &session{
+		id: q.Session, own: q.Session != "",
+		pins: make(map[string]pinner.Pin, len(q.Tokens)), raw: make(map[string]string, len(q.Tokens)),
+	}
 	for _, t := range q.Tokens {
 		if r.o.Signer == nil {
 			return nil, refuser.New(refuser.SessionInvalid, refuser.NotRun,
@@ -40,7 +44,7 @@
 		if s.id != p.Session {
 			return nil, refuser.New(refuser.SessionInvalid, refuser.NotRun, "the session tokens belong to several sessions")
 		}
-		s.pins[p.Model] = p
+		s.pins[p.Model], s.raw[p.Model] = p, t
 	}
 	if s.id == "" {
 		s.id = q.ID
--- a/router/stream.go
+++ b/router/stream.go
@@ -64,7 +64,7 @@
 	defer release()
 	c := &chat{task: t, q: q, stream: true}
 	s := &streaming{r: r, c: c, sink: sink, rated: r.o.Ratings.Wants()}
-	err = r.planned(ctx, c, func(steps []declarer.VersionRef) error {
+	err = r.planned(c, func(steps []declarer.VersionRef) error {
 		return s.run(ctx, steps[0])
 	})
 	if err := s.settle(ctx, err); err != nil {
@@ -119,14 +119,16 @@
 	}
 	s.p = p
 	s.c.took(p.Notice)
+	s.c.notice.Tokens = s.c.tokens()
 	j := s.r.chatJob(s.c, p.ref)
 	j.do = s.attempt
-	return s.r.run(ctx, s.c.task, j)
+	_, err = s.r.run(ctx, s.c.task, j)
+	return err
 }
 
 // attempt streams one attempt into the sink and resumes it where possible. It
 // returns an *AttemptError only as long as nothing has reached the caller.
-func (s *streaming) attempt(ctx context.Context, g target) (Observation, error) {
+func (s *streaming) attempt(ctx context.Context, g target) (*Answer, Observation, error) {
 	s.held, s.size, s.tokens, s.usage = nil, 0, 0, nil
 	s.text.Reset()
 	s.since = s.r.o.Clock.Now()
@@ -135,17 +137,17 @@
 	err := s.once(ctx, a)
 	for n := 0; n < maxResumes && s.resumable(ctx, g, err); n++ {
 		s.r.o.Scope.Counter("router.resumes").Inc(1)
-		a := s.r.chatAttempt(s.c, s.p.ref, target{upstream: g.upstream, fresh: true})
+		a := s.r.chatAttempt(s.c, s.p.ref, target{id: s.c.attemptID(), upstream: g.upstream, fresh: true})
 		a.Resume = s.first + ":" + strconv.FormatInt(s.tokens, 10)
 		err = s.once(ctx, a)
 	}
 	o := Observation{FirstByte: s.wait, Tokens: s.tokens}
 	var ae *AttemptError
 	if err == nil || !s.begun || !errors.As(err, &ae) {
-		return o, err
+		return nil, o, err
 	}
 	o.Fail = ae.Kind
-	return o, s.cut(ae)
+	return nil, o, s.cut(ae)
 }
 
 // resumable reports whether the stream was cut after its first token and the
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -54,7 +54,7 @@
 		// Next returns the next chunk. It returns io.EOF only after the end
 		// marker, and an *AttemptError for every other end.
 		Next() (Chunk, error)
-		Close() error
+		Close()
 	}
 
 	// Attempt is one try of a request on one upstream.
@@ -95,6 +95,8 @@
 		Text string
 		// FirstByte is the time until the answer began.
 		FirstByte time.Duration
+		// RetryAfter is what the upstream asked for, zero if nothing.
+		RetryAfter time.Duration
 	}
 
 	// Chunk is one chunk of a streamed answer.
