Add the open-loop load with an audit of every promise

The audit compares what callers received with what the stand-ins ran and with the exported ledger; it never reads the router's counters.

--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,279 @@
+package loader_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/biller"
+	"foxtailwall/declarer"
+	"foxtailwall/emulator"
+	"foxtailwall/loader"
+)
+
+func TestLoader(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loader")
+}
+
+// defect is a way in which a router can break its promises.
+type defect string
+
+const (
+	none        defect = ""
+	disallowed  defect = "uses a version that is not allowed"
+	moving      defect = "moves sessions without notice"
+	noBill      defect = "forgets a bill"
+	twoBills    defect = "bills under two IDs"
+	otherPayer  defect = "bills another member"
+	noSuchStep  defect = "bills a step that did not run"
+	foreign     defect = "returns the previous answer"
+	partial     defect = "drops a word of a stream"
+	lyingNotRun defect = "says notRun after a run"
+	twoRuns     defect = "runs a booking twice"
+	lateWork    defect = "sends work to a leaving upstream"
+)
+
+// entry is a naive router with one defect, which it shows on every fourth (or every)
+// request that can have it.
+type entry struct {
+	engine, service string
+	defect          defect
+	mu              sync.Mutex
+	n, moves        int
+	previous        []byte
+	ledger          []biller.Record
+}
+
+func (e *entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.n++
+	id, bad := fmt.Sprint("r", e.n), e.n%4 == 0
+	var q struct{ Stream bool }
+	_ = json.Unmarshal(body, &q)
+	workspace, member, _ := strings.Cut(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer key-"), "/")
+	version, target := "v1", e.engine
+	if bad && e.defect == disallowed && !q.Stream {
+		version = "v2"
+	}
+	if e.defect == moving && r.Header.Get("Foxtailwall-Session") != "" {
+		e.moves++
+		version = []string{"v1", "v2"}[e.moves%2]
+	}
+	path := r.URL.Path
+	if p, ok := strings.CutPrefix(path, "/services/laser"); ok {
+		path, target = p, e.service
+		if r.Method == http.MethodPost && e.defect == twoRuns {
+			e.forward(r, target, path, version, id, body)
+		}
+	}
+	status, out := e.forward(r, target, path, version, id, body)
+	w.Header().Set(emulator.HeaderRequest, id)
+	model := target == e.engine
+	switch {
+	case bad && model && e.defect == lyingNotRun:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = w.Write([]byte(`{"error":{"code":"noUpstream","outcome":"notRun"}}`))
+		return
+	case bad && model && !q.Stream && e.defect == foreign && e.previous != nil:
+		out = e.previous
+	case bad && q.Stream && e.defect == partial:
+		events := bytes.SplitAfter(out, []byte("\n\n"))
+		out = bytes.Join(append(events[:1:1], events[2:]...), nil)
+	}
+	if model && !q.Stream {
+		e.previous = out
+	}
+	if status == http.StatusOK {
+		e.bill(id, workspace, member, version, model, bad)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(out)
+}
+
+func (e *entry) forward(r *http.Request, target, path, version, id string, body []byte) (int, []byte) {
+	body = bytes.Replace(body, []byte(`"auto"`), []byte(`"m/`+version+`"`), 1)
+	req, _ := http.NewRequest(r.Method, target+path, bytes.NewReader(body))
+	req.Header.Set(emulator.HeaderRequest, id)
+	req.Header.Set(emulator.HeaderKey, r.Header.Get(emulator.HeaderKey))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	defer resp.Body.Close()
+	out, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, out
+}
+
+func (e *entry) bill(id, workspace, member, version string, model, bad bool) {
+	rec := biller.Record{ID: id, Workspace: workspace, Member: member, CostNanos: 1}
+	if model && bad && e.defect == noSuchStep {
+		rec.Steps = []biller.Step{{Model: "m", Version: version, InputTokens: 1, OutputTokens: 1 << 20}}
+	}
+	switch {
+	case bad && e.defect == noBill:
+		return
+	case bad && e.defect == twoBills:
+		e.ledger = append(e.ledger, rec)
+	case bad && e.defect == otherPayer:
+		rec.Member += "x"
+	}
+	e.ledger = append(e.ledger, rec)
+}
+
+var _ = Describe("Loader", func() {
+	// Guards against an audit that misses a broken promise, or that reports
+	// one for a router that keeps them all.
+	DescribeTable("finds what a router does wrong",
+		func(d defect, promise int) {
+			ctx, stop := context.WithTimeout(context.Background(), 30*time.Second)
+			DeferCleanup(stop)
+			const seed = 21
+			quick := emulator.Timing{Step: time.Microsecond, PerSequence: time.Microsecond, Prefill: 1e9}
+			engine := emulator.NewEngine(emulator.EngineConfig{Name: "e", Seed: seed, Timing: quick, Versions: []emulator.Version{
+				{Model: "m", Version: "v1", Quality: 0.7}, {Model: "m", Version: "v2", Quality: 0.7},
+			}})
+			DeferCleanup(engine.Close)
+			serve := func(h http.Handler) (string, netip.AddrPort) {
+				s := httptest.NewServer(h)
+				DeferCleanup(s.Close)
+				return s.URL, netip.MustParseAddrPort(s.Listener.Addr().String())
+			}
+			engineURL, engineAddr := serve(engine.Handler())
+			serviceURL, serviceAddr := serve(emulator.NewService(emulator.ServiceConfig{Name: "laser", Time: time.Nanosecond}).Handler())
+			e := &entry{engine: engineURL, service: serviceURL, defect: d}
+			_, entryAddr := serve(e)
+			allowed := []declarer.VersionRef{{Model: "m", Version: "v1"}}
+			if d == moving {
+				allowed = nil
+			}
+			conf := loader.Config{
+				Seed: seed, Entries: []netip.AddrPort{entryAddr}, Mix: loader.Cooperative(), Rate: 2000, Count: 150, Duration: time.Minute,
+				Engines: []netip.AddrPort{engineAddr}, Services: []netip.AddrPort{serviceAddr},
+				Workspaces: []loader.Workspace{{
+					Name: "w", Weight: 1, Service: "laser", Allowed: allowed,
+					Members: []loader.Member{{Name: "a", Key: "key-w/a"}, {Name: "b", Key: "key-w/b"}},
+				}},
+				Audit: loader.NewAudit(loader.AuditConfig{LeaveGrace: time.Nanosecond}),
+			}
+			if d == lateWork {
+				conf.Faults = []loader.TimedFault{{Name: "leave", Target: engineAddr, Fault: emulator.Fault{Kind: emulator.FaultLeave}}}
+			}
+			l := loader.New(conf)
+			Expect(l.Run(ctx)).To(Succeed())
+			Expect(l.Collect(ctx)).To(Succeed())
+			l.Audit().Ledger(e.ledger)
+			rep := l.Report()
+			Expect(rep.Requests).To(Equal(150))
+			Expect(l.Failed()).To(BeEmpty())
+			for _, c := range rep.Verdict.Promises {
+				if c.Promise == promise {
+					Expect(c.Broken).To(BeNumerically(">", 0), c.Name)
+				} else {
+					Expect(c.Broken).To(BeZero(), "%s: %v", c.Name, c.Examples)
+				}
+			}
+			if d == none {
+				Expect(rep.Answered).To(Equal(150))
+				for _, p := range []int{1, 3, 4, 5, 7} {
+					Expect(rep.Verdict.Promises[p-1].Checked).To(BeNumerically(">", 0))
+				}
+			}
+		},
+		Entry("nothing", none, 0),
+		Entry(string(disallowed), disallowed, 1),
+		Entry(string(moving), moving, 3),
+		Entry(string(noBill), noBill, 4),
+		Entry(string(twoBills), twoBills, 4),
+		Entry(string(otherPayer), otherPayer, 4),
+		Entry(string(noSuchStep), noSuchStep, 4),
+		Entry(string(foreign), foreign, 5),
+		Entry(string(partial), partial, 5),
+		Entry(string(lyingNotRun), lyingNotRun, 6),
+		Entry(string(twoRuns), twoRuns, 7),
+		Entry(string(lateWork), lateWork, 8),
+	)
+
+	// Guards against a plan that depends on anything but the seed, and
+	// against arrivals that are not Poisson at the wanted rate.
+	It("plans the same open-loop arrivals for the same seed", func() {
+		conf := loader.Config{
+			Seed: 4, Mix: loader.Festival(), Rate: 100, Duration: 200 * time.Second,
+			Workspaces: make([]loader.Workspace, 10),
+		}
+		loader.Skew(conf.Workspaces, 2, 0.6)
+		a, b := loader.Plan(conf), loader.Plan(conf)
+		Expect(len(a)).To(BeNumerically("~", 20000, 600))
+		large := 0
+		digests := make(map[string]bool)
+		for i := range a {
+			Expect(a[i].At).To(Equal(b[i].At))
+			Expect(a[i].Digest).To(Equal(b[i].Digest))
+			if a[i].Workspace == &conf.Workspaces[0] || a[i].Workspace == &conf.Workspaces[1] {
+				large++
+			}
+			digests[a[i].Digest] = true
+		}
+		Expect(float64(large) / float64(len(a))).To(BeNumerically("~", 0.6, 0.02))
+		Expect(digests).To(HaveLen(len(a)))
+	})
+})
+
+var _ = Describe("Audit", func() {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+
+	// Guards against an audit that misses what only events show: work for a
+	// withdrawn version, interrupted shutdowns and configurations that revert
+	// or are late.
+	DescribeTable("checks events",
+		func(promise int, broken int, feed func(a *loader.Audit)) {
+			a := loader.NewAudit(loader.AuditConfig{})
+			feed(a)
+			v := a.Verdict()
+			Expect(v.Promises[promise-1].Checked).To(BeNumerically(">", 0))
+			Expect(v.Promises[promise-1].Broken).To(Equal(broken))
+			Expect(v.Broken()).To(Equal(broken))
+		},
+		Entry("work after a withdrawal", 2, 1, func(a *loader.Audit) {
+			a.Withdrawn(declarer.VersionRef{Model: "m", Version: "v1"}, at(10))
+			a.Engine([]emulator.Run{
+				{Model: "m", Version: "v1", Arrived: at(9)}, {Model: "m", Version: "v1", Arrived: at(11)}, {Model: "m", Version: "v2", Arrived: at(11)},
+			}, nil)
+		}),
+		Entry("a stream cut by a shutdown", 9, 1, func(a *loader.Audit) {
+			a.Shutdown(1, at(10), at(20))
+			for _, t := range []loader.Attempt{
+				{Entry: 1, Sent: at(9), Ended: at(12), Status: 200, Interrupted: true},
+				{Entry: 1, Sent: at(9), Ended: at(12), Status: 200},
+				{Entry: 0, Sent: at(9), Ended: at(12), Interrupted: true},
+				{Entry: 1, Sent: at(11), Ended: at(12), Interrupted: true},
+			} {
+				a.Result(loader.Result{Request: loader.Request{Class: &loader.Class{}, Workspace: &loader.Workspace{}}, Attempts: []loader.Attempt{t}})
+			}
+		}),
+		Entry("a configuration that reverts", 10, 1, func(a *loader.Audit) {
+			a.InForce("h", 4, at(1))
+			a.InForce("h", 3, at(2))
+		}),
+		Entry("a configuration that is late on one host", 10, 1, func(a *loader.Audit) {
+			a.Accepted(5, at(10))
+			a.InForce("h1", 5, at(12))
+			a.InForce("h2", 4, at(13))
+			a.InForce("h2", 4, at(15))
+		}),
+	)
+})
--- /dev/null
+++ b/loader/report.go
@@ -0,0 +1,257 @@
+package loader
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"foxtailwall/declarer"
+	"foxtailwall/emulator"
+	"foxtailwall/refuser"
+)
+
+const (
+	// maxLatency is the longest latency that is told apart.
+	maxLatency = 10 * time.Minute
+	// latencyDigits is the number of significant decimal digits.
+	latencyDigits = 3
+	nanosPerUnit  = 1e9
+)
+
+type (
+	// Report is the machine-readable result of a run.
+	Report struct {
+		Mix      string  `json:"mix"`
+		Seed     uint64  `json:"seed"`
+		Rate     float64 `json:"rate"`
+		Requests int     `json:"requests"`
+		Answered int     `json:"answered"`
+		// Skipped counts requests that the loader had no room to send.
+		Skipped int           `json:"skipped"`
+		Classes []ClassReport `json:"classes"`
+		// Refusals counts the last refusals of unanswered requests by code and
+		// outcome, "code/outcome".
+		Refusals map[string]int `json:"refusals"`
+		Verdict  Verdict        `json:"verdict"`
+		// Failed lists faults and events that could not be set.
+		Failed []string `json:"failed,omitempty"`
+	}
+
+	// ClassReport is the result of one class of requests.
+	ClassReport struct {
+		Class    string        `json:"class"`
+		Kind     declarer.Kind `json:"kind,omitempty"`
+		Requests int           `json:"requests"`
+		Answered int           `json:"answered"`
+		// Cost is the mean cost of a request in units of the currency, by what
+		// engines ran, whether or not it was answered.
+		Cost float64 `json:"cost"`
+		// Runs is the mean number of runs of a request.
+		Runs float64 `json:"runs"`
+		// Quality is the share of answers that pass, Target the mean of the
+		// targets of their workspaces.
+		Quality float64 `json:"quality"`
+		Target  float64 `json:"target"`
+		// FirstToken and Total count from the intended start, Token is the time
+		// between the tokens of a stream.
+		FirstToken Quantiles `json:"firstToken"`
+		Token      Quantiles `json:"token"`
+		Total      Quantiles `json:"total"`
+	}
+
+	// Quantiles are in nanoseconds in JSON.
+	Quantiles struct {
+		Count int64         `json:"count"`
+		P50   time.Duration `json:"p50"`
+		P95   time.Duration `json:"p95"`
+		P99   time.Duration `json:"p99"`
+	}
+
+	// Histogram collects latencies. Make it with NewHistogram.
+	Histogram struct{ h *hdrhistogram.Histogram }
+
+	classSums struct {
+		ClassReport
+		first, token, total Histogram
+		cost                int64
+		runs, passed        int
+		targets             float64
+	}
+)
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() Histogram {
+	return Histogram{hdrhistogram.New(1, maxLatency.Microseconds(), latencyDigits)}
+}
+
+// Record adds d.
+func (h Histogram) Record(d time.Duration) {
+	// The value is within the histogram's range, so recording cannot fail.
+	_ = h.h.RecordValue(min(max(d.Microseconds(), 1), maxLatency.Microseconds()))
+}
+
+// Quantiles returns the quantiles of what was recorded.
+func (h Histogram) Quantiles() Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.h.ValueAtQuantile(q)) * time.Microsecond }
+	return Quantiles{Count: h.h.TotalCount(), P50: at(50), P95: at(95), P99: at(99)}
+}
+
+// Report returns the result of the run so far.
+func (l *Loader) Report() Report {
+	r := l.audit.Report(l.conf.Prices)
+	r.Mix, r.Seed, r.Rate, r.Failed = l.conf.Mix.Name, l.conf.Seed, l.conf.Rate, l.Failed()
+	return r
+}
+
+// Report sums up what was added to the audit.
+func (a *Audit) Report(prices map[declarer.VersionRef]declarer.Price) Report {
+	rep := Report{Refusals: make(map[string]int), Verdict: a.Verdict()}
+	runs := make(map[string][]emulator.Run)
+	for _, r := range a.Runs() {
+		runs[r.Digest] = append(runs[r.Digest], r)
+	}
+	classes := make(map[string]*classSums)
+	for _, r := range a.Results() {
+		if r.Skipped {
+			rep.Skipped++
+			continue
+		}
+		rep.Requests++
+		if r.Answered {
+			rep.Answered++
+		} else {
+			rep.Refusals[string(r.last().Code)+"/"+string(r.last().Outcome)]++
+		}
+		c := classes[r.Class.Name]
+		if c == nil {
+			c = &classSums{first: NewHistogram(), token: NewHistogram(), total: NewHistogram()}
+			c.Class, c.Kind = r.Class.Name, r.Class.Kind
+			classes[c.Class] = c
+		}
+		c.add(&r, runs[r.Digest], prices)
+	}
+	for _, name := range slices.Sorted(maps.Keys(classes)) {
+		rep.Classes = append(rep.Classes, classes[name].report())
+	}
+	slices.SortStableFunc(rep.Classes, func(a, b ClassReport) int { return cmp.Compare(b.Kind, a.Kind) })
+	return rep
+}
+
+func (c *classSums) add(r *Result, runs []emulator.Run, prices map[declarer.VersionRef]declarer.Price) {
+	c.Requests++
+	if r.model() {
+		c.runs += len(runs)
+		c.cost += costOf(runs, prices)
+	}
+	if !r.Answered {
+		return
+	}
+	c.Answered++
+	c.targets += r.Workspace.Quality[c.Kind]
+	if r.model() && r.Judgement.Pass && r.Judgement.Whole && r.Judgement.Digest == r.Digest {
+		c.passed++
+	}
+	c.first.Record(r.FirstToken)
+	c.total.Record(r.Total)
+	for _, g := range r.Gaps {
+		c.token.Record(g)
+	}
+}
+
+func (c *classSums) report() ClassReport {
+	out := c.ClassReport
+	out.Cost = float64(c.cost) / nanosPerUnit / float64(max(c.Requests, 1))
+	out.Runs = float64(c.runs) / float64(max(c.Requests, 1))
+	if c.Answered > 0 {
+		out.Quality = float64(c.passed) / float64(c.Answered)
+		out.Target = c.targets / float64(c.Answered)
+	}
+	out.FirstToken, out.Token, out.Total = c.first.Quantiles(), c.token.Quantiles(), c.total.Quantiles()
+	return out
+}
+
+// costOf returns the cost of runs in nanos. A cut run costs what it generated.
+func costOf(runs []emulator.Run, prices map[declarer.VersionRef]declarer.Price) int64 {
+	var sum int64
+	for _, r := range runs {
+		p := prices[declarer.VersionRef{Model: r.Model, Version: r.Version}]
+		sum += int64(r.Input)*p.InputNanos + int64(r.Output-r.Resumed)*p.OutputNanos
+	}
+	return sum
+}
+
+// Print writes the report as tables.
+func (r Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "mix %s, seed %d, %.4g requests/s: %d requests, %d answered, %d skipped by the loader\n\n",
+		r.Mix, r.Seed, r.Rate, r.Requests, r.Answered, r.Skipped)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\trequests\tanswered\tcost/request\truns\tquality\ttarget\tfirst p50\tp95\tp99\ttoken p50\tp95\tp99\t")
+	for _, c := range r.Classes {
+		quality, target := "-", "-"
+		if c.Kind != "" {
+			quality, target = percent(c.Quality), percent(c.Target)
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%s\t%.2f\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t\n", c.Class, c.Requests, c.Answered,
+			strconv.FormatFloat(c.Cost, 'g', 4, 64), c.Runs, quality, target,
+			short(c.FirstToken.P50), short(c.FirstToken.P95), short(c.FirstToken.P99),
+			short(c.Token.P50), short(c.Token.P95), short(c.Token.P99))
+	}
+	_ = t.Flush()
+	if len(r.Refusals) > 0 {
+		fmt.Fprintln(w, "\nunanswered by code and outcome:")
+		for _, k := range slices.Sorted(maps.Keys(r.Refusals)) {
+			fmt.Fprintf(w, "  %-36s %d\n", k, r.Refusals[k])
+		}
+	}
+	fmt.Fprintln(w)
+	r.Verdict.Print(w)
+	for _, f := range r.Failed {
+		fmt.Fprintln(w, "not set:", f)
+	}
+}
+
+// Print writes one line for each promise, and examples of broken cases.
+func (v Verdict) Print(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "promise\t\tchecked\tbroken")
+	for _, c := range v.Promises {
+		checked := strconv.Itoa(c.Checked)
+		if c.Checked == 0 {
+			checked = "not exercised"
+		}
+		fmt.Fprintf(t, "%d\t%s\t%s\t%d\n", c.Promise, c.Name, checked, c.Broken)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "exposed to a bad version: %d; doubled runs: %d; bills missing %d, doubled %d, wrong %d; answers partial %d, foreign %d\n",
+		v.Exposed, v.DoubledRuns, v.BillsMissing, v.BillsDoubled, v.BillsWrong, v.AnswersPartial, v.AnswersForeign)
+	for _, c := range v.Promises {
+		for _, e := range c.Examples {
+			fmt.Fprintf(w, "  promise %d: %s\n", c.Promise, e)
+		}
+	}
+}
+
+// Refused returns the number of unanswered requests with that code.
+func (r Report) Refused(code refuser.Code) int {
+	n := 0
+	for _, o := range []refuser.Outcome{refuser.NotRun, refuser.Ran, refuser.Unknown} {
+		n += r.Refusals[string(code)+"/"+string(o)]
+	}
+	return n
+}
+
+func percent(f float64) string { return strconv.FormatFloat(100*f, 'f', 1, 64) + "%" }
+
+func short(d time.Duration) string {
+	if d == 0 {
+		return "-"
+	}
+	return d.Round(10 * time.Microsecond).String()
+}
