--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"foxtailwall/declarer"
 )
 
 func main() {
@@ -31,8 +33,12 @@
 			printCommand(),
 			checkCommand(),
 			diffCommand(),
-			standinCommand(),
+			applyCommand(readConfig),
+			showCommand(declarer.Print),
+			statusCommand(),
+			ledgerCommand(),
 			serveCommand(),
+			standinCommand(),
 			referenceCommand(),
 		},
 	}
--- a/cmd/foxtailwall/operator.go
+++ b/cmd/foxtailwall/operator.go
@@ -28,14 +28,6 @@
 	nanosPerUnit = 1_000_000_000
 )
 
-// settingError says which flag has which wrong value and what is allowed.
-type settingError struct{ setting, value, allowed string }
-
-// Error implements error.
-func (e *settingError) Error() string {
-	return fmt.Sprintf("setting --%s is %q; allowed is %s", e.setting, e.value, e.allowed)
-}
-
 // operatorFlags are the flags of the subcommands that ask the control group.
 func operatorFlags(more ...cli.Flag) []cli.Flag {
 	return append([]cli.Flag{
