--- a/messenger/group.go
+++ b/messenger/group.go
@@ -35,6 +35,7 @@
 	GroupTransport struct {
 		conf   *tls.Config
 		scope  counter.Scope
+		opts   []PeerOption
 		ctx    context.Context
 		cancel context.CancelFunc
 		wg     conc.WaitGroup
@@ -57,10 +58,10 @@
 
 // NewGroupTransport returns a transport without connections. Close it to end
 // its goroutines.
-func NewGroupTransport(conf *tls.Config, scope counter.Scope) *GroupTransport {
+func NewGroupTransport(conf *tls.Config, scope counter.Scope, opts ...PeerOption) *GroupTransport {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &GroupTransport{
-		conf: conf, scope: scope, ctx: ctx, cancel: cancel,
+		conf: conf, scope: scope, opts: opts, ctx: ctx, cancel: cancel,
 		rings: make(map[netip.AddrPort]*buffer.Ring[*replicator.Message]),
 	}
 }
@@ -95,7 +96,7 @@
 	}
 	r = buffer.New[*replicator.Message](groupRing)
 	t.rings[to] = r
-	peer := NewPeer(to, t.conf)
+	peer := NewPeer(to, t.conf, t.opts...)
 	for range groupSenders {
 		t.wg.Go(func() { t.send(peer, r) })
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -76,6 +76,12 @@
 		client *http.Client
 	}
 
+	// DialFunc opens a connection.
+	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// PeerOption changes how a peer is reached.
+	PeerOption func(*http.Transport)
+
 	// CallError says that a call failed and on which peer.
 	CallError struct {
 		Procedure string
@@ -143,7 +149,7 @@
 
 // NewPeer returns a client for the process at addr. With a nil TLS
 // configuration it speaks HTTP/2 in clear text.
-func NewPeer(addr netip.AddrPort, conf *tls.Config) *Peer {
+func NewPeer(addr netip.AddrPort, conf *tls.Config, opts ...PeerOption) *Peer {
 	p := new(http.Protocols)
 	scheme := "https://"
 	if conf == nil {
@@ -159,9 +165,21 @@
 		Protocols:       p,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
 	}
+	for _, o := range opts {
+		o(tr)
+	}
 	return &Peer{addr: addr, base: scheme + addr.String(), client: &http.Client{Transport: tr}}
 }
 
+// WithDial opens connections with dial; a nil dial changes nothing.
+func WithDial(dial DialFunc) PeerOption {
+	return func(t *http.Transport) {
+		if dial != nil {
+			t.DialContext = dial
+		}
+	}
+}
+
 // Addr returns the address of the peer.
 func (p *Peer) Addr() netip.AddrPort { return p.addr }
 
