--- /dev/null
+++ b/limiter/limiter_test.go
@@ -0,0 +1,191 @@
+package limiter_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"foxtailwall/limiter"
+	"foxtailwall/refuser"
+	"foxtailwall/timekeeper"
+)
+
+func TestLimiter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limiter")
+}
+
+func haveRefusal(c refuser.Code) OmegaMatcher {
+	return WithTransform(func(err error) []string {
+		r, ok := refuser.As(err)
+		if !ok {
+			return nil
+		}
+		return []string{string(r.Code), string(r.Outcome)}
+	}, Equal([]string{string(c), string(refuser.NotRun)}))
+}
+
+var _ = Describe("Admit", func() {
+	var clock *timekeeper.Fake
+	var l *limiter.Limiter
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(1000, 0))
+		l = limiter.New(limiter.Settings{Clock: clock, Concurrent: 1, Queue: 4})
+	})
+	admit := func(r limiter.Request) *limiter.Permit {
+		GinkgoHelper()
+		p, err := l.Admit(context.Background(), r)
+		Expect(err).NotTo(HaveOccurred())
+		return p
+	}
+	type result struct {
+		permit *limiter.Permit
+		err    error
+	}
+	wait := func(ctx context.Context, r limiter.Request) <-chan result {
+		GinkgoHelper()
+		n := l.Waiting(r.Workspace)
+		c := make(chan result, 1)
+		go func() {
+			p, err := l.Admit(ctx, r)
+			c <- result{p, err}
+		}()
+		Eventually(func() int { return l.Waiting(r.Workspace) }).Should(Equal(n + 1))
+		return c
+	}
+
+	// Guards against a request that waits although it cannot finish in time:
+	// the slot takes 1 s for one unit of cost, and three units are ahead.
+	DescribeTable("refuses at once what cannot finish within its deadline",
+		func(ctx context.Context, left time.Duration, refused bool) {
+			p := admit(limiter.Request{Workspace: "w", Cost: 1})
+			clock.Advance(time.Second)
+			p.Done(0)
+			admit(limiter.Request{Workspace: "w", Cost: 1})
+			wait(ctx, limiter.Request{Workspace: "w", Cost: 2})
+			r := limiter.Request{Workspace: "w", Cost: 1, Run: time.Second, Deadline: clock.Now().Add(left)}
+			if !refused {
+				wait(ctx, r)
+				return
+			}
+			_, err := l.Admit(ctx, r)
+			Expect(err).To(haveRefusal(refuser.DeadlineTooShort))
+			Expect(l.Waiting("w")).To(Equal(1))
+		},
+		Entry("3 s left", 3*time.Second, true, NodeTimeout(10*time.Second)),
+		Entry("5 s left", 5*time.Second, false, NodeTimeout(10*time.Second)),
+	)
+
+	// Guards against a place in the queue that a request keeps after its
+	// deadline or after its caller left, and against a refusal of such a
+	// request that does not say notRun.
+	It("removes waiting requests whose deadline passes or whose caller leaves", func(ctx context.Context) {
+		admit(limiter.Request{Workspace: "w"})
+		late := wait(ctx, limiter.Request{Workspace: "w", Deadline: clock.Now().Add(time.Second)})
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		clock.Advance(time.Second)
+		Expect((<-late).err).To(haveRefusal(refuser.DeadlineExceeded))
+		Expect(l.Waiting("w")).To(BeZero())
+		leaving, leave := context.WithCancel(ctx)
+		left := wait(leaving, limiter.Request{Workspace: "w"})
+		leave()
+		Expect((<-left).err).To(MatchError(context.Canceled))
+		Expect(l.Waiting("w")).To(BeZero())
+	}, NodeTimeout(10*time.Second))
+
+	// Guards against a queue without a bound and a workspace that takes more
+	// than its own bound while slots are free.
+	It("bounds the queue and the requests in flight of a workspace", func(ctx context.Context) {
+		l.SetConcurrent(10)
+		r := limiter.Request{Workspace: "w", Concurrent: 2}
+		first := admit(r)
+		admit(r)
+		admit(limiter.Request{Workspace: "other"})
+		waiting := wait(ctx, r)
+		for range 3 {
+			wait(ctx, r)
+		}
+		_, err := l.Admit(ctx, r)
+		Expect(err).To(haveRefusal(refuser.QueueFull))
+		first.Done(0)
+		first.Done(0)
+		Expect((<-waiting).err).NotTo(HaveOccurred())
+		Expect(l.InFlight()).To(Equal(3))
+	}, NodeTimeout(10*time.Second))
+
+	// Guards against slots that leak when callers leave at the moment of
+	// their admission.
+	It("loses no slot under concurrent use", func(ctx context.Context) {
+		l = limiter.New(limiter.Settings{Clock: clock, Concurrent: 3})
+		var wg conc.WaitGroup
+		for w := range 8 {
+			wg.Go(func() {
+				for i := range 200 {
+					c, cancel := context.WithCancel(ctx)
+					if i%3 == w%3 {
+						go cancel()
+					}
+					if p, err := l.Admit(c, limiter.Request{Workspace: string(rune('a' + w)), Cost: float64(w)}); err == nil {
+						p.Done(0)
+					}
+					cancel()
+				}
+			})
+		}
+		wg.Wait()
+		Expect(l.InFlight()).To(BeZero())
+		for w := range 8 {
+			Expect(l.Waiting(string(rune('a' + w)))).To(BeZero())
+		}
+	}, NodeTimeout(time.Minute))
+})
+
+var _ = Describe("Retry", func() {
+	// Guards against retries that multiply the load of a failing deployment,
+	// and against one workspace that spends the budget of another.
+	It("grants at most a tenth of the requests and the floor", func(ctx context.Context) {
+		const seed = 47
+		rng := rand.New(rand.NewPCG(seed, seed))
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		l := limiter.New(limiter.Settings{Clock: clock})
+		start, requests, retries := clock.Now(), 0, 0
+		for range 20_000 {
+			clock.Advance(time.Duration(rng.IntN(10)) * time.Millisecond)
+			p, err := l.Admit(ctx, limiter.Request{Workspace: "w"})
+			Expect(err).NotTo(HaveOccurred())
+			p.Done(0)
+			requests++
+			for range rng.IntN(3) {
+				if l.Retry("w") {
+					retries++
+				}
+			}
+			limit := 0.1*float64(requests) + 0.2*clock.Since(start).Seconds() + 10
+			Expect(float64(retries)).To(BeNumerically("<=", limit+1e-6))
+		}
+		Expect(float64(retries)).To(BeNumerically(">=", 0.1*float64(requests)))
+		Expect(l.Retry("quiet")).To(BeTrue())
+	}, NodeTimeout(time.Minute))
+})
+
+func BenchmarkAdmit(b *testing.B) {
+	l := limiter.New(limiter.Settings{})
+	ctx := context.Background()
+	names := make([]string, 33)
+	for i := range names {
+		names[i] = string(rune('a' + i))
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p, err := l.Admit(ctx, limiter.Request{Workspace: names[i%len(names)], Cost: 100})
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Done(0)
+	}
+}
