--- a/encoder/chat.go
+++ b/encoder/chat.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -19,6 +20,9 @@
 	bytesPerToken = 4
 )
 
+// routed are the fields that routing reads.
+var routed = []string{"model", "stream", "messages", "max_tokens", "max_completion_tokens"}
+
 type (
 	// ChatRequest is the body of POST /v1/chat/completions. Only the fields
 	// that routing needs are read; all others go to the engine unchanged.
@@ -95,9 +99,9 @@
 // ParseChat reads the body of a chat request and keeps b. It returns a
 // *BodyError.
 //
-// Keys are matched by their exact case and may not be repeated, since an
-// engine that reads the other copy of "model" would run a model that was
-// never checked.
+// Keys may not be repeated, and those that routing reads must be in their
+// exact case: an engine that reads another copy of "model", or "Model", would
+// run a model that was never checked.
 func ParseChat(b []byte) (*ChatRequest, error) {
 	if err := checkDepth(b); err != nil {
 		return nil, err
@@ -136,6 +140,11 @@
 	if !ok {
 		return &BodyError{Reason: "is not a JSON object"}
 	}
+	for _, k := range routed {
+		if name != k && strings.EqualFold(name, k) {
+			return &BodyError{Field: name, Reason: fmt.Sprintf("must be written %q", k)}
+		}
+	}
 	if seen[name] {
 		return &BodyError{Field: name, Reason: "is repeated; send it once"}
 	}
--- /dev/null
+++ b/encoder/encoder_test.go
@@ -0,0 +1,188 @@
+package encoder_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/encoder"
+)
+
+func TestEncoder(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "encoder")
+}
+
+var _ = Describe("ParseChat", func() {
+	// Guards against a body that changes on its way to the engine, but for
+	// its model.
+	DescribeTable("replaces the model and nothing else",
+		func(body, want string) {
+			q, err := encoder.ParseChat([]byte(body))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(q.For("a/v1"))).To(Equal(want))
+		},
+		Entry("named", `{"model": "a" , "messages":[{"content":"x"}],"seed":1}`, `{"model": "a/v1" , "messages":[{"content":"x"}],"seed":1}`),
+		Entry("absent", `{ "messages":[{}]}`, `{"model":"a/v1", "messages":[{}]}`),
+		Entry("within a value", `{"messages":[{"model":"z"}],"x":{"model":1}}`, `{"model":"a/v1","messages":[{"model":"z"}],"x":{"model":1}}`),
+	)
+
+	It("reads what routing needs", func() {
+		q, err := encoder.ParseChat([]byte(`{"model":"m","stream":true,"max_tokens":7,
+			"messages":[{"role":"user","content":"ab"},{"content":[{"type":"text","text":"c\n"},{"type":"image"}]},{"content":null}]}`))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(q.Model).To(Equal("m"))
+		Expect(q.Stream).To(BeTrue())
+		Expect(q.MaxTokens).To(Equal(int64(7)))
+		Expect(string(q.Prompt)).To(Equal("abc\n"))
+	})
+
+	// Guards against a broken body reaching an engine, and against two
+	// readers of one body seeing different models.
+	DescribeTable("refuses", func(body string) {
+		_, err := encoder.ParseChat([]byte(body))
+		var be *encoder.BodyError
+		Expect(errors.As(err, &be)).To(BeTrue(), "%v", err)
+	},
+		Entry("nothing", ``), Entry("an array", `[]`), Entry("a cut object", `{"messages":[{}]`),
+		Entry("data behind the object", `{"messages":[{}]}{}`), Entry("no messages", `{"model":"m"}`),
+		Entry("empty messages", `{"messages":[]}`), Entry("messages of another type", `{"messages":"x"}`),
+		Entry("a repeated model", `{"model":"a","model":"b","messages":[{}]}`),
+		Entry("a repeated model with an escape", `{"model":"a","mode\u006c":"b","messages":[{}]}`),
+		Entry("a model in another case", `{"model":"a","Model":"b","messages":[{}]}`),
+		Entry("a stream with a letter that folds to s", `{"ſtream":true,"messages":[{}]}`),
+		Entry("a model of another type", `{"model":1,"messages":[{}]}`),
+		Entry("a stream of another type", `{"stream":"yes","messages":[{}]}`),
+		Entry("a negative bound", `{"max_tokens":-1,"messages":[{}]}`),
+		Entry("deep nesting", `{"messages":[{}],"x":`+strings.Repeat("[", 100)+strings.Repeat("]", 100)+`}`),
+	)
+})
+
+var _ = Describe("EventReader", func() {
+	read := func(s string, limit int) (out []string, err error) {
+		r := encoder.NewEventReader(strings.NewReader(s), limit)
+		for {
+			b, err := r.Next()
+			if err != nil {
+				return out, err
+			}
+			out = append(out, string(b))
+		}
+	}
+	DescribeTable("reads", func(s string, want []string, end error) {
+		got, err := read(s, 100)
+		Expect(got).To(Equal(want))
+		Expect(errors.Is(err, end)).To(BeTrue(), "%v", err)
+	},
+		Entry("events", "data: a\n\ndata:b\n\n", []string{"a", "b"}, io.EOF),
+		Entry("CRLF", "data: a\r\n\r\n", []string{"a"}, io.EOF),
+		Entry("several lines", "data: a\ndata: b\n\n", []string{"a\nb"}, io.EOF),
+		Entry("comments and other fields", ": ping\n\nevent: x\nid: 3\ndata: a\n\n", []string{"a"}, io.EOF),
+		// Guards against an event that lost its end passing for a whole one.
+		Entry("an event without end", "data: a\n\ndata: b\n", []string{"a"}, io.ErrUnexpectedEOF),
+		Entry("a line without end", "data: a\n\ndata: b", []string{"a"}, io.ErrUnexpectedEOF),
+	)
+
+	// Guards against an upstream that makes the router hold data without
+	// limit.
+	DescribeTable("refuses an event beyond its bound", func(s string) {
+		_, err := read(s, 10)
+		var le *encoder.EventTooLargeError
+		Expect(errors.As(err, &le)).To(BeTrue(), "%v", err)
+	},
+		Entry("in one line", "data: 12345678901\n\n"),
+		Entry("in several", strings.Repeat("data: 1234\n", 4)+"\n"),
+		Entry("in a line beyond the read buffer", "data: "+strings.Repeat("x", 10000)+"\n\n"),
+		Entry("in a comment beyond the read buffer", ": "+strings.Repeat("x", 10000)+"\n\n"),
+	)
+
+	// Guards against data whose line breaks end the event early, in any mix.
+	It("reads back what AppendEvent wrote", func() {
+		const seed = 11
+		rng := rand.New(rand.NewPCG(seed, seed))
+		for range 2000 {
+			var data []byte
+			for range rng.IntN(12) {
+				data = append(data, "ab \r\n:"[rng.IntN(6)])
+			}
+			got, err := read(string(encoder.AppendEvent(nil, data)), 1000)
+			Expect(err).To(Equal(io.EOF))
+			want := strings.ReplaceAll(strings.ReplaceAll(string(data), "\r\n", "\n"), "\r", "\n")
+			Expect(got).To(Equal([]string{want}), "%q", data)
+		}
+	})
+})
+
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"a","stream":true,"messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"messages":[{"content":[{"text":"x"}]}],"max_tokens":3}`))
+	f.Add([]byte(`{"model":"a","model":"b","messages":[{}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		q, err := encoder.ParseChat(bytes.Clone(b))
+		if err != nil {
+			return
+		}
+		// Whoever reads the engine's body must see the chosen model and all
+		// other fields as they were.
+		var was, is map[string]json.RawMessage
+		if err := json.Unmarshal(b, &was); err != nil {
+			t.Fatalf("accepted %q: %v", b, err)
+		}
+		if err := json.Unmarshal(q.For("m/v"), &is); err != nil {
+			t.Fatalf("%q became %q: %v", b, q.For("m/v"), err)
+		}
+		if string(is["model"]) != `"m/v"` {
+			t.Fatalf("model of %q is %s", b, is["model"])
+		}
+		delete(was, "model")
+		delete(is, "model")
+		if len(was) != len(is) {
+			t.Fatalf("%q has %d fields, not %d", b, len(is), len(was))
+		}
+		for k, v := range was {
+			if !bytes.Equal(v, is[k]) {
+				t.Fatalf("field %q changed from %s to %s", k, v, is[k])
+			}
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("data: a\n\ndata: [DONE]\n\n"))
+	f.Add([]byte(": x\r\ndata:\r\n\r\n"))
+	f.Add([]byte("data: a\rdata: b\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := encoder.NewEventReader(bytes.NewReader(b), 64)
+		for {
+			data, err := r.Next()
+			if err != nil {
+				return
+			}
+			if len(data) > 64 {
+				t.Fatalf("event of %d bytes", len(data))
+			}
+			again, err := encoder.NewEventReader(bytes.NewReader(encoder.AppendEvent(nil, data)), 256).Next()
+			if err != nil || string(again) != strings.ReplaceAll(string(data), "\r", "\n") {
+				t.Fatalf("%q became %q, %v", data, again, err)
+			}
+		}
+	})
+}
+
+func FuzzParseAnswer(f *testing.F) {
+	f.Add([]byte(`{"requestId":"a","choices":[{"delta":{"content":"x"}}],"usage":{"prompt_tokens":1}}`))
+	f.Add([]byte(`{"choices":[{"message":{"content":null,"tool_calls":[{}]}}]}`))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if a, err := encoder.ParseAnswer(b); err == nil {
+			a.Produced()
+			a.Text()
+		}
+	})
+}
