--- a/cmd/foxtailwall/setting.go
+++ b/cmd/foxtailwall/setting.go
@@ -25,3 +25,19 @@
 	}
 	return a, nil
 }
+
+// addressSettings parses addresses of the form IP:PORT; it takes at least one.
+func addressSettings(name string, values []string) ([]netip.AddrPort, error) {
+	if len(values) == 0 {
+		return nil, &settingError{name, "", "at least one IP:PORT"}
+	}
+	out := make([]netip.AddrPort, len(values))
+	for i, s := range values {
+		a, err := addressSetting(name, s)
+		if err != nil {
+			return nil, err
+		}
+		out[i] = a
+	}
+	return out, nil
+}
