--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -38,6 +38,7 @@
 			statusCommand(),
 			ledgerCommand(),
 			serveCommand(),
+			loadCommand(),
 			standinCommand(),
 			referenceCommand(),
 		},
--- a/cmd/foxtailwall/serve.go
+++ b/cmd/foxtailwall/serve.go
@@ -120,7 +120,7 @@
 			return s, err
 		}
 	}
-	return s, readKeys(c, &s)
+	return s, readKeyFiles(c, &s)
 }
 
 func tlsFiles(c *cli.Command, side string) hoster.TLSFiles {
@@ -143,7 +143,7 @@
 	return nil
 }
 
-func readKeys(c *cli.Command, s *hoster.Settings) error {
+func readKeyFiles(c *cli.Command, s *hoster.Settings) error {
 	lines, err := readLines(c, "session-keys")
 	if err != nil {
 		return err
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -103,7 +103,7 @@
 	defer d.watcher.remove(w)
 	w.until(until)
 	w.within(d.o.Connect)
-	raw, err := d.net.DialContext(ctx, "tcp", u.Address.String())
+	raw, err := d.o.Dial(ctx, "tcp", u.Address.String())
 	if err != nil {
 		return nil, d.dialError(w, err)
 	}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -68,6 +68,8 @@
 		Scope counter.Scope
 		// TLS is used for all upstreams; with certificates it is mutual.
 		TLS *tls.Config
+		// Dial opens connections; nil dials with the timeouts of this package.
+		Dial func(ctx context.Context, network, address string) (net.Conn, error)
 		// Connect bounds the opening of a connection with its handshake.
 		Connect time.Duration
 		// FirstByte bounds the time from the request to the answer's header
@@ -111,6 +113,9 @@
 		o: o, net: newNetDialer(), cancel: cancel,
 		idle: make(map[netip.AddrPort][]*conn),
 	}
+	if d.o.Dial == nil {
+		d.o.Dial = d.net.DialContext
+	}
 	d.watcher = newWatcher(o.Clock, d.reap)
 	d.wg.Go(func() { d.watcher.run(ctx) })
 	return d
