--- a/pinner/pin.go
+++ b/pinner/pin.go
@@ -7,6 +7,16 @@
 //	signer := pinner.Signer{Keys: keys, Clock: clock}
 //	token, err := signer.Sign(pin)
 //	pin, err := signer.Verify(token)
+//
+// Pins that the control group has confirmed are kept on the host:
+//
+//	cache := pinner.NewCache(clock, 0, 0)
+//	cache.Put(pin)
+//	pin, ok := cache.Get(workspace, session, model)
+//
+// A roll-out assigns sessions by a stable hash:
+//
+//	if pinner.Assigned(ref, session, progress.Share) { ... }
 package pinner
 
 import "foxtailwall/declarer"
--- /dev/null
+++ b/pinner/share.go
@@ -0,0 +1,27 @@
+package pinner
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailwall/declarer"
+)
+
+// Assigned reports whether the session belongs to the share, 0 to 1, of
+// sessions that get the version of a roll-out. A session that belongs to a
+// share belongs to every larger one, and different roll-outs pick sessions
+// independently of each other.
+func Assigned(r declarer.VersionRef, session string, share float64) bool {
+	return position(r, session) < share
+}
+
+// position maps the session evenly to [0, 1).
+func position(r declarer.VersionRef, session string) float64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range []string{r.Model, r.Version, session} {
+		// Writing to a digest cannot fail.
+		_, _ = d.WriteString(s)
+		_, _ = d.WriteString("\x00")
+	}
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
