Add the service-level burn report and the recorder of counters

The report reads counters of any number of hosts, over restarts and rotated files. The burn of a fixed series agrees with the values computed by hand (reporter tests with -race).

--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -29,6 +29,7 @@
 		Usage: "model-aware router for versions and cascades",
 		Commands: []*cli.Command{
 			loadCommand(),
+			reportCommand(),
 			standinCommand(),
 		},
 	}
--- a/cmd/foxtailwall/setting.go
+++ b/cmd/foxtailwall/setting.go
@@ -14,7 +14,7 @@
 
 // Error implements error.
 func (e *settingError) Error() string {
-	return fmt.Sprintf("setting --%s is %q; allowed: %s", e.setting, e.value, e.allowed)
+	return fmt.Sprintf("setting %s is %q; allowed: %s", e.setting, e.value, e.allowed)
 }
 
 // addressSetting parses an address of the form IP:PORT.
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,153 @@
+package reporter_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/counter"
+	"foxtailwall/refuser"
+	"foxtailwall/reporter"
+	"foxtailwall/timekeeper"
+)
+
+func TestReporter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reporter")
+}
+
+var t0 = time.Unix(1_700_000_000, 0)
+
+// at makes one line of a record; counts are "name workspace code=value".
+func at(minutes int, host string, start bool, counts ...string) string {
+	var samples []counter.Sample
+	for _, c := range counts {
+		var name, workspace, code string
+		var v float64
+		_, err := fmt.Sscanf(strings.Replace(c, "=", " ", 1), "%s %s %s %f", &name, &workspace, &code, &v)
+		Expect(err).NotTo(HaveOccurred())
+		tags := map[string]string{"workspace": workspace}
+		if code != "-" {
+			tags["code"] = code
+		}
+		samples = append(samples, counter.Sample{Name: "foxtailwall.router." + name, Tags: tags, Value: v})
+	}
+	b, err := json.Marshal(map[string]any{
+		"at": t0.Add(time.Duration(minutes) * time.Minute), "host": host, "start": start, "samples": samples,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return string(b) + "\n"
+}
+
+var objective = reporter.Objective{
+	Name: "answered", Target: 0.99, Total: "router.requests", Bad: "router.refusals", Ignore: []refuser.Code{refuser.BadRequest},
+}
+
+// fixed is the series of the hand-computed burns below, with a restart of
+// host a and a torn line.
+func fixed() *reporter.Series {
+	s := &reporter.Series{}
+	Expect(s.Read(strings.NewReader(
+		at(0, "a", true, "requests w -=1000", "refusals w queueFull=10", "requests v -=1000") +
+			at(61, "a", false, "requests w -=2000", "refusals w queueFull=10", "refusals w badRequest=50") +
+			at(90, "a", false, "requests v -=2000", "refusals v noUpstream=5") +
+			at(118, "a", true, "requests w -=2500", "refusals w queueFull=5", "requests x -=100", "refusals x queueFull=20") +
+			`{"at":"20`))).To(Succeed())
+	Expect(s.Read(strings.NewReader(
+		at(117, "b", true, "requests w -=500", "refusals w noUpstream=20")))).To(Succeed())
+	return s
+}
+
+var _ = Describe("Make", func() {
+	// Guards against burn rates that are off because of a restart, a second
+	// host, an ignored code or the edge of a window.
+	It("agrees with the burn computed by hand", func() {
+		rep := reporter.Make(fixed(), []reporter.Objective{objective}, t0.Add(2*time.Hour))
+		Expect(rep.Torn).To(Equal(1))
+		Expect(rep.Burns).To(HaveLen(3))
+		rates := func(b reporter.Burn) (out []float64) {
+			for _, w := range b.Windows {
+				out = append(out, w.Rate)
+			}
+			return out
+		}
+		near := func(want ...float64) OmegaMatcher {
+			var all []any
+			for _, w := range want {
+				all = append(all, BeNumerically("~", w, 1e-9))
+			}
+			return HaveExactElements(all...)
+		}
+		v, w, x := rep.Burns[0], rep.Burns[1], rep.Burns[2]
+		// v: 5 bad of 1000 in the last hour, 5 of 2000 in all.
+		Expect(rates(v)).To(near(0, 0.5, 0.25, 0.25))
+		Expect(v.State).To(Equal(reporter.OK))
+		Expect(v.BudgetLeft).To(BeNumerically("~", 0.75, 1e-9))
+		// 0.75 of 30 days at half the rate that lasts 30 days.
+		Expect(v.Exhausted).To(BeNumerically("~", 45*24*time.Hour, time.Second))
+		// w: 25 of 3000 in 5 m (20 of 500 on b, 5 of 2500 on a after its restart), 25 of 4000
+		// in 1 h, 35 of 5000 in all; badRequest does not count.
+		Expect(rates(w)).To(near(25.0/30, 25.0/40, 35.0/50, 35.0/50))
+		Expect(w.Causes).To(Equal([]reporter.Cause{{Code: "noUpstream", Bad: 20}, {Code: "queueFull", Bad: 15}}))
+		// x: 20 of 100.
+		Expect(rates(x)).To(near(20, 20, 20, 20))
+		Expect(x.State).To(Equal(reporter.Fast))
+		Expect(x.Exhausted).To(BeZero())
+	})
+
+	// Guards against a page that needs the network or loses the plots, and
+	// against names that break out of the markup.
+	It("prints text, JSON and a page of its own", func() {
+		s := fixed()
+		Expect(s.Read(strings.NewReader(at(1, "c", true, "requests <b>&y -=10")))).To(Succeed())
+		rep := reporter.Make(s, []reporter.Objective{objective}, t0.Add(2*time.Hour))
+		var text, js, page bytes.Buffer
+		Expect(rep.Print(&text)).To(Succeed())
+		Expect(text.String()).To(ContainSubstring("fast burn"))
+		Expect(rep.JSON(&js)).To(Succeed())
+		var back reporter.Report
+		Expect(json.Unmarshal(js.Bytes(), &back)).To(Succeed())
+		Expect(back.Burns).To(HaveLen(4))
+		Expect(rep.Page(&page)).To(Succeed())
+		Expect(page.String()).To(And(ContainSubstring("<svg"), Not(ContainSubstring("<b>")), Not(ContainSubstring("src="))))
+	})
+})
+
+var _ = Describe("Recorder", func() {
+	// Guards against a record from which the growth cannot be computed again,
+	// across a restart and a full file.
+	It("writes what Make reads", func() {
+		path := filepath.Join(GinkgoT().TempDir(), "counters.jsonl")
+		clock := timekeeper.NewFake(t0)
+		for range 2 {
+			scope := counter.NewTest("foxtailwall")
+			rec := &reporter.Recorder{Scope: scope, Clock: clock, Host: "a", Path: path, MaxBytes: 1000}
+			for range 3 {
+				scope.Counter("router.requests", "workspace", "w").Inc(100)
+				scope.Counter("router.refusals", "workspace", "w", "code", "queueFull").Inc(1)
+				Expect(rec.Record()).To(Succeed())
+				clock.Advance(time.Minute)
+			}
+		}
+		s := &reporter.Series{}
+		old, err := os.Open(path + ".1")
+		Expect(err).NotTo(HaveOccurred())
+		defer old.Close()
+		Expect(s.Read(old)).To(Succeed())
+		f, err := os.Open(path)
+		Expect(err).NotTo(HaveOccurred())
+		defer f.Close()
+		Expect(s.Read(f)).To(Succeed())
+		rep := reporter.Make(s, []reporter.Objective{objective}, s.End())
+		Expect(rep.Burns).To(HaveLen(1))
+		Expect(rep.Burns[0].Windows[1]).To(And(HaveField("Total", 600.0), HaveField("Bad", 6.0)))
+	})
+})
