--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -39,6 +39,7 @@
 			ledgerCommand(),
 			serveCommand(),
 			loadCommand(),
+			reportCommand(),
 			standinCommand(),
 			referenceCommand(),
 		},
