Add the demo with an audit of every promise from outside

Three zones with six hosts and fourteen stand-ins run in one process; zones are cut off silently by a dial function. The leaving upstream still gets new work after 3 s, because the health monitor is not plugged in yet.

--- a/cmd/foxtailwall/apply.go
+++ b/cmd/foxtailwall/apply.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/binary"
-	"encoding/hex"
 	"fmt"
 	"strings"
 
@@ -37,10 +34,6 @@
 first answer again.
 
     foxtailwall apply --office vancouver --base 57 deployment.yaml`
-
-	// changeIDBytes is the length of a generated change ID before it is
-	// written in hexadecimal.
-	changeIDBytes = 16
 )
 
 type (
@@ -97,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	change, err := newChange(c.String(flagOffice), c.String(flagChangeID), c.Uint64(flagBase), conf)
+	change, err := controller.NewApply(c.String(flagOffice), c.String(flagChangeID), c.Uint64(flagBase), conf)
 	if err != nil {
 		return err
 	}
@@ -118,16 +111,3 @@
 	}
 	return &rejectedError{faults: got.Faults}
 }
-
-func newChange(office, id string, base uint64, conf declarer.Config) (controller.Apply, error) {
-	text, err := controller.EncodeConfig(conf)
-	if err != nil {
-		return controller.Apply{}, err
-	}
-	a := controller.Apply{Office: office, ChangeID: id, Base: base, Config: text, Digest: sha256.Sum256(text)}
-	if id == "" {
-		sum := sha256.Sum256(append(binary.BigEndian.AppendUint64(a.Digest[:], base), office...))
-		a.ChangeID = hex.EncodeToString(sum[:changeIDBytes])
-	}
-	return a, nil
-}
--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -30,6 +30,7 @@
 		Name:  "foxtailwall",
 		Usage: "model-aware router for versions and cascades",
 		Commands: []*cli.Command{
+			demoCommand(),
 			printCommand(),
 			checkCommand(),
 			diffCommand(),
--- a/cmd/foxtailwall/operator_test.go
+++ b/cmd/foxtailwall/operator_test.go
@@ -123,11 +123,11 @@
 	})
 
 	It("makes the same change ID for the same change only", func() {
-		a, err := newChange("x", "", 1, conf)
+		a, err := controller.NewApply("x", "", 1, conf)
 		Expect(err).NotTo(HaveOccurred())
-		b, _ := newChange("x", "", 1, conf)
+		b, _ := controller.NewApply("x", "", 1, conf)
 		Expect(b).To(Equal(a))
-		other, _ := newChange("x", "", 2, conf)
+		other, _ := controller.NewApply("x", "", 2, conf)
 		Expect(other.ChangeID).NotTo(Equal(a.ChangeID))
 		Expect(a.Digest).To(Equal(sha256.Sum256(a.Config)))
 	})
--- /dev/null
+++ b/demonstrator/events.go
@@ -0,0 +1,281 @@
+package demonstrator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"foxtailwall/controller"
+	"foxtailwall/declarer"
+	"foxtailwall/emulator"
+	"foxtailwall/loader"
+	"foxtailwall/timekeeper"
+)
+
+// Times of the events as shares of the duration.
+const (
+	atRace     = 0.05
+	atRollout  = 0.12
+	atBad      = 0.25
+	atWithdraw = 0.40
+	atLeave    = 0.48
+	atCut      = 0.55
+	atHeal     = 0.72
+	atReplace  = 0.80
+)
+
+type (
+	// offices holds the declarations of the two offices and what was
+	// accepted of them.
+	offices struct {
+		north, south *declarer.Builder
+
+		mu         sync.Mutex
+		version    uint64
+		rollout    bool
+		withdrawn  bool
+		races, won int
+	}
+
+	// outage is a time in which hosts are excused from the bound on the
+	// configuration: cut off or stopped.
+	outage struct {
+		mu    sync.Mutex
+		zone  string
+		host  string
+		until time.Time
+	}
+
+	// NotAcceptedError says that the control group did not accept a change.
+	NotAcceptedError struct {
+		State  controller.ApplyState
+		Faults []string
+	}
+)
+
+// Error implements error.
+func (e *NotAcceptedError) Error() string {
+	return "change not accepted: " + string(e.State)
+}
+
+// config returns the configuration that the offices want.
+func (o *offices) config() declarer.Config {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	conf := declarer.Join(o.north, o.south)
+	why := declarer.Intent{Owner: "north", Why: "better drafts"}
+	if o.rollout && !o.withdrawn {
+		conf.Rollouts = []declarer.Rollout{{
+			Model: cheapModel, Version: secondVersion, Intent: why,
+			Stages: []declarer.Stage{{Share: 0.2, Soak: time.Second, Budget: 200}, {Share: 0.5, Soak: time.Hour, Budget: 2000}},
+			Guard:  declarer.Guard{MinQuality: 0.7, MaxErrors: 0.05},
+		}}
+	}
+	if o.withdrawn {
+		conf.Withdrawals = []declarer.Withdrawal{{
+			Model: cheapModel, Version: secondVersion, Intent: declarer.Intent{Owner: "north", Why: "turned bad"},
+		}}
+	}
+	return conf
+}
+
+// apply sends a configuration on the newest accepted base.
+func (d *demo) apply(ctx context.Context, office string, conf declarer.Config) (uint64, error) {
+	d.offices.mu.Lock()
+	base := d.offices.version
+	d.offices.mu.Unlock()
+	change, err := controller.NewApply(office, "", base, conf)
+	if err != nil {
+		return 0, err
+	}
+	got, err := d.op.Apply(ctx, change)
+	if err != nil {
+		return 0, err
+	}
+	if got.State != controller.Accepted {
+		return 0, &NotAcceptedError{State: got.State, Faults: got.Faults}
+	}
+	d.offices.mu.Lock()
+	d.offices.version = got.Version
+	d.offices.mu.Unlock()
+	d.audit.Accepted(got.Version, d.clock.Now())
+	return got.Version, nil
+}
+
+func (d *demo) events() []loader.Event {
+	at := func(share float64) time.Duration { return time.Duration(share * float64(d.conf.Duration)) }
+	return []loader.Event{
+		{Name: "race of two offices", At: at(atRace), Do: d.race},
+		{Name: "rollout", At: at(atRollout), Do: d.rollOut},
+		{Name: "bad version", At: at(atBad), Do: d.turnBad},
+		{Name: "withdrawal", At: at(atWithdraw), Do: d.withdraw},
+		{Name: "leaving upstream", At: at(atLeave), Do: d.leave},
+		{Name: "zone cut off", At: at(atCut), Do: d.cut},
+		{Name: "zone healed", At: at(atHeal), Do: d.heal},
+		{Name: "host replaced", At: at(atReplace), Do: d.replace},
+	}
+}
+
+// race has both offices change their declarations on the same base; each
+// change alone would be accepted.
+func (d *demo) race(ctx context.Context) error {
+	d.offices.mu.Lock()
+	base := d.offices.version
+	d.offices.mu.Unlock()
+	conf := d.offices.config()
+	type outcome struct {
+		got *controller.Applied
+		err error
+	}
+	results := make(chan outcome, 2)
+	for i, office := range []string{"north", "south"} {
+		mine := conf
+		mine.Retention.Pins = time.Duration(i+1) * time.Hour
+		change, err := controller.NewApply(office, "", base, mine)
+		if err != nil {
+			return err
+		}
+		op := d.cluster.operator()
+		go func() {
+			got, err := op.Apply(ctx, change)
+			results <- outcome{got, err}
+		}()
+	}
+	won := 0
+	for range 2 {
+		r := <-results
+		switch {
+		case r.err != nil:
+			return r.err
+		case r.got.State == controller.Accepted:
+			won++
+			d.offices.mu.Lock()
+			d.offices.version = r.got.Version
+			d.offices.mu.Unlock()
+			d.audit.Accepted(r.got.Version, d.clock.Now())
+		}
+	}
+	d.offices.mu.Lock()
+	defer d.offices.mu.Unlock()
+	d.offices.races++
+	if won == 1 {
+		d.offices.won++
+	}
+	d.note("two offices raced on configuration %d, %d won", base, won)
+	return nil
+}
+
+func (d *demo) rollOut(ctx context.Context) error {
+	d.offices.mu.Lock()
+	d.offices.rollout = true
+	d.offices.mu.Unlock()
+	v, err := d.apply(ctx, "north", d.offices.config())
+	d.note("rollout of %s/%s begins with configuration %d", cheapModel, secondVersion, v)
+	return err
+}
+
+func (d *demo) turnBad(context.Context) error {
+	d.note("%s/%s turns bad", cheapModel, secondVersion)
+	var err error
+	for _, e := range d.fleet.engines {
+		if e.models[0].Model != cheapModel {
+			continue
+		}
+		err = errors.CombineErrors(err, e.standin.SetFault(emulator.Fault{
+			Kind: emulator.FaultBad, Model: cheapModel, Version: secondVersion, Quality: 0.1,
+		}))
+	}
+	return err
+}
+
+// withdraw withdraws the bad version and tells the audit when it is in force
+// on every host.
+func (d *demo) withdraw(ctx context.Context) error {
+	d.offices.mu.Lock()
+	d.offices.withdrawn = true
+	d.offices.mu.Unlock()
+	v, err := d.apply(ctx, "north", d.offices.config())
+	if err != nil {
+		return err
+	}
+	ref := declarer.VersionRef{Model: cheapModel, Version: secondVersion}
+	d.note("withdrawal of %s accepted as configuration %d", ref, v)
+	if err := d.awaitEverywhere(ctx, v); err != nil {
+		return err
+	}
+	d.audit.Withdrawn(ref, d.clock.Now())
+	d.note("withdrawal of %s in force on every host", ref)
+	return nil
+}
+
+// awaitEverywhere returns once every host acts on the version.
+func (d *demo) awaitEverywhere(ctx context.Context, version uint64) error {
+	for _, n := range d.cluster.hosts {
+		for {
+			if v, ok := d.cluster.inForce(ctx, n); ok && v >= version {
+				break
+			}
+			if err := timekeeper.Sleep(ctx, d.clock, pollInterval); err != nil {
+				return errors.Wrapf(err, "wait for configuration %d on host %s", version, n.set.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// configBound is the time within which a configuration is in force.
+const configBound = 4 * time.Second
+
+func (d *demo) leave(context.Context) error {
+	e := d.fleet.engines[0]
+	d.note("upstream %s leaves", e.name)
+	d.audit.Left()
+	d.fleet.platform.standin.Set(emulator.Host{Address: e.addr, State: emulator.HostLeaving})
+	return e.standin.SetFault(emulator.Fault{Kind: emulator.FaultLeave})
+}
+
+func (d *demo) cut(context.Context) error {
+	d.note("zone %s is cut off", cutZone)
+	d.outage.set(cutZone, "", d.clock.Now().Add(d.conf.Duration))
+	d.network.setCut(cutZone, true)
+	return nil
+}
+
+func (d *demo) heal(context.Context) error {
+	d.note("zone %s is back", cutZone)
+	d.network.setCut(cutZone, false)
+	// Silent connections are found and replaced before the bound counts.
+	d.outage.set(cutZone, "", d.clock.Now().Add(configBound))
+	return nil
+}
+
+// replace shuts one host down under load and starts it again.
+func (d *demo) replace(ctx context.Context) error {
+	const index = 1 // The second host of the first zone, without a disk.
+	n := d.cluster.hosts[index]
+	d.note("host %s is replaced", n.set.Name)
+	from := d.clock.Now()
+	if err := d.cluster.stop(n); err != nil {
+		return err
+	}
+	d.audit.Shutdown(index, from, d.clock.Now())
+	if err := timekeeper.Sleep(ctx, d.clock, pollInterval); err != nil {
+		return err
+	}
+	return d.cluster.start(context.WithoutCancel(ctx), n)
+}
+
+// excused reports whether the host was cut off or stopped at that time.
+func (d *demo) excused(n *node, at time.Time) bool {
+	d.outage.mu.Lock()
+	defer d.outage.mu.Unlock()
+	return at.Before(d.outage.until) && (n.set.Zone == d.outage.zone || n.set.Name == d.outage.host)
+}
+
+func (o *outage) set(zone, host string, until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.zone, o.host, o.until = zone, host, until
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
-	"net/netip"
 
 	"foxtailwall/declarer"
 	"foxtailwall/dialer"
@@ -15,7 +13,7 @@
 
 // entry is the part of a host that takes callers' requests.
 type entry struct {
-	set       *Settings
+	host      *Host
 	dialer    *dialer.Dialer
 	server    *server.Server
 	callerTLS *tls.Config
@@ -26,8 +24,8 @@
 	if !h.set.Entry {
 		return nil
 	}
-	e := &entry{set: &h.set}
-	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope})
+	e := &entry{host: h}
+	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial})
 	r := router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
@@ -37,14 +35,14 @@
 	e.server, err = server.New(server.Options{
 		Clock: h.clock, Scope: h.scope, Views: h.views, Router: r,
 		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print,
-		DrainTimeout: h.set.Drain,
+		DrainTimeout: h.set.Drain, Grace: h.set.Grace,
 	})
 	h.entry = e
 	return err
 }
 
 func (e *entry) serveCallers(context.Context) error {
-	l, err := listen("callers", e.set.Callers)
+	l, err := e.host.listen("callers", e.host.set.Callers)
 	if err != nil {
 		return err
 	}
@@ -52,21 +50,13 @@
 }
 
 func (e *entry) serveOperators(context.Context) error {
-	l, err := listen("operators", e.set.Operators)
+	l, err := e.host.listen("operators", e.host.set.Operators)
 	if err != nil {
 		return err
 	}
 	return e.server.ServeOperators(l, nil)
 }
 
-func listen(setting string, addr netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return nil, &SettingError{Setting: setting, Value: addr.String(), Allowed: "a free address of this host: " + err.Error()}
-	}
-	return l, nil
-}
-
 type signer struct{}
 
 func (signer) Sign(pinner.Pin) (string, error)   { return "", nil }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -36,11 +36,17 @@
 	Options struct {
 		Clock timekeeper.Clock
 		Log   zerolog.Logger
+		// Dial opens connections to other hosts and to upstreams; nil uses
+		// the network.
+		Dial messenger.DialFunc
+		// Listen opens the ports; nil uses the network.
+		Listen func(addr netip.AddrPort) (net.Listener, error)
 	}
 
 	// Host is one host. Make it with New.
 	Host struct {
 		set     Settings
+		opts    Options
 		clock   timekeeper.Clock
 		log     zerolog.Logger
 		scope   counter.Scope
@@ -78,7 +84,7 @@
 		return nil, err
 	}
 	h := &Host{
-		set: s, clock: o.Clock, log: o.Log, scope: counter.New(scopePrefix),
+		set: s, opts: o, clock: o.Clock, log: o.Log, scope: counter.New(scopePrefix),
 		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer),
 	}
 	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.joinControl, h.connectControl, h.followViews, h.buildEntry} {
@@ -180,14 +186,10 @@
 }
 
 func (h *Host) servePeers(ctx context.Context) error {
-	return serveHTTP(ctx, messenger.NewServer(h.mux, h.peerTLS), h.set.Peers)
-}
-
-// serveHTTP serves srv on addr until ctx ends.
-func serveHTTP(ctx context.Context, srv *http.Server, addr netip.AddrPort) error {
-	l, err := net.Listen("tcp", addr.String())
+	srv := messenger.NewServer(h.mux, h.peerTLS)
+	l, err := h.listen("peers", h.set.Peers)
 	if err != nil {
-		return &SettingError{Setting: "peers", Value: addr.String(), Allowed: "a free address of this host: " + err.Error()}
+		return err
 	}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
@@ -202,13 +204,26 @@
 	return err
 }
 
+// listen opens the port of a setting.
+func (h *Host) listen(setting string, addr netip.AddrPort) (net.Listener, error) {
+	open := h.opts.Listen
+	if open == nil {
+		open = func(a netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", a.String()) }
+	}
+	l, err := open(addr)
+	if err != nil {
+		return nil, &SettingError{Setting: setting, Value: addr.String(), Allowed: "a free address of this host: " + err.Error()}
+	}
+	return l, nil
+}
+
 // peer returns the client for the host at addr, one for each address.
 func (h *Host) peer(addr netip.AddrPort) *messenger.Peer {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p, ok := h.peers[addr]
 	if !ok {
-		p = messenger.NewPeer(addr, h.peerTLS)
+		p = messenger.NewPeer(addr, h.peerTLS, messenger.WithDial(h.opts.Dial))
 		h.peers[addr] = p
 	}
 	return p
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -47,8 +47,10 @@
 		OperatorKeys []string
 		// CallerTLS, PeerTLS and UpstreamTLS secure the three sides.
 		CallerTLS, PeerTLS, UpstreamTLS TLSFiles
-		// Drain bounds a graceful shutdown.
-		Drain time.Duration
+		// Drain bounds a graceful shutdown. Grace is the part of it in which
+		// readiness fails and requests are still taken, so that the load
+		// balancer notices.
+		Drain, Grace time.Duration
 	}
 
 	// Spec names one host of the deployment.
