--- a/cmd/foxtailwall/demo.go
+++ b/cmd/foxtailwall/demo.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 
@@ -25,17 +24,6 @@
     foxtailwall demo
     foxtailwall demo --duration 60s --seed 7 --json`
 
-// brokenDemoError says that promises did not hold.
-type brokenDemoError struct {
-	count int
-	seed  uint64
-}
-
-// Error implements error.
-func (e *brokenDemoError) Error() string {
-	return fmt.Sprintf("%d checks failed with seed %d; see the table", e.count, e.seed)
-}
-
 func demoCommand() *cli.Command {
 	return &cli.Command{
 		Name:        "demo",
@@ -75,7 +63,7 @@
 		res.Print(c.Root().Writer)
 	}
 	if n := res.Broken(); n > 0 {
-		return &brokenDemoError{count: n, seed: res.Seed}
+		return &brokenError{n}
 	}
 	return nil
 }
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create the data folder of the demo")
 	}
-	defer os.RemoveAll(folder)
+	defer func() { _ = os.RemoveAll(folder) }() // What is left lies in the temporary folder.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &demo{conf: conf, clock: conf.Clock, network: newNetwork(), audit: loader.NewAudit(loader.AuditConfig{})}
@@ -228,9 +228,8 @@
 	if err := d.settle(ctx); err != nil {
 		return nil, err
 	}
-	conf := d.offices.config()
 	return &Result{
-		Seed: d.conf.Seed, Verdict: d.audit.Verdict(), Report: d.audit.Report(prices(conf)),
+		Seed: d.conf.Seed, Verdict: d.audit.Verdict(), Report: d.load.Report(),
 		Races: d.offices.races, RacesWon: d.offices.won, Failed: d.load.Failed(),
 	}, nil
 }
@@ -283,11 +282,7 @@
 // Print writes the load's figures and the table of promises.
 func (r *Result) Print(w io.Writer) {
 	r.Report.Print(w)
-	fmt.Fprintf(w, "\nraces of two offices: %d, with exactly one winner: %d\n\n", r.Races, r.RacesWon)
-	r.Verdict.Print(w)
-	for _, f := range r.Failed {
-		fmt.Fprintln(w, "event failed:", f)
-	}
+	fmt.Fprintf(w, "\nraces of two offices: %d, with exactly one winner: %d\n", r.Races, r.RacesWon)
 }
 
 // Broken returns the number of promises that did not hold, races with no or
