Make incarnations numbers that grow with each start

Cause: the health monitor orders incarnations, while the stand-ins sent names without an order. A name cannot tell a late report of an old process from the first report of a new one.

--- a/cmd/foxtailwall/standin.go
+++ b/cmd/foxtailwall/standin.go
@@ -119,7 +119,7 @@
 			if err != nil {
 				return nil, nil, err
 			}
-			p.Set(emulator.Host{Address: a, Incarnation: s, State: emulator.HostLive})
+			p.Set(emulator.Host{Address: a, State: emulator.HostLive})
 		}
 		h = p
 	default:
--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -44,7 +44,7 @@
 
 	// cacheEvents is the response to GET /cache/events.
 	cacheEvents struct {
-		Incarnation string       `json:"incarnation"`
+		Incarnation uint64       `json:"incarnation"`
 		Next        int64        `json:"next"`
 		Events      []cacheEvent `json:"events"`
 	}
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -132,6 +132,12 @@
 	return errors.Wrapf(err, "serve on %s", l.Addr())
 }
 
+// nextIncarnation returns the incarnation of a process that starts now: its
+// start in microseconds, but always above the last one.
+func nextIncarnation(last uint64, now time.Time) uint64 {
+	return max(last+1, uint64(max(now.UnixMicro(), 1)))
+}
+
 // clockOr returns c, or the machine's clock for nil.
 func clockOr(c timekeeper.Clock) timekeeper.Clock {
 	if c == nil {
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -105,7 +104,7 @@
 		router *httprouter.Router
 
 		mu          sync.Mutex
-		incarnation string
+		incarnation uint64
 		restarts    int
 		batch       *Batch
 		cache       *Cache
@@ -145,7 +144,7 @@
 
 	// loadSample is the response to GET /load.
 	loadSample struct {
-		Incarnation     string          `json:"incarnation"`
+		Incarnation     uint64          `json:"incarnation"`
 		At              time.Time       `json:"at"`
 		Running         int             `json:"running"`
 		Waiting         int             `json:"waiting"`
@@ -254,10 +253,10 @@
 		w.notify()
 	}
 	e.restarts++
-	e.incarnation = fmt.Sprintf("%s-%d-%d", e.conf.Name, now.UnixNano(), e.restarts)
+	e.incarnation = nextIncarnation(e.incarnation, now)
 	e.cache = nil
 	if e.conf.CacheBlocks > 0 {
-		e.cache = NewCache(e.conf.CacheBlocks, e.conf.EventGap, e.conf.Seed^xxhash.Sum64String(e.incarnation))
+		e.cache = NewCache(e.conf.CacheBlocks, e.conf.EventGap, e.conf.Seed^xxhash.Sum64String(e.conf.Name)^e.incarnation)
 	}
 	e.batch = NewBatch(e.conf.Timing, e.cache)
 	e.rate = 0
--- a/emulator/order.go
+++ b/emulator/order.go
@@ -44,7 +44,7 @@
 
 	// ordersBody is the response to GET /orders.
 	ordersBody struct {
-		Incarnation string     `json:"incarnation"`
+		Incarnation uint64     `json:"incarnation"`
 		Fence       uint64     `json:"fence"`
 		Role        string     `json:"role,omitempty"`
 		Loads       []loadBody `json:"loads"`
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -34,7 +34,7 @@
 	// Host is one entry of the list.
 	Host struct {
 		Address     netip.AddrPort `json:"address"`
-		Incarnation string         `json:"incarnation"`
+		Incarnation uint64         `json:"incarnation"`
 		State       HostState      `json:"state"`
 	}
 
--- a/emulator/rater_test.go
+++ b/emulator/rater_test.go
@@ -79,7 +79,7 @@
 		srv := httptest.NewServer(p.Handler())
 		defer srv.Close()
 		list := func() string { return do(srv.Client(), http.MethodGet, srv.URL+"/hosts", "").body }
-		h := emulator.Host{Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: "i", State: emulator.HostLive}
+		h := emulator.Host{Address: netip.MustParseAddrPort("127.0.0.1:1"), Incarnation: 1, State: emulator.HostLive}
 		p.Set(h)
 		clock.Advance(time.Second)
 		h.State = emulator.HostLeaving
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -61,7 +61,7 @@
 		clock timekeeper.Clock
 
 		mu          sync.Mutex
-		incarnation string
+		incarnation uint64
 		busy        int
 		leaving     time.Time
 		late        []time.Time
@@ -95,7 +95,7 @@
 		conf.Book = &Book{}
 	}
 	s := &Service{conf: conf, clock: clockOr(conf.Clock), faults: make(counts)}
-	s.incarnation = conf.Name + "-" + s.clock.Now().Format(time.RFC3339Nano)
+	s.incarnation = nextIncarnation(0, s.clock.Now())
 	r := httprouter.New()
 	r.HandlerFunc(http.MethodPost, "/faults", handleFaults(s))
 	r.HandlerFunc(http.MethodGet, "/ran", s.ran)
@@ -156,7 +156,7 @@
 		}
 	case FaultReturn, FaultRestart:
 		s.leaving = time.Time{}
-		s.incarnation = s.conf.Name + "-" + s.clock.Now().Format(time.RFC3339Nano)
+		s.incarnation = nextIncarnation(s.incarnation, s.clock.Now())
 	case FaultSilent:
 		for _, l := range s.listeners {
 			l.silence()
