--- /dev/null
+++ b/hoster/decisions.go
@@ -0,0 +1,214 @@
+package hoster
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"foxtailwall/counter"
+	"foxtailwall/declarer"
+	"foxtailwall/limiter"
+	"foxtailwall/monitor"
+	"foxtailwall/picker"
+	"foxtailwall/pinner"
+	"foxtailwall/router"
+	"foxtailwall/timekeeper"
+)
+
+// refreshInterval is the time between two moves of the ramps of returning
+// upstreams.
+const refreshInterval = 100 * time.Millisecond
+
+type (
+	// replicas adapts the picker and the monitor to the router and keeps
+	// their pools in step with the configuration.
+	replicas struct {
+		views   router.Views
+		clock   timekeeper.Clock
+		picker  *picker.Picker
+		monitor *monitor.Monitor
+
+		mu    sync.RWMutex
+		built uint64
+		pools map[poolKey]*poolOf
+	}
+
+	// poolKey names the replicas of a version or of a plain service.
+	poolKey struct {
+		ref     declarer.VersionRef
+		service string
+	}
+
+	// poolOf is a pool with the declarations of its replicas.
+	poolOf struct {
+		pool    *picker.Pool
+		declare map[netip.AddrPort]*declarer.Upstream
+	}
+
+	// admission adapts the limiter to the router.
+	admission struct {
+		limiter *limiter.Limiter
+		clock   timekeeper.Clock
+	}
+
+	// shares assigns sessions by the share of a rollout.
+	shares struct{}
+)
+
+func newReplicas(views router.Views, zone string, clock timekeeper.Clock, scope counter.Scope, seed uint64) *replicas {
+	r := &replicas{views: views, clock: clock, picker: picker.New(picker.Settings{Zone: zone, Clock: clock, Seed: seed})}
+	r.monitor = monitor.New(monitor.Settings{Clock: clock, Scope: scope, Changed: func(a netip.AddrPort, w float64) {
+		r.picker.Replica(a).SetWeight(w)
+	}})
+	return r
+}
+
+// run moves the ramps until ctx ends.
+func (r *replicas) run(ctx context.Context) error {
+	for {
+		r.current()
+		r.monitor.Refresh()
+		if err := timekeeper.Sleep(ctx, r.clock, refreshInterval); err != nil {
+			return err
+		}
+	}
+}
+
+// current returns the pools of the configuration in force, built anew when it
+// has changed.
+func (r *replicas) current() map[poolKey]*poolOf {
+	c := r.views.Catalog()
+	if c == nil {
+		return nil
+	}
+	r.mu.RLock()
+	pools, built := r.pools, r.built
+	r.mu.RUnlock()
+	if pools != nil && built >= c.View.Version {
+		return pools
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.pools == nil || r.built < c.View.Version {
+		r.build(c)
+	}
+	return r.pools
+}
+
+// build is called with the lock held.
+func (r *replicas) build(c *declarer.Catalog) {
+	groups := make(map[poolKey][]*declarer.Upstream)
+	known := make(map[netip.AddrPort]bool)
+	for i := range c.View.Config.Upstreams {
+		u := &c.View.Config.Upstreams[i]
+		known[u.Address] = true
+		for _, ref := range u.Serves {
+			groups[poolKey{ref: ref}] = append(groups[poolKey{ref: ref}], u)
+		}
+		if u.Service != "" {
+			groups[poolKey{service: u.Service}] = append(groups[poolKey{service: u.Service}], u)
+		}
+	}
+	pools := make(map[poolKey]*poolOf, len(groups))
+	var health []monitor.Pool
+	for k, us := range groups {
+		p := &poolOf{declare: make(map[netip.AddrPort]*declarer.Upstream, len(us))}
+		targets := make([]picker.Target, 0, len(us))
+		members := make([]netip.AddrPort, 0, len(us))
+		for _, u := range us {
+			p.declare[u.Address] = u
+			targets = append(targets, picker.Target{Address: u.Address, Zone: u.Zone, Slots: u.Slots})
+			members = append(members, u.Address)
+		}
+		p.pool = r.picker.Pool(targets)
+		pools[k] = p
+		health = append(health, monitor.Pool{Name: k.ref.String() + k.service, Members: members})
+	}
+	r.monitor.SetPools(health)
+	r.picker.Retain(func(a netip.AddrPort) bool { return known[a] })
+	for a := range known {
+		r.picker.Replica(a).SetWeight(r.monitor.Weight(a))
+	}
+	r.pools, r.built = pools, c.View.Version
+}
+
+// Pick implements router.Picker.
+func (r *replicas) Pick(q router.PickRequest) (*declarer.Upstream, func(), bool) {
+	p, ok := r.current()[poolKey{ref: q.Ref, service: q.Service}]
+	if !ok {
+		return nil, nil, false
+	}
+	req := picker.Request{PromptTokens: int(q.Tokens)}
+	if q.Service == "" {
+		req.Prefixes = picker.Prefixes(q.Prompt)
+	}
+	// A replica that the router skips was tried before or has become unusable
+	// since the last change of its weight; there are few of them.
+	for range len(p.declare) {
+		choice, ok := r.picker.Pick(req, p.pool)
+		if !ok {
+			return nil, nil, false
+		}
+		u := p.declare[choice.Replica.Address]
+		if q.Skip != nil && q.Skip(u) {
+			req.Exclude = append(req.Exclude, choice.Replica)
+			continue
+		}
+		ticket := r.picker.Sent(choice.Replica)
+		return u, func() { r.picker.Done(ticket, true) }, true
+	}
+	return nil, nil, false
+}
+
+// Usable implements router.Monitor.
+func (r *replicas) Usable(u *declarer.Upstream) bool { return r.monitor.Usable(u.Address) }
+
+// Report implements router.Monitor. Ends that the caller or the router caused
+// say nothing about the upstream.
+func (r *replicas) Report(u *declarer.Upstream, o router.Observation) {
+	switch o.Fail {
+	case "":
+		r.monitor.Observe(u.Address, 0, monitor.Success)
+	case router.FailStalled:
+		r.monitor.Observe(u.Address, 0, monitor.Stall)
+	case router.FailSilent:
+		r.monitor.Silent(u.Address)
+	case router.FailDeadline, router.FailCancelled, router.FailChecked:
+	default:
+		if o.Leaving {
+			r.monitor.Leaving(u.Address, 0)
+			return
+		}
+		r.monitor.Observe(u.Address, 0, monitor.Failure)
+	}
+}
+
+// Admit implements router.Limiter.
+func (a admission) Admit(ctx context.Context, q router.Admission) (func(), error) {
+	w := q.Workspace
+	permit, err := a.limiter.Admit(ctx, limiter.Request{
+		Workspace: w.Name, Share: w.Share, Concurrent: w.Concurrent, Queue: w.Queue,
+		Priority: q.Priority, Cost: float64(q.Tokens), Deadline: q.Deadline,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return func() { permit.Done(0) }, nil
+}
+
+// Retry implements router.Limiter.
+func (a admission) Retry(workspace string) bool { return a.limiter.Retry(workspace) }
+
+// Assign implements router.Assigner.
+func (shares) Assign(c *declarer.Catalog, m *declarer.Model, workspace, key string) string {
+	p := c.Rollout(m.Name)
+	if p == nil || p.State != declarer.RolloutRunning {
+		return m.Stable
+	}
+	ref := declarer.VersionRef{Model: m.Name, Version: p.Version}
+	if pinner.Assigned(ref, workspace+"\x00"+key, p.Share) {
+		return p.Version
+	}
+	return m.Stable
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -4,8 +4,11 @@
 	"context"
 	"crypto/tls"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailwall/declarer"
 	"foxtailwall/dialer"
+	"foxtailwall/limiter"
 	"foxtailwall/pinner"
 	"foxtailwall/router"
 	"foxtailwall/server"
@@ -15,6 +18,7 @@
 type entry struct {
 	host      *Host
 	dialer    *dialer.Dialer
+	replicas  *replicas
 	server    *server.Server
 	callerTLS *tls.Config
 }
@@ -26,10 +30,16 @@
 	}
 	e := &entry{host: h}
 	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial})
+	e.replicas = newReplicas(h.views, h.set.Zone, h.clock, h.scope, xxhash.Sum64String(h.set.Name))
+	sign := &pinner.Signer{Keys: h.set.SessionKeys, Clock: h.clock}
+	if err := sign.Check(); err != nil {
+		return err
+	}
 	r := router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
-		Signer: signer{},
+		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{},
+		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
 	var err error
 	e.server, err = server.New(server.Options{
@@ -56,8 +66,3 @@
 	}
 	return e.server.ServeOperators(l, nil)
 }
-
-type signer struct{}
-
-func (signer) Sign(pinner.Pin) (string, error)   { return "", nil }
-func (signer) Verify(string) (pinner.Pin, error) { return pinner.Pin{}, nil }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -180,7 +180,7 @@
 		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run})
 	}
 	if h.entry != nil {
-		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators})
+		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators}, duty{"health", h.entry.replicas.run})
 	}
 	return out
 }
