--- a/replicator/core.go
+++ b/replicator/core.go
@@ -19,19 +19,24 @@
 type (
 	role uint8
 
-	// timing holds the durations of the protocol.
-	timing struct {
+	// tuning holds the durations and sizes of the protocol.
+	tuning struct {
 		heartbeat time.Duration
 		// election is the shortest election timeout; a random part of the
 		// same length is added.
 		election time.Duration
 		lease    time.Duration
+		// trailing is the number of entries that stay in memory behind a
+		// snapshot.
+		trailing uint64
+		// chunk is the size in bytes of one part of a snapshot.
+		chunk int
 	}
 
 	// core is the deterministic part of a member: messages and ticks in,
 	// messages and entries to sync out. It does no input or output.
 	core struct {
-		timing
+		tuning
 		self  Member
 		peers []Peer
 		rng   *rand.Rand
@@ -90,8 +95,8 @@
 )
 
 // newCore returns a core in the state that the journal recovered.
-func newCore(t timing, self Member, peers []Peer, rng *rand.Rand, st journaler.State) (*core, error) {
-	c := &core{timing: t, self: self, peers: peers, rng: rng, meta: st.Meta, snap: st.Snapshot}
+func newCore(t tuning, self Member, peers []Peer, rng *rand.Rand, st journaler.State) (*core, error) {
+	c := &core{tuning: t, self: self, peers: peers, rng: rng, meta: st.Meta, snap: st.Snapshot}
 	c.log = raftLog{base: st.Snapshot.Index, baseTerm: st.Snapshot.Term, entries: st.Entries}
 	c.log.stable = c.log.last()
 	c.commit, c.applied = st.Snapshot.Index, st.Snapshot.Index
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -43,6 +43,11 @@
 	// defaultSnapshotEvery is the number of entries after which the machine
 	// is saved and the log compacted.
 	defaultSnapshotEvery = 10000
+	// defaultTrailing is the number of entries that stay in memory behind a
+	// snapshot, so that members a little behind need no snapshot.
+	defaultTrailing = 1024
+	// chunkSize is the size in bytes of one part of a snapshot.
+	chunkSize = 1 << 20
 	// minSnapshotBytes is the size of the entries after which the machine is
 	// saved, unless its last snapshot is larger.
 	minSnapshotBytes = 4 << 20
@@ -76,6 +81,9 @@
 		// SnapshotEvery is the number of entries between snapshots; zero
 		// means 10,000.
 		SnapshotEvery uint64
+		// Trailing is the number of entries that stay in memory behind a
+		// snapshot for members that lag; zero means 1,024.
+		Trailing uint64
 		// Rand and NewID are set by tests.
 		Rand  *rand.Rand
 		NewID func() string
@@ -159,7 +167,10 @@
 			return nil, errors.Wrap(err, "restore the machine")
 		}
 	}
-	t := timing{heartbeat: o.Heartbeat, election: o.Election, lease: o.Lease}
+	t := tuning{
+		heartbeat: o.Heartbeat, election: o.Election, lease: o.Lease,
+		trailing: o.Trailing, chunk: chunkSize,
+	}
 	self := Member{ID: st.Meta.Member, Name: o.Name, Addr: o.Addr}
 	c, err := newCore(t, self, o.Peers, o.Rand, st)
 	if err != nil {
@@ -182,6 +193,7 @@
 	o.Election = orDefault(o.Election, defaultElection)
 	o.Lease = orDefault(o.Lease, defaultLease)
 	o.SnapshotEvery = orDefault(o.SnapshotEvery, defaultSnapshotEvery)
+	o.Trailing = orDefault(o.Trailing, defaultTrailing)
 	if o.NewID == nil {
 		o.NewID = uuid.NewString
 	}
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -6,14 +6,6 @@
 	"foxtailwall/journaler"
 )
 
-const (
-	// chunkSize is the size in bytes of one part of a snapshot.
-	chunkSize = 1 << 20
-	// trailing is the number of entries that stay in memory behind a
-	// snapshot, so that members a little behind need no snapshot.
-	trailing = 1024
-)
-
 // incoming is a snapshot that arrives in parts.
 type incoming struct {
 	snap  journaler.Snapshot
@@ -32,7 +24,7 @@
 	}
 	if c.now-p.chunkSent >= c.election/2 {
 		p.chunkSent = c.now
-		ch.Data = c.snap.Data[p.chunkAt:min(p.chunkAt+chunkSize, len(c.snap.Data))]
+		ch.Data = c.snap.Data[p.chunkAt:min(p.chunkAt+c.chunk, len(c.snap.Data))]
 	} else if !beat {
 		return
 	} else {
@@ -137,8 +129,8 @@
 // applied index and saved.
 func (c *core) compacted(s journaler.Snapshot) {
 	c.snap = s
-	if s.Index > trailing {
-		c.log.compact(s.Index - trailing)
+	if s.Index > c.trailing {
+		c.log.compact(s.Index - c.trailing)
 	}
 	for len(c.confs) > 1 && c.confs[1].index <= s.Index {
 		c.confs = c.confs[1:]
