--- a/controller/machine.go
+++ b/controller/machine.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"sync"
 	"time"
 
@@ -181,8 +180,9 @@
 	m.touched = false
 	m.view.Version = index
 	m.view.Config = m.effective()
-	m.view.Progress = slices.Clone(m.view.Progress)
-	m.view.Quarantined = slices.Clone(m.view.Quarantined)
+	// Appending to nil makes an empty list nil, as it is after Restore.
+	m.view.Progress = append([]declarer.Progress(nil), m.view.Progress...)
+	m.view.Quarantined = append([]declarer.VersionRef(nil), m.view.Quarantined...)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
