--- /dev/null
+++ b/cmd/foxtailwall/compare.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"foxtailwall/comparer"
+)
+
+const compareUsage = `Runs policies side by side on the same seed and arrivals against a model of a
+deployment in virtual time, and prints the cost, the quality against the targets
+and the latency of each:
+
+   foxtailwall compare --scenario cooperative --repeats 3
+   foxtailwall compare --scenario festival --plot plots --plot-format png
+
+The engines follow the time model of package emulator: continuous batching with
+a token budget, a limited prefix cache, and load reports and cache events that
+come late. Requests, prefixes and sessions are those of the load subcommand.
+The same seed gives the same result.
+
+With --plot, cost-SCENARIO, first-token-SCENARIO and whole-answer-SCENARIO are
+drawn into that directory.`
+
+// compareCommand returns the subcommand compare.
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "compare",
+		Usage:       "compare policies side by side in virtual time",
+		Description: compareUsage,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Value: "cooperative", Usage: "cooperative or festival", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_SCENARIO")},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_SEED")},
+			&cli.IntFlag{Name: "repeats", Value: 1, Usage: "number of seeds that are pooled", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_REPEATS")},
+			&cli.FloatFlag{Name: "rate", Usage: "arrivals in a second, 0 for the scenario's", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_RATE")},
+			&cli.DurationFlag{Name: "duration", Usage: "virtual time of the arrivals, 0 for the scenario's", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_DURATION")},
+			&cli.StringFlag{Name: "plot", Usage: "directory for the plots", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_PLOT")},
+			&cli.StringFlag{Name: "plot-format", Value: "svg", Usage: "svg or png", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_PLOT_FORMAT")},
+			&cli.BoolFlag{Name: "json", Usage: "print the results as JSON", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_JSON")},
+		},
+		Action: runCompare,
+	}
+}
+
+func runCompare(_ context.Context, c *cli.Command) error {
+	s, ok := comparer.ScenarioByName(c.String("scenario"))
+	if !ok {
+		return &settingError{"scenario", c.String("scenario"), "cooperative, festival"}
+	}
+	format := c.String("plot-format")
+	if format != "svg" && format != "png" {
+		return &settingError{"plot-format", format, "svg, png"}
+	}
+	results := comparer.Run(s, comparePolicies(), comparer.Options{
+		Seed: c.Uint64("seed"), Repeats: c.Int("repeats"), Rate: c.Float("rate"), Duration: c.Duration("duration"),
+	})
+	write := comparer.Print
+	if c.Bool("json") {
+		write = comparer.JSON
+	}
+	if err := write(c.Root().Writer, results); err != nil {
+		return err
+	}
+	dir := c.String("plot")
+	if dir == "" {
+		return nil
+	}
+	for name, plot := range map[string]func([]comparer.Result, string) error{
+		"cost": comparer.PlotCost, "first-token": comparer.PlotLatency, "whole-answer": comparer.PlotTotal,
+	} {
+		if err := plot(results, filepath.Join(dir, name+"-"+s.Name+"."+format)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// comparePolicies returns the policies of the comparison.
+func comparePolicies() []comparer.Policy { return comparer.Baselines() }
--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -28,6 +28,7 @@
 		Name:  "foxtailwall",
 		Usage: "model-aware router for versions and cascades",
 		Commands: []*cli.Command{
+			compareCommand(),
 			loadCommand(),
 			reportCommand(),
 			standinCommand(),
--- /dev/null
+++ b/comparer/result.go
@@ -0,0 +1,210 @@
+package comparer
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailwall/declarer"
+	"foxtailwall/loader"
+)
+
+const (
+	nanosPerUnit = 1e9
+	// confidence is the one-sided 95% quantile of the normal distribution.
+	confidence = 1.645
+	// maxParallel bounds the runs at the same time.
+	maxParallel = 3
+)
+
+type (
+	// Result is the result of one policy.
+	Result struct {
+		Policy   string `json:"policy"`
+		Scenario string `json:"scenario"`
+		Seeds    int    `json:"seeds"`
+		Requests int    `json:"requests"`
+		// Refused counts requests that no engine had room for.
+		Refused int `json:"refused"`
+		// Cost is the mean cost of a request in units of the currency.
+		Cost float64 `json:"cost"`
+		// Kinds holds the quality of each group of requests with one target.
+		Kinds []KindResult `json:"kinds"`
+		// Meets says that no group is below its target with 95% confidence.
+		Meets bool `json:"meets"`
+		// Steps is the mean number of model runs of a request.
+		Steps float64 `json:"steps"`
+		// Cached is the share of prompt tokens found in a prefix cache.
+		Cached float64 `json:"cached"`
+		// FirstToken is that of streams, Token the time between their tokens,
+		// Total the time of whole answers.
+		FirstToken loader.Quantiles `json:"firstToken"`
+		Token      loader.Quantiles `json:"token"`
+		Total      loader.Quantiles `json:"total"`
+	}
+
+	// KindResult is the quality of requests of one kind with one target.
+	KindResult struct {
+		Kind     declarer.Kind `json:"kind"`
+		Target   float64       `json:"target"`
+		Requests int           `json:"requests"`
+		Quality  float64       `json:"quality"`
+		Meets    bool          `json:"meets"`
+	}
+
+	group struct {
+		kind   declarer.Kind
+		target float64
+	}
+
+	tally struct{ requests, passed int }
+
+	// sums collects the runs of one policy.
+	sums struct {
+		requests, ended, refused int
+		answered                 int
+		cost                     int64
+		steps                    int
+		prompt, cached           int
+		groups                   map[group]*tally
+		first, token, total      loader.Histogram
+	}
+)
+
+// Run runs the policies on the same seeds and arrivals and returns one result
+// for each, in their order.
+func Run(s Scenario, policies []Policy, o Options) []Result {
+	if o.Rate <= 0 {
+		o.Rate = s.Rate
+	}
+	if o.Duration <= 0 {
+		o.Duration = s.Duration
+	}
+	o.Repeats = max(o.Repeats, 1)
+	out := make([]Result, len(policies))
+	p := pool.New().WithMaxGoroutines(maxParallel)
+	for i, policy := range policies {
+		p.Go(func() { out[i] = runPolicy(s, policy, o) })
+	}
+	p.Wait()
+	return out
+}
+
+func runPolicy(s Scenario, p Policy, o Options) Result {
+	t := &sums{groups: make(map[group]*tally), first: loader.NewHistogram(), token: loader.NewHistogram(), total: loader.NewHistogram()}
+	for i := range o.Repeats {
+		newSimulation(s, p, o.Seed+uint64(i), t).run(o.Rate, o.Duration)
+	}
+	r := t.result()
+	r.Policy, r.Scenario, r.Seeds = p.Name, s.Name, o.Repeats
+	return r
+}
+
+// add counts an answer.
+func (t *sums) add(c *call, pass bool, now time.Time) {
+	t.ended++
+	t.answered++
+	t.cost += c.cost
+	t.steps += c.steps
+	t.prompt += c.q.Prompt * c.steps
+	t.cached += c.cached
+	g := group{c.q.Kind, c.q.Workspace.Quality[c.q.Kind]}
+	if t.groups[g] == nil {
+		t.groups[g] = &tally{}
+	}
+	t.groups[g].requests++
+	if pass {
+		t.groups[g].passed++
+	}
+	if c.q.Kind == declarer.KindChat {
+		t.first.Record(c.first.Sub(c.arrived))
+	} else {
+		t.total.Record(now.Sub(c.arrived))
+	}
+}
+
+func (t *sums) refuse() {
+	t.ended++
+	t.refused++
+}
+
+func (t *sums) result() Result {
+	n := float64(max(t.answered, 1))
+	r := Result{
+		Requests: t.requests, Refused: t.refused, Meets: true,
+		Cost: float64(t.cost) / nanosPerUnit / n, Steps: float64(t.steps) / n, Cached: float64(t.cached) / float64(max(t.prompt, 1)),
+		FirstToken: t.first.Quantiles(), Token: t.token.Quantiles(), Total: t.total.Quantiles(),
+	}
+	for _, g := range t.sorted() {
+		c := t.groups[g]
+		q := float64(c.passed) / float64(c.requests)
+		deviation := math.Sqrt(g.target * (1 - g.target) / float64(c.requests))
+		k := KindResult{Kind: g.kind, Target: g.target, Requests: c.requests, Quality: q, Meets: q >= g.target-confidence*deviation}
+		r.Meets = r.Meets && k.Meets
+		r.Kinds = append(r.Kinds, k)
+	}
+	return r
+}
+
+// sorted returns the groups by kind and target.
+func (t *sums) sorted() []group {
+	return slices.SortedFunc(maps.Keys(t.groups), func(a, b group) int {
+		return cmp.Or(cmp.Compare(a.kind, b.kind), cmp.Compare(a.target, b.target))
+	})
+}
+
+// JSON writes the results as JSON.
+func JSON(w io.Writer, results []Result) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return errors.Wrap(e.Encode(results), "write the results")
+}
+
+// Print writes the results as a table.
+func Print(w io.Writer, results []Result) error {
+	if len(results) == 0 {
+		return nil
+	}
+	fmt.Fprintf(w, "%s: %d requests over %d seeds\n\n", results[0].Scenario, results[0].Requests, results[0].Seeds)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	head := "policy\tcost/1000\tmeets\t"
+	for _, k := range results[0].Kinds {
+		head += fmt.Sprintf("%s >=%.0f%%\t", k.Kind, 100*k.Target)
+	}
+	fmt.Fprintln(t, head+"runs\tcached\tfirst p50\tp95\tp99\ttoken p50\tp95\tp99\twhole p50\tp95\tp99\trefused\t")
+	for _, r := range results {
+		fmt.Fprintf(t, "%s\t%.4f\t%t\t", r.Policy, thousand*r.Cost, r.Meets)
+		for _, k := range r.Kinds {
+			mark := ""
+			if !k.Meets {
+				mark = "!"
+			}
+			fmt.Fprintf(t, "%s%.1f%%\t", mark, 100*k.Quality)
+		}
+		fmt.Fprintf(t, "%.2f\t%.0f%%\t", r.Steps, 100*r.Cached)
+		for _, q := range []loader.Quantiles{r.FirstToken, r.Token, r.Total} {
+			fmt.Fprintf(t, "%s\t%s\t%s\t", milliseconds(q.P50), milliseconds(q.P95), milliseconds(q.P99))
+		}
+		fmt.Fprintf(t, "%d\t\n", r.Refused)
+	}
+	fmt.Fprintln(t)
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write the results")
+	}
+	_, err := fmt.Fprintln(w, "times in ms; ! marks a quality below its target with 95% confidence")
+	return errors.Wrap(err, "write the results")
+}
+
+func milliseconds(d time.Duration) string { return strconv.FormatFloat(inMilliseconds(d), 'f', 1, 64) }
+
+func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/emulator/cache.go
+++ b/emulator/cache.go
@@ -28,16 +28,18 @@
 		blocks int
 		order  *list.List // front is the most recently used
 		index  map[uint64]*list.Element
-		events []cacheEvent
+		events []CacheEvent
 		seq    int64
 		gap    float64
 		rng    *rand.Rand
 	}
 
-	cacheEvent struct {
-		Seq    int64  `json:"seq"`
-		Add    bool   `json:"add,omitempty"`
-		Drop   bool   `json:"drop,omitempty"`
+	// CacheEvent says that a block entered or left a prefix cache.
+	CacheEvent struct {
+		Seq  int64 `json:"seq"`
+		Add  bool  `json:"add,omitempty"`
+		Drop bool  `json:"drop,omitempty"`
+		// Prefix is the hash of the block in hexadecimal.
 		Prefix string `json:"prefix"`
 		at     time.Time
 	}
@@ -46,7 +48,7 @@
 	cacheEvents struct {
 		Incarnation string       `json:"incarnation"`
 		Next        int64        `json:"next"`
-		Events      []cacheEvent `json:"events"`
+		Events      []CacheEvent `json:"events"`
 	}
 )
 
@@ -126,15 +128,16 @@
 	if c.gap > 0 && c.rng.Float64() < c.gap {
 		return
 	}
-	c.events = append(c.events, cacheEvent{Seq: c.seq, Add: add, Drop: !add, Prefix: fmt.Sprintf("%016x", h), at: now})
+	c.events = append(c.events, CacheEvent{Seq: c.seq, Add: add, Drop: !add, Prefix: fmt.Sprintf("%016x", h), at: now})
 	if len(c.events) > maxCacheEvents {
-		c.events = append([]cacheEvent(nil), c.events[maxCacheEvents/2:]...)
+		c.events = append([]CacheEvent(nil), c.events[maxCacheEvents/2:]...)
 	}
 }
 
-// since returns the events after seq that happened no later than until.
-func (c *Cache) since(seq int64, until time.Time) ([]cacheEvent, int64) {
-	out, next := []cacheEvent{}, seq
+// Since returns the events after seq that happened no later than until, and the
+// sequence number to ask from next.
+func (c *Cache) Since(seq int64, until time.Time) ([]CacheEvent, int64) {
+	out, next := []CacheEvent{}, seq
 	for _, e := range c.events {
 		if e.Seq > seq && !e.at.After(until) {
 			out = append(out, e)
--- a/emulator/report.go
+++ b/emulator/report.go
@@ -74,9 +74,9 @@
 
 func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	b := cacheEvents{Incarnation: e.incarnation, Next: after(r), Events: []cacheEvent{}}
+	b := cacheEvents{Incarnation: e.incarnation, Next: after(r), Events: []CacheEvent{}}
 	if e.cache != nil {
-		b.Events, b.Next = e.cache.since(after(r), e.clock.Now().Add(-e.conf.EventLag))
+		b.Events, b.Next = e.cache.Since(after(r), e.clock.Now().Add(-e.conf.EventLag))
 	}
 	e.mu.Unlock()
 	writeJSON(w, http.StatusOK, b)
