--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"foxtailwall/chooser"
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
 	"foxtailwall/limiter"
 	"foxtailwall/monitor"
 	"foxtailwall/picker"
 	"foxtailwall/pinner"
+	"foxtailwall/refuser"
 	"foxtailwall/router"
 	"foxtailwall/timekeeper"
 )
@@ -212,3 +214,63 @@
 	}
 	return m.Stable
 }
+
+// plans adapts the chooser to the router.
+type plans struct {
+	chooser *chooser.Chooser
+	learner *chooser.Learner
+}
+
+func newPlans(clock timekeeper.Clock, scope counter.Scope, seed uint64) *plans {
+	l := chooser.NewLearner(chooser.Settings{Clock: clock, Scope: scope, Seed: seed})
+	return &plans{chooser: chooser.New(l), learner: l}
+}
+
+// Plan implements router.Chooser.
+func (p *plans) Plan(q router.PlanRequest) ([]declarer.VersionRef, error) {
+	plan, ok := p.chooser.Plan(chooser.Request{
+		Workspace: q.Workspace, Kind: q.Kind, Stream: q.Stream, Left: q.Left,
+		PromptTokens: int(q.InputTokens), Candidates: candidates(q),
+	})
+	if !ok {
+		return nil, refuser.New(refuser.ModelNotAllowed, refuser.NotRun, "no version that the workspace allows can be used now")
+	}
+	steps := make([]declarer.VersionRef, len(plan.Steps))
+	for i, s := range plan.Steps {
+		steps[i] = s.Ref
+	}
+	return steps, nil
+}
+
+// Accept implements router.Chooser.
+func (p *plans) Accept(q router.PlanRequest, step declarer.VersionRef) bool {
+	return p.learner.Accept(q.Workspace, q.Kind, chooser.Candidate{Ref: step, Version: q.Catalog.Version(step), Assigned: true})
+}
+
+// Ran implements router.Learner.
+func (p *plans) Ran(s router.StepRun) {
+	p.learner.Ran(s.ID, chooser.Run{
+		Workspace: s.Workspace, Kind: s.Kind, Ref: s.Ref, Step: s.Step,
+		InputTokens: s.Input, OutputTokens: s.Output, Took: s.Took,
+	})
+}
+
+// Waited implements router.Learner.
+func (p *plans) Waited(kind declarer.Kind, inTime bool) { p.learner.Waited(kind, inTime) }
+
+// Learn implements router.Learner.
+func (p *plans) Learn(r router.RateRequest, v router.Rating) { p.learner.Rate(r.RequestID, v.Pass) }
+
+// candidates returns the versions that the router found usable. Quarantined
+// ones are among them only when their model has no other.
+func candidates(q router.PlanRequest) chooser.Candidates {
+	out := make(chooser.Candidates, 0, len(q.Candidates))
+	for _, ref := range q.Candidates {
+		v := q.Catalog.Version(ref)
+		if v == nil {
+			continue
+		}
+		out = append(out, chooser.Candidate{Ref: ref, Version: v, Assigned: true, LastResort: q.Catalog.Quarantined(ref)})
+	}
+	return out
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -19,6 +19,7 @@
 	host      *Host
 	dialer    *dialer.Dialer
 	replicas  *replicas
+	plans     *plans
 	server    *server.Server
 	callerTLS *tls.Config
 }
@@ -35,10 +36,11 @@
 	if err := sign.Check(); err != nil {
 		return err
 	}
+	e.plans = newPlans(h.clock, h.scope, xxhash.Sum64String(h.set.Name))
 	r := router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
-		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{},
+		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{}, Chooser: e.plans, Learner: e.plans,
 		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
 	var err error
--- a/router/chat.go
+++ b/router/chat.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,7 +20,7 @@
 	chatPath = "/v1/chat/completions"
 	// longPrompt is the number of prompt tokens from which a request that
 	// names no kind counts as long.
-	longPrompt = 2000
+	longPrompt = 512
 	// maxPlans bounds how often a request is planned: once more if its
 	// version was withdrawn between plan and dispatch.
 	maxPlans = 2
@@ -36,6 +38,8 @@
 	plan    PlanRequest
 	steps   []biller.Step
 	notice  Notice
+	// last is the position of the step whose answer is returned.
+	last int
 }
 
 // Chat serves a request whose answer is returned whole. Errors are a
@@ -129,6 +133,7 @@
 func (r *Router) cascade(ctx context.Context, c *chat, steps []declarer.VersionRef) (*Answer, error) {
 	var best *Answer
 	for i, step := range steps {
+		began := r.o.Clock.Now()
 		ans, p, err := r.step(ctx, c, step)
 		if err != nil && best != nil {
 			r.o.Scope.Counter("router.cascadeShort").Inc(1)
@@ -138,6 +143,8 @@
 			return nil, err
 		}
 		best = ans
+		c.last = i
+		r.ran(c, p.ref, i, ans.Usage, began)
 		c.took(p.Notice)
 		c.steps = append(c.steps, c.billStep(p.ref, ans.Usage))
 		if i == len(steps)-1 || r.accepted(ctx, c, p.ref, ans) {
@@ -193,6 +200,7 @@
 func (r *Router) accepted(ctx context.Context, c *chat, ref declarer.VersionRef, ans *Answer) bool {
 	req := c.rateRequest(ref, ans.Text)
 	v, ok := r.o.Ratings.Rate(ctx, req, min(r.o.RatingWait, r.left(c.task)))
+	r.o.Learner.Waited(c.plan.Kind, ok)
 	if !ok {
 		return r.o.Chooser.Accept(c.plan, ref)
 	}
@@ -219,10 +227,22 @@
 
 func (c *chat) rateRequest(ref declarer.VersionRef, text string) RateRequest {
 	return RateRequest{
-		RequestID: c.id, Workspace: c.workspace.Name, Kind: c.plan.Kind, Ref: ref, Prompt: c.q.Prompt, Response: text,
+		RequestID: c.stepID(c.last), Workspace: c.workspace.Name, Kind: c.plan.Kind, Ref: ref, Prompt: c.q.Prompt, Response: text,
 	}
 }
 
+// stepID names the answer of a step to the rating service, which may rate
+// several steps of one request.
+func (c *chat) stepID(step int) string { return c.id + "/" + strconv.Itoa(step) }
+
+// ran tells the learner of a step that ran to its end.
+func (r *Router) ran(c *chat, ref declarer.VersionRef, step int, u Usage, began time.Time) {
+	r.o.Learner.Ran(StepRun{
+		ID: c.stepID(step), Workspace: c.workspace.Name, Kind: c.plan.Kind, Ref: ref, Step: step,
+		Input: u.Input, Output: u.Output, Took: r.o.Clock.Since(began),
+	})
+}
+
 // isSinkError reports whether the caller's side failed.
 func isSinkError(err error) bool {
 	var e *sinkError
--- a/router/decisions.go
+++ b/router/decisions.go
@@ -140,9 +140,28 @@
 		Score     float64
 	}
 
-	// Learner receives the ratings that Rate returned in time, so that the
-	// chooser learns from them.
+	// Learner receives what the steps of plans did, so that the chooser learns
+	// from it.
 	Learner interface {
+		// Ran takes a step that ran to its end.
+		Ran(s StepRun)
+		// Waited says whether the rating that a cascade waited for came in
+		// time.
+		Waited(kind declarer.Kind, inTime bool)
+		// Learn takes a rating that Rate returned.
 		Learn(r RateRequest, v Rating)
 	}
+
+	// StepRun is one step of a plan that ran to its end.
+	StepRun struct {
+		// ID is the RequestID under which the step's answer is rated.
+		ID        string
+		Workspace string
+		Kind      declarer.Kind
+		Ref       declarer.VersionRef
+		// Step is the position of the step in the plan.
+		Step          int
+		Input, Output int64
+		Took          time.Duration
+	}
 )
--- a/router/defaults.go
+++ b/router/defaults.go
@@ -191,5 +191,11 @@
 // Offer implements Ratings.
 func (noRatings) Offer(RateRequest) {}
 
+// Ran implements Learner.
+func (noLearner) Ran(StepRun) {}
+
+// Waited implements Learner.
+func (noLearner) Waited(declarer.Kind, bool) {}
+
 // Learn implements Learner.
 func (noLearner) Learn(RateRequest, Rating) {}
--- a/router/stream.go
+++ b/router/stream.go
@@ -82,6 +82,9 @@
 		s.c.steps = []biller.Step{s.c.billStep(s.p.ref, s.counted())}
 		s.r.bill(ctx, s.c.record(ending(ctx, err), s.r.o.Clock.Now()))
 	}
+	if err == nil {
+		s.r.ran(s.c, s.p.ref, 0, s.counted(), s.since)
+	}
 	if err == nil && s.rated {
 		s.r.o.Ratings.Offer(s.c.rateRequest(s.p.ref, s.text.String()))
 	}
