--- /dev/null
+++ b/demonstrator/process_test.go
@@ -0,0 +1,185 @@
+package demonstrator
+
+import (
+	"context"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"foxtailwall/declarer"
+	"foxtailwall/hoster"
+	"foxtailwall/loader"
+	"foxtailwall/timekeeper"
+)
+
+const (
+	testSeed = 11
+	testRate = 30
+	// settleLimit is how long a condition may take; it bounds a hang, not a
+	// speed.
+	settleLimit = time.Minute
+)
+
+func TestDemonstrator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "demonstrator")
+}
+
+// process is a host in a process of its own.
+type process struct {
+	set hoster.Settings
+	cmd *exec.Cmd
+}
+
+var _ = Describe("Separate processes", Ordered, func() {
+	var binary string
+
+	BeforeAll(func() {
+		binary = filepath.Join(GinkgoT().TempDir(), "foxtailwall")
+		out, err := exec.Command("go", "build", "-o", binary, "foxtailwall/cmd/foxtailwall").CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	})
+
+	// Guards against bookings that run twice, bills that are lost or doubled,
+	// configurations that go back and claims that are forgotten when
+	// processes are killed under load and start again.
+	It("lose nothing that was acknowledged when they are killed under load", func(ctx context.Context) {
+		p := startProcesses(ctx, binary)
+		audit := loader.NewAudit(loader.AuditConfig{})
+		d := &demo{start: time.Now(), clock: timekeeper.System{}, fleet: p.fleet, cluster: p.cluster, audit: audit, op: p.cluster.operator()}
+		d.conf.Progress = GinkgoWriter
+		north, south := p.fleet.declare()
+		d.offices = offices{north: north, south: south}
+		_, err := d.apply(ctx, "north", d.offices.config())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(d.awaitEverywhere(ctx, d.offices.version)).To(Succeed())
+
+		conf := d.offices.config()
+		kill := func(at time.Duration, i int) loader.Event {
+			return loader.Event{Name: "kill " + p.hosts[i].set.Name, At: at, Do: func(context.Context) error {
+				p.kill(i)
+				p.start(binary, i)
+				return nil
+			}}
+		}
+		d.load = loader.New(loader.Config{
+			Clock: d.clock, Seed: testSeed, Entries: p.cluster.entries(), Mix: bookings(),
+			Workspaces: loader.FromConfig(conf, secrets(conf)), Rate: testRate, Duration: 6 * time.Second,
+			Timeout: 20 * time.Second, Audit: audit,
+			Events: []loader.Event{
+				kill(1*time.Second, 0), kill(2*time.Second, 1), kill(3*time.Second, 2),
+				{Name: "change", At: 3500 * time.Millisecond, Do: func(ctx context.Context) error {
+					_, err := d.apply(ctx, "south", changed(d.offices.config()))
+					return err
+				}},
+				kill(4*time.Second, 4), kill(5*time.Second, 3),
+			},
+		})
+		Expect(d.load.Run(ctx)).To(Succeed())
+		Expect(d.load.Failed()).To(BeEmpty())
+		Expect(d.awaitEverywhere(ctx, d.offices.version)).To(Succeed())
+		res, err := d.end(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		res.Print(GinkgoWriter)
+		Expect(res.Verdict.Broken()).To(BeZero())
+		for _, promise := range []int{1, 4, 5, 7} {
+			Expect(res.Verdict.Promises[promise-1].Checked).To(BeNumerically(">", 0), "promise %d", promise)
+		}
+	}, NodeTimeout(3*time.Minute))
+})
+
+type processes struct {
+	fleet   *fleet
+	cluster *cluster
+	hosts   []*process
+	keys    string
+	opkeys  string
+}
+
+// startProcesses starts the stand-ins in this process and every host in one of
+// its own.
+func startProcesses(ctx context.Context, binary string) *processes {
+	clock, net := timekeeper.System{}, newNetwork()
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	f, err := startFleet(ctx, clock, testSeed, []string{"a", "b", "c"}, net)
+	Expect(err).NotTo(HaveOccurred())
+	folder := GinkgoT().TempDir()
+	c, err := newCluster(clock, net, f, folder, zerolog.Nop())
+	Expect(err).NotTo(HaveOccurred())
+	p := &processes{fleet: f, cluster: c, keys: filepath.Join(folder, "session.keys"), opkeys: filepath.Join(folder, "operator.keys")}
+	Expect(os.WriteFile(p.opkeys, []byte(operatorKey), 0o600)).To(Succeed())
+	for i, n := range c.hosts {
+		key := hex.EncodeToString(n.set.SessionKeys[0])
+		Expect(os.WriteFile(p.keys, []byte(key), 0o600)).To(Succeed())
+		p.hosts = append(p.hosts, &process{set: n.set})
+		for _, addr := range []netip.AddrPort{n.set.Callers, n.set.Operators, n.set.Peers} {
+			Expect(c.listeners[addr].Close()).To(Succeed())
+		}
+		p.start(binary, i)
+	}
+	DeferCleanup(func() {
+		for i := range p.hosts {
+			p.kill(i)
+		}
+		cancel()
+		f.close()
+	})
+	return p
+}
+
+func (p *processes) start(binary string, i int) {
+	h := p.hosts[i]
+	args := []string{
+		"serve", "--entry", "--name", h.set.Name, "--zone", h.set.Zone, "--callers", h.set.Callers.String(),
+		"--operators", h.set.Operators.String(), "--peers", h.set.Peers.String(), "--platform", h.set.Platform.String(),
+		"--rater", h.set.Rater.String(), "--session-keys", p.keys, "--operator-keys", p.opkeys,
+		"--caller-insecure", "--peer-insecure", "--upstream-insecure", "--control", strings.Join(h.set.Control, ","),
+	}
+	if h.set.DataFolder != "" {
+		args = append(args, "--data-folder", h.set.DataFolder)
+	}
+	for _, s := range h.set.Hosts {
+		args = append(args, "--hosts", s.String())
+	}
+	h.cmd = exec.Command(binary, args...)
+	h.cmd.Stderr = GinkgoWriter
+	Expect(h.cmd.Start()).To(Succeed())
+}
+
+// kill ends the process with SIGKILL.
+func (p *processes) kill(i int) {
+	h := p.hosts[i]
+	_ = h.cmd.Process.Kill() // It may have ended by itself.
+	_ = h.cmd.Wait()
+}
+
+// changed returns the configuration with another price of the south's own.
+func changed(c declarer.Config) declarer.Config {
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Name == "gifts" {
+			c.Workspaces[i].Share = 2
+		}
+	}
+	return c
+}
+
+// bookings returns a mix in which kills hit many bookings.
+func bookings() loader.Mix {
+	m := loader.Festival()
+	for i := range m.Classes {
+		if m.Classes[i].Method == http.MethodPost {
+			m.Classes[i].Weight = 0.5
+		}
+	}
+	return m
+}
