Sync billing records on the owner's disk as well

The owner kept its record in memory only, and its witness, which has no disk, would have delivered it after 5 s. Ruled out: a lost delivery after a change of leader; the record had not been sent when both processes were gone.

Now a host with a disk syncs the record while the witness takes it, concurrent records share one sync, and a witness delivers after 1 s.

--- a/biller/outbox.go
+++ b/biller/outbox.go
@@ -12,8 +12,10 @@
 
 const (
 	// WitnessDelay is the time after which a witness delivers a record that
-	// its owner has not released.
-	WitnessDelay = 5 * time.Second
+	// its owner has not released. Until then the record is lost if the owner
+	// and a witness without a disk both stop; an owner releases within
+	// milliseconds, so that a second is long enough.
+	WitnessDelay = time.Second
 	// DefaultCapacity is the number of records an outbox holds at most. At
 	// about 400 bytes each they stay below 32 MB.
 	DefaultCapacity = 1 << 16
@@ -33,6 +35,9 @@
 		// requests of this host.
 		disk     sync.Mutex
 		appended int
+		// gather guards pending, the batch that waits for the disk.
+		gather  sync.Mutex
+		pending *diskBatch
 
 		mu      sync.Mutex
 		held    map[string]*heldRecord
@@ -83,6 +88,13 @@
 		seq uint64
 	}
 
+	// diskBatch is a group of writes that share one sync.
+	diskBatch struct {
+		entry   diskEntry
+		written bool
+		err     error
+	}
+
 	// diskEntry is what Append and Rewrite are given.
 	diskEntry struct {
 		Records []Record `cbor:"records,omitempty"`
@@ -291,16 +303,49 @@
 	if o.opts.Append == nil || len(recs) == 0 {
 		return nil
 	}
-	b, err := serializer.Marshal(diskEntry{Records: recs, Owned: owned})
+	b := o.join(recs, owned)
+	o.disk.Lock()
+	defer o.disk.Unlock()
+	if !b.written {
+		o.seal(b)
+		b.written, b.err = true, o.append(b.entry)
+	}
+	return b.err
+}
+
+// join adds the records to the batch that is written next. A batch of which
+// some records are held for others counts as held: they are delivered later,
+// not never.
+func (o *Outbox) join(recs []Record, owned bool) *diskBatch {
+	o.gather.Lock()
+	defer o.gather.Unlock()
+	if o.pending == nil {
+		o.pending = &diskBatch{entry: diskEntry{Owned: true}}
+	}
+	b := o.pending
+	b.entry.Records = append(b.entry.Records, recs...)
+	b.entry.Owned = b.entry.Owned && owned
+	return b
+}
+
+// seal ends the gathering of a batch.
+func (o *Outbox) seal(b *diskBatch) {
+	o.gather.Lock()
+	defer o.gather.Unlock()
+	if o.pending == b {
+		o.pending = nil
+	}
+}
+
+func (o *Outbox) append(e diskEntry) error {
+	b, err := serializer.Marshal(e)
 	if err != nil {
 		return &DiskError{Err: err}
 	}
-	o.disk.Lock()
-	defer o.disk.Unlock()
 	if err := o.opts.Append(b); err != nil {
 		return &DiskError{Err: err}
 	}
-	o.written(recs)
+	o.written(e.Records)
 	return nil
 }
 
--- a/messenger/hold.go
+++ b/messenger/hold.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"foxtailwall/biller"
@@ -118,25 +119,30 @@
 }
 
 // Hold implements router.Bills. It does not end with ctx, since a caller that
-// leaves is billed as well. The record enters the outbox after a witness has
-// it, so that its delivery knows whom to release.
+// leaves is billed as well. The record goes to this host's disk, if it has one,
+// while a witness takes it, so that it survives even if both stop. It is
+// delivered only after the witness has answered, so that the delivery knows
+// whom to release.
 func (b *Bills) Hold(ctx context.Context, r biller.Record) (bool, error) {
 	ctx = context.WithoutCancel(ctx)
+	var err error
+	var local conc.WaitGroup
+	local.Go(func() { err = b.opts.Outbox.Hold(b.opts.Clock.Now(), []biller.Record{r}) })
 	held := b.witness(ctx, r)
-	err := b.opts.Outbox.Own(r)
-	if held {
-		if err != nil {
-			// The witness delivers it after biller.WitnessDelay.
-			b.opts.Scope.Counter("billing.outboxFull").Inc(1)
-			b.released(biller.Marks([]biller.Record{r}))
-		}
-		return true, nil
+	local.Wait()
+	if own := b.opts.Outbox.Own(r); err == nil {
+		err = own
 	}
-	b.opts.Scope.Counter("billing.single").Inc(1)
-	if err != nil {
+	if !held {
+		b.opts.Scope.Counter("billing.single").Inc(1)
 		return false, err
 	}
-	return false, b.opts.Outbox.Persist(r)
+	if err != nil {
+		// The witness delivers it after biller.WitnessDelay.
+		b.opts.Scope.Counter("billing.outboxFailed").Inc(1)
+		b.released(biller.Marks([]biller.Record{r}))
+	}
+	return true, nil
 }
 
 // Run delivers records until ctx ends and returns the error of ctx.
