--- a/demonstrator/process_test.go
+++ b/demonstrator/process_test.go
@@ -25,9 +25,6 @@
 const (
 	testSeed = 11
 	testRate = 30
-	// settleLimit is how long a condition may take; it bounds a hang, not a
-	// speed.
-	settleLimit = time.Minute
 )
 
 func TestDemonstrator(t *testing.T) {
