--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -19,7 +19,7 @@
 	// serve reads at once, and a group that does not recover.
 	It("stays linearizable under faults of network, disks and hosts", func() {
 		acked, wipes := 0, 0
-		for seed := range uint64(40) {
+		for seed := range uint64(24) {
 			s := newSim(seed, 3+2*int(seed%2))
 			s.heal()
 			s.calm = false
@@ -29,7 +29,7 @@
 			wipes += s.wipes
 		}
 		GinkgoWriter.Println("acknowledged", acked, "wiped disks", wipes)
-		Expect(acked).To(BeNumerically(">", 1000))
-		Expect(wipes).To(BeNumerically(">", 20))
+		Expect(acked).To(BeNumerically(">", 5000))
+		Expect(wipes).To(BeNumerically(">", 100))
 	})
 })
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -76,8 +76,9 @@
 		// quiet is how rare faults are at present.
 		quiet int
 		// load is how likely an operation begins in a step.
-		load float64
-		calm bool
+		load    float64
+		rewired time.Duration
+		calm    bool
 	}
 )
 
@@ -276,7 +277,7 @@
 	})
 }
 
-// disturb injects faults.
+// disturb injects faults into hosts and disks.
 func (s *sim) disturb() {
 	h := s.pick()
 	if s.wipes > s.repairs && s.repaired() {
@@ -300,27 +301,37 @@
 		})
 	case 2:
 		h.paused = s.now + s.between(0, 2500*time.Millisecond)
-	case 3, 4:
-		s.cut[[2]int{s.rng.IntN(len(s.hosts)), s.rng.IntN(len(s.hosts))}] = true
-	case 5:
-		i := slices.Index(s.hosts, h)
+	case 3:
+		if s.wipes == s.repairs && s.repaired() {
+			s.wipe(h)
+		}
+	}
+}
+
+// rewire gives the network new faults, or none.
+func (s *sim) rewire() {
+	clear(s.cut)
+	clear(s.slow)
+	s.loss = 0
+	link := func() [2]int { return [2]int{s.rng.IntN(len(s.hosts)), s.rng.IntN(len(s.hosts))} }
+	switch s.rng.IntN(8) {
+	case 0:
+		s.loss = 0.3 * s.rng.Float64()
+	case 1:
+		i := s.rng.IntN(len(s.hosts))
 		for k := range s.hosts {
 			s.cut[[2]int{i, k}], s.cut[[2]int{k, i}] = true, true
 		}
-	case 6, 7, 8:
-		clear(s.cut)
-	case 12:
-		clear(s.slow)
-	case 13, 14:
-		i, k := s.rng.IntN(len(s.hosts)), s.rng.IntN(len(s.hosts))
-		s.cut[[2]int{i, k}], s.cut[[2]int{k, i}] = true, true
-	case 15, 16, 17, 18:
-		s.slow[[2]int{s.rng.IntN(len(s.hosts)), s.rng.IntN(len(s.hosts))}] = s.between(0, 800*time.Millisecond)
-	case 9:
-		s.loss = 0.3 * s.rng.Float64()
-	case 10, 11:
-		if s.wipes == s.repairs && s.repaired() {
-			s.wipe(h)
+	case 2:
+		for range 1 + s.rng.IntN(len(s.hosts)) {
+			s.cut[link()] = true
+		}
+	case 3:
+		l := link()
+		s.cut[l], s.cut[[2]int{l[1], l[0]}] = true, true
+	case 4:
+		for range 1 + s.rng.IntN(2*len(s.hosts)) {
+			s.slow[link()] = s.between(0, 600*time.Millisecond)
 		}
 	}
 }
@@ -329,10 +340,14 @@
 func (s *sim) run(d time.Duration) {
 	for end := s.now + d; s.now < end; {
 		if s.chance(0.003) || s.quiet == 0 {
-			s.quiet = []int{100, 300, 1000}[s.rng.IntN(3)]
+			s.quiet = []int{100, 400, 2000}[s.rng.IntN(3)]
 			// Without load, logs stay equal and elections are contested.
 			s.load = []float64{0, 0.03, 0.5}[s.rng.IntN(3)]
 		}
+		if s.now >= s.rewired {
+			s.rewired = s.now + s.between(0, 5*time.Second)
+			s.rewire()
+		}
 		s.disturb()
 		if s.chance(s.load) {
 			s.call()
@@ -385,6 +400,7 @@
 // heal ends all faults and runs until the group is whole and idle.
 func (s *sim) heal() {
 	s.calm = true
+	s.loss = 0
 	clear(s.cut)
 	clear(s.slow)
 	for _, h := range s.hosts {
