--- /dev/null
+++ b/promoter/promoter_test.go
@@ -0,0 +1,184 @@
+package promoter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/declarer"
+	"foxtailwall/detector"
+	"foxtailwall/promoter"
+)
+
+func TestPromoter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "promoter")
+}
+
+var (
+	start   = time.Unix(1_800_000_000, 0)
+	rollout = declarer.Rollout{
+		Model: "engraver", Version: "v2",
+		Stages: []declarer.Stage{
+			{Share: 0.01, Soak: time.Minute, Budget: 100},
+			{Share: 0.2, Soak: time.Minute, Budget: 1000},
+			{Share: 1, Soak: time.Minute},
+		},
+		Guard: declarer.Guard{MinQuality: 0.9},
+	}
+)
+
+func rated(all, bad int64) detector.Stats {
+	return detector.Stats{Rated: detector.Counts{All: all, Bad: bad}}
+}
+
+// naive is a promoter that remembers everything itself and reads the rules off
+// one by one.
+type naive struct {
+	stage  int
+	began  time.Time
+	over   promoter.Action
+	needed []int64
+}
+
+func (n *naive) step(s detector.Stats, now time.Time) promoter.Action {
+	if n.over != "" {
+		return promoter.Stay
+	}
+	if detector.Evaluate(detector.LimitsOf(rollout.Guard), s).Alarm {
+		n.over = promoter.Halt
+		return promoter.Halt
+	}
+	if now.Sub(n.began) < rollout.Stages[n.stage].Soak || s.Rated.All < n.needed[n.stage] {
+		return promoter.Stay
+	}
+	if n.stage++; n.stage == len(rollout.Stages) {
+		n.over = promoter.Done
+		return promoter.Done
+	}
+	n.began = now
+	return promoter.Advance
+}
+
+var _ = Describe("Next", func() {
+	// Guards against a decision that depends on what one leader remembers,
+	// against a stage that is skipped, and against a halted or finished
+	// roll-out that moves again. Each step starts from the progress alone.
+	It("agrees with a promoter that remembers everything", func() {
+		const seed = 101
+		rng := rand.New(rand.NewPCG(seed, seed))
+		ends, spent := map[promoter.Action]int{}, 0
+		for range 300 {
+			rate := []float64{0.02, 0.05, 0.3}[rng.IntN(3)]
+			now, s := start, detector.Stats{}
+			p := promoter.Next(rollout, declarer.Progress{}, s, now).Progress
+			n := &naive{began: now, needed: []int64{10, 40, 70}}
+			for range 200 {
+				now = now.Add(time.Duration(rng.IntN(20)) * time.Second)
+				for range rng.IntN(4) {
+					s.Rated.All++
+					if rng.Float64() < rate {
+						s.Rated.Bad++
+					}
+				}
+				p.Spent += rng.Int64N(40)
+				t := promoter.Next(rollout, p, s, now)
+				Expect(t.Action).To(Equal(n.step(s, now)))
+				Expect(t.Changed).To(Equal(t.Progress != p))
+				p = t.Progress
+				switch n.over {
+				case promoter.Halt:
+					Expect(p.State).To(Equal(declarer.RolloutHalted))
+					Expect(p.Share).To(BeZero())
+				case promoter.Done:
+					Expect(p.State).To(Equal(declarer.RolloutDone))
+				default:
+					Expect(p.Stage).To(Equal(n.stage))
+					share := rollout.Stages[n.stage].Share
+					if p.Spent >= promoter.Budget(rollout.Stages[n.stage]) {
+						share = 0
+						spent++
+					}
+					Expect(p.Share).To(Equal(share))
+				}
+			}
+			ends[n.over]++
+		}
+		Expect(spent).To(BeNumerically(">", 50))
+		Expect(ends[promoter.Halt]).To(BeNumerically(">", 50))
+		Expect(ends[promoter.Done]).To(BeNumerically(">", 50))
+	})
+
+	// Guards against a roll-out that passes a stage because nothing was
+	// measured, and against one without a guard that never ends.
+	DescribeTable("waits for evidence", func(guard declarer.Guard, s detector.Stats, want promoter.Action) {
+		r := rollout
+		r.Guard = guard
+		p := promoter.Start(r, start)
+		t := promoter.Next(r, p, s, start.Add(time.Minute))
+		Expect(t.Action).To(Equal(want), t.Reason)
+	},
+		Entry("none yet", rollout.Guard, rated(0, 0), promoter.Stay),
+		Entry("too little", rollout.Guard, rated(9, 0), promoter.Stay),
+		Entry("enough", rollout.Guard, rated(10, 0), promoter.Advance),
+		Entry("of one limit only", declarer.Guard{MinQuality: 0.9, MaxErrors: 0.1}, rated(100, 0), promoter.Stay),
+		Entry("no guard", declarer.Guard{}, rated(0, 0), promoter.Advance),
+		Entry("against the version", rollout.Guard, rated(50, 30), promoter.Halt),
+	)
+
+	// Guards against a declaration that loses stages while it runs.
+	It("goes on from the last stage when stages are removed", func() {
+		p := promoter.Start(rollout, start)
+		p.Stage = 2
+		r := rollout
+		r.Stages = r.Stages[:1]
+		t := promoter.Next(r, p, rated(100, 0), start.Add(time.Hour))
+		Expect(t.Action).To(Equal(promoter.Done))
+	})
+})
+
+var _ = Describe("Exposure", func() {
+	// Guards against hosts that together expose more requests than the budget
+	// of the stage, whatever they have heard of each other's spending.
+	It("keeps the budget over all hosts", func() {
+		const seed = 103
+		rng := rand.New(rand.NewPCG(seed, seed))
+		for range 100 {
+			hosts := 1 + rng.IntN(330)
+			exposures := make([]promoter.Exposure, hosts)
+			p := promoter.Start(rollout, start)
+			for stage := range 2 {
+				p.Stage, p.Share, p.Spent = stage, rollout.Stages[stage].Share, 0
+				taken := 0
+				for range 20 * rollout.Stages[stage].Budget {
+					if i := rng.IntN(hosts); exposures[i].Take(rollout, p, hosts, i) {
+						taken++
+					}
+				}
+				Expect(taken).To(BeNumerically("<=", rollout.Stages[stage].Budget))
+				Expect(taken).To(BeNumerically(">=", rollout.Stages[stage].Budget/2))
+				total := int64(0)
+				for i := range exposures {
+					total += exposures[i].Spent(p)
+				}
+				Expect(total).To(Equal(int64(taken)))
+				p.Spent = total
+				if taken == rollout.Stages[stage].Budget {
+					Expect(exposures[0].Take(rollout, p, hosts, 0)).To(BeFalse())
+				}
+			}
+			p.State = declarer.RolloutHalted
+			Expect(exposures[0].Take(rollout, p, hosts, 0)).To(BeFalse())
+		}
+	})
+})
+
+func BenchmarkNext(b *testing.B) {
+	p := promoter.Start(rollout, start)
+	for b.Loop() {
+		promoter.Next(rollout, p, rated(1000, 12), start)
+	}
+}
