--- /dev/null
+++ b/orderer/orderer_test.go
@@ -0,0 +1,266 @@
+package orderer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/declarer"
+	"foxtailwall/orderer"
+	"foxtailwall/timekeeper"
+)
+
+func TestOrderer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "orderer")
+}
+
+const (
+	longest = 30 * time.Second
+	lease   = 8 * time.Second
+)
+
+var v1, v2 = declarer.VersionRef{Model: "m", Version: "v1"}, declarer.VersionRef{Model: "m", Version: "v2"}
+
+// fake is an engine that carries out one order at a time.
+type fake struct {
+	orderer.Engine
+	state orderer.State
+	order orderer.Order
+	ends  time.Time
+}
+
+func (f *fake) post(order orderer.Order, now time.Time, rng *rand.Rand) orderer.Result {
+	if f.ChecksFencing && order.Fence < f.state.Fence || !f.ends.IsZero() || now.After(order.Deadline) {
+		return orderer.Refused
+	}
+	f.state.Fence = max(f.state.Fence, order.Fence)
+	f.order, f.ends = order, now.Add(time.Duration(1+rng.IntN(20))*time.Second)
+	if f.ends.After(order.Deadline) {
+		f.ends = order.Deadline
+	}
+	if order.Action == orderer.Load {
+		f.state.Loading = []declarer.VersionRef{order.Ref}
+	} else {
+		f.state.Unloading = []declarer.VersionRef{order.Ref}
+	}
+	return orderer.Accepted
+}
+
+func (f *fake) step(now time.Time) {
+	if f.ends.IsZero() || now.Before(f.ends) {
+		return
+	}
+	f.ends, f.state.Loading, f.state.Unloading = time.Time{}, nil, nil
+	loaded := slices.DeleteFunc(slices.Clone(f.state.Loaded), func(v declarer.VersionRef) bool { return v == f.order.Ref })
+	if f.order.Action == orderer.Load {
+		loaded = append(loaded, f.order.Ref)
+	}
+	f.state.Loaded = loaded
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+}
+
+var _ = Describe("Orderer", func() {
+	// Guards against two owners that order the same engine at a time, and
+	// against a plan that never arrives. Owners change, pause past the end of their lease and send what
+	// they had planned, answers are lost, and engines restart.
+	It("keeps its rules under changes of owner, pauses, lost answers and restarts", func() {
+		const seed, engines, want = 107, 8, 4
+		sentLate := 0
+		for run := range 10 {
+			rng := rand.New(rand.NewPCG(seed, uint64(run)))
+			clock := timekeeper.NewFake(time.Unix(1_800_000_000, 0))
+			fakes := make([]*fake, engines)
+			var list []orderer.Engine
+			for i := range fakes {
+				e := orderer.Engine{Address: address(i), Zone: "a", ChecksFencing: i%2 == 0}
+				fakes[i] = &fake{Engine: e, state: orderer.State{Incarnation: 1, Loaded: []declarer.VersionRef{v1}}}
+				list = append(list, e)
+			}
+			var owners []*orderer.Orderer
+			for i := range 3 {
+				o := orderer.New(orderer.Settings{
+					Clock: clock, Seed: uint64(i), Lease: lease, LongestOrder: longest, LoadRate: 1, LoadBurst: 2, Jitter: 1,
+				})
+				o.SetEngines(list)
+				o.SetWants([]orderer.Want{{Zone: "a", Ref: v2, Engines: want}, {Zone: "a", Ref: v1, Engines: engines - want}})
+				owners = append(owners, o)
+			}
+			// late holds the orders that a paused owner sends at awake.
+			var late []orderer.Order
+			awake := 0
+			send := func(o *orderer.Orderer, order orderer.Order) {
+				f := fakes[order.Address.Addr().As4()[3]]
+				running, busy := f.order, !f.ends.IsZero()
+				r := f.post(order, clock.Now(), rng)
+				if !f.ChecksFencing && busy {
+					Expect(running.Fence).To(Equal(order.Fence), "orders of two owners meet at an engine")
+				}
+				if rng.IntN(5) == 0 {
+					r = orderer.Lost
+				}
+				o.Result(order, r)
+			}
+			restart := func(f *fake) {
+				*f = fake{Engine: f.Engine, state: orderer.State{Incarnation: f.state.Incarnation + 1, Fence: f.state.Fence}}
+			}
+			fence, current := uint64(1), 0
+			owners[0].Own(1, clock.Now().Add(lease), false)
+			for step := range 600 {
+				clock.Advance(time.Second)
+				now := clock.Now()
+				for _, f := range fakes {
+					f.step(now)
+				}
+				o := owners[current]
+				changing := step < 300 && len(late) == 0
+				switch {
+				case changing && rng.IntN(20) == 0:
+					restart(fakes[1])
+					clock.Advance(time.Second)
+					o.Observe(address(1), fakes[1].state)
+					clock.Advance(time.Second)
+					late, awake = o.Next(), step+1+rng.IntN(int(longest/time.Second))
+					current, fence = (current+1)%3, fence+1
+					clock.Advance(lease)
+					owners[current].Own(fence, clock.Now().Add(lease), true)
+					continue
+				case changing && rng.IntN(40) == 0:
+					restart(fakes[rng.IntN(engines)])
+				case len(late) > 0 && step == awake:
+					for _, order := range late {
+						if !fakes[order.Address.Addr().As4()[3]].ChecksFencing {
+							send(o, order)
+							sentLate++
+						}
+					}
+					late = nil
+				}
+				o.Renew(fence, now.Add(lease))
+				for _, a := range o.Reads() {
+					o.Observe(a, fakes[a.Addr().As4()[3]].state)
+				}
+				for _, order := range o.Next() {
+					send(o, order)
+				}
+			}
+			held := map[declarer.VersionRef]int{}
+			for _, f := range fakes {
+				Expect(len(f.state.Loaded)).To(BeNumerically("<=", 1))
+				for _, v := range f.state.Loaded {
+					held[v]++
+				}
+			}
+			Expect(held).To(Equal(map[declarer.VersionRef]int{v1: engines - want, v2: want}), fmt.Sprint("run ", run))
+		}
+		Expect(sentLate).To(BeNumerically(">", 10))
+	})
+
+	// Guards against the loss of capacity in a roll-out: while v2 is brought
+	// up, v1 must never fall below its wanted number, whatever is under way.
+	It("never unloads below the wanted number, nor loads beyond the rate", func() {
+		const engines = 9
+		clock := timekeeper.NewFake(time.Unix(1_800_000_000, 0))
+		rng := rand.New(rand.NewPCG(109, 109))
+		o := orderer.New(orderer.Settings{Clock: clock, LongestOrder: longest, LoadRate: 0.02, LoadBurst: 1})
+		fakes := make([]*fake, engines)
+		var list []orderer.Engine
+		for i := range fakes {
+			list = append(list, orderer.Engine{Address: address(i), Zone: "a"})
+			fakes[i] = &fake{Engine: list[i], state: orderer.State{Incarnation: 1, Loaded: []declarer.VersionRef{v1}}}
+		}
+		o.SetEngines(list)
+		loads := 0
+		o.Own(1, clock.Now().Add(time.Hour), false)
+		for step := range 300 {
+			shares := []float64{0.01, 0.05, 0.25, 1}
+			stage := min(step/60, 2)
+			stable, next := orderer.Split(engines, 1, shares[stage], shares[stage+1])
+			Expect(stable + next).To(BeNumerically("<=", engines))
+			Expect(min(stable, next)).To(BeNumerically(">=", 1))
+			o.SetWants([]orderer.Want{{Zone: "a", Ref: v2, Engines: next}, {Zone: "a", Ref: v1, Engines: stable}})
+			clock.Advance(time.Second)
+			for _, f := range fakes {
+				f.step(clock.Now())
+				o.Observe(f.Address, f.state)
+			}
+			for _, order := range o.Next() {
+				Expect(fakes[order.Address.Addr().As4()[3]].post(order, clock.Now(), rng)).To(Equal(orderer.Accepted))
+				if order.Action == orderer.Load {
+					loads++
+				}
+			}
+			Expect(float64(loads)).To(BeNumerically("<=", 1+0.02*float64(step+1)))
+			n := 0
+			for _, f := range fakes {
+				if slices.Contains(f.state.Loaded, v1) && !slices.Contains(f.state.Unloading, v1) {
+					n++
+				}
+			}
+			Expect(n).To(BeNumerically(">=", stable))
+		}
+		Expect(loads).To(BeNumerically(">=", 3))
+	})
+
+	// Guards against an owner that acts after its lease, under an older token,
+	// or at once on engines that cannot tell it from the previous owner.
+	It("waits and stops as its ownership demands", func() {
+		clock := timekeeper.NewFake(time.Unix(1_800_000_000, 0))
+		o := orderer.New(orderer.Settings{Clock: clock, Lease: lease, LongestOrder: longest, Jitter: time.Nanosecond})
+		o.SetEngines([]orderer.Engine{{Address: address(0), Zone: "a"}, {Address: address(1), Zone: "a", ChecksFencing: true}})
+		o.SetWants([]orderer.Want{{Zone: "a", Ref: v1, Engines: 2}})
+		read := func(fence uint64) {
+			for _, a := range o.Reads() {
+				o.Observe(a, orderer.State{Incarnation: 1, Fence: fence})
+			}
+			clock.Advance(time.Millisecond)
+		}
+		read(0)
+		Expect(o.Next()).To(BeEmpty())
+		o.Own(5, clock.Now().Add(time.Hour), true)
+		Expect(o.Next()).To(BeEmpty(), "the previous owner may have changed the engines")
+		read(0)
+		orders := o.Next()
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Address).To(Equal(address(1)))
+		Expect(orders[0].Fence).To(Equal(uint64(5)))
+		o.Result(orders[0], orderer.Lost)
+		Expect(o.Reads()).To(ConsistOf(address(1)))
+		clock.Advance(lease + longest)
+		Expect(o.Next()).To(HaveLen(1))
+		read(6)
+		Expect(o.Owns()).To(BeFalse())
+		Expect(o.Next()).To(BeEmpty())
+	})
+})
+
+func BenchmarkNext(b *testing.B) {
+	clock := timekeeper.NewFake(time.Unix(1_800_000_000, 0))
+	o := orderer.New(orderer.Settings{Clock: clock})
+	var list []orderer.Engine
+	for i := range 1500 {
+		list = append(list, orderer.Engine{Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80), Zone: string(rune('a' + i%9))})
+	}
+	o.SetEngines(list)
+	for _, e := range list {
+		o.Observe(e.Address, orderer.State{Incarnation: 1, Loaded: []declarer.VersionRef{v1}})
+	}
+	var wants []orderer.Want
+	for z := range 9 {
+		wants = append(wants, orderer.Want{Zone: string(rune('a' + z)), Ref: v2, Engines: 80}, orderer.Want{Zone: string(rune('a' + z)), Ref: v1, Engines: 160})
+	}
+	o.SetWants(wants)
+	o.Own(1, clock.Now().Add(time.Hour), false)
+	for b.Loop() {
+		o.Next()
+	}
+}
