Measure the limiter's pace by cost

The mean of each request's time per unit of cost let calls of plain services, with a cost of one, pass for the pace of model requests of a thousand tokens: requests with enough time left would have been refused. The pace is now the ratio of the means; the new test fails with the old average.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -38,8 +38,9 @@
 const (
 	defaultConcurrent = 1024
 	defaultQueue      = 256
-	// paceGain is the weight of one completed request in the mean time a slot
-	// takes for one unit of cost.
+	// paceGain is the weight of one completed request in the means of time and
+	// cost, whose ratio is the pace. Averaging the ratio of each request would
+	// let cheap calls of plain services pass for the pace of model requests.
 	paceGain = 0.05
 	// meanGain is the weight of one request in the mean cost.
 	meanGain = 0.05
@@ -96,9 +97,10 @@
 		mu      sync.Mutex
 		sched   scheduler
 		budgets map[string]*budget
-		// pace is the mean time in seconds that a slot takes for one unit of
-		// cost, zero until a request has completed. mean is the mean cost.
-		pace, mean float64
+		// took and spent are the mean time in seconds and the mean actual cost
+		// of completed requests, zero until one has completed; mean is the
+		// mean estimated cost of requests that asked for admission.
+		took, spent, mean float64
 	}
 )
 
@@ -196,11 +198,12 @@
 		if cost <= 0 {
 			cost = p.w.cost
 		}
-		took := p.l.set.Clock.Since(p.w.began).Seconds() / cost
-		if p.l.pace == 0 {
-			p.l.pace = took
+		took, g := p.l.set.Clock.Since(p.w.began).Seconds(), paceGain
+		if p.l.spent == 0 {
+			g = 1
 		}
-		p.l.pace += paceGain * (took - p.l.pace)
+		p.l.took += g * (took - p.l.took)
+		p.l.spent += g * (cost - p.l.spent)
 		p.l.sched.done(p.w, cost)
 		p.l.dispatch()
 	})
@@ -275,7 +278,7 @@
 // it and the measured pace. A workspace gets at least its share of the slots,
 // and waits no longer than for all waiting work.
 func (l *Limiter) expectedWait(w *waiter) time.Duration {
-	if l.pace == 0 || l.sched.idle(w.flow) {
+	if l.spent == 0 || l.sched.idle(w.flow) {
 		return 0
 	}
 	ahead, all, shares := l.sched.backlog(w)
@@ -285,7 +288,7 @@
 	if c := w.flow.concurrent; c > 0 {
 		wait = max(wait, ahead/float64(c))
 	}
-	return time.Duration(wait * l.pace * float64(time.Second))
+	return time.Duration(wait * l.took / l.spent * float64(time.Second))
 }
 
 func (l *Limiter) budget(workspace string) *budget {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -81,6 +81,24 @@
 		Entry("5 s left", 5*time.Second, false, NodeTimeout(10*time.Second)),
 	)
 
+	// Guards against cheap calls that pass for the pace of expensive ones: a
+	// thousand units take 2 s here, whatever the calls of one unit take.
+	It("measures the pace by cost", func(ctx context.Context) {
+		for i := range 200 {
+			r, took := limiter.Request{Workspace: "w", Cost: 1}, 50*time.Millisecond
+			if i%2 == 0 {
+				r.Cost, took = 1000, 2*time.Second
+			}
+			p := admit(r)
+			clock.Advance(took)
+			p.Done(0)
+		}
+		admit(limiter.Request{Workspace: "w", Cost: 1000})
+		wait(ctx, limiter.Request{Workspace: "w", Cost: 1000, Deadline: clock.Now().Add(4 * time.Second)})
+		_, err := l.Admit(ctx, limiter.Request{Workspace: "w", Cost: 1000, Deadline: clock.Now().Add(time.Second)})
+		Expect(err).To(haveRefusal(refuser.DeadlineTooShort))
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against a place in the queue that a request keeps after its
 	// deadline or after its caller left, and against a refusal of such a
 	// request that does not say notRun.
