Let the router take back an assignment to a version in roll-out

Candidates say whether they are in a running roll-out, and Without gives the assignment to another version when the exposure budget is spent. Requests with one candidate no longer use up the explored share.

--- a/chooser/allowed.go
+++ b/chooser/allowed.go
@@ -18,6 +18,9 @@
 		// Assigned says that a new session gets this version. The others of
 		// the model are for sessions pinned to them.
 		Assigned bool
+		// InRollout says that the version is in a running roll-out. Before it
+		// assigns one, the router takes a request from its exposure budget.
+		InRollout bool
 		// LastResort says that the version is quarantined but the model has no
 		// other left; it is used only when nothing else can be.
 		LastResort bool
@@ -56,7 +59,7 @@
 
 // Contains reports whether the version is among the candidates.
 func (cs Candidates) Contains(r declarer.VersionRef) bool {
-	return slices.ContainsFunc(cs, func(c Candidate) bool { return c.Ref == r })
+	return cs.index(r) >= 0
 }
 
 // Assigned returns the version that a new session of the model gets.
@@ -68,6 +71,31 @@
 	return cs[i], true
 }
 
+// Without returns the candidates without the version. If it was assigned,
+// another version of its model takes its place, as if the version did not
+// exist. The router uses it when the exposure budget of a roll-out is spent.
+func (cs Candidates) Without(c *declarer.Catalog, r declarer.VersionRef) Candidates {
+	out := slices.DeleteFunc(slices.Clone(cs), func(o Candidate) bool { return o.Ref == r })
+	if _, ok := out.Assigned(r.Model); ok {
+		return out
+	}
+	if m := c.Model(r.Model); m != nil {
+		if i := out.settled(c, m); i >= 0 {
+			out[i].Assigned = true
+		}
+	}
+	return out
+}
+
+func (cs Candidates) assigned() (n int) {
+	for i := range cs {
+		if cs[i].Assigned {
+			n++
+		}
+	}
+	return n
+}
+
 func (cs Candidates) model(name string) bool {
 	return slices.ContainsFunc(cs, func(c Candidate) bool { return c.Ref.Model == name })
 }
@@ -81,11 +109,13 @@
 		if !w.Allows(r) || c.Withdrawn(r) || !usable(c, m, r, leased) {
 			continue
 		}
+		o := Candidate{Ref: r, Version: v, InRollout: rolloutState(c, r) == declarer.RolloutRunning}
 		if c.Quarantined(r) {
-			quarantined = append(quarantined, Candidate{Ref: r, Version: v, LastResort: true})
+			o.LastResort = true
+			quarantined = append(quarantined, o)
 			continue
 		}
-		out = append(out, Candidate{Ref: r, Version: v})
+		out = append(out, o)
 	}
 	if len(out) == 0 {
 		out = quarantined
@@ -127,36 +157,37 @@
 }
 
 // assign returns the index of the version that a new session gets: the one in
-// roll-out if the session is in its share, else the stable one, else the one
-// of the highest declared quality that is in no roll-out. It returns -1 when
-// there is none.
+// roll-out if the session is in its share, else the settled one, or -1.
 func assign(c *declarer.Catalog, m *declarer.Model, cs Candidates, sessionKey string) int {
-	stable := m.Stable
-	if p := c.Rollout(m.Name); p != nil {
+	if p := c.Rollout(m.Name); p != nil && p.State == declarer.RolloutRunning {
 		r := declarer.VersionRef{Model: m.Name, Version: p.Version}
-		running := p.State == declarer.RolloutRunning && pinner.Assigned(r, sessionKey, p.Share)
-		if i := cs.index(p.Version); i >= 0 && !cs[i].LastResort && running {
+		i := cs.index(r)
+		if i >= 0 && !cs[i].LastResort && pinner.Assigned(r, sessionKey, p.Share) {
 			return i
 		}
-		if p.State == declarer.RolloutDone {
-			stable = p.Version
-		}
 	}
-	if i := cs.index(stable); i >= 0 {
+	return cs.settled(c, m)
+}
+
+// settled returns the index of the model's stable version, else that of the
+// version of the highest declared quality that is in no roll-out, or -1.
+func (cs Candidates) settled(c *declarer.Catalog, m *declarer.Model) int {
+	stable := m.Stable
+	if p := c.Rollout(m.Name); p != nil && p.State == declarer.RolloutDone {
+		stable = p.Version
+	}
+	if i := cs.index(declarer.VersionRef{Model: m.Name, Version: stable}); i >= 0 {
 		return i
 	}
 	best := -1
-	for i := range cs {
-		if rolloutState(c, cs[i].Ref) == declarer.RolloutRunning {
-			continue
-		}
-		if best < 0 || cs[i].Version.Quality > cs[best].Version.Quality {
+	for i, o := range cs {
+		if o.Ref.Model == m.Name && !o.InRollout && (best < 0 || o.Version.Quality > cs[best].Version.Quality) {
 			best = i
 		}
 	}
 	return best
 }
 
-func (cs Candidates) index(version string) int {
-	return slices.IndexFunc(cs, func(c Candidate) bool { return c.Ref.Version == version })
+func (cs Candidates) index(r declarer.VersionRef) int {
+	return slices.IndexFunc(cs, func(c Candidate) bool { return c.Ref == r })
 }
--- a/chooser/allowed_test.go
+++ b/chooser/allowed_test.go
@@ -140,9 +140,20 @@
 			if quarantined != "" {
 				v.Quarantined = []declarer.VersionRef{{Model: "m", Version: quarantined}}
 			}
-			got, ok := chooser.Allowed(declarer.NewCatalog(v), "w", "m", leased, "s").Assigned("m")
+			c := declarer.NewCatalog(v)
+			all := chooser.Allowed(c, "w", "m", leased, "s")
+			got, ok := all.Assigned("m")
 			Expect(ok).To(BeTrue())
 			Expect(got.Ref.Version).To(Equal(want))
+			Expect(got.InRollout).To(Equal(state == declarer.RolloutRunning && want == "v2"))
+			if got.InRollout { // the budget is spent
+				rest := all.Without(c, got.Ref)
+				next, ok := rest.Assigned("m")
+				Expect(ok).To(BeTrue())
+				Expect(next.Ref.Version).To(Equal("v1"))
+				Expect(rest.Contains(got.Ref)).To(BeFalse())
+				Expect(all.Contains(got.Ref)).To(BeTrue())
+			}
 		},
 		Entry("in the share", 1.0, declarer.RolloutRunning, true, "", "v2"),
 		Entry("outside the share", 0.0, declarer.RolloutRunning, true, "", "v1"),
--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -99,7 +99,7 @@
 	l := c.learner
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	explores := l.explores(r.Workspace)
+	explores := l.explores(r.Workspace, r.Candidates.assigned())
 	ests := l.estimates(r, explores)
 	if len(ests) == 0 {
 		return Plan{}, false
--- a/chooser/learner.go
+++ b/chooser/learner.go
@@ -203,10 +203,10 @@
 	return e
 }
 
-// explores decides whether a request explores, so that the explored share
+// explores decides whether a request with so many choices explores, so that the explored share
 // never exceeds the declared one.
-func (l *Learner) explores(w *declarer.Workspace) bool {
-	if w.Explore <= 0 {
+func (l *Learner) explores(w *declarer.Workspace, choices int) bool {
+	if w.Explore <= 0 || choices < 2 {
 		return false
 	}
 	x, ok := l.shares[w.Name]
