--- a/router/claim.go
+++ b/router/claim.go
@@ -61,12 +61,13 @@
 		Key:    claimer.Key{Workspace: c.workspace.Name, Service: c.q.Service, Key: c.q.Key},
 		Digest: digestOf(c.q), RequestID: c.id, Owner: r.o.Host,
 	}
+	other := false // Another request with this key was seen running.
 	for wait := claimPoll; ; wait = min(2*wait, claimPollMax) {
 		req.Timeout = r.left(c.task)
-		if req.Timeout <= 0 {
+		res, err := r.claim(ctx, c, req)
+		if err != nil && other {
 			return nil, stillRunning()
 		}
-		res, err := r.claim(ctx, c, req)
 		if err != nil {
 			return nil, err
 		}
@@ -76,6 +77,7 @@
 		if res.State != claimer.Running {
 			return fromClaim(res)
 		}
+		other = true
 		if err := timekeeper.Sleep(ctx, r.o.Clock, min(wait, req.Timeout)); err != nil {
 			return nil, stillRunning()
 		}
@@ -110,6 +112,10 @@
 			return res, refuser.New(re.Code, refuser.NotRun, "%s", re.Message).After(re.RetryAfter)
 		}
 	}
+	if last == nil {
+		return claimer.Result{}, refuser.New(refuser.DeadlineExceeded, refuser.NotRun,
+			"the request ended before its key was claimed; resend with the same key")
+	}
 	// A claim that was stored after all would make a resend wait for nothing.
 	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Release(ctx, req.Key, req.RequestID) })
 	r.o.Scope.Counter("router.claimFailures").Inc(1)
