Close gaps in the tests of the audit and the cut streams

Every check of the audit and every fault of the stand-ins was disabled in turn on a scratch copy; the tests of notRun, of moved sessions and of streams without an end marker did not notice. A cut stream sends its first half before it breaks off, which it did not always.

--- a/emulator/chat.go
+++ b/emulator/chat.go
@@ -260,6 +260,7 @@
 	for sent := wk.job.Skip; ; {
 		for ; sent < n; sent++ {
 			if plan.cut && sent >= wk.job.Output/2 {
+				_ = rc.Flush()
 				panic(http.ErrAbortHandler)
 			}
 			c := head
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -124,6 +124,7 @@
 		first, done := streamed(post("a", "p", true).body)
 		Expect(done).To(BeFalse())
 		n := len(strings.Fields(first))
+		Expect(n).To(Equal(4))
 		rest, done := streamed(post("b", "p", true, emulator.HeaderResume, fmt.Sprint("a:", n)).body)
 		Expect(done).To(BeTrue())
 		Expect(emulator.Judge("p", first+rest)).To(HaveField("Whole", true))
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -22,6 +22,7 @@
 	"foxtailwall/declarer"
 	"foxtailwall/emulator"
 	"foxtailwall/loader"
+	"foxtailwall/refuser"
 )
 
 func TestLoader(t *testing.T) {
@@ -44,6 +45,7 @@
 	partial     defect = "drops a word of a stream"
 	lyingNotRun defect = "says notRun after a run"
 	twoRuns     defect = "runs a booking twice"
+	endless     defect = "drops the end of a stream"
 	lateWork    defect = "sends work to a leaving upstream"
 )
 
@@ -95,6 +97,8 @@
 	case bad && q.Stream && e.defect == partial:
 		events := bytes.SplitAfter(out, []byte("\n\n"))
 		out = bytes.Join(append(events[:1:1], events[2:]...), nil)
+	case bad && q.Stream && e.defect == endless:
+		out = bytes.Replace(out, []byte("data: [DONE]"), nil, 1)
 	}
 	if model && !q.Stream {
 		e.previous = out
@@ -188,6 +192,10 @@
 					Expect(c.Broken).To(BeZero(), "%s: %v", c.Name, c.Examples)
 				}
 			}
+			if d == endless {
+				Expect(rep.Refused(loader.CodeTransport)).To(Equal(150 - rep.Answered))
+				Expect(rep.Answered).To(BeNumerically("<", 150))
+			}
 			if d == none {
 				Expect(rep.Answered).To(Equal(150))
 				for _, p := range []int{1, 3, 4, 5, 7} {
@@ -206,6 +214,8 @@
 		Entry(string(partial), partial, 5),
 		Entry(string(lyingNotRun), lyingNotRun, 6),
 		Entry(string(twoRuns), twoRuns, 7),
+		// The caller sees that the answer is not whole; that breaks no promise.
+		Entry(string(endless), endless, 0),
 		Entry(string(lateWork), lateWork, 8),
 	)
 
@@ -236,6 +246,14 @@
 
 var _ = Describe("Audit", func() {
 	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	refused := func(sent, ended time.Time) loader.Attempt {
+		return loader.Attempt{Sent: sent, Ended: ended, Outcome: refuser.NotRun}
+	}
+	result := func(digest string, attempts ...loader.Attempt) loader.Result {
+		return loader.Result{Attempts: attempts, Request: loader.Request{
+			Digest: digest, Class: &loader.Class{Kind: declarer.KindShort}, Workspace: &loader.Workspace{},
+		}}
+	}
 
 	// Guards against an audit that misses what only events show: work for a
 	// withdrawn version, interrupted shutdowns and configurations that revert
@@ -255,6 +273,29 @@
 				{Model: "m", Version: "v1", Arrived: at(9)}, {Model: "m", Version: "v1", Arrived: at(11)}, {Model: "m", Version: "v2", Arrived: at(11)},
 			}, nil)
 		}),
+		Entry("a run during an attempt refused as notRun", 6, 1, func(a *loader.Audit) {
+			a.Engine([]emulator.Run{{Digest: "d", Arrived: at(2)}, {Digest: "d", Arrived: at(5)}}, nil)
+			a.Result(result("d", refused(at(1), at(3)), loader.Attempt{Sent: at(4), Ended: at(6)}))
+		}),
+		Entry("a run after a refusal as notRun", 6, 1, func(a *loader.Audit) {
+			a.Engine([]emulator.Run{{Digest: "d", Arrived: at(4)}}, nil)
+			a.Result(result("d", refused(at(1), at(3))))
+		}),
+		Entry("a run only during another attempt", 6, 0, func(a *loader.Audit) {
+			a.Engine([]emulator.Run{{Digest: "d", Arrived: at(5)}}, nil)
+			a.Result(result("d", refused(at(1), at(3)), loader.Attempt{Sent: at(4), Ended: at(6)}))
+		}),
+		Entry("a session that moved without and one with notice", 3, 1, func(a *loader.Audit) {
+			for _, s := range []struct{ session, moved string }{{"s", ""}, {"t", "versionWithdrawn"}} {
+				for i, version := range []string{"v1", "v2"} {
+					d := s.session + version
+					a.Engine([]emulator.Run{{Digest: d, Model: "m", Version: version, Arrived: at(i)}}, nil)
+					r := result(d, loader.Attempt{Moved: s.moved})
+					r.SessionKey, r.Answered, r.Judgement = s.session, true, emulator.Judgement{Whole: true, Digest: d}
+					a.Result(r)
+				}
+			}
+		}),
 		Entry("a stream cut by a shutdown", 9, 1, func(a *loader.Audit) {
 			a.Shutdown(1, at(10), at(20))
 			for _, t := range []loader.Attempt{
@@ -263,7 +304,7 @@
 				{Entry: 0, Sent: at(9), Ended: at(12), Interrupted: true},
 				{Entry: 1, Sent: at(11), Ended: at(12), Interrupted: true},
 			} {
-				a.Result(loader.Result{Request: loader.Request{Class: &loader.Class{}, Workspace: &loader.Workspace{}}, Attempts: []loader.Attempt{t}})
+				a.Result(result("d", t))
 			}
 		}),
 		Entry("a configuration that reverts", 10, 1, func(a *loader.Audit) {
