--- a/emulator/chat.go
+++ b/emulator/chat.go
@@ -66,6 +66,12 @@
 		// hidden leaves the mark that the request did not run away.
 		hidden bool
 	}
+
+	// plan is what the faults do to one answer.
+	plan struct {
+		cut   bool
+		stray *completion
+	}
 )
 
 var finishStop = "stop"
@@ -282,12 +288,6 @@
 	fmt.Fprint(w, "data: [DONE]\n\n")
 }
 
-// plan is what the faults do to one answer.
-type plan struct {
-	cut   bool
-	stray *completion
-}
-
 // plan applies the faults to an answer: it waits if the answer is late and
 // returns the answer to send, which is the previous one if they are crossed.
 func (e *Engine) plan(ctx context.Context, c completion) (completion, plan) {
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -194,6 +194,64 @@
 		Expect(run.Ended.Sub(run.Started)).To(Equal(184 * time.Millisecond))
 	}, NodeTimeout(20*time.Second))
 
+	// Guards against cancelled requests that hold their slot, and against
+	// counts that leave out what they had generated.
+	It("frees the slot of a cancelled request", func(ctx SpecContext) {
+		clock := timekeeper.NewFake(time.Unix(0, 0))
+		e := emulator.NewEngine(emulator.EngineConfig{Clock: clock, Versions: []emulator.Version{engraver}, Timing: emulator.Timing{Slots: 1}})
+		defer e.Close()
+		caller, leave := context.WithCancel(ctx)
+		left := make(chan any)
+		go func() {
+			defer func() { left <- recover() }()
+			req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chat("p", 9, true)))
+			e.Handler().ServeHTTP(httptest.NewRecorder(), req.WithContext(caller))
+		}()
+		for range 40 {
+			Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+			clock.Advance(time.Millisecond)
+		}
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		leave()
+		Expect(<-left).To(Equal(http.ErrAbortHandler))
+		Expect(e.Ran()).To(ConsistOf(And(HaveField("Ending", emulator.RunCancelled), HaveField("Output", 4))))
+		done, cancel := context.WithCancel(ctx)
+		go func() {
+			defer cancel()
+			req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(chat("q", 3, false)))
+			e.Handler().ServeHTTP(httptest.NewRecorder(), req)
+		}()
+		for clock.WaitTimers(done, 1) == nil {
+			clock.Advance(time.Millisecond)
+		}
+		Expect(e.Ran()).To(HaveLen(2))
+	}, NodeTimeout(20*time.Second))
+
+	// Guards against versions that serve before they are loaded, or never.
+	It("serves a version only once it is loaded", func(ctx SpecContext) {
+		clock := timekeeper.NewFake(time.Unix(0, 0))
+		weights := make(chan struct{})
+		serve(emulator.EngineConfig{
+			Clock: clock, LoadTime: time.Second, Loadable: []emulator.Version{{Model: "engraver", Version: "v2"}},
+			Weights: func(context.Context, string, string) error { <-weights; return nil },
+		})
+		orders := func() string { return do(c, http.MethodGet, srv.URL+"/orders", "").body }
+		r := do(c, http.MethodPost, srv.URL+"/orders", `{"fence":1,"action":"load","model":"engraver","version":"v2"}`)
+		Expect(r.status).To(Equal(http.StatusAccepted))
+		body := strings.Replace(chat("p", 1, false), "v1", "v2", 1)
+		r = do(c, http.MethodPost, srv.URL+"/v1/chat/completions", body)
+		Expect(r.status).To(Equal(http.StatusNotFound))
+		Expect(r.header.Get(emulator.HeaderNotRun)).To(Equal("true"))
+		close(weights)
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		Expect(orders()).To(ContainSubstring("loading"))
+		clock.Advance(time.Second)
+		for strings.Contains(orders(), "loading") {
+			Expect(ctx.Err()).NotTo(HaveOccurred())
+		}
+		Expect(do(c, http.MethodGet, srv.URL+"/v1/models", "").body).To(ContainSubstring("engraver/v2"))
+	}, NodeTimeout(20*time.Second))
+
 	// Guards against load reports and cache events that are fresher than
 	// those of a real engine.
 	It("reports load and cache events late", func() {
--- a/emulator/timing_test.go
+++ b/emulator/timing_test.go
@@ -61,6 +61,21 @@
 		}, 137*time.Millisecond),
 	)
 
+	// Guards against priorities that have no effect, or that reorder requests
+	// of the same priority.
+	It("admits by priority, then by arrival", func() {
+		b := emulator.NewBatch(emulator.Timing{Slots: 1}, nil)
+		jobs := make([]*emulator.Job, 4)
+		for i, priority := range []int{0, 5, 0, 5} {
+			jobs[i] = &emulator.Job{Prompt: 10, Output: 2, Priority: priority}
+			Expect(b.Add(jobs[i], start)).To(BeTrue())
+		}
+		drive(b, start)
+		for _, pair := range [][2]int{{1, 3}, {3, 0}, {0, 2}} {
+			Expect(jobs[pair[0]].Ended).To(Equal(jobs[pair[1]].Started))
+		}
+	})
+
 	// Guards against lost or doubled tokens, and against an engine that
 	// exceeds its slots or memory, under random arrivals and cancellations.
 	It("completes every request within its limits", func() {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -51,6 +51,8 @@
 		// InFlight bounds the requests in progress; beyond it requests are
 		// skipped and counted.
 		InFlight int
+		// UpstreamTLS is used towards stand-ins if it is not nil.
+		UpstreamTLS *tls.Config
 		// Engines and Services are read by Collect.
 		Engines, Services []netip.AddrPort
 		// Faults are set at their times.
@@ -83,8 +85,10 @@
 		conf   Config
 		clock  timekeeper.Clock
 		client *http.Client
-		audit  *Audit
-		timers conc.WaitGroup
+		// standIns calls the stand-ins.
+		standIns *http.Client
+		audit    *Audit
+		timers   conc.WaitGroup
 
 		mu     sync.Mutex
 		rng    *rand.Rand
@@ -124,10 +128,7 @@
 		conf: conf, clock: conf.Clock, audit: conf.Audit,
 		rng:    rand.New(rand.NewPCG(conf.Seed, 1)),
 		tokens: make(map[string]sessionToken), epochs: make(map[string]int),
-		client: &http.Client{Transport: &http.Transport{
-			TLSClientConfig: conf.TLS, ForceAttemptHTTP2: true,
-			MaxIdleConnsPerHost: conf.InFlight, IdleConnTimeout: time.Minute,
-		}},
+		client: newClient(conf.TLS, conf.InFlight), standIns: newClient(conf.UpstreamTLS, 1),
 	}
 	if l.audit == nil {
 		l.audit = NewAudit(AuditConfig{})
@@ -277,11 +278,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the call of a stand-in")
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+a.String()+path, bytes.NewReader(b))
+	req, err := http.NewRequestWithContext(ctx, method, scheme(l.conf.UpstreamTLS)+a.String()+path, bytes.NewReader(b))
 	if err != nil {
 		return errors.Wrap(err, "make the call of a stand-in")
 	}
-	resp, err := l.client.Do(req)
+	resp, err := l.standIns.Do(req)
 	if err != nil {
 		return errors.Wrapf(err, "call stand-in %s", a)
 	}
@@ -295,11 +296,18 @@
 	return errors.Wrapf(json.NewDecoder(resp.Body).Decode(out), "decode the answer of stand-in %s", a)
 }
 
-func (l *Loader) scheme() string {
-	if l.conf.TLS != nil {
-		return "https"
+func newClient(conf *tls.Config, idle int) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig: conf, ForceAttemptHTTP2: true, MaxIdleConnsPerHost: idle, IdleConnTimeout: time.Minute,
+	}}
+}
+
+// scheme returns the start of a URL.
+func scheme(conf *tls.Config) string {
+	if conf != nil {
+		return "https://"
 	}
-	return "http"
+	return "http://"
 }
 
 func (l *Loader) keepToken(s *sender, token string) {
--- a/loader/sender.go
+++ b/loader/sender.go
@@ -166,7 +166,7 @@
 			body = nil
 		}
 	}
-	url := s.l.scheme() + "://" + s.l.conf.Entries[entry].String() + path
+	url := scheme(s.l.conf.TLS) + s.l.conf.Entries[entry].String() + path
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "make the request")
