Write the key files of the process test once

Cause: the file was written anew before each start, so that a process that had just started could read it while it was empty; one run in ten hung for that reason.

--- a/demonstrator/process_test.go
+++ b/demonstrator/process_test.go
@@ -115,9 +115,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	p := &processes{fleet: f, cluster: c, keys: filepath.Join(folder, "session.keys"), opkeys: filepath.Join(folder, "operator.keys")}
 	Expect(os.WriteFile(p.opkeys, []byte(operatorKey), 0o600)).To(Succeed())
+	key := hex.EncodeToString(c.hosts[0].set.SessionKeys[0])
+	Expect(os.WriteFile(p.keys, []byte(key), 0o600)).To(Succeed())
 	for i, n := range c.hosts {
-		key := hex.EncodeToString(n.set.SessionKeys[0])
-		Expect(os.WriteFile(p.keys, []byte(key), 0o600)).To(Succeed())
 		p.hosts = append(p.hosts, &process{set: n.set})
 		for _, addr := range []netip.AddrPort{n.set.Callers, n.set.Operators, n.set.Peers} {
 			Expect(c.listeners[addr].Close()).To(Succeed())
