Put the load behind a balancer's view of the entries and check billed prices

A request whose connection cannot be opened goes to the next entry, as behind a load balancer, and entries that are not ready get no new requests. The HTTP client no longer repeats bookings by itself (it does for requests with an idempotency key), which hid outcomes from the audit. Counts are read incrementally.

--- a/cmd/foxtailwall/load.go
+++ b/cmd/foxtailwall/load.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/netip"
@@ -214,10 +213,9 @@
 	if path == "" {
 		return nil, nil
 	}
-	b, err := os.ReadFile(path)
-	pool := x509.NewCertPool()
-	if err != nil || !pool.AppendCertsFromPEM(b) {
-		return nil, &settingError{"ca", path, "a readable file with PEM certificates"}
+	pool, err := certificatesSetting("ca", path)
+	if err != nil {
+		return nil, err
 	}
 	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
 }
--- a/cmd/foxtailwall/setting.go
+++ b/cmd/foxtailwall/setting.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"crypto/x509"
 	"fmt"
 	"net/netip"
+	"os"
 )
 
 // settingError names a setting whose value is not allowed.
@@ -41,3 +43,13 @@
 	}
 	return out, nil
 }
+
+// certificatesSetting reads a file with PEM certificates.
+func certificatesSetting(name, path string) (*x509.CertPool, error) {
+	b, err := os.ReadFile(path)
+	pool := x509.NewCertPool()
+	if err != nil || !pool.AppendCertsFromPEM(b) {
+		return nil, &settingError{name, path, "a readable file with PEM certificates"}
+	}
+	return pool, nil
+}
--- a/cmd/foxtailwall/standin.go
+++ b/cmd/foxtailwall/standin.go
@@ -55,6 +55,7 @@
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "address to listen on", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LISTEN")},
 			&cli.StringFlag{Name: "cert", Usage: "certificate file; with --key it serves TLS", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_CERT")},
 			&cli.StringFlag{Name: "key", Usage: "key file", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_KEY")},
+			&cli.StringFlag{Name: "client-ca", Usage: "file with the certificates that clients must be signed by", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_CLIENT_CA")},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all randomness", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_SEED")},
 			&cli.StringSliceFlag{Name: "version", Usage: "version loaded at the start, MODEL/VERSION=QUALITY", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_VERSION")},
 			&cli.StringSliceFlag{Name: "loadable", Usage: "version that orders may load, MODEL/VERSION=QUALITY", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LOADABLE")},
@@ -176,5 +177,12 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "load --cert and --key")
 	}
-	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}, nil
+	conf := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13}
+	if path := c.String("client-ca"); path != "" {
+		if conf.ClientCAs, err = certificatesSetting("client-ca", path); err != nil {
+			return nil, err
+		}
+		conf.ClientAuth = tls.RequireAndVerifyClientCert
+	}
+	return conf, nil
 }
--- a/emulator/engine_test.go
+++ b/emulator/engine_test.go
@@ -159,6 +159,25 @@
 		}
 	})
 
+	// Guards against stray answers that never reach the client.
+	It("sends the previous answer unasked on command", func() {
+		serve(emulator.EngineConfig{})
+		conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		post("a", "mine", false)
+		Expect(e.SetFault(emulator.Fault{Kind: emulator.FaultStray})).To(Succeed())
+		body := chat("yours", 4, false)
+		fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n%s: b\r\nContent-Length: %d\r\n\r\n%s",
+			emulator.HeaderRequest, len(body), body)
+		all, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		parts := strings.Split(string(all), "HTTP/1.1 200 OK")
+		Expect(parts).To(HaveLen(3))
+		Expect(parts[1]).To(ContainSubstring(emulator.Digest("yours")))
+		Expect(parts[2]).To(And(ContainSubstring(emulator.Digest("mine")), ContainSubstring(emulator.HeaderRequest+": a")))
+	})
+
 	// Guards against a bad version that goes on passing, or one that cannot
 	// be told from the good one in the counts.
 	It("turns a version bad on command", func() {
--- a/loader/audit.go
+++ b/loader/audit.go
@@ -30,6 +30,8 @@
 		// ConfigBound is the time within which an accepted configuration must
 		// be in force on every host.
 		ConfigBound time.Duration
+		// Prices, if set, are checked against the cost of billed steps.
+		Prices map[declarer.VersionRef]declarer.Price
 	}
 
 	// Audit checks the promises of docs/design.md, section 2, from what
--- a/loader/bill.go
+++ b/loader/bill.go
@@ -4,13 +4,14 @@
 	"slices"
 
 	"foxtailwall/biller"
+	"foxtailwall/declarer"
 	"foxtailwall/emulator"
 	"foxtailwall/refuser"
 )
 
 // checkBills compares the ledger with the answers and the runs: a whole answer
-// is billed once, to the caller's member, for steps that engines ran; a request
-// refused as not run is not billed.
+// is billed once, to the caller's member, for steps that engines ran and at
+// their prices; a request refused as not run is not billed.
 func (a *Audit) checkBills(v *Verdict, x index) {
 	c := &v.Promises[3]
 	ledger := make(map[string][]biller.Record, len(a.ledger))
@@ -34,7 +35,7 @@
 		case r.Answered && len(bills) == 0:
 			v.BillsMissing++
 			c.note(true, "request %d (%v) was answered and has no bill", r.Index, ids)
-		case r.wrongBill(bills, x):
+		case r.wrongBill(bills, x) || a.wrongPrice(bills):
 			v.BillsWrong++
 			c.note(true, "request %d (%v) of %s/%s has a wrong bill: %+v", r.Index, ids, r.Workspace.Name, r.Member.Name, bills[0])
 		default:
@@ -43,6 +44,28 @@
 	}
 }
 
+// wrongPrice reports whether a bill is not the sum of its steps at the prices
+// of their versions.
+func (a *Audit) wrongPrice(bills []biller.Record) bool {
+	if a.conf.Prices == nil {
+		return false
+	}
+	for _, b := range bills {
+		if len(b.Steps) == 0 {
+			continue // a call of a plain service
+		}
+		sum := int64(0)
+		for _, s := range b.Steps {
+			p := a.conf.Prices[declarer.VersionRef{Model: s.Model, Version: s.Version}]
+			sum += s.InputTokens*p.InputNanos + s.OutputTokens*p.OutputNanos
+		}
+		if b.CostNanos != sum {
+			return true
+		}
+	}
+	return false
+}
+
 // ids returns the request IDs of the attempts, without repetition.
 func (r *Result) ids() []string {
 	var out []string
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -33,8 +33,13 @@
 	Config struct {
 		Clock timekeeper.Clock
 		Seed  uint64
-		// Entries are the addresses of the entry hosts.
+		// Entries are the addresses of the entry hosts. As behind a load
+		// balancer, a request whose connection cannot be opened goes to the
+		// next one.
 		Entries []netip.AddrPort
+		// Ready says whether an entry may get new requests, as a load balancer
+		// knows from its probes; nil means always.
+		Ready func(netip.AddrPort) bool
 		// TLS is used towards entries if it is not nil.
 		TLS *tls.Config
 		Mix Mix
@@ -96,6 +101,16 @@
 		tokens map[string]sessionToken
 		epochs map[string]int
 		failed []string
+		// read holds what Collect has read from each stand-in, seen the runs
+		// of services, which replicas with a common book list alike.
+		read map[netip.AddrPort]position
+		seen map[emulator.ServiceRun]bool
+	}
+
+	// position is how much of the counts of a stand-in was read.
+	position struct {
+		runs int64
+		late int
 	}
 
 	// sessionToken is the newest token of a session and the name of the
@@ -128,10 +143,11 @@
 		conf: conf, clock: conf.Clock, audit: conf.Audit,
 		rng:    rand.New(rand.NewPCG(conf.Seed, 1)),
 		tokens: make(map[string]sessionToken), epochs: make(map[string]int),
+		read: make(map[netip.AddrPort]position), seen: make(map[emulator.ServiceRun]bool),
 		client: newClient(conf.TLS, conf.InFlight), standIns: newClient(conf.UpstreamTLS, 1),
 	}
 	if l.audit == nil {
-		l.audit = NewAudit(AuditConfig{})
+		l.audit = NewAudit(AuditConfig{Prices: conf.Prices})
 	}
 	return l
 }
@@ -238,31 +254,42 @@
 	l.flying--
 }
 
-// Collect reads what the upstreams ran into the audit.
+// Collect reads what the upstreams ran since the last call into the audit. Call
+// it after the run, and before a stand-in ends during it.
 func (l *Loader) Collect(ctx context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	for _, a := range l.conf.Engines {
 		var b emulator.RanBody
-		if err := l.call(ctx, a, http.MethodGet, "/ran", nil, &b); err != nil {
+		if err := l.call(ctx, a, http.MethodGet, l.ranPath(a), nil, &b); err != nil {
 			return err
 		}
-		l.audit.Engine(b.Runs, b.LateWork)
+		l.audit.Engine(b.Runs, l.advance(a, b.Next, b.LateWork))
 	}
-	seen := make(map[emulator.ServiceRun]bool)
 	for _, a := range l.conf.Services {
 		var b emulator.ServiceRanBody
-		if err := l.call(ctx, a, http.MethodGet, "/ran", nil, &b); err != nil {
+		if err := l.call(ctx, a, http.MethodGet, l.ranPath(a), nil, &b); err != nil {
 			return err
 		}
-		// Replicas that share a book list the same runs.
-		runs := slices.DeleteFunc(b.Runs, func(r emulator.ServiceRun) bool { return seen[r] })
+		runs := slices.DeleteFunc(b.Runs, func(r emulator.ServiceRun) bool { return l.seen[r] })
 		for _, r := range runs {
-			seen[r] = true
+			l.seen[r] = true
 		}
-		l.audit.Service(runs, b.LateWork)
+		l.audit.Service(runs, l.advance(a, b.Next, b.LateWork))
 	}
 	return nil
 }
 
+func (l *Loader) ranPath(a netip.AddrPort) string { return fmt.Sprint("/ran?after=", l.read[a].runs) }
+
+// advance notes what was read and returns the late work that is new. A
+// stand-in that has left again lists its late work anew.
+func (l *Loader) advance(a netip.AddrPort, runs int64, late []time.Duration) []time.Duration {
+	n := min(l.read[a].late, len(late))
+	l.read[a] = position{runs, len(late)}
+	return late[n:]
+}
+
 func (l *Loader) setFault(ctx context.Context, f TimedFault) error {
 	if f.Fault.Kind == emulator.FaultLeave {
 		l.audit.Left()
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -40,6 +40,7 @@
 	noBill      defect = "forgets a bill"
 	twoBills    defect = "bills under two IDs"
 	otherPayer  defect = "bills another member"
+	wrongPrice  defect = "bills the wrong price"
 	noSuchStep  defect = "bills a step that did not run"
 	foreign     defect = "returns the previous answer"
 	partial     defect = "drops a word of a stream"
@@ -126,6 +127,12 @@
 
 func (e *entry) bill(id, workspace, member, version string, model, bad bool) {
 	rec := biller.Record{ID: id, Workspace: workspace, Member: member, CostNanos: 1}
+	if model {
+		rec.CostNanos = 0
+	}
+	if model && bad && e.defect == wrongPrice {
+		rec.Steps, rec.CostNanos = []biller.Step{{Model: "m", Version: version}}, 1
+	}
 	if model && bad && e.defect == noSuchStep {
 		rec.Steps = []biller.Step{{Model: "m", Version: version, InputTokens: 1, OutputTokens: 1 << 20}}
 	}
@@ -140,6 +147,13 @@
 	e.ledger = append(e.ledger, rec)
 }
 
+// closed returns an address on which nobody listens.
+func closed() netip.AddrPort {
+	s := httptest.NewServer(nil)
+	defer s.Close()
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
 var _ = Describe("Loader", func() {
 	// Guards against an audit that misses a broken promise, or that reports
 	// one for a router that keeps them all.
@@ -167,13 +181,13 @@
 				allowed = nil
 			}
 			conf := loader.Config{
-				Seed: seed, Entries: []netip.AddrPort{entryAddr}, Mix: loader.Cooperative(), Rate: 2000, Count: 150, Duration: time.Minute,
+				Seed: seed, Entries: []netip.AddrPort{closed(), entryAddr}, Mix: loader.Cooperative(), Rate: 2000, Count: 150, Duration: time.Minute,
 				Engines: []netip.AddrPort{engineAddr}, Services: []netip.AddrPort{serviceAddr},
 				Workspaces: []loader.Workspace{{
 					Name: "w", Weight: 1, Service: "laser", Allowed: allowed,
 					Members: []loader.Member{{Name: "a", Key: "key-w/a"}, {Name: "b", Key: "key-w/b"}},
 				}},
-				Audit: loader.NewAudit(loader.AuditConfig{LeaveGrace: time.Nanosecond}),
+				Audit: loader.NewAudit(loader.AuditConfig{LeaveGrace: time.Nanosecond, Prices: map[declarer.VersionRef]declarer.Price{}}),
 			}
 			if d == lateWork {
 				conf.Faults = []loader.TimedFault{{Name: "leave", Target: engineAddr, Fault: emulator.Fault{Kind: emulator.FaultLeave}}}
@@ -181,6 +195,7 @@
 			l := loader.New(conf)
 			Expect(l.Run(ctx)).To(Succeed())
 			Expect(l.Collect(ctx)).To(Succeed())
+			Expect(l.Collect(ctx)).To(Succeed(), "a second time adds nothing")
 			l.Audit().Ledger(e.ledger)
 			rep := l.Report()
 			Expect(rep.Requests).To(Equal(150))
@@ -209,6 +224,7 @@
 		Entry(string(noBill), noBill, 4),
 		Entry(string(twoBills), twoBills, 4),
 		Entry(string(otherPayer), otherPayer, 4),
+		Entry(string(wrongPrice), wrongPrice, 4),
 		Entry(string(noSuchStep), noSuchStep, 4),
 		Entry(string(foreign), foreign, 5),
 		Entry(string(partial), partial, 5),
--- a/loader/sender.go
+++ b/loader/sender.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -133,13 +134,10 @@
 		case <-ctx.Done():
 		}
 	})
-	req, err := s.request(ctx, entry, accept)
+	resp, err := s.open(ctx, &a, accept)
 	if err == nil {
-		var resp *http.Response
-		if resp, err = s.l.client.Do(req); err == nil {
-			err = s.read(resp, &a)
-			resp.Body.Close()
-		}
+		err = s.read(resp, &a)
+		resp.Body.Close()
 	}
 	a.Ended = s.l.clock.Now()
 	if err != nil {
@@ -148,6 +146,29 @@
 	return a
 }
 
+// open sends the request to the first entry, from that of the attempt on, that
+// is ready and accepts a connection.
+func (s *sender) open(ctx context.Context, a *Attempt, accept bool) (resp *http.Response, err error) {
+	n := len(s.l.conf.Entries)
+	for i := range n {
+		entry := (a.Entry + i) % n
+		if ready := s.l.conf.Ready; ready != nil && !ready(s.l.conf.Entries[entry]) && i < n-1 {
+			continue
+		}
+		var req *http.Request
+		if req, err = s.request(ctx, entry, accept); err != nil {
+			return nil, err
+		}
+		resp, err = s.l.client.Do(req)
+		var op *net.OpError
+		if err == nil || !errors.As(err, &op) || op.Op != "dial" {
+			a.Entry = entry
+			return resp, err
+		}
+	}
+	return nil, err
+}
+
 func (s *sender) request(ctx context.Context, entry int, accept bool) (*http.Request, error) {
 	method, path := http.MethodPost, "/v1/chat/completions"
 	body := []byte(s.r.Prompt)
@@ -171,6 +192,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "make the request")
 	}
+	// Without GetBody the client does not send a request again by itself, which
+	// it does for one with an idempotency key: the caller has to see each
+	// outcome.
+	req.GetBody = nil
 	s.headers(req.Header, accept)
 	return req, nil
 }
