--- a/emulator/chat.go
+++ b/emulator/chat.go
@@ -9,7 +9,8 @@
 	"strings"
 	"time"
 
-	"foxtailwall/declarer"
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailwall/timekeeper"
 )
 
@@ -147,7 +148,7 @@
 		v.Quality, v.ByKind = q, nil
 	}
 	pass := v.Passes(e.conf.Seed, digest, kind)
-	wk.answer = answer{digest: digest, salt: versionSalt(v.Ref()), n: wk.job.Output, pass: pass}
+	wk.answer = answer{digest: digest, salt: xxhash.Sum64String(v.Ref().String()), n: wk.job.Output, pass: pass}
 	wk.run = Run{
 		RequestID: r.Header.Get(HeaderRequest), Digest: digest, Engine: e.conf.Name, Model: v.Model,
 		Version: v.Version, Kind: kind, Input: wk.job.Prompt, Resumed: wk.job.Skip, Pass: pass, Bad: bad,
@@ -355,14 +356,6 @@
 	return n, nil
 }
 
-func versionSalt(r declarer.VersionRef) uint64 {
-	var h uint64 = 14695981039346656037 // FNV offset basis
-	for _, b := range []byte(r.String()) {
-		h = (h ^ uint64(b)) * 1099511628211 // FNV prime
-	}
-	return h
-}
-
 func writeEvent(w http.ResponseWriter, c completion) {
 	b, err := json.Marshal(c)
 	if err != nil {
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -45,7 +45,7 @@
 		router *httprouter.Router
 
 		mu    sync.Mutex
-		lists []hostsBody // oldest first; the last one is the truth
+		lists []hostsBody // oldest first; the last one is current
 		down  bool
 	}
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -190,6 +190,8 @@
 				Audit: loader.NewAudit(loader.AuditConfig{LeaveGrace: time.Nanosecond, Prices: map[declarer.VersionRef]declarer.Price{}}),
 			}
 			if d == lateWork {
+				// The timed fault alone might come after the last request.
+				Expect(engine.SetFault(emulator.Fault{Kind: emulator.FaultLeave})).To(Succeed())
 				conf.Faults = []loader.TimedFault{{Name: "leave", Target: engineAddr, Fault: emulator.Fault{Kind: emulator.FaultLeave}}}
 			}
 			l := loader.New(conf)
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -122,6 +123,33 @@
 })
 
 var _ = Describe("Recorder", func() {
+	// Guards against losing what was counted between the last line and the
+	// end of the process.
+	It("records at each interval and at the end", func(ctx SpecContext) {
+		path := filepath.Join(GinkgoT().TempDir(), "counters.jsonl")
+		clock, scope := timekeeper.NewFake(t0), counter.NewTest("foxtailwall")
+		rec := &reporter.Recorder{Scope: scope, Clock: clock, Host: "a", Path: path}
+		run, stop := context.WithCancel(ctx)
+		done := make(chan error)
+		go func() { done <- rec.Run(run) }()
+		for range 2 {
+			Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+			scope.Counter("router.requests", "workspace", "w").Inc(1)
+			clock.Advance(time.Minute)
+		}
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		scope.Counter("router.requests", "workspace", "w").Inc(1)
+		stop()
+		Expect(<-done).To(Succeed())
+		b, err := os.ReadFile(path)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Count(b, []byte("\n"))).To(Equal(3))
+		s := &reporter.Series{}
+		Expect(s.Read(bytes.NewReader(b))).To(Succeed())
+		rep := reporter.Make(s, []reporter.Objective{objective}, s.End())
+		Expect(rep.Burns[0].Windows[1].Total).To(Equal(3.0))
+	}, NodeTimeout(20*time.Second))
+
 	// Guards against a record from which the growth cannot be computed again,
 	// across a restart and a full file.
 	It("writes what Make reads", func() {
