--- /dev/null
+++ b/relayer/delta.go
@@ -0,0 +1,149 @@
+package relayer
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"foxtailwall/declarer"
+)
+
+type (
+	// Delta is the difference between two views, by declaration.
+	Delta struct {
+		Base        uint64                       `cbor:"base"`
+		Workspaces  *change[declarer.Workspace]  `cbor:"workspaces,omitempty"`
+		Models      *change[declarer.Model]      `cbor:"models,omitempty"`
+		Services    *change[declarer.Service]    `cbor:"services,omitempty"`
+		Upstreams   *change[declarer.Upstream]   `cbor:"upstreams,omitempty"`
+		Rollouts    *change[declarer.Rollout]    `cbor:"rollouts,omitempty"`
+		Withdrawals *change[declarer.Withdrawal] `cbor:"withdrawals,omitempty"`
+		Retention   *declarer.Retention          `cbor:"retention,omitempty"`
+		Progress    *change[declarer.Progress]   `cbor:"progress,omitempty"`
+		Quarantined *change[declarer.VersionRef] `cbor:"quarantined,omitempty"`
+	}
+
+	// change lists the declarations that are new or different, and the keys
+	// of those that are gone.
+	change[T any] struct {
+		Set    []T      `cbor:"set,omitempty"`
+		Remove []string `cbor:"remove,omitempty"`
+	}
+)
+
+var canonical = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortBytewiseLexical, Time: cbor.TimeRFC3339Nano}.EncMode()
+	if err != nil {
+		panic(err) // The options are constants, so this is a programming error.
+	}
+	return m
+}()
+
+func workspaceKey(v declarer.Workspace) string   { return v.Name }
+func modelKey(v declarer.Model) string           { return v.Name }
+func serviceKey(v declarer.Service) string       { return v.Name }
+func upstreamKey(v declarer.Upstream) string     { return v.Name }
+func rolloutKey(v declarer.Rollout) string       { return v.Model + "/" + v.Version }
+func withdrawalKey(v declarer.Withdrawal) string { return v.Model + "/" + v.Version }
+func progressKey(v declarer.Progress) string     { return v.Model + "/" + v.Version }
+
+// Diff returns what changes old into next. Both are sorted as by Sorted.
+func Diff(old, next declarer.View) *Delta {
+	a, b := &old.Config, &next.Config
+	d := &Delta{
+		Base:        old.Version,
+		Workspaces:  diff(a.Workspaces, b.Workspaces, workspaceKey),
+		Models:      diff(a.Models, b.Models, modelKey),
+		Services:    diff(a.Services, b.Services, serviceKey),
+		Upstreams:   diff(a.Upstreams, b.Upstreams, upstreamKey),
+		Rollouts:    diff(a.Rollouts, b.Rollouts, rolloutKey),
+		Withdrawals: diff(a.Withdrawals, b.Withdrawals, withdrawalKey),
+		Progress:    diff(old.Progress, next.Progress, progressKey),
+		Quarantined: diff(old.Quarantined, next.Quarantined, declarer.VersionRef.String),
+	}
+	if a.Retention != b.Retention {
+		d.Retention = &b.Retention
+	}
+	return d
+}
+
+// patch returns the view with the given version that d makes of old.
+func (d *Delta) patch(old declarer.View, version uint64) declarer.View {
+	c := old.Config
+	v := declarer.View{
+		Version: version,
+		Config: declarer.Config{
+			Workspaces:  patch(c.Workspaces, d.Workspaces, workspaceKey),
+			Models:      patch(c.Models, d.Models, modelKey),
+			Services:    patch(c.Services, d.Services, serviceKey),
+			Upstreams:   patch(c.Upstreams, d.Upstreams, upstreamKey),
+			Rollouts:    patch(c.Rollouts, d.Rollouts, rolloutKey),
+			Withdrawals: patch(c.Withdrawals, d.Withdrawals, withdrawalKey),
+			Retention:   c.Retention,
+		},
+		Progress:    patch(old.Progress, d.Progress, progressKey),
+		Quarantined: patch(old.Quarantined, d.Quarantined, declarer.VersionRef.String),
+	}
+	if d.Retention != nil {
+		v.Config.Retention = *d.Retention
+	}
+	return v
+}
+
+// Sorted returns v with its lists in the order of their keys, which the
+// lists need for Diff. The lists of v itself are left alone.
+func Sorted(v declarer.View) declarer.View {
+	return (&Delta{}).patch(v, v.Version)
+}
+
+// digest identifies the content of a sorted view.
+func digest(v declarer.View) (uint64, error) {
+	b, err := canonical.Marshal(v)
+	return xxhash.Sum64(b), err
+}
+
+func diff[T any](old, next []T, key func(T) string) *change[T] {
+	was := make(map[string]T, len(old))
+	for _, v := range old {
+		was[key(v)] = v
+	}
+	var c change[T]
+	for _, v := range next {
+		k := key(v)
+		if o, ok := was[k]; !ok || !reflect.DeepEqual(o, v) {
+			c.Set = append(c.Set, v)
+		}
+		delete(was, k)
+	}
+	for k := range was {
+		c.Remove = append(c.Remove, k)
+	}
+	slices.Sort(c.Remove)
+	if len(c.Set) == 0 && len(c.Remove) == 0 {
+		return nil
+	}
+	return &c
+}
+
+func patch[T any](old []T, c *change[T], key func(T) string) []T {
+	out := slices.Clone(old)
+	if c != nil {
+		gone := make(map[string]bool, len(c.Set)+len(c.Remove))
+		for _, v := range c.Set {
+			gone[key(v)] = true
+		}
+		for _, k := range c.Remove {
+			gone[k] = true
+		}
+		out = slices.DeleteFunc(out, func(v T) bool { return gone[key(v)] })
+		out = append(out, c.Set...)
+	}
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(key(a), key(b)) })
+	if len(out) == 0 {
+		return nil
+	}
+	return out
+}
