Add the governor of rollouts and quarantines

The control leader turns the zones' reports into steps of rollouts and into quarantines; the state machine refuses what does not follow. A new leader takes over the progress and the quarantines from the log.

--- /dev/null
+++ b/governor/governor_test.go
@@ -0,0 +1,178 @@
+package governor_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+	"foxtailwall/declarer"
+	"foxtailwall/governor"
+	"foxtailwall/relayer"
+	"foxtailwall/timekeeper"
+)
+
+const seed = 5
+
+func TestGovernor(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "governor")
+}
+
+// fixture is a state machine behind a governor that always leads.
+type fixture struct {
+	clock   *timekeeper.Fake
+	machine *controller.Machine
+	gov     *governor.Governor
+	index   uint64
+	rng     *rand.Rand
+	term    uint64
+}
+
+func newFixture(conf declarer.Config) *fixture {
+	f := &fixture{
+		clock: timekeeper.NewFake(time.Unix(1e9, 0).UTC()), machine: controller.New(nil),
+		rng: rand.New(rand.NewPCG(seed, seed)), term: 1,
+	}
+	f.lead()
+	change, err := controller.NewApply("north", "first", 0, conf)
+	Expect(err).NotTo(HaveOccurred())
+	a, err := f.propose(context.Background(), controller.Item{Apply: &change})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(a.Apply.State).To(Equal(controller.Accepted))
+	return f
+}
+
+// lead makes a governor that has seen nothing, as a new leader has.
+func (f *fixture) lead() {
+	f.term++
+	term := f.term
+	f.gov = governor.New(governor.Settings{
+		View: f.machine.View, Propose: f.propose, Clock: f.clock,
+		Leading: func() (uint64, bool) { return term, true },
+	})
+}
+
+func (f *fixture) propose(_ context.Context, it controller.Item) (controller.Answer, error) {
+	f.index++
+	cmd, err := controller.Encode(controller.Command{At: f.clock.Now(), Items: []controller.Item{it}})
+	if err != nil {
+		return controller.Answer{}, err
+	}
+	res, err := controller.Decode(f.machine.Apply(f.index, cmd))
+	if err != nil {
+		return controller.Answer{}, err
+	}
+	return res.Answers[0], nil
+}
+
+// second passes a second in which the version gets n requests, all rated, with
+// the given pass rate.
+func (f *fixture) second(ref declarer.VersionRef, n int64, quality float64) {
+	passed := int64(0)
+	for range n {
+		if f.rng.Float64() < quality {
+			passed++
+		}
+	}
+	f.gov.Take([]relayer.Report{{Model: ref.Model, Version: ref.Version, Requests: n, Rated: n, Passed: passed}})
+	f.clock.Advance(time.Second)
+	f.gov.Step(context.Background())
+}
+
+func (f *fixture) progress() declarer.Progress {
+	Expect(f.machine.View().Progress).To(HaveLen(1))
+	return f.machine.View().Progress[0]
+}
+
+func config(rollout bool) declarer.Config {
+	b := declarer.New("north")
+	b.Model("m", "model", "v1").
+		Version("v1", declarer.Price{}, 0.8).Version("v2", declarer.Price{}, 0.8)
+	b.Workspace("w", "the only user").Allow("m")
+	if rollout {
+		b.Rollout("m", "v2", "newer").
+			Guard(declarer.Guard{MinQuality: 0.7}).
+			Stages(declarer.Stage{Share: 0.1, Soak: 5 * time.Second, Budget: 400}, declarer.Stage{Share: 1, Soak: 5 * time.Second, Budget: 4000})
+	}
+	return b.Config()
+}
+
+var _ = Describe("Governor", func() {
+	v1 := declarer.VersionRef{Model: "m", Version: "v1"}
+	v2 := declarer.VersionRef{Model: "m", Version: "v2"}
+
+	// Guards against a good version that is never promoted.
+	It("carries a good version through all stages", func() {
+		f := newFixture(config(true))
+		for range 40 {
+			f.second(v2, 20, 0.85)
+		}
+		Expect(f.progress().State).To(Equal(declarer.RolloutDone))
+	})
+
+	// Guards against a bad version that spends more requests than the guard
+	// needs to see it.
+	It("halts a bad version within its exposure budget", func() {
+		f := newFixture(config(true))
+		sent := 0
+		for f.progress().State == declarer.RolloutRunning && sent < 400 {
+			f.second(v2, 10, 0.3)
+			sent += 10
+		}
+		Expect(f.progress().State).To(Equal(declarer.RolloutHalted))
+		Expect(sent).To(BeNumerically("<", 400))
+	})
+
+	// Guards against a rollout that stops half-way when its leader dies, and
+	// against a new leader that forgets the stage.
+	It("goes on under a new leader", func() {
+		f := newFixture(config(true))
+		for f.progress().Stage == 0 {
+			f.second(v2, 20, 0.85)
+		}
+		f.lead()
+		for range 40 {
+			f.second(v2, 20, 0.85)
+			Expect(f.progress().Stage).To(Equal(1))
+		}
+		Expect(f.progress().State).To(Equal(declarer.RolloutDone))
+	})
+
+	// Guards against a version that turns bad after its rollout and stays in
+	// use, and against a model that is left without any version.
+	It("quarantines a version that turns bad, but not the last one", func() {
+		f := newFixture(config(false))
+		for range 60 {
+			f.second(v1, 20, 0.8)
+		}
+		Expect(f.machine.View().Quarantined).To(BeEmpty())
+		for range 30 {
+			f.second(v1, 20, 0.2)
+		}
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		for range 30 {
+			f.second(v2, 20, 0.2)
+		}
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+	})
+
+	// Guards against a quarantine that never ends because the leader that
+	// decided on it is gone, and against one that ends at once.
+	It("returns a quarantined version after its hold, also under a new leader", func() {
+		f := newFixture(config(false))
+		for range 30 {
+			f.second(v1, 20, 0.2)
+		}
+		f.lead()
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		f.clock.Advance(time.Hour)
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(BeEmpty())
+	})
+})
