--- a/relayer/holder.go
+++ b/relayer/holder.go
@@ -125,6 +125,7 @@
 	switch {
 	case u.Full != nil:
 		next = *u.Full
+		next.Version = u.Version
 	case u.Delta != nil && u.Delta.Base == cur.view.Version:
 		next = u.Delta.patch(cur.view, u.Version)
 	case u.Delta != nil:
@@ -136,7 +137,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the view")
 	}
-	if d != u.Digest || next.Version != u.Version {
+	if u.Delta != nil && d != u.Digest {
 		return &BaseError{Have: cur.view.Version, Base: u.Version}
 	}
 	h.store(next)
