--- a/controller/changes.go
+++ b/controller/changes.go
@@ -26,7 +26,7 @@
 )
 
 type (
-	// ref names a declaration. A roll-out has the name of its model, since a
+	// ref names a declaration. A rollout has the name of its model, since a
 	// model has one at most.
 	ref struct{ kind, name string }
 
--- a/controller/configure.go
+++ b/controller/configure.go
@@ -78,7 +78,7 @@
 	Declared struct {
 		// Version is the base for the next change.
 		Version uint64
-		// Config is the configuration without the outcome of roll-outs.
+		// Config is the configuration without the outcome of rollouts.
 		Config declarer.Config
 	}
 
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller is the deterministic state machine on the replicated log
-// of the control group: the configuration and who changed it, roll-outs,
+// of the control group: the configuration and who changed it, rollouts,
 // quarantines, claims, session pins, the ledger and the ownership of engines.
 //
 // Every log entry is a Command with one or more items. The leader stamps it
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -39,7 +39,7 @@
 		touched bool
 
 		// raw and config are the configuration as declared; view.Config has
-		// the stable versions of finished roll-outs filled in.
+		// the stable versions of finished rollouts filled in.
 		raw           []byte
 		config        declarer.Config
 		configVersion uint64
--- a/controller/machine_test.go
+++ b/controller/machine_test.go
@@ -247,6 +247,7 @@
 		b.at = b.at.Add(controller.DefaultPinRetention)
 		Expect(pin("v9")).To(Equal("v2"))
 		b.at = b.at.Add(time.Minute)
+		b.do(controller.Item{Prune: &controller.Prune{}})
 		Expect(pin("v9")).To(Equal("v2"), "the use a minute ago counts")
 		b.at = b.at.Add(controller.DefaultPinRetention + time.Second)
 		b.do(controller.Item{Prune: &controller.Prune{}})
--- a/controller/rollout.go
+++ b/controller/rollout.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// Advance moves a roll-out to its next stage.
+	// Advance moves a rollout to its next stage.
 	Advance PromoteAction = "advance"
-	// Halt ends a roll-out and rolls it back.
+	// Halt ends a rollout and rolls it back.
 	Halt PromoteAction = "halt"
 	// Done makes the version the stable one of its model.
 	Done PromoteAction = "done"
 	// Spend records the requests that the stage has spent.
 	Spend PromoteAction = "spend"
 
-	// firstShare is the share of the first stage of a roll-out that declares
+	// firstShare is the share of the first stage of a rollout that declares
 	// no stages.
 	firstShare = 0.01
 
@@ -27,10 +27,10 @@
 )
 
 type (
-	// PromoteAction is a step of a roll-out.
+	// PromoteAction is a step of a rollout.
 	PromoteAction string
 
-	// Promote asks for a step of a roll-out. It names the stage it was
+	// Promote asks for a step of a rollout. It names the stage it was
 	// decided on, so that a step that arrives late or twice does nothing.
 	Promote struct {
 		Model   string        `cbor:"model"`
@@ -40,7 +40,7 @@
 		// zero Since matches any.
 		Stage int       `cbor:"stage"`
 		Since time.Time `cbor:"since"`
-		// Share is that of the next stage, for a roll-out without declared
+		// Share is that of the next stage, for a rollout without declared
 		// stages.
 		Share  float64 `cbor:"share,omitempty"`
 		Spent  int64   `cbor:"spent,omitempty"`
@@ -52,7 +52,7 @@
 		OK bool `cbor:"ok"`
 		// Reason says why the step was refused.
 		Reason string `cbor:"reason,omitempty"`
-		// Progress is the state of the roll-out after the step, or nil if the
+		// Progress is the state of the rollout after the step, or nil if the
 		// model has none.
 		Progress *declarer.Progress `cbor:"progress,omitempty"`
 	}
@@ -75,7 +75,7 @@
 )
 
 // effective returns the declared configuration with the versions of finished
-// roll-outs as stable.
+// rollouts as stable.
 func (m *Machine) effective() declarer.Config {
 	c := m.config
 	c.Models = slices.Clone(c.Models)
@@ -92,7 +92,7 @@
 	return c
 }
 
-// nextProgress returns the progress after a new configuration. A roll-out
+// nextProgress returns the progress after a new configuration. A rollout
 // whose declaration is unchanged goes on where it was; any other starts anew.
 func (m *Machine) nextProgress(s stamp, before map[ref]declaration) []declarer.Progress {
 	var out []declarer.Progress
@@ -114,7 +114,7 @@
 	return out
 }
 
-// rolloutFaults checks what depends on the progress: a roll-out belongs to the
+// rolloutFaults checks what depends on the progress: a rollout belongs to the
 // owner of its model, and the end of a finished one must not move the model
 // back to its old version.
 func (m *Machine) rolloutFaults(conf declarer.Config, next map[ref]declaration) []string {
@@ -144,7 +144,7 @@
 	return out
 }
 
-// promote makes a step of a roll-out if it is allowed from the current stage.
+// promote makes a step of a rollout if it is allowed from the current stage.
 func (m *Machine) promote(s stamp, p *Promote) *Promoted {
 	cur := m.progress(p.Model)
 	if cur == nil || cur.Version != p.Version {
@@ -160,7 +160,8 @@
 	return &Promoted{OK: true, Progress: &next}
 }
 
-// step returns the progress after p, or the reason why p is not allowed.
+// step returns the progress after p, or the reason why p is not allowed. The
+// rollout of a withdrawn version is halted since the withdrawal was accepted.
 func (m *Machine) step(cur declarer.Progress, p *Promote, at time.Time) (declarer.Progress, string) {
 	if cur.State == declarer.RolloutHalted && p.Action == Halt || cur.State == declarer.RolloutDone && p.Action == Done {
 		return cur, ""
@@ -171,8 +172,6 @@
 		return cur, fmt.Sprintf("the rollout is %s; declare a new one", cur.State)
 	case p.Stage != cur.Stage || !p.Since.IsZero() && !p.Since.Equal(cur.Since):
 		return cur, fmt.Sprintf("the rollout is at stage %d since %s by now", cur.Stage, cur.Since.Format(time.RFC3339Nano))
-	case p.Action != Halt && m.withdrawn(v):
-		return cur, reasonWithdrawn
 	case (p.Action == Advance || p.Action == Done) && slices.Contains(m.view.Quarantined, v):
 		return cur, "the version is quarantined"
 	}
