Distribute the configuration through relays and act on reports

Hosts follow the configuration through the relays of their zone and hold leases; polling of the control group is gone. Load reports, cache events, the platform's list and ratings are polled at a bounded rate and reach the picker, the monitor and the learner. Counts of each version go to the control leader, whose governor decides on rollouts and quarantines, and to watches of the host itself, which act while a zone is cut off.

--- a/hoster/control.go
+++ b/hoster/control.go
@@ -4,13 +4,16 @@
 	"context"
 	"net/netip"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
 	"foxtailwall/controller"
 	"foxtailwall/declarer"
+	"foxtailwall/governor"
 	"foxtailwall/journaler"
 	"foxtailwall/messenger"
+	"foxtailwall/relayer"
 	"foxtailwall/replicator"
 )
 
@@ -24,6 +27,9 @@
 		group     *replicator.Group
 		transport *messenger.GroupTransport
 		service   *messenger.ControlService
+		governor  *governor.Governor
+		// node is set once the host's part in the distribution is made.
+		node atomic.Pointer[relayer.Node]
 	}
 
 	// proposer adapts the replicated log to the control procedures.
@@ -52,7 +58,11 @@
 	messenger.HandleGroup(h.mux, c.group)
 	c.service = messenger.HandleControl(h.mux, messenger.ControlOptions{
 		Group: proposer{c.group}, Machine: c.machine, Clock: h.clock, Scope: h.scope,
-		Forward: messenger.Forwarding{Peer: h.peer},
+		Forward: messenger.Forwarding{Peer: h.peer}, Hosts: c.statuses,
+	})
+	c.governor = governor.New(governor.Settings{
+		View: c.machine.View, Leading: c.group.Leading, Clock: h.clock, Scope: h.scope, Log: h.log,
+		Propose: func(ctx context.Context, it controller.Item) (controller.Answer, error) { return h.client.Do(ctx, it) },
 	})
 	h.control = c
 	return nil
--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -30,6 +30,9 @@
 		clock   timekeeper.Clock
 		picker  *picker.Picker
 		monitor *monitor.Monitor
+		stats   *statistics
+		// suspect has an upstream's own report looked at before its turn.
+		suspect func(netip.AddrPort)
 
 		mu    sync.RWMutex
 		built uint64
@@ -169,6 +172,7 @@
 // Report implements router.Monitor. Ends that the caller or the router caused
 // say nothing about the upstream.
 func (r *replicas) Report(u *declarer.Upstream, o router.Observation) {
+	r.stats.served(o.Ref, o)
 	switch o.Fail {
 	case "":
 		r.monitor.Observe(u.Address, 0, monitor.Success)
@@ -179,7 +183,9 @@
 	case router.FailDeadline, router.FailCancelled, router.FailChecked:
 	default:
 		if o.Leaving {
-			r.monitor.Leaving(u.Address, 0)
+			// An overloaded upstream refuses in the same way, so its own
+			// report decides whether it is leaving.
+			r.suspect(u.Address)
 			return
 		}
 		r.monitor.Observe(u.Address, 0, monitor.Failure)
@@ -219,11 +225,12 @@
 type plans struct {
 	chooser *chooser.Chooser
 	learner *chooser.Learner
+	stats   *statistics
 }
 
-func newPlans(clock timekeeper.Clock, scope counter.Scope, seed uint64) *plans {
+func newPlans(clock timekeeper.Clock, scope counter.Scope, seed uint64, stats *statistics) *plans {
 	l := chooser.NewLearner(chooser.Settings{Clock: clock, Scope: scope, Seed: seed})
-	return &plans{chooser: chooser.New(l), learner: l}
+	return &plans{chooser: chooser.New(l), learner: l, stats: stats}
 }
 
 // Plan implements router.Chooser.
@@ -249,6 +256,7 @@
 
 // Ran implements router.Learner.
 func (p *plans) Ran(s router.StepRun) {
+	p.stats.ran(s.ID, s.Ref)
 	p.learner.Ran(s.ID, chooser.Run{
 		Workspace: s.Workspace, Kind: s.Kind, Ref: s.Ref, Step: s.Step,
 		InputTokens: s.Input, OutputTokens: s.Output, Took: s.Took,
@@ -259,7 +267,10 @@
 func (p *plans) Waited(kind declarer.Kind, inTime bool) { p.learner.Waited(kind, inTime) }
 
 // Learn implements router.Learner.
-func (p *plans) Learn(r router.RateRequest, v router.Rating) { p.learner.Rate(r.RequestID, v.Pass) }
+func (p *plans) Learn(r router.RateRequest, v router.Rating) {
+	p.learner.Rate(r.RequestID, v.Pass)
+	p.stats.rate(r.RequestID, v.Pass)
+}
 
 // candidates returns the versions that the router found usable. Quarantined
 // ones are among them only when their model has no other.
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/tls"
+	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -10,16 +12,27 @@
 	"foxtailwall/dialer"
 	"foxtailwall/limiter"
 	"foxtailwall/pinner"
+	"foxtailwall/poller"
 	"foxtailwall/router"
 	"foxtailwall/server"
 )
 
+const (
+	// ratingWait bounds the wait of a cascade for the rating of its cheap
+	// answer.
+	ratingWait = 300 * time.Millisecond
+	// idleReports is the time after which an unused connection for reports
+	// is closed.
+	idleReports = 30 * time.Second
+)
+
 // entry is the part of a host that takes callers' requests.
 type entry struct {
 	host      *Host
 	dialer    *dialer.Dialer
 	replicas  *replicas
 	plans     *plans
+	poller    *poller.Poller
 	server    *server.Server
 	callerTLS *tls.Config
 }
@@ -31,16 +44,23 @@
 	}
 	e := &entry{host: h}
 	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial})
+	stats := newStatistics(h.views.node, h.views.watches)
 	e.replicas = newReplicas(h.views, h.set.Zone, h.clock, h.scope, xxhash.Sum64String(h.set.Name))
+	e.replicas.stats = stats
 	sign := &pinner.Signer{Keys: h.set.SessionKeys, Clock: h.clock}
 	if err := sign.Check(); err != nil {
 		return err
 	}
-	e.plans = newPlans(h.clock, h.scope, xxhash.Sum64String(h.set.Name))
+	e.plans = newPlans(h.clock, h.scope, xxhash.Sum64String(h.set.Name), stats)
+	e.poller = poller.New(poller.Options{
+		Clock: h.clock, Scope: h.scope, Views: h.views, Sink: reports{e.replicas, e.plans},
+		Client: h.reportClient(), Platform: h.set.Platform, Rater: h.set.Rater,
+	})
+	e.replicas.suspect = e.poller.Suspect
 	r := router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
-		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{}, Chooser: e.plans, Learner: e.plans,
+		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{}, Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait,
 		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
 	var err error
@@ -53,6 +73,11 @@
 	return err
 }
 
+// reportClient returns the client for reports of upstreams.
+func (h *Host) reportClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: h.opts.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleReports}}
+}
+
 func (e *entry) serveCallers(context.Context) error {
 	l, err := e.host.listen("callers", e.host.set.Callers)
 	if err != nil {
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -174,13 +174,14 @@
 		{"peers port", h.servePeers},
 		{"control client", h.client.Run},
 		{"billing", h.bills.Run},
-		{"configuration", h.views.run},
+		{"configuration", h.views.node.Run},
+		{"own observation", h.views.run},
 	}
 	if h.control != nil {
-		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run})
+		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run}, duty{"governor", h.control.governor.Run})
 	}
 	if h.entry != nil {
-		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators}, duty{"health", h.entry.replicas.run})
+		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators}, duty{"health", h.entry.replicas.run}, duty{"reports of upstreams", h.entry.poller.Run})
 	}
 	return out
 }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -109,7 +109,9 @@
 }
 
 // IsControl reports whether the host is a member of the control group.
-func (s *Settings) IsControl() bool { return slices.Contains(s.Control, s.Name) }
+func (s *Settings) IsControl() bool { return s.isControl(s.Name) }
+
+func (s *Settings) isControl(name string) bool { return slices.Contains(s.Control, name) }
 
 // Spec returns the host with that name.
 func (s *Settings) Spec(name string) (Spec, bool) {
--- a/hoster/views.go
+++ b/hoster/views.go
@@ -2,40 +2,153 @@
 
 import (
 	"context"
-	"sync/atomic"
-	"time"
+	"path/filepath"
+	"sync"
 
 	"foxtailwall/declarer"
+	"foxtailwall/governor"
+	"foxtailwall/journaler"
 	"foxtailwall/messenger"
+	"foxtailwall/relayer"
 	"foxtailwall/timekeeper"
 )
 
-const pollInterval = 200 * time.Millisecond
+// viewFolder holds the view in force below the data folder.
+const viewFolder = "view"
 
+// views is the configuration in force on this host, less the versions that
+// this host has taken out of use by its own observation. It implements
+// router.Views.
 type views struct {
-	op      *messenger.Operator
+	node    *relayer.Node
 	clock   timekeeper.Clock
-	catalog atomic.Pointer[declarer.Catalog]
+	watches *governor.Watches
+
+	mu       sync.Mutex
+	isolated []declarer.VersionRef
+	base     *declarer.Catalog
+	overlaid *declarer.Catalog
 }
 
+// followViews makes this host's part in the distribution.
 func (h *Host) followViews() error {
-	h.views = &views{op: &messenger.Operator{Peers: h.controlPeers(), Clock: h.clock}, clock: h.clock}
+	opts := relayer.Options{
+		Host: relayer.Host{Name: h.set.Name, Zone: h.set.Zone, Control: h.set.IsControl()}, Clock: h.clock, Scope: h.scope, Log: h.log,
+		Transport: messenger.NewRelayTransport(h.peerTLS, messenger.WithDial(h.opts.Dial)),
+	}
+	own, _ := h.set.Spec(h.set.Name) // Validate has checked the name.
+	opts.Host.Addr = own.Addr
+	for _, s := range h.set.Hosts {
+		switch {
+		case h.set.isControl(s.Name):
+			opts.Control = append(opts.Control, s.Addr)
+		case s.Zone == h.set.Zone && s.Name != h.set.Name:
+			opts.Peers = append(opts.Peers, s.Addr)
+		}
+	}
+	if h.set.DataFolder != "" {
+		fs, err := journaler.NewOS(filepath.Join(h.set.DataFolder, viewFolder))
+		if err != nil {
+			return err
+		}
+		opts.FS = fs
+	}
+	if h.control != nil {
+		opts.Source, opts.Group, opts.OnReports = h.control.machine, h.control.group, h.control.governor.Take
+	}
+	node, err := relayer.NewNode(opts)
+	if err != nil {
+		return err
+	}
+	messenger.HandleRelay(h.mux, node)
+	if h.control != nil {
+		h.control.node.Store(node)
+	}
+	h.views = &views{node: node, clock: h.clock, watches: governor.NewWatches(h.clock)}
 	return nil
 }
 
-func (v *views) Catalog() *declarer.Catalog { return v.catalog.Load() }
+// Catalog implements router.Views.
+func (v *views) Catalog() *declarer.Catalog {
+	base := v.node.Holder().Catalog()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if base == nil || len(v.isolated) == 0 {
+		return base
+	}
+	if v.base != base {
+		v.base, v.overlaid = base, overlay(base, v.isolated)
+	}
+	return v.overlaid
+}
 
-func (v *views) Leased() bool { return v.catalog.Load() != nil }
+// Leased implements router.Views.
+func (v *views) Leased() bool { return v.node.Holder().Leased() }
 
+// run watches the versions by this host's own requests until ctx ends.
 func (v *views) run(ctx context.Context) error {
 	for {
-		if shown, err := v.op.Show(ctx, 0, true); err == nil && shown.Version > 0 {
-			if c := v.catalog.Load(); c == nil || c.View.Version < shown.Version {
-				v.catalog.Store(declarer.NewCatalog(declarer.View{Version: shown.Version, Config: shown.Config}))
-			}
-		}
-		if err := timekeeper.Sleep(ctx, v.clock, pollInterval); err != nil {
+		if err := timekeeper.Sleep(ctx, v.clock, governor.Tick); err != nil {
 			return err
 		}
+		v.step()
+	}
+}
+
+func (v *views) step() {
+	base := v.node.Holder().Catalog()
+	if base == nil || len(v.watches.Step(base)) == 0 {
+		return
+	}
+	isolated := v.watches.Isolated()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.isolated, v.base = isolated, nil
+}
+
+// overlay adds the isolated versions to the quarantined ones. The last usable
+// version of a model stays: only the control group knows whether the
+// workspaces have another model that meets their targets.
+func overlay(c *declarer.Catalog, isolated []declarer.VersionRef) *declarer.Catalog {
+	view := c.View
+	view.Quarantined = append([]declarer.VersionRef(nil), view.Quarantined...)
+	for _, ref := range isolated {
+		if c.Quarantined(ref) || usableVersions(c, ref.Model, view.Quarantined) < 2 {
+			continue
+		}
+		view.Quarantined = append(view.Quarantined, ref)
+	}
+	return declarer.NewCatalog(view)
+}
+
+func usableVersions(c *declarer.Catalog, model string, quarantined []declarer.VersionRef) int {
+	m := c.Model(model)
+	if m == nil {
+		return 0
+	}
+	out := make(map[declarer.VersionRef]bool, len(quarantined))
+	for _, q := range quarantined {
+		out[q] = true
+	}
+	n := 0
+	for _, v := range m.Versions {
+		ref := declarer.VersionRef{Model: model, Version: v.Name}
+		if !c.Withdrawn(ref) && !out[ref] {
+			n++
+		}
+	}
+	return n
+}
+
+// statuses lists the hosts for the status procedure.
+func (c *control) statuses() []messenger.HostStatus {
+	node := c.node.Load()
+	if node == nil {
+		return nil
+	}
+	var out []messenger.HostStatus
+	for _, s := range node.Registry().Hosts() {
+		out = append(out, messenger.HostStatus{Name: s.Host.Name, Zone: s.Host.Zone, Version: s.Version, Live: s.Live})
 	}
+	return out
 }
--- a/messenger/relay.go
+++ b/messenger/relay.go
@@ -29,6 +29,7 @@
 	// NewRelayTransport.
 	RelayTransport struct {
 		conf  *tls.Config
+		opts  []PeerOption
 		mu    sync.Mutex
 		peers map[netip.AddrPort]*Peer
 	}
@@ -42,8 +43,8 @@
 )
 
 // NewRelayTransport returns a transport without connections.
-func NewRelayTransport(conf *tls.Config) *RelayTransport {
-	return &RelayTransport{conf: conf, peers: make(map[netip.AddrPort]*Peer)}
+func NewRelayTransport(conf *tls.Config, opts ...PeerOption) *RelayTransport {
+	return &RelayTransport{conf: conf, opts: opts, peers: make(map[netip.AddrPort]*Peer)}
 }
 
 // HandleRelay registers the procedures by which other hosts reach n.
@@ -135,7 +136,7 @@
 	defer t.mu.Unlock()
 	p, ok := t.peers[to]
 	if !ok {
-		p = NewPeer(to, t.conf)
+		p = NewPeer(to, t.conf, t.opts...)
 		t.peers[to] = p
 	}
 	return p
