--- a/server/callers.go
+++ b/server/callers.go
@@ -48,8 +48,8 @@
 	}
 )
 
-// callerHandler returns the handler of the callers' port.
-func (s *Server) callerHandler() http.Handler {
+// CallerHandler returns the handler of the callers' port.
+func (s *Server) CallerHandler() http.Handler {
 	m := newMux()
 	m.POST("/v1/chat/completions", s.caller(s.chat))
 	m.GET("/v1/models", s.caller(s.models))
--- a/server/fixture_test.go
+++ b/server/fixture_test.go
@@ -135,8 +135,14 @@
 }
 
 func newEngine(tokens int) *engine {
+	e := newUnstartedEngine(tokens)
+	e.Start()
+	return e
+}
+
+func newUnstartedEngine(tokens int) *engine {
 	e := &engine{tokens: tokens}
-	e.Server = httptest.NewServer(e)
+	e.Server = httptest.NewUnstartedServer(e)
 	return e
 }
 
@@ -239,18 +245,25 @@
 	Expect(err).NotTo(HaveOccurred())
 	h.url = "http://" + l.Addr().String()
 	go func() { h.served <- h.server.ServeCallers(l, nil) }()
+	DeferCleanup(h.server.Close)
 	return h
 }
 
-// send sends a request with the API key and returns the answer with its body.
-func (h *host) send(method, path, body string, fields ...string) (*http.Response, string) {
+// newRequest returns a request with the API key; fields are names and values
+// by turns.
+func (h *host) newRequest(method, path, body string, fields ...string) *http.Request {
 	req, err := http.NewRequest(method, h.url+path, bytes.NewBufferString(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	for i := 0; i+1 < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	return req
+}
+
+// send sends a request with the API key and returns the answer with its body.
+func (h *host) send(method, path, body string, fields ...string) (*http.Response, string) {
+	resp, err := http.DefaultClient.Do(h.newRequest(method, path, body, fields...))
 	Expect(err).NotTo(HaveOccurred())
 	defer resp.Body.Close()
 	b, _ := io.ReadAll(resp.Body) // A cut stream ends with an error.
--- a/server/operators.go
+++ b/server/operators.go
@@ -16,8 +16,8 @@
 	"foxtailwall/refuser"
 )
 
-// operatorHandler returns the handler of the operators' port.
-func (s *Server) operatorHandler() http.Handler {
+// OperatorHandler returns the handler of the operators' port.
+func (s *Server) OperatorHandler() http.Handler {
 	m := newMux()
 	m.GET("/healthz", s.health)
 	m.GET("/readyz", s.readiness)
--- a/server/server.go
+++ b/server/server.go
@@ -140,13 +140,13 @@
 // ServeCallers answers callers on l until Drain. With a nil TLS configuration
 // it speaks clear text.
 func (s *Server) ServeCallers(l net.Listener, conf *tls.Config) error {
-	return s.serve(&s.callers, netutil.LimitListener(l, s.o.MaxConnections), conf, s.callerHandler())
+	return s.serve(&s.callers, netutil.LimitListener(l, s.o.MaxConnections), conf, s.CallerHandler())
 }
 
 // ServeOperators answers operators and the load balancer on l until the end
 // of Drain.
 func (s *Server) ServeOperators(l net.Listener, conf *tls.Config) error {
-	return s.serve(&s.operators, netutil.LimitListener(l, operatorConnections), conf, s.operatorHandler())
+	return s.serve(&s.operators, netutil.LimitListener(l, operatorConnections), conf, s.OperatorHandler())
 }
 
 func (s *Server) serve(list *[]*http.Server, l net.Listener, conf *tls.Config, h http.Handler) error {
@@ -198,6 +198,17 @@
 	return s.shutdown(bounded, callers, operators)
 }
 
+// Close ends the service at once and cuts what is under way.
+func (s *Server) Close() {
+	s.leaving.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	for _, srv := range append(s.callers, s.operators...) {
+		srv.Close()
+	}
+}
+
 func (s *Server) shutdown(ctx context.Context, callers, operators []*http.Server) error {
 	var err error
 	for _, srv := range callers {
