Use certificates on all three sides of a host

The caller's side shows a certificate; own processes and upstreams authenticate each other. Certificates are read again when their files change.

--- a/hoster/control.go
+++ b/hoster/control.go
@@ -45,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	c := &control{machine: controller.New(check), transport: messenger.NewGroupTransport(h.peerTLS, h.scope, messenger.WithDial(h.opts.Dial))}
+	c := &control{machine: controller.New(check), transport: messenger.NewGroupTransport(h.tls.peer, h.scope, messenger.WithDial(h.opts.Dial))}
 	own, _ := h.set.Spec(h.set.Name) // Validate has checked the name.
 	c.group, err = replicator.New(replicator.Options{
 		Name: h.set.Name, Addr: own.Addr, Peers: h.groupPeers(), FS: fs, Machine: c.machine,
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net/http"
 	"time"
 
@@ -28,13 +27,12 @@
 
 // entry is the part of a host that takes callers' requests.
 type entry struct {
-	host      *Host
-	dialer    *dialer.Dialer
-	replicas  *replicas
-	plans     *plans
-	poller    *poller.Poller
-	server    *server.Server
-	callerTLS *tls.Config
+	host     *Host
+	dialer   *dialer.Dialer
+	replicas *replicas
+	plans    *plans
+	poller   *poller.Poller
+	server   *server.Server
 }
 
 // buildEntry assembles the request path, if this host has one.
@@ -43,7 +41,7 @@
 		return nil
 	}
 	e := &entry{host: h}
-	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial})
+	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial, TLS: h.tls.upstream})
 	stats := newStatistics(h.views.node, h.views.watches)
 	e.replicas = newReplicas(h.views, h.set.Zone, h.clock, h.scope, xxhash.Sum64String(h.set.Name))
 	e.replicas.stats = stats
@@ -54,7 +52,7 @@
 	e.plans = newPlans(h.clock, h.scope, xxhash.Sum64String(h.set.Name), stats)
 	e.poller = poller.New(poller.Options{
 		Clock: h.clock, Scope: h.scope, Views: h.views, Sink: reports{e.replicas, e.plans},
-		Client: h.reportClient(), Platform: h.set.Platform, Rater: h.set.Rater,
+		Client: h.reportClient(), Scheme: h.upstreamScheme(), Platform: h.set.Platform, Rater: h.set.Rater,
 	})
 	e.replicas.suspect = e.poller.Suspect
 	r := router.New(router.Options{
@@ -73,9 +71,19 @@
 	return err
 }
 
+// upstreamScheme returns the scheme of the upstreams' own reports.
+func (h *Host) upstreamScheme() string {
+	if h.tls.upstream != nil {
+		return "https"
+	}
+	return "http"
+}
+
 // reportClient returns the client for reports of upstreams.
 func (h *Host) reportClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: h.opts.Dial, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleReports}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: h.opts.Dial, TLSClientConfig: h.tls.upstream, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleReports,
+	}}
 }
 
 func (e *entry) serveCallers(context.Context) error {
@@ -83,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	return e.server.ServeCallers(l, e.callerTLS)
+	return e.server.ServeCallers(l, e.host.tls.caller)
 }
 
 func (e *entry) serveOperators(context.Context) error {
@@ -91,5 +99,5 @@
 	if err != nil {
 		return err
 	}
-	return e.server.ServeOperators(l, nil)
+	return e.server.ServeOperators(l, e.host.tls.caller)
 }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -50,7 +49,7 @@
 		clock   timekeeper.Clock
 		log     zerolog.Logger
 		scope   counter.Scope
-		peerTLS *tls.Config
+		tls     sides
 		mux     *messenger.Mux
 		outbox  *outboxDisk
 		control *control
@@ -187,7 +186,7 @@
 }
 
 func (h *Host) servePeers(ctx context.Context) error {
-	srv := messenger.NewServer(h.mux, h.peerTLS)
+	srv := messenger.NewServer(h.mux, h.tls.peer)
 	l, err := h.listen("peers", h.set.Peers)
 	if err != nil {
 		return err
@@ -224,7 +223,7 @@
 	defer h.mu.Unlock()
 	p, ok := h.peers[addr]
 	if !ok {
-		p = messenger.NewPeer(addr, h.peerTLS, messenger.WithDial(h.opts.Dial))
+		p = messenger.NewPeer(addr, h.tls.peer, messenger.WithDial(h.opts.Dial))
 		h.peers[addr] = p
 	}
 	return p
--- a/hoster/views.go
+++ b/hoster/views.go
@@ -34,7 +34,7 @@
 func (h *Host) followViews() error {
 	opts := relayer.Options{
 		Host: relayer.Host{Name: h.set.Name, Zone: h.set.Zone, Control: h.set.IsControl()}, Clock: h.clock, Scope: h.scope, Log: h.log,
-		Transport: messenger.NewRelayTransport(h.peerTLS, messenger.WithDial(h.opts.Dial)),
+		Transport: messenger.NewRelayTransport(h.tls.peer, messenger.WithDial(h.opts.Dial)),
 	}
 	own, _ := h.set.Spec(h.set.Name) // Validate has checked the name.
 	opts.Host.Addr = own.Addr
--- a/server/certificate.go
+++ b/server/certificate.go
@@ -2,11 +2,14 @@
 
 import (
 	"crypto/tls"
+	"crypto/x509"
 	"fmt"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailwall/counter"
 	"foxtailwall/timekeeper"
 )
@@ -113,3 +116,23 @@
 		certTime: cert.ModTime(), certSize: cert.Size(), keyTime: key.ModTime(), keySize: key.Size(),
 	}, nil
 }
+
+// MutualConfig returns a configuration for both ends of a connection: each
+// presents the certificate and accepts only peers whose certificate was issued
+// by an authority in the CA file. It returns a *CertificateError.
+func (c *Certificate) MutualConfig(caFile string) (*tls.Config, error) {
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, &CertificateError{CertFile: caFile, KeyFile: c.keyFile, Err: err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, &CertificateError{CertFile: caFile, KeyFile: c.keyFile, Err: errNoAuthority}
+	}
+	conf := c.Config()
+	conf.RootCAs, conf.ClientCAs, conf.ClientAuth = pool, pool, tls.RequireAndVerifyClientCert
+	conf.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c.get(), nil }
+	return conf, nil
+}
+
+var errNoAuthority = errors.New("the file holds no PEM certificate")
