Serve with TLS on every side without sharing configurations

Cause: the race detector found net/http writing to a tls.Config that two servers of a host shared; every server and transport now has a copy. Errors of single connections are counted in place of lines on standard error.

Measured: the new spec of hoster, which serves a request with TLS on all three sides, raced before and passes now.

--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -82,7 +82,7 @@
 // reportClient returns the client for reports of upstreams.
 func (h *Host) reportClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: h.opts.Dial, TLSClientConfig: h.tls.upstream, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleReports,
+		DialContext: h.opts.Dial, TLSClientConfig: h.tls.upstream.Clone(), MaxIdleConnsPerHost: 2, IdleConnTimeout: idleReports,
 	}}
 }
 
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -187,6 +187,7 @@
 
 func (h *Host) servePeers(ctx context.Context) error {
 	srv := messenger.NewServer(h.mux, h.tls.peer)
+	srv.ErrorLog = h.scope.ErrorLog("messenger.connectionErrors")
 	l, err := h.listen("peers", h.set.Peers)
 	if err != nil {
 		return err
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -140,7 +140,7 @@
 	p.SetUnencryptedHTTP2(conf == nil)
 	return &http.Server{
 		Handler:           m,
-		TLSConfig:         conf,
+		TLSConfig:         conf.Clone(), // net/http writes to it.
 		Protocols:         p,
 		ReadHeaderTimeout: headerTimeout,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
@@ -161,7 +161,7 @@
 	d := net.Dialer{Timeout: dialTimeout}
 	tr := &http.Transport{
 		DialContext:     d.DialContext,
-		TLSClientConfig: conf,
+		TLSClientConfig: conf.Clone(), // net/http writes to it.
 		Protocols:       p,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingTimeout},
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -151,7 +151,8 @@
 
 func (s *Server) serve(list *[]*http.Server, l net.Listener, conf *tls.Config, h http.Handler) error {
 	srv := &http.Server{
-		Handler: h, TLSConfig: conf, MaxHeaderBytes: s.o.MaxHeader,
+		Handler: h, MaxHeaderBytes: s.o.MaxHeader, ErrorLog: s.o.Scope.ErrorLog("server.connectionErrors"),
+		TLSConfig:         conf.Clone(), // net/http writes to it.
 		ReadHeaderTimeout: s.o.HeaderTimeout, IdleTimeout: s.o.IdleTimeout,
 	}
 	s.mu.Lock()
