Have engines hold the versions that are declared for them

The control leader owns the engines under a fencing token, reads their state and sends the orders that the orderer plans. Requests go only to engines that have reported the version as loaded. A first owner does not wait for an older one, which the log tells by the absence of an earlier owner.

--- a/controller/owners.go
+++ b/controller/owners.go
@@ -33,6 +33,9 @@
 		// the owner got the engine.
 		Token uint64    `cbor:"token"`
 		Until time.Time `cbor:"until"`
+		// First says that no other owner can have orders under way, because
+		// none came before.
+		First bool `cbor:"first,omitempty"`
 	}
 
 	owner struct {
@@ -67,7 +70,12 @@
 		// Two owners in one log entry would share a token.
 		return cur.answer(false)
 	default:
+		first := cur.Token == 0
 		cur = owner{Name: o.Owner, Token: s.index, Until: s.at.Add(lease).UnixNano()}
+		m.owners[o.Engine] = cur
+		a := cur.answer(true)
+		a.First = first
+		return a
 	}
 	m.owners[o.Engine] = cur
 	return cur.answer(true)
--- a/hoster/control.go
+++ b/hoster/control.go
@@ -28,6 +28,7 @@
 		transport *messenger.GroupTransport
 		service   *messenger.ControlService
 		governor  *governor.Governor
+		commander *commander
 		// node is set once the host's part in the distribution is made.
 		node atomic.Pointer[relayer.Node]
 	}
@@ -64,6 +65,7 @@
 		View: c.machine.View, Leading: c.group.Leading, Clock: h.clock, Scope: h.scope, Log: h.log,
 		Propose: func(ctx context.Context, it controller.Item) (controller.Answer, error) { return h.client.Do(ctx, it) },
 	})
+	c.commander = h.newCommander(c)
 	h.control = c
 	return nil
 }
--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 		mu    sync.RWMutex
 		built uint64
 		pools map[poolKey]*poolOf
+		// loaded holds the versions that engines have reported as loaded;
+		// engines that have not reported are taken to hold what is declared.
+		loaded map[netip.AddrPort][]declarer.VersionRef
 	}
 
 	// poolKey names the replicas of a version or of a plain service.
@@ -156,7 +160,7 @@
 			return nil, nil, false
 		}
 		u := p.declare[choice.Replica.Address]
-		if q.Skip != nil && q.Skip(u) {
+		if q.Skip != nil && q.Skip(u) || !r.holds(u.Address, q.Ref) {
 			req.Exclude = append(req.Exclude, choice.Replica)
 			continue
 		}
@@ -166,6 +170,27 @@
 	return nil, nil, false
 }
 
+// holds reports whether the engine has the version loaded, as far as it is
+// known.
+func (r *replicas) holds(addr netip.AddrPort, ref declarer.VersionRef) bool {
+	if ref.Model == "" {
+		return true
+	}
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	refs, known := r.loaded[addr]
+	return !known || slices.Contains(refs, ref)
+}
+
+func (r *replicas) setLoaded(addr netip.AddrPort, refs []declarer.VersionRef) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.loaded == nil {
+		r.loaded = make(map[netip.AddrPort][]declarer.VersionRef)
+	}
+	r.loaded[addr] = refs
+}
+
 // Usable implements router.Monitor.
 func (r *replicas) Usable(u *declarer.Upstream) bool { return r.monitor.Usable(u.Address) }
 
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -98,75 +98,126 @@
 	return l, netip.MustParseAddrPort(l.Addr().String())
 }
 
+// running is a host with one engine.
+type running struct {
+	set    hoster.Settings
+	engine *emulator.Engine
+	addr   netip.AddrPort
+	stop   func() error
+}
+
+// start serves an engine and a host that is its own control group.
+func start(conf emulator.EngineConfig, files hoster.TLSFiles, engineTLS *tls.Config) *running {
+	r := &running{set: settings()}
+	var l net.Listener
+	l, r.addr = listen()
+	r.engine = emulator.NewEngine(conf)
+	DeferCleanup(r.engine.Close)
+	ctx, stopEngine := context.WithCancel(context.Background())
+	DeferCleanup(stopEngine)
+	go emulator.Serve(ctx, l, r.engine, engineTLS)
+
+	listeners := map[netip.AddrPort]net.Listener{}
+	reserve := func() netip.AddrPort {
+		l, a := listen()
+		listeners[a] = l
+		return a
+	}
+	r.set.Callers, r.set.Operators, r.set.Peers = reserve(), reserve(), reserve()
+	r.set.Hosts[0].Addr, r.set.DataFolder = r.set.Peers, GinkgoT().TempDir()
+	r.set.CallerTLS, r.set.PeerTLS, r.set.UpstreamTLS = files, files, files
+	r.set.Grace, r.set.Drain = time.Millisecond, 10*time.Second
+	host, err := hoster.New(r.set, hoster.Options{
+		Clock: timekeeper.System{}, Log: zerolog.Nop(),
+		Listen: func(a netip.AddrPort) (net.Listener, error) { return listeners[a], nil },
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- host.Run(ctx) }()
+	r.stop = func() error {
+		cancel()
+		return <-done
+	}
+	return r
+}
+
+// declare returns a configuration in which the engine serves the versions.
+func (r *running) declare(versions ...string) declarer.Config {
+	b := declarer.New("office")
+	m := b.Model("m", "model", versions[len(versions)-1])
+	u := b.Upstream("e", "engine", "a", r.addr)
+	for _, v := range versions {
+		m.Version(v, declarer.Price{InputNanos: 1, OutputNanos: 2}, 0.9)
+		u.Serves("m", v)
+	}
+	b.Workspace("w", "workspace").Allow("m").Member("shop", declarer.KeyDigest("key"))
+	return b.Config()
+}
+
+// send sends a request for the model and returns the status.
+func (r *running) send(ctx context.Context, client *http.Client, scheme string) int {
+	body, err := json.Marshal(map[string]any{"model": "m", "max_tokens": 3, "messages": []map[string]string{{"role": "user", "content": "a"}}})
+	Expect(err).NotTo(HaveOccurred())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+"://"+r.set.Callers.String()+"/v1/chat/completions", bytes.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("Authorization", "Bearer key")
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0 // The port is not open yet.
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 var _ = Describe("Host", func() {
 	// Guards against a side that falls back to clear text, and against a
 	// process without a certificate that can change the configuration.
 	It("serves with TLS on every side and refuses peers without a certificate", func(ctx context.Context) {
-		dir := GinkgoT().TempDir()
-		ca := newAuthority(dir)
+		ca := newAuthority(GinkgoT().TempDir())
 		files := ca.issue("host")
-
-		l, engineAddr := listen()
-		engine := emulator.NewEngine(emulator.EngineConfig{Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}}})
-		DeferCleanup(engine.Close)
-		engineCtx, stopEngine := context.WithCancel(context.Background())
-		DeferCleanup(stopEngine)
-		go emulator.Serve(engineCtx, l, engine, ca.client(&files))
-
-		listeners := map[netip.AddrPort]net.Listener{}
-		reserve := func() netip.AddrPort {
-			l, a := listen()
-			listeners[a] = l
-			return a
-		}
-		set := settings()
-		set.Callers, set.Operators, set.Peers = reserve(), reserve(), reserve()
-		set.Hosts[0].Addr, set.DataFolder = set.Peers, filepath.Join(dir, "data")
-		set.CallerTLS, set.PeerTLS, set.UpstreamTLS = files, files, files
-		set.Grace, set.Drain = time.Millisecond, 10*time.Second
-		host, err := hoster.New(set, hoster.Options{
-			Clock: timekeeper.System{}, Log: zerolog.Nop(),
-			Listen: func(a netip.AddrPort) (net.Listener, error) { return listeners[a], nil },
-		})
-		Expect(err).NotTo(HaveOccurred())
-		hostCtx, stop := context.WithCancel(context.Background())
-		done := make(chan error, 1)
-		go func() { done <- host.Run(hostCtx) }()
-
-		b := declarer.New("office")
-		b.Model("m", "model", "v1").Version("v1", declarer.Price{InputNanos: 1, OutputNanos: 2}, 0.9)
-		b.Upstream("e", "engine", "a", engineAddr).Serves("m", "v1")
-		b.Workspace("w", "workspace").Allow("m").Member("shop", declarer.KeyDigest("key"))
-		change, err := controller.NewApply("office", "", 0, b.Config())
+		r := start(emulator.EngineConfig{Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}}}, files, ca.client(&files))
+		change, err := controller.NewApply("office", "", 0, r.declare("v1"))
 		Expect(err).NotTo(HaveOccurred())
 
-		stranger := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(set.Peers, ca.client(nil))}}
+		stranger := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(r.set.Peers, ca.client(nil))}}
 		_, err = stranger.Apply(ctx, change)
 		Expect(err).To(HaveOccurred())
-		office := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(set.Peers, ca.client(&files))}}
+		office := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(r.set.Peers, ca.client(&files))}}
 		got, err := office.Apply(ctx, change)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(got.State).To(Equal(controller.Accepted))
 
 		client := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: ca.client(nil).RootCAs}}}
-		send := func() int {
-			body, err := json.Marshal(map[string]any{"model": "m", "max_tokens": 3, "messages": []map[string]string{{"role": "user", "content": "a"}}})
-			Expect(err).NotTo(HaveOccurred())
-			req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+set.Callers.String()+"/v1/chat/completions", bytes.NewReader(body))
-			Expect(err).NotTo(HaveOccurred())
-			req.Header.Set("Authorization", "Bearer key")
-			resp, err := client.Do(req)
-			Expect(err).NotTo(HaveOccurred())
-			defer resp.Body.Close()
-			return resp.StatusCode
-		}
-		Eventually(send).WithContext(ctx).WithTimeout(time.Minute).Should(Equal(http.StatusOK))
+		Eventually(r.send).WithContext(ctx).WithArguments(client, "https").WithTimeout(time.Minute).Should(Equal(http.StatusOK))
 		Eventually(func() (int, error) {
 			out, err := office.Export(ctx)
-			return len(out.Records), err
+			if err != nil {
+				return 0, err
+			}
+			return len(out.Records), nil
 		}).WithContext(ctx).WithTimeout(time.Minute).Should(Equal(1))
+		Expect(r.stop()).To(Succeed())
+	}, NodeTimeout(2*time.Minute))
 
-		stop()
-		Expect(<-done).To(Succeed())
+	// Guards against a declared version that no engine ever loads, and against
+	// requests sent to an engine that has not loaded it yet.
+	It("has an engine load the version that is declared for it", func(ctx context.Context) {
+		r := start(emulator.EngineConfig{
+			Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}},
+			Loadable: []emulator.Version{{Model: "m", Version: "v2", Quality: 1}},
+		}, hoster.TLSFiles{Insecure: true}, nil)
+		office := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(r.set.Peers, nil)}}
+		change, err := controller.NewApply("office", "", 0, r.declare("v2"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = office.Apply(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(r.send).WithContext(ctx).WithArguments(http.DefaultClient, "http").
+			WithTimeout(time.Minute).WithPolling(100 * time.Millisecond).Should(Equal(http.StatusOK))
+		for _, run := range r.engine.Ran() {
+			Expect(run.Version).To(Equal("v2"))
+		}
+		Expect(r.engine.Orders()).NotTo(BeEmpty())
+		Expect(r.stop()).To(Succeed())
 	}, NodeTimeout(2*time.Minute))
 })
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -177,7 +177,7 @@
 		{"own observation", h.views.run},
 	}
 	if h.control != nil {
-		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run}, duty{"governor", h.control.governor.Run})
+		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run}, duty{"governor", h.control.governor.Run}, duty{"orders to engines", h.control.commander.run})
 	}
 	if h.entry != nil {
 		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators}, duty{"health", h.entry.replicas.run}, duty{"reports of upstreams", h.entry.poller.Run})
--- a/hoster/reports.go
+++ b/hoster/reports.go
@@ -24,6 +24,9 @@
 	if l.Leaving {
 		r.replicas.monitor.Leaving(addr, l.Incarnation)
 	}
+	if l.Loaded != nil {
+		r.replicas.setLoaded(addr, l.Loaded)
+	}
 	at := l.At
 	if now := r.replicas.clock.Now(); at.After(now) {
 		at = now // The upstream's clock is ahead.
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -194,7 +194,7 @@
 		files  TLSFiles
 		needCA bool
 	}{{"caller", s.CallerTLS, false}, {"peer", s.PeerTLS, true}, {"upstream", s.UpstreamTLS, true}} {
-		if side.files.Insecure || (side.name != "peer" && !s.Entry) {
+		if side.files.Insecure || (side.name == "caller" && !s.Entry) {
 			continue
 		}
 		files := map[string]string{"cert": side.files.Cert, "key": side.files.Key}
--- a/hoster/tls.go
+++ b/hoster/tls.go
@@ -19,13 +19,10 @@
 	if h.tls.peer, err = h.mutual(h.set.PeerTLS); err != nil {
 		return err
 	}
-	if !h.set.Entry {
-		return nil
-	}
 	if h.tls.upstream, err = h.mutual(h.set.UpstreamTLS); err != nil {
 		return err
 	}
-	if h.set.CallerTLS.Insecure {
+	if !h.set.Entry || h.set.CallerTLS.Insecure {
 		return nil
 	}
 	cert, err := server.LoadCertificate(h.set.CallerTLS.Cert, h.set.CallerTLS.Key, h.clock, h.scope)
