Compare the shipped policies with the naive ones

The comparison had naive policies only. Adds adapters of packages chooser and picker, asks the policy whether an answer is taken when its rating does not come in time, as the router does, and adds the cascade with the other naive pickers.

--- a/cmd/foxtailwall/compare.go
+++ b/cmd/foxtailwall/compare.go
@@ -77,5 +77,8 @@
 	return nil
 }
 
-// comparePolicies returns the policies of the comparison.
-func comparePolicies() []comparer.Policy { return comparer.Baselines() }
+// comparePolicies returns the policies of the comparison, that of the router
+// first.
+func comparePolicies() []comparer.Policy {
+	return append([]comparer.Policy{comparer.Shipped()}, comparer.Baselines()...)
+}
--- a/comparer/baseline.go
+++ b/comparer/baseline.go
@@ -46,6 +46,8 @@
 		{"always cascade, round robin", AlwaysCascade, RoundRobin},
 		{"always best, random", AlwaysBest, Random},
 		{"always best, least requests", AlwaysBest, LeastRequests},
+		{"always cascade, random", AlwaysCascade, Random},
+		{"always cascade, least requests", AlwaysCascade, LeastRequests},
 	}
 }
 
@@ -102,7 +104,10 @@
 func (fixedChooser) Rated(*Query, declarer.VersionRef, bool) {}
 
 // Took implements Chooser.
-func (fixedChooser) Took(*Query, declarer.VersionRef, time.Duration) {}
+func (fixedChooser) Took(*Query, declarer.VersionRef, int, time.Duration) {}
+
+// Waited implements Chooser. Without a rating the request escalates.
+func (fixedChooser) Waited(_ *Query, _ declarer.VersionRef, inTime bool) bool { return inTime }
 
 // Sent implements Picker.
 func (noFeedback) Sent(*Query, *declarer.Upstream) {}
--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -24,8 +24,8 @@
 // Requests come from loader.Plan, so arrivals, prompts, prefixes and sessions
 // are those of the load; calls of plain services are left out. A cascade step
 // that is not the last one ends with a rating, after Scenario.RatingDelay; the
-// answer is taken if it passes, and a missing rating escalates. Network times
-// are added for other zones. Failures are not modelled.
+// answer is taken if it passes; if the rating is missing, the policy decides.
+// Network times are added for other zones. Failures are not modelled.
 package comparer
 
 import (
@@ -83,8 +83,12 @@
 		Choose(q *Query) []declarer.VersionRef
 		// Rated tells the rating of an answer of this host.
 		Rated(q *Query, ref declarer.VersionRef, pass bool)
-		// Took tells how long a step took.
-		Took(q *Query, ref declarer.VersionRef, d time.Duration)
+		// Took tells how long a step took; step is its position in the plan.
+		Took(q *Query, ref declarer.VersionRef, step int, d time.Duration)
+		// Waited tells whether the rating that a step of a cascade waited for
+		// came in time. If not, it reports whether the answer is taken
+		// without one.
+		Waited(q *Query, ref declarer.VersionRef, inTime bool) bool
 	}
 
 	// Picker picks replicas.
--- /dev/null
+++ b/comparer/shipped.go
@@ -0,0 +1,156 @@
+package comparer
+
+import (
+	"strconv"
+	"time"
+
+	"foxtailwall/chooser"
+	"foxtailwall/declarer"
+	"foxtailwall/emulator"
+	"foxtailwall/picker"
+)
+
+type (
+	// shippedChooser adapts package chooser as package hoster does.
+	shippedChooser struct {
+		setup   Setup
+		learner *chooser.Learner
+		chooser *chooser.Chooser
+	}
+
+	// shippedPicker adapts package picker as package hoster does.
+	shippedPicker struct {
+		picker *picker.Picker
+		pools  map[declarer.VersionRef]*picker.Pool
+		ups    map[*picker.Replica]*declarer.Upstream
+		// tickets holds the tickets of the requests under way.
+		tickets map[ticketKey]picker.Ticket
+	}
+
+	// ticketKey names a step of a request; its steps run on different
+	// upstreams.
+	ticketKey struct {
+		id       int
+		upstream *declarer.Upstream
+	}
+)
+
+// shippedIncarnation is that of all replicas, which never restart.
+const shippedIncarnation = 1
+
+// Shipped returns the policy of the router: packages chooser and picker.
+func Shipped() Policy { return Policy{"shipped", ShippedChooser, ShippedPicker} }
+
+// ShippedChooser returns the chooser of the router.
+func ShippedChooser(s Setup) Chooser {
+	l := chooser.NewLearner(chooser.Settings{Clock: s.Clock, Seed: hostSeed(s)})
+	return &shippedChooser{setup: s, learner: l, chooser: chooser.New(l)}
+}
+
+// ShippedPicker returns the picker of the router.
+func ShippedPicker(s Setup) Picker {
+	p := &shippedPicker{
+		picker: picker.New(picker.Settings{Zone: s.Zone, Clock: s.Clock, Seed: hostSeed(s)}),
+		pools:  make(map[declarer.VersionRef]*picker.Pool), ups: make(map[*picker.Replica]*declarer.Upstream),
+		tickets: make(map[ticketKey]picker.Ticket),
+	}
+	targets := make(map[declarer.VersionRef][]picker.Target)
+	for i := range s.Catalog.View.Config.Upstreams {
+		u := &s.Catalog.View.Config.Upstreams[i]
+		p.ups[p.picker.Replica(u.Address)] = u
+		for _, ref := range u.Serves {
+			targets[ref] = append(targets[ref], picker.Target{Address: u.Address, Zone: u.Zone, Slots: u.Slots})
+		}
+	}
+	for ref, t := range targets {
+		p.pools[ref] = p.picker.Pool(t)
+	}
+	return p
+}
+
+// hostSeed differs for the hosts of one run.
+func hostSeed(s Setup) uint64 { return s.Seed<<8 + uint64(s.Host) }
+
+// Choose implements Chooser.
+func (c *shippedChooser) Choose(q *Query) []declarer.VersionRef {
+	cs := make(chooser.Candidates, 0, len(q.Allowed))
+	for _, a := range q.Allowed {
+		cs = append(cs, c.candidate(a.Ref))
+	}
+	plan, _ := c.chooser.Plan(chooser.Request{
+		Workspace: q.Workspace, Kind: q.Kind, Stream: q.Kind == declarer.KindChat, PromptTokens: q.Prompt, Candidates: cs,
+	})
+	steps := make([]declarer.VersionRef, len(plan.Steps))
+	for i, s := range plan.Steps {
+		steps[i] = s.Ref
+	}
+	return steps
+}
+
+// Took implements Chooser.
+func (c *shippedChooser) Took(q *Query, ref declarer.VersionRef, step int, d time.Duration) {
+	c.learner.Ran(stepID(q, ref), chooser.Run{
+		Workspace: q.Workspace.Name, Kind: q.Kind, Ref: ref, Step: step,
+		InputTokens: int64(q.Prompt), OutputTokens: int64(q.Output), Took: d,
+	})
+}
+
+// Waited implements Chooser.
+func (c *shippedChooser) Waited(q *Query, ref declarer.VersionRef, inTime bool) bool {
+	c.learner.Waited(q.Kind, inTime)
+	return inTime || c.learner.Accept(q.Workspace, q.Kind, c.candidate(ref))
+}
+
+// Rated implements Chooser.
+func (c *shippedChooser) Rated(q *Query, ref declarer.VersionRef, pass bool) {
+	c.learner.Rate(stepID(q, ref), pass)
+}
+
+func (c *shippedChooser) candidate(ref declarer.VersionRef) chooser.Candidate {
+	return chooser.Candidate{Ref: ref, Version: c.setup.Catalog.Version(ref), Assigned: true}
+}
+
+func stepID(q *Query, ref declarer.VersionRef) string {
+	return strconv.Itoa(q.ID) + "/" + ref.Model + "/" + ref.Version
+}
+
+// Pick implements Picker.
+func (p *shippedPicker) Pick(q *Query, ref declarer.VersionRef, replicas []*declarer.Upstream) *declarer.Upstream {
+	choice, ok := p.picker.Pick(picker.Request{Prefixes: q.Prefix, PromptTokens: q.Prompt}, p.pools[ref])
+	if !ok {
+		return replicas[0]
+	}
+	return p.ups[choice.Replica]
+}
+
+// Sent implements Picker.
+func (p *shippedPicker) Sent(q *Query, u *declarer.Upstream) {
+	p.tickets[ticketKey{q.ID, u}] = p.picker.Sent(p.picker.Replica(u.Address))
+}
+
+// Done implements Picker.
+func (p *shippedPicker) Done(q *Query, u *declarer.Upstream) {
+	k := ticketKey{q.ID, u}
+	p.picker.Done(p.tickets[k], true)
+	delete(p.tickets, k)
+}
+
+// Report implements Picker.
+func (p *shippedPicker) Report(u *declarer.Upstream, l Load) {
+	p.picker.Report(u.Address, picker.LoadReport{
+		Incarnation: shippedIncarnation, At: l.At, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots,
+	})
+}
+
+// Events implements Picker.
+func (p *shippedPicker) Events(u *declarer.Upstream, events []emulator.CacheEvent) {
+	out := make([]picker.CacheEvent, 0, len(events))
+	for _, e := range events {
+		prefix, err := strconv.ParseUint(e.Prefix, 16, 64)
+		if err != nil {
+			continue
+		}
+		out = append(out, picker.CacheEvent{Seq: uint64(e.Seq), Add: e.Add, Prefix: prefix})
+	}
+	p.picker.CacheEvents(u.Address, shippedIncarnation, out)
+}
--- a/comparer/simulation.go
+++ b/comparer/simulation.go
@@ -234,7 +234,7 @@
 func (c *call) done(ref declarer.VersionRef, u *declarer.Upstream, j *emulator.Job) {
 	m := c.sim
 	c.host.picker.Done(c.q, u)
-	c.host.chooser.Took(c.q, ref, m.now.Sub(c.began))
+	c.host.chooser.Took(c.q, ref, c.steps-1, m.now.Sub(c.began))
 	price := m.catalog.Version(ref).Price
 	c.cost += int64(c.q.Prompt)*price.InputNanos + int64(c.q.Output)*price.OutputNanos
 	c.cached += j.Cached
@@ -248,7 +248,7 @@
 		if !missing {
 			c.host.chooser.Rated(c.q, ref, pass)
 		}
-		if pass && !missing {
+		if take := c.host.chooser.Waited(c.q, ref, !missing); take && (pass || missing) {
 			c.finish(ref, pass)
 			return
 		}
