--- a/server/answer.go
+++ b/server/answer.go
@@ -98,9 +98,16 @@
 	return nil
 }
 
-// extend gives the caller another WriteTimeout to take something.
+// extend gives the caller at least half of WriteTimeout, and at most all of
+// it, to take something. Moving the deadline at every token of a stream would
+// cost more than writing it.
 func (x *exchange) extend() {
-	_ = x.rc.SetWriteDeadline(x.s.o.Clock.Now().Add(x.s.o.WriteTimeout)) // Not supported by recorders in tests.
+	now := x.s.o.Clock.Now()
+	if now.Sub(x.extended) < x.s.o.WriteTimeout/2 {
+		return
+	}
+	x.extended = now
+	_ = x.rc.SetWriteDeadline(now.Add(x.s.o.WriteTimeout)) // Not supported by recorders in tests.
 }
 
 // fail tells the caller of err.
--- a/server/callers.go
+++ b/server/callers.go
@@ -84,6 +84,8 @@
 	rc     *http.ResponseController
 	params httprouter.Params
 	req    router.Request
+	// extended is when the write deadline was last moved.
+	extended time.Time
 }
 
 // caller wraps the handlers for callers: it checks the API key and the header
