Leave time for a new connection when a reused one is silent

A call whose service connection went silent spent its whole deadline on it. Streams and calls of services now wait on a reused connection for at most 10 s and half of the time left; whole answers of engines keep the first-byte bound, since they may begin late. Answers with a content coding are not stored for resends, because only their type would be kept.

--- a/dialer/answer.go
+++ b/dialer/answer.go
@@ -29,7 +29,7 @@
 
 // Do implements router.Upstreams.
 func (d *Dialer) Do(ctx context.Context, a *router.Attempt) (*router.Answer, error) {
-	x, err := d.start(ctx, a)
+	x, err := d.start(ctx, a, false)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +71,7 @@
 
 // Open implements router.Upstreams.
 func (d *Dialer) Open(ctx context.Context, a *router.Attempt) (router.Stream, error) {
-	x, err := d.start(ctx, a)
+	x, err := d.start(ctx, a, true)
 	if err != nil {
 		return nil, err
 	}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -49,6 +49,8 @@
 const (
 	defaultConnect   = time.Second
 	defaultFirstByte = 30 * time.Second
+	// defaultSilent is some seven times the first token target of 1.4 s.
+	defaultSilent = 10 * time.Second
 	// defaultBetween is far above the 35 ms that tokens take, so that only a
 	// stream that stands still is cut.
 	defaultBetween     = 5 * time.Second
@@ -73,6 +75,11 @@
 		// FirstByte bounds the time from the request to the answer's header
 		// and, in streams, from there to the first chunk.
 		FirstByte time.Duration
+		// Silent bounds the time to the answer's header on a reused
+		// connection, for streams and plain services. It takes at most half
+		// of the time left, so that a new connection can still be tried.
+		// Whole answers of engines may begin late and have only FirstByte.
+		Silent time.Duration
 		// Between bounds the time between two reads of an answer that has
 		// begun.
 		Between time.Duration
@@ -218,6 +225,7 @@
 	}
 	o.Connect = or(o.Connect, defaultConnect)
 	o.FirstByte = or(o.FirstByte, defaultFirstByte)
+	o.Silent = or(o.Silent, defaultSilent)
 	o.Between = or(o.Between, defaultBetween)
 	o.Idle = or(o.Idle, defaultIdle)
 	o.MaxIdle = or(o.MaxIdle, defaultMaxIdle)
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -324,7 +324,40 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(ans.Body)).To(Equal(whole("c")))
 		Expect(u.conns.Load()).To(Equal(int64(2)))
-		Expect(scope.Snapshot()).To(ContainElement(HaveField("Tags", HaveKeyWithValue("kind", "silent"))))
+		Expect(scope.Snapshot()).To(ContainElement(And(HaveField("Name", "dialer.silent"), HaveField("Value", 1.0))))
+	}, NodeTimeout(20*time.Second))
+
+	// Guards against a call whose whole time is spent on a dead connection.
+	It("leaves time for a new connection when a service's went silent", func(ctx context.Context) {
+		asked := make(chan string, 8)
+		var n atomic.Int64
+		u := listen(func(c net.Conn, r *bufio.Reader) {
+			first := n.Add(1) == 1
+			for i, id := 0, next(r); id != ""; i, id = i+1, next(r) {
+				asked <- id
+				if !first || i == 0 {
+					answer(c, id, "")
+				}
+			}
+		})
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		d := newDialer(dialer.Options{Clock: clock})
+		a := u.attempt("a")
+		a.Engine, a.Deadline = false, clock.Now().Add(4*time.Second)
+		_, err := d.Do(ctx, a)
+		Expect(err).NotTo(HaveOccurred())
+		<-asked
+		go func() {
+			<-asked
+			if clock.WaitTimers(ctx, 1) == nil {
+				clock.Advance(2 * time.Second)
+			}
+		}()
+		_, err = d.Do(ctx, a)
+		Expect(failure(err).Kind).To(Equal(router.FailSilent))
+		a.Fresh = true
+		_, err = d.Do(ctx, a)
+		Expect(err).NotTo(HaveOccurred())
 	}, NodeTimeout(20*time.Second))
 
 	It("ends an attempt at its deadline", func(ctx context.Context) {
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -44,7 +44,7 @@
 
 // start sends the attempt and reads the header of its answer. On error the
 // connection is closed.
-func (d *Dialer) start(ctx context.Context, a *router.Attempt) (*exchange, error) {
+func (d *Dialer) start(ctx context.Context, a *router.Attempt, stream bool) (*exchange, error) {
 	c, err := d.get(ctx, a.Upstream, a.Fresh, a.Deadline)
 	if err != nil {
 		return nil, cancelled(ctx, err)
@@ -60,7 +60,7 @@
 			return nil, &router.AttemptError{Kind: router.FailChecked, Outcome: refuser.NotRun, Err: err}
 		}
 	}
-	x.w.within(d.o.FirstByte)
+	x.w.within(x.patience(stream))
 	if err := x.send(); err != nil {
 		return nil, x.fail(router.FailReset, err)
 	}
@@ -74,6 +74,18 @@
 	return x, nil
 }
 
+// patience returns how long the header of the answer may take.
+func (x *exchange) patience(stream bool) time.Duration {
+	d := x.d.o.FirstByte
+	if !x.c.reused || x.a.Engine && !stream {
+		return d
+	}
+	if !x.a.Deadline.IsZero() {
+		d = min(d, x.a.Deadline.Sub(x.begun)/2)
+	}
+	return min(d, x.d.o.Silent)
+}
+
 // send writes the request. Header and body go out together where the
 // connection allows it.
 func (x *exchange) send() error {
@@ -264,13 +276,18 @@
 func (x *exchange) fail(kind router.FailKind, err error) error {
 	open := x.release()
 	x.c.Close()
+	late := x.w.reason()
+	if x.c.reused && x.resp == nil && (late == noProgress || late == pastDeadline && !x.a.Engine) {
+		// An engine may just have needed longer than its caller had.
+		x.d.o.Scope.Counter("dialer.silent").Inc(1)
+		x.d.purge(x.c.addr)
+	}
 	switch {
-	case x.w.reason() == pastDeadline:
+	case late == pastDeadline:
 		kind = router.FailDeadline
-	case x.w.reason() == noProgress && x.c.reused && x.resp == nil:
+	case late == noProgress && x.c.reused && x.resp == nil:
 		kind = router.FailSilent
-		x.d.purge(x.c.addr)
-	case x.w.reason() == noProgress:
+	case late == noProgress:
 		kind = router.FailStalled
 	case !open:
 		kind = router.FailCancelled
--- a/router/claim.go
+++ b/router/claim.go
@@ -136,7 +136,7 @@
 		return nil, claimedError(c, err)
 	}
 	resp := claimer.Response{Status: a.Status, Type: a.Header.Get("Content-Type"), Body: a.Body}
-	if len(resp.Body) > claimer.MaxResponse {
+	if len(resp.Body) > claimer.MaxResponse || a.Header.Get("Content-Encoding") != "" {
 		resp.Body, resp.Truncated = nil, true
 	}
 	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Finish(ctx, k, c.id, resp) })
@@ -194,7 +194,7 @@
 func stored(res claimer.Result) (*CallAnswer, error) {
 	if res.Response == nil || res.Response.Truncated {
 		return nil, refuser.New(refuser.AnswerNotStored, refuser.Ran,
-			"the call ran as request %s, but its answer was too large to be stored", res.RequestID)
+			"the call ran as request %s, but its answer was too large or encoded and could not be stored", res.RequestID)
 	}
 	h := http.Header{}
 	if res.Response.Type != "" {
--- a/server/answer.go
+++ b/server/answer.go
@@ -23,6 +23,8 @@
 	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
 	"Content-Length": true, "Host": true, "Expect": true, "Date": true,
 	"Authorization": true, // The caller's API key is nobody else's business.
+	// A stored answer keeps only its type, so that it must not be encoded.
+	"Accept-Encoding": true,
 }
 
 // ownPrefix marks the fields between callers, router and upstreams; none is
@@ -83,7 +85,9 @@
 	if kind != "" {
 		h.Set("Content-Type", kind)
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if status != http.StatusNoContent && status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	x.extend()
 	x.w.WriteHeader(status)
 	_, _ = x.w.Write(body) // A caller that left gets nothing.
--- a/server/bench_test.go
+++ b/server/bench_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -48,7 +47,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := server.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/server/fixture_test.go
+++ b/server/fixture_test.go
@@ -241,7 +241,7 @@
 	var err error
 	h.server, err = server.New(so)
 	Expect(err).NotTo(HaveOccurred())
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := server.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	Expect(err).NotTo(HaveOccurred())
 	h.url = "http://" + l.Addr().String()
 	go func() { h.served <- h.server.ServeCallers(l, nil) }()
