--- a/biller/ledger.go
+++ b/biller/ledger.go
@@ -21,6 +21,8 @@
 	// maxAhead is how far the time of a record may lie in the future. A
 	// larger one would keep its record for that much longer.
 	maxAhead = time.Hour
+	// minYear bounds the time of a record to what a snapshot can hold.
+	minYear = 2000
 )
 
 // Reasons for which a ledger refuses a record.
@@ -118,6 +120,8 @@
 		return NoID
 	case r.At.After(now.Add(maxAhead)):
 		return InFuture
+	case r.At.Year() < minYear:
+		return TooOld
 	}
 	if e := l.records[r.ID]; e != nil {
 		e.newest = max(e.newest, at)
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -20,6 +20,9 @@
 	// pruneTick bounds the pruning of a Prune command in each table. At
 	// PruneInterval it keeps up with 800 elements a second on an idle group.
 	pruneTick = 8192
+	// minYear and maxYear bound the time of a command. Beyond them times do
+	// not fit the Unix nanoseconds and the text form of the snapshot.
+	minYear, maxYear = 2000, 2200
 )
 
 type (
@@ -74,9 +77,12 @@
 	if err := serializer.Unmarshal(cmd, &c); err != nil {
 		return encodeResult(Result{Fault: err.Error()})
 	}
+	s := stamp{index: index, at: c.At.UTC()}
+	if s.at.Year() < minYear || s.at.Year() > maxYear {
+		return encodeResult(Result{Fault: fmt.Sprintf("the time %v of the command is wrong; set the leader's clock", s.at)})
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := stamp{index: index, at: c.At.UTC()}
 	res := Result{Answers: make([]Answer, len(c.Items))}
 	budget := pruneBase
 	for i := range c.Items {
--- a/controller/machine_test.go
+++ b/controller/machine_test.go
@@ -303,3 +303,36 @@
 		Expect(b.Snapshot()).To(Equal(want))
 	})
 })
+
+// FuzzApply guards against a command that stops every member of the control
+// group, or that leaves a state of which no snapshot can be taken.
+func FuzzApply(f *testing.F) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	b := &bench{Machine: controller.New(nil), at: epoch}
+	for range 60 {
+		cmd, err := controller.Encode(controller.Command{At: epoch, Items: []controller.Item{randomItem(rng, b)}})
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(cmd)
+	}
+	f.Fuzz(func(t *testing.T, cmd []byte) {
+		m := controller.New(nil)
+		for i := range uint64(2) {
+			if _, err := controller.Decode(m.Apply(i+1, cmd)); err != nil {
+				return
+			}
+		}
+		snap, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		other := controller.New(nil)
+		if err := other.Restore(snap); err != nil {
+			t.Fatal(err)
+		}
+		if again, _ := other.Snapshot(); string(again) != string(snap) {
+			t.Fatalf("the snapshot changed when it was restored: %x, %x", snap, again)
+		}
+	})
+}
--- a/messenger/claims.go
+++ b/messenger/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +65,8 @@
 	if len(resp.Body) > claimer.MaxResponse {
 		resp.Body, resp.Truncated = nil, true
 	}
+	// The type comes from an upstream; the codec takes valid text only.
+	resp.Type = strings.ToValidUTF8(resp.Type, "")
 	it := controller.Item{Finish: &controller.Finish{Key: k, RequestID: requestID, Response: resp}}
 	_, err := c.Do(ctx, it)
 	if err != nil {
--- a/messenger/control_test.go
+++ b/messenger/control_test.go
@@ -302,7 +302,19 @@
 		Expect(err).NotTo(HaveOccurred())
 		ln.Close()
 		gone := &fakeLog{addrs: []netip.AddrPort{netip.MustParseAddrPort(ln.Addr().String())}}
-		c = controlClient(gone, timekeeper.System{}, time.Millisecond)
+		c = controlClient(gone, clock, messenger.DefaultPatience)
+		done := make(chan struct{})
+		wg.Go(func() {
+			defer close(done)
+			_, err := c.Do(ctx, controller.Item{Own: &controller.Own{Engine: "e", Owner: "h"}})
+			Expect(err).To(HaveOccurred())
+		})
+		Eventually(func() <-chan struct{} {
+			clock.Advance(time.Second)
+			return done
+		}).Should(BeClosed())
+		// After a search without a leader a call takes one round, which no
+		// timer cuts short.
 		_, err = c.Do(ctx, controller.Item{Own: &controller.Own{Engine: "e", Owner: "h"}})
 		Expect(isNotRun(err)).To(BeTrue(), "%v", err)
 	})
--- a/messenger/controlclient.go
+++ b/messenger/controlclient.go
@@ -8,13 +8,16 @@
 	"sync"
 	"sync/atomic"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
 	"foxtailwall/buffer"
+	"foxtailwall/claimer"
 	"foxtailwall/controller"
 	"foxtailwall/counter"
+	"foxtailwall/pinner"
 	"foxtailwall/refuser"
 	"foxtailwall/timekeeper"
 )
@@ -24,8 +27,10 @@
 	// elected within 2 s.
 	DefaultPatience = 3 * time.Second
 	// attemptTimeout bounds one call to one control host, so that a silent
-	// host leaves time to ask the others.
-	attemptTimeout = time.Second
+	// host leaves time to ask the others. It is longer than dialTimeout, so
+	// that a call to a host that cannot be reached ends with the certainty
+	// that nothing was sent.
+	attemptTimeout = dialTimeout + 500*time.Millisecond
 	// roundPause is the time between two rounds through the control hosts.
 	roundPause = 50 * time.Millisecond
 	// laterPause is the time between two attempts of work left for later.
@@ -133,6 +138,9 @@
 // a *refuser.Refusal with code NoQuorum and outcome NotRun if the item has
 // certainly not taken effect and will not, and an *UncertainError otherwise.
 func (c *Control) Do(ctx context.Context, it controller.Item) (controller.Answer, error) {
+	if err := checkItem(it); err != nil {
+		return controller.Answer{}, err
+	}
 	o := &op{item: it, done: make(chan struct{})}
 	if err := c.ring.Put(ctx, o); err != nil {
 		return controller.Answer{}, noQuorum(err)
@@ -151,6 +159,37 @@
 	return o.answer, o.err
 }
 
+// checkItem refuses what would make the control group refuse the whole call,
+// and with it the items of others: text from callers that is no UTF-8, and
+// items that are not for hosts.
+func checkItem(it controller.Item) error {
+	if it.Apply != nil || it.Prune != nil {
+		return refuser.New(refuser.BadRequest, refuser.NotRun, "a host sends no configuration; use foxtailwall apply")
+	}
+	var texts []string
+	key := func(k claimer.Key) { texts = append(texts, k.Workspace, k.Service, k.Key) }
+	pin := func(p pinner.Pin) { texts = append(texts, p.Workspace, p.Session, p.Model, p.Version) }
+	switch {
+	case it.Claim != nil:
+		key(it.Claim.Key)
+	case it.Finish != nil:
+		key(it.Finish.Key)
+	case it.Release != nil:
+		key(it.Release.Key)
+	case it.Pin != nil:
+		pin(*it.Pin)
+	case it.Repin != nil:
+		pin(it.Repin.Old)
+		pin(it.Repin.New)
+	}
+	for _, t := range texts {
+		if !utf8.ValidString(t) {
+			return refuser.New(refuser.BadRequest, refuser.NotRun, "keys and session names must be valid UTF-8")
+		}
+	}
+	return nil
+}
+
 // runSubmit gathers items and sends each batch in a goroutine of its own.
 func (c *Control) runSubmit(ctx context.Context) error {
 	p := pool.New().WithMaxGoroutines(submitCalls)
--- a/messenger/operator.go
+++ b/messenger/operator.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailwall/biller"
 	"foxtailwall/controller"
 	"foxtailwall/counter"
@@ -38,13 +40,13 @@
 // Show returns the configuration and up to history changes. With local it is
 // what the first reachable control host has, which may be old.
 func (o *Operator) Show(ctx context.Context, history int, local bool) (*Shown, error) {
-	return callLeader[showRequest, Shown](ctx, o.caller(), procShow, &showRequest{History: history, Local: local})
+	return read[showRequest, Shown](ctx, o, procShow, &showRequest{History: history, Local: local})
 }
 
 // Status returns the state of the deployment. With local it is what the first
 // reachable control host has, which may be old.
 func (o *Operator) Status(ctx context.Context, local bool) (*Status, error) {
-	return callLeader[statusRequest, Status](ctx, o.caller(), procStatus, &statusRequest{Local: local})
+	return read[statusRequest, Status](ctx, o, procStatus, &statusRequest{Local: local})
 }
 
 // Export returns the ledger. The error is a *refuser.Refusal, a *CallError or
@@ -67,6 +69,17 @@
 	}
 }
 
+// read asks for something that changes nothing, so that every failure is
+// without effect.
+func read[Req, Res any](ctx context.Context, o *Operator, name string, req *Req) (*Res, error) {
+	res, err := callLeader[Req, Res](ctx, o.caller(), name, req)
+	var unknown *UncertainError
+	if errors.As(err, &unknown) {
+		return nil, noQuorum(unknown.Err)
+	}
+	return res, err
+}
+
 func exportFrom(ctx context.Context, p *Peer) (*Exported, error) {
 	s, err := Stream[exportRequest, exportPart](ctx, p, procExport, &exportRequest{})
 	if err != nil {
