Send bookings to the cut-off zone in the demo

The promise that a refusal as not run is true was not exercised, because the callers of the load go on to another zone.

--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -30,6 +30,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"foxtailwall/biller"
 	"foxtailwall/declarer"
 	"foxtailwall/loader"
 	"foxtailwall/messenger"
@@ -239,7 +240,7 @@
 func (d *demo) settle(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, endLimit)
 	defer cancel()
-	const quiet = 7 * time.Second
+	const quiet = 3 * biller.WitnessDelay
 	count, since := -1, d.clock.Now()
 	for {
 		out, err := d.op.Export(ctx)
--- a/demonstrator/events.go
+++ b/demonstrator/events.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,10 +25,14 @@
 	atWithdraw = 0.40
 	atLeave    = 0.48
 	atCut      = 0.55
+	atProbe    = 0.58
 	atHeal     = 0.72
 	atReplace  = 0.80
 )
 
+// probes is the number of bookings sent to the cut-off zone.
+const probes = 8
+
 type (
 	// offices holds the declarations of the two offices and what was
 	// accepted of them.
@@ -113,6 +120,7 @@
 		{Name: "withdrawal", At: at(atWithdraw), Do: d.withdraw},
 		{Name: "leaving upstream", At: at(atLeave), Do: d.leave},
 		{Name: "zone cut off", At: at(atCut), Do: d.cut},
+		{Name: "bookings in the cut-off zone", At: at(atProbe), Do: d.probe},
 		{Name: "zone healed", At: at(atHeal), Do: d.heal},
 		{Name: "host replaced", At: at(atReplace), Do: d.replace},
 	}
@@ -243,6 +251,29 @@
 	return nil
 }
 
+// probe sends bookings that can reach only hosts of the cut-off zone. They
+// must be refused as not run, while the zone goes on with everything else.
+func (d *demo) probe(ctx context.Context) error {
+	conf := d.offices.config()
+	var entries []netip.AddrPort
+	for _, n := range d.cluster.hosts {
+		if n.set.Zone == cutZone {
+			entries = append(entries, n.set.Callers)
+		}
+	}
+	mix := loader.Cooperative()
+	mix.Classes = slices.DeleteFunc(mix.Classes, func(c loader.Class) bool { return c.Method != http.MethodPost })
+	l := loader.New(loader.Config{
+		Clock: d.clock, Seed: d.conf.Seed + 1, Entries: entries, Mix: mix, Workspaces: loader.FromConfig(conf, secrets(conf)),
+		Rate: probes, Duration: time.Second, Count: probes, Timeout: d.conf.Duration, Audit: d.audit,
+	})
+	if err := l.Run(ctx); err != nil {
+		return err
+	}
+	d.note("%d bookings were sent to zone %s", probes, cutZone)
+	return nil
+}
+
 func (d *demo) heal(context.Context) error {
 	d.note("zone %s is back", cutZone)
 	d.network.setCut(cutZone, false)
