--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -77,6 +77,10 @@
 
 	// Journal is an open log. It is safe for use by several goroutines.
 	Journal struct {
+		// saving is held while the snapshot file is written, so that an older
+		// snapshot cannot replace a newer one. It is taken before mu.
+		saving sync.Mutex
+
 		mu       sync.Mutex
 		fs       FS
 		meta     Meta
@@ -155,16 +159,22 @@
 }
 
 // Save stores s durably and removes the segments that it makes obsolete. The
-// entries after s.Index remain.
+// entries after s.Index remain. Writes go on while the snapshot is stored.
 func (j *Journal) Save(s Snapshot) error {
+	j.saving.Lock()
+	defer j.saving.Unlock()
+	if err := j.check(); err != nil {
+		return err
+	}
+	err := WriteFile(j.fs, snapshotName, encodeSnapshot(s))
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if err != nil {
+		return j.fail(err)
+	}
 	if err := j.failed(); err != nil {
 		return err
 	}
-	if err := WriteFile(j.fs, snapshotName, encodeSnapshot(s)); err != nil {
-		return j.fail(err)
-	}
 	if err := j.roll(nil); err != nil {
 		return j.fail(err)
 	}
@@ -174,6 +184,8 @@
 // Reset stores s durably and discards the whole log, so that the next entry
 // has the index s.Index+1.
 func (j *Journal) Reset(s Snapshot) error {
+	j.saving.Lock()
+	defer j.saving.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if err := j.failed(); err != nil {
@@ -192,8 +204,10 @@
 	return j.fail(j.drop(s.Index))
 }
 
-// Close closes the current segment.
+// Close waits for a Save under way and closes the current segment.
 func (j *Journal) Close() error {
+	j.saving.Lock()
+	defer j.saving.Unlock()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.err == nil {
@@ -205,6 +219,12 @@
 	return j.file.Close()
 }
 
+func (j *Journal) check() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.failed()
+}
+
 func (j *Journal) failed() error {
 	if j.err != nil {
 		return &FailedError{Err: j.err}
--- a/journaler/journaler_test.go
+++ b/journaler/journaler_test.go
@@ -216,6 +216,22 @@
 		Expect(fs.Syncs() - before).To(Equal(1))
 	})
 
+	// Guards against a leader that misses its heartbeats while a large
+	// snapshot is stored, and against an entry that is lost meanwhile.
+	It("accepts writes while a snapshot is stored", func() {
+		fs := gateFS{&journaler.Memory{}, make(chan struct{}), make(chan struct{})}
+		j, _ := open(fs)
+		Expect(j.Write(nil, []journaler.Entry{{Index: 1, Term: 1}, {Index: 2, Term: 1}})).To(Succeed())
+		done := make(chan error)
+		go func() { done <- j.Save(journaler.Snapshot{Index: 1, Term: 1}) }()
+		<-fs.entered
+		Expect(j.Write(nil, []journaler.Entry{{Index: 3, Term: 1}})).To(Succeed())
+		close(fs.gate)
+		Expect(<-done).To(Succeed())
+		_, got := open(fs)
+		Expect(got.last()).To(Equal(uint64(3)))
+	})
+
 	// Guards against differences between the fake and the real file system.
 	It("recovers from real files, over several segments", func() {
 		fs, err := journaler.NewOS(GinkgoT().TempDir() + "/group")
@@ -241,6 +257,33 @@
 	})
 })
 
+type (
+	// gateFS holds back the sync of the snapshot until its gate opens.
+	gateFS struct {
+		*journaler.Memory
+		entered, gate chan struct{}
+	}
+
+	gateFile struct {
+		journaler.File
+		fs gateFS
+	}
+)
+
+func (g gateFS) Create(name string) (journaler.File, error) {
+	f, err := g.Memory.Create(name)
+	if name == "snapshot.tmp" {
+		f = gateFile{f, g}
+	}
+	return f, err
+}
+
+func (f gateFile) Sync() error {
+	close(f.fs.entered)
+	<-f.fs.gate
+	return f.File.Sync()
+}
+
 func size(fs journaler.FS, name string) int64 {
 	f, err := fs.Open(name)
 	Expect(err).NotTo(HaveOccurred())
--- a/messenger/relay_bench_test.go
+++ b/messenger/relay_bench_test.go
@@ -82,6 +82,7 @@
 				// Each byte is sent by one host and received by another.
 				b.ReportMetric(2*float64(s.bytes.Load()-bytes)/all, "B/s/host")
 				b.ReportMetric(100*(processorTime(b)-cpu).Seconds()/all, "%core/host")
+				b.ReportMetric(float64(s.control[s.leads()].Watchers()), "leader-streams")
 				b.ReportMetric(float64(m.HeapInuse)/float64(n+3)/(1<<20), "MB/host")
 			}
 		})
--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -196,6 +196,8 @@
 func (n *Node) HandleWatch(ctx context.Context, r *WatchRequest, send func(*Update) error) error {
 	// The first message goes out even without news, so that the watcher
 	// learns the leader.
+	n.watchers.Add(1)
+	defer n.watchers.Add(-1)
 	leader, first := netip.AddrPort{}, true
 	for ctx.Err() == nil {
 		changed := n.holder.Changed()
--- a/relayer/node.go
+++ b/relayer/node.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -69,6 +70,8 @@
 		registry *Registry
 		gathered *buffer.Ring[*pending]
 
+		watchers atomic.Int64
+
 		mu     sync.Mutex
 		hosts  []Host
 		leader netip.AddrPort
@@ -132,6 +135,9 @@
 	return slices.Clone(n.hosts)
 }
 
+// Watchers returns the number of hosts that watch this one.
+func (n *Node) Watchers() int { return int(n.watchers.Load()) }
+
 // Report adds to the statistics that are sent with the next confirmation. An
 // empty zone means this host's.
 func (n *Node) Report(rs ...Report) {
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -81,9 +81,9 @@
 		// acked is the leader's clock when it sent the newest message that
 		// the member answered.
 		acked time.Duration
-		// chunkAt is the offset of the next part of the snapshot with index
-		// chunkOf, and chunkSent is when the last part was sent.
-		chunkOf   uint64
+		// sending is the snapshot under way, chunkAt the offset of its next
+		// part, and chunkSent is when the last part was sent.
+		sending   *journaler.Snapshot
 		chunkAt   int
 		chunkSent time.Duration
 	}
@@ -167,6 +167,7 @@
 		c.broadcast()
 	}
 	c.promote()
+	c.readdress(c.self)
 }
 
 // ready hands over what must be synced and sent. Messages in early may be sent
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -181,6 +183,72 @@
 		Expect(NotRun((<-c.result).err)).To(BeTrue())
 	})
 
+	// Guards against a member that nobody reaches after it was restarted with
+	// another address, also while a peer list still holds the old one.
+	It("follow a member that was restarted at another address", func() {
+		s := newSim(4, 3)
+		s.heal()
+		moved := s.hosts[0]
+		move := func() {
+			s.crash(moved)
+			moved.peer.Addr = netip.AddrPortFrom(moved.peer.Addr.Addr(), moved.peer.Addr.Port()+1000)
+		}
+		check := func() {
+			s.heal()
+			for range 100 {
+				s.step()
+			}
+			m, _ := s.leader().g.core.member(moved.g.ID())
+			Expect(m.Addr).To(Equal(moved.peer.Addr))
+		}
+		move()
+		check()
+		// Now it leads after its restart, so that nobody tells it.
+		move()
+		for _, h := range s.hosts {
+			if h != moved {
+				h.paused = s.now + time.Minute
+			}
+		}
+		for moved.g == nil {
+			s.step()
+		}
+		for _, h := range s.hosts {
+			h.paused = 0
+			h.g.core.becomeFollower(h.g.core.meta.Term, "")
+			h.g.core.leaderAt = -defaultElection
+			if h != moved {
+				h.g.core.wait = time.Minute
+			}
+		}
+		check()
+		Expect(s.leader()).To(Equal(moved))
+	})
+
+	// Guards against a snapshot transfer that starts again whenever the
+	// leader takes a newer snapshot, and so never ends under load.
+	It("finish a snapshot transfer while newer snapshots are taken", func() {
+		s := newSim(5, 3)
+		s.heal()
+		h := s.hosts[(slices.Index(s.hosts, s.leader())+1)%3]
+		s.crash(h)
+		h.down = s.now + time.Minute
+		load := func(n int) {
+			for range n {
+				s.leader().calls = append(s.leader().calls, &call{cmd: make([]byte, 8), result: make(chan outcome, 1)})
+				s.step()
+			}
+		}
+		load(400)
+		h.down = s.now
+		s.leader().g.core.chunk = 100
+		before := s.leader().g.core.snap.Index
+		load(600)
+		Expect(s.leader().g.core.snap.Index).To(BeNumerically(">", before+100))
+		Expect(h.g.core.commit).To(BeNumerically(">", before))
+		Expect(h.g.core.commit).To(BeNumerically(">", s.leader().g.core.commit-50))
+	})
+
 	// Guards against a stale read by a leader whose lease has ended and that
 	// does not know yet whether another was elected.
 	It("hold a barrier back until a majority has answered again", func() {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -48,7 +48,11 @@
 
 // onVote answers a request for a vote or pre-vote.
 func (c *core) onVote(m *Message) {
-	if m.Member == nil || c.sticky() {
+	if m.Member == nil {
+		return
+	}
+	if c.sticky() {
+		c.readdress(*m.Member)
 		return
 	}
 	kind := kindVoteReply
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"foxtailwall/buffer"
 	"foxtailwall/counter"
@@ -107,6 +108,13 @@
 		barriers []*call
 		bytes    int
 
+		// background lets snapshots be stored beside the loop; without it,
+		// as in tests, a turn is one deterministic step.
+		background bool
+		saving     bool
+		saved      chan saved
+		savers     conc.WaitGroup
+
 		// Read by other goroutines.
 		lease   atomic.Int64
 		applied atomic.Uint64
@@ -139,6 +147,12 @@
 		index uint64
 	}
 
+	// saved says that a snapshot was stored, or why not.
+	saved struct {
+		snap journaler.Snapshot
+		err  error
+	}
+
 	outcome struct {
 		data  []byte
 		index uint64
@@ -179,7 +193,7 @@
 	g := &Group{
 		opts: o, core: c, journal: j, start: o.Clock.Now(),
 		inbox: buffer.New[*Message](inboxSize), calls: buffer.New[*call](callsSize),
-		done: make(chan struct{}), waiting: make(map[uint64]*call),
+		done: make(chan struct{}), waiting: make(map[uint64]*call), saved: make(chan saved, 1),
 	}
 	for _, e := range st.Entries {
 		g.bytes += len(e.Data)
--- a/replicator/member.go
+++ b/replicator/member.go
@@ -177,6 +177,20 @@
 	return c.change(conf)
 }
 
+// readdress notes the new address of a member that was restarted elsewhere
+// with its directory. Such a member does not hear the leader, and asks for
+// votes.
+func (c *core) readdress(m Member) {
+	i := slices.IndexFunc(c.conf(), func(o Member) bool { return o.ID == m.ID && o.Addr != m.Addr })
+	if c.role != leader || i < 0 {
+		return
+	}
+	conf := slices.Clone(c.conf())
+	conf[i].Addr = m.Addr
+	// A refusal means that it is too early; the member asks again.
+	_, _ = c.change(conf)
+}
+
 // promote makes a learner a voter once it has synced all that is committed.
 func (c *core) promote() {
 	for i, m := range c.conf() {
--- a/replicator/run.go
+++ b/replicator/run.go
@@ -14,6 +14,7 @@
 func (g *Group) Run(ctx context.Context) error {
 	defer close(g.done)
 	defer g.close()
+	g.background = true
 	for {
 		msgs, calls, err := g.await(ctx)
 		if err != nil {
@@ -30,6 +31,7 @@
 // close ends the lease and the use of the directory.
 func (g *Group) close() {
 	g.lease.Store(0)
+	g.savers.Wait()
 	if err := g.journal.Close(); err != nil {
 		g.opts.Log.Warn().Err(err).Msg("the journal could not be closed")
 	}
@@ -58,6 +60,9 @@
 // turn is one deterministic step: it handles the input, syncs once what came
 // of it, and applies what is committed.
 func (g *Group) turn(now time.Duration, msgs []*Message, calls []*call) error {
+	if err := g.collect(); err != nil {
+		return err
+	}
 	g.core.tick(now)
 	for _, m := range msgs {
 		if err := g.core.step(now, m); err != nil {
@@ -189,7 +194,7 @@
 func (g *Group) compact() error {
 	c := g.core
 	grown := g.bytes >= max(minSnapshotBytes, len(c.snap.Data))
-	if c.applied <= c.snap.Index || (!grown && c.applied-c.snap.Index < g.opts.SnapshotEvery) {
+	if g.saving || c.applied <= c.snap.Index || (!grown && c.applied-c.snap.Index < g.opts.SnapshotEvery) {
 		return nil
 	}
 	data, err := g.opts.Machine.Snapshot()
@@ -200,12 +205,28 @@
 	if err != nil {
 		return err
 	}
-	if err := g.journal.Save(s); err != nil {
-		return err
+	g.saving, g.bytes = true, 0
+	if !g.background {
+		g.saved <- saved{s, g.journal.Save(s)}
+		return g.collect()
+	}
+	// Heartbeats and syncs must not wait for a large file.
+	g.savers.Go(func() { g.saved <- saved{s, g.journal.Save(s)} })
+	return nil
+}
+
+// collect takes over a snapshot that has been stored.
+func (g *Group) collect() error {
+	select {
+	case r := <-g.saved:
+		g.saving = false
+		if r.err != nil {
+			return r.err
+		}
+		g.core.compacted(r.snap)
+		g.opts.Scope.Counter("replicator.snapshots").Inc(1)
+	default:
 	}
-	c.compacted(s)
-	g.bytes = 0
-	g.opts.Scope.Counter("replicator.snapshots").Inc(1)
 	return nil
 }
 
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -137,7 +137,7 @@
 	h.machine = &recorder{}
 	h.inbox, h.calls = nil, nil
 	g, err := New(Options{
-		Name: h.peer.Name, Addr: h.peer.Addr, Peers: s.peers, FS: h.fs, Machine: h.machine,
+		Name: h.peer.Name, Addr: h.peer.Addr, Peers: append(slices.Clone(s.peers), h.peer), FS: h.fs, Machine: h.machine,
 		Transport: h, Clock: h, SnapshotEvery: 40, Trailing: 15,
 		Rand:  rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
 		NewID: func() string { return fmt.Sprintf("%s-%d", h.peer.Name, h.boots) },
@@ -162,7 +162,10 @@
 
 func (s *sim) send(h *host, to netip.AddrPort, m *Message) {
 	from := slices.Index(s.hosts, h)
-	dest := int(to.Port()) - 7000
+	dest := int(to.Port()) % 1000
+	if s.hosts[dest].peer.Addr != to {
+		return
+	}
 	copies := 1
 	if !s.calm && s.chance(0.03) {
 		copies = 2
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -6,6 +6,10 @@
 	"foxtailwall/journaler"
 )
 
+// maxTrailing bounds the entries kept for a snapshot transfer, as a multiple of
+// those that are kept anyway.
+const maxTrailing = 32
+
 // incoming is a snapshot that arrives in parts.
 type incoming struct {
 	snap  journaler.Snapshot
@@ -15,16 +19,17 @@
 // sendChunk sends the next part of the snapshot. A part that was not answered
 // is repeated with a later heartbeat.
 func (c *core) sendChunk(m Member, p *progress, beat bool) {
-	if p.chunkOf != c.snap.Index {
-		p.chunkOf, p.chunkAt, p.chunkSent = c.snap.Index, 0, c.now-c.election
-	}
-	ch := &Chunk{
-		Index: c.snap.Index, Term: c.snap.Term, Config: c.snap.Config,
-		Offset: p.chunkAt, Total: len(c.snap.Data),
+	if p.sending == nil {
+		// A transfer goes on with its snapshot when there is a newer one,
+		// because it might never end otherwise.
+		s := c.snap
+		p.sending, p.chunkAt, p.chunkSent = &s, 0, c.now-c.election
 	}
+	s := p.sending
+	ch := &Chunk{Index: s.Index, Term: s.Term, Config: s.Config, Offset: p.chunkAt, Total: len(s.Data)}
 	if c.now-p.chunkSent >= c.election/2 {
 		p.chunkSent = c.now
-		ch.Data = c.snap.Data[p.chunkAt:min(p.chunkAt+c.chunk, len(c.snap.Data))]
+		ch.Data = s.Data[p.chunkAt:min(p.chunkAt+c.chunk, len(s.Data))]
 	} else if !beat {
 		return
 	} else {
@@ -115,10 +120,12 @@
 	case m.Index > 0:
 		p.match = max(p.match, m.Index)
 		p.next = max(p.next, p.match+1)
-		p.chunkOf = 0
+		p.sending = nil
 		c.advance()
 		c.replicate(to, false)
-	case m.Chunk != nil && m.Chunk.Index == p.chunkOf && m.Chunk.Offset != p.chunkAt && m.Chunk.Offset <= len(c.snap.Data):
+	case m.Chunk == nil || p.sending == nil || m.Chunk.Index != p.sending.Index:
+		return
+	case m.Chunk.Offset != p.chunkAt && m.Chunk.Offset >= 0 && m.Chunk.Offset <= len(p.sending.Data):
 		p.chunkAt = m.Chunk.Offset
 		p.chunkSent = c.now - c.election
 		c.replicate(to, false)
@@ -128,15 +135,34 @@
 // compacted takes over a snapshot that the caller made of the machine at the
 // applied index and saved.
 func (c *core) compacted(s journaler.Snapshot) {
-	c.snap = s
-	if s.Index > c.trailing {
-		c.log.compact(s.Index - c.trailing)
+	if s.Index <= c.snap.Index {
+		// The leader's snapshot has replaced the log in the meantime.
+		return
 	}
+	c.snap = s
+	c.log.compact(c.keepFrom(s.Index))
 	for len(c.confs) > 1 && c.confs[1].index <= s.Index {
 		c.confs = c.confs[1:]
 	}
 }
 
+// keepFrom returns the index up to which entries are dropped after a snapshot:
+// a live member that is receiving an older snapshot needs those that follow
+// it, within bounds.
+func (c *core) keepFrom(index uint64) uint64 {
+	if index <= c.trailing {
+		return 0
+	}
+	from := index - c.trailing
+	least := index - min(index, maxTrailing*c.trailing)
+	for id, p := range c.progress {
+		if p.sending != nil && c.live(id) {
+			from = min(from, max(p.sending.Index, least))
+		}
+	}
+	return from
+}
+
 // snapshotAt returns the snapshot of the machine's state at the applied index.
 func (c *core) snapshotAt(data []byte) (journaler.Snapshot, error) {
 	conf := c.confAt(c.applied)
