--- a/biller/ledger.go
+++ b/biller/ledger.go
@@ -41,7 +41,9 @@
 	// deliveries. Its zero value is empty. It is not safe for use by several
 	// goroutines.
 	Ledger struct {
-		records map[string]*entry
+		// records are replaced when they change and never written to, so that
+		// an export can go on while the ledger changes.
+		records buffer.Dense[string, *entry]
 		// byAge orders the records by the newest time seen for them. An
 		// element may be older than its record; Prune then puts it back.
 		byAge  *buffer.Heap[aged]
@@ -123,18 +125,18 @@
 	case r.At.Year() < minYear:
 		return TooOld
 	}
-	if e := l.records[r.ID]; e != nil {
-		e.newest = max(e.newest, at)
+	if e := l.records.Get(r.ID); e != nil {
+		next := &entry{record: Merge(e.record, r), newest: max(e.newest, at)}
+		l.records.Put(r.ID, next)
 		l.count(e.record, -1)
-		e.record = Merge(e.record, r)
-		l.count(e.record, 1)
+		l.count(next.record, 1)
 		return ""
 	}
 	if r.At.Before(now.Add(-retention)) || at <= l.floor {
 		return TooOld
 	}
 	l.init()
-	l.records[r.ID] = &entry{record: r, newest: at}
+	l.records.Put(r.ID, &entry{record: r, newest: at})
 	l.byAge.Push(aged{at: at, id: r.ID})
 	l.count(r, 1)
 	return ""
@@ -155,11 +157,11 @@
 			break
 		}
 		l.byAge.Pop()
-		if e := l.records[top.id]; e.newest > top.at {
+		if e := l.records.Get(top.id); e.newest > top.at {
 			l.byAge.Push(aged{at: e.newest, id: top.id})
 			continue
 		}
-		delete(l.records, top.id)
+		l.records.Delete(top.id)
 		l.floor = max(l.floor, top.at+int64(MaxRevisionGap))
 		n++
 	}
@@ -167,7 +169,7 @@
 }
 
 // Len returns the number of single records that are kept.
-func (l *Ledger) Len() int { return len(l.records) }
+func (l *Ledger) Len() int { return l.records.Len() }
 
 // Refusals returns the number of deliveries that were refused so far.
 func (l *Ledger) Refusals() int64 { return l.refused }
@@ -187,27 +189,34 @@
 	return out
 }
 
-// Records returns the single records that are kept, sorted by ID.
-func (l *Ledger) Records() []Record {
-	out := make([]Record, 0, len(l.records))
-	for _, e := range l.records {
-		out = append(out, e.record)
+// Records returns a function that makes the list of the single records that
+// are kept now, sorted by ID. It may run while the ledger changes.
+func (l *Ledger) Records() func() []Record {
+	each, n := l.records.Freeze(), l.records.Len()
+	return func() []Record {
+		out := make([]Record, 0, n)
+		each(func(_ string, e *entry) { out = append(out, e.record) })
+		slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
+		return out
 	}
-	slices.SortFunc(out, func(a, b Record) int { return strings.Compare(a.ID, b.ID) })
-	return out
 }
 
-// Export returns the content of the ledger in a fixed order.
-func (l *Ledger) Export() Export {
-	e := Export{
-		Totals: l.Totals(), Floor: l.floor, Refused: l.refused,
-		Records: make([]SavedRecord, 0, len(l.records)),
-	}
-	for _, r := range l.records {
-		e.Records = append(e.Records, SavedRecord{Record: r.record, Newest: r.newest})
+// Export returns the content of the ledger, in an order that depends only on
+// the calls that made it.
+func (l *Ledger) Export() Export { return l.Freeze()() }
+
+// Freeze returns a function that makes the export of the ledger as it is now.
+// Freeze is fast; the function may run while the ledger changes.
+func (l *Ledger) Freeze() func() Export {
+	each, n := l.records.Freeze(), l.records.Len()
+	e := Export{Totals: l.Totals(), Floor: l.floor, Refused: l.refused}
+	return func() Export {
+		e.Records = make([]SavedRecord, 0, n)
+		each(func(_ string, r *entry) {
+			e.Records = append(e.Records, SavedRecord{Record: r.record, Newest: r.newest})
+		})
+		return e
 	}
-	slices.SortFunc(e.Records, func(a, b SavedRecord) int { return strings.Compare(a.Record.ID, b.Record.ID) })
-	return e
 }
 
 // Import replaces the content of the ledger.
@@ -216,7 +225,7 @@
 	l.init()
 	for _, s := range e.Records {
 		s.Record.At = s.Record.At.UTC()
-		l.records[s.Record.ID] = &entry{record: s.Record, newest: s.Newest}
+		l.records.Put(s.Record.ID, &entry{record: s.Record, newest: s.Newest})
 		l.byAge.Push(aged{at: s.Newest, id: s.Record.ID})
 	}
 	for _, t := range e.Totals {
@@ -225,10 +234,9 @@
 }
 
 func (l *Ledger) init() {
-	if l.records != nil {
+	if l.byAge != nil {
 		return
 	}
-	l.records = make(map[string]*entry)
 	l.totals = make(map[account]*Total)
 	l.byAge = buffer.NewHeap(func(a, b aged) bool {
 		return a.at < b.at || a.at == b.at && a.id < b.id
--- /dev/null
+++ b/buffer/dense.go
@@ -0,0 +1,66 @@
+package buffer
+
+import "slices"
+
+// Dense is a map whose values stand in one slice, so that all of them are
+// copied at the cost of a slice. The order of the values depends only on the
+// calls of Put and Delete. It is not safe for use by several goroutines; its
+// zero value is empty.
+type Dense[K comparable, V any] struct {
+	index map[K]int
+	items []denseItem[K, V]
+}
+
+type denseItem[K comparable, V any] struct {
+	key   K
+	value V
+}
+
+// Get returns the value of k, or the zero value.
+func (d *Dense[K, V]) Get(k K) (v V) {
+	if i, ok := d.index[k]; ok {
+		return d.items[i].value
+	}
+	return v
+}
+
+// Put sets the value of k.
+func (d *Dense[K, V]) Put(k K, v V) {
+	if i, ok := d.index[k]; ok {
+		d.items[i].value = v
+		return
+	}
+	if d.index == nil {
+		d.index = make(map[K]int)
+	}
+	d.index[k] = len(d.items)
+	d.items = append(d.items, denseItem[K, V]{k, v})
+}
+
+// Delete removes k. The last value takes its place.
+func (d *Dense[K, V]) Delete(k K) {
+	i, ok := d.index[k]
+	if !ok {
+		return
+	}
+	last := len(d.items) - 1
+	d.items[i] = d.items[last]
+	d.index[d.items[i].key] = i
+	d.items[last] = denseItem[K, V]{}
+	d.items = d.items[:last]
+	delete(d.index, k)
+}
+
+// Len returns the number of values.
+func (d *Dense[K, V]) Len() int { return len(d.items) }
+
+// Freeze copies the content as it is now and returns a function that calls fn
+// for each key and value of the copy. The values themselves are shared.
+func (d *Dense[K, V]) Freeze() (each func(fn func(K, V))) {
+	items := slices.Clone(d.items)
+	return func(fn func(K, V)) {
+		for _, it := range items {
+			fn(it.key, it.value)
+		}
+	}
+}
--- a/claimer/table.go
+++ b/claimer/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"strings"
 	"time"
 
@@ -30,7 +29,9 @@
 	// order give the same answers and the same Export. Its zero value is
 	// empty. It is not safe for use by several goroutines.
 	Table struct {
-		claims map[id]*claim
+		// claims are replaced when they change and never written to, so that
+		// an export can go on while the table changes.
+		claims buffer.Dense[id, *claim]
 		// byAge orders the claims by the time in their key. A claim is in it
 		// exactly once, from its creation to its pruning.
 		byAge *buffer.Heap[id]
@@ -86,25 +87,23 @@
 	if !ok {
 		return Result{State: Invalid}
 	}
-	if c := t.claims[k]; c != nil {
-		return t.resume(c, r, now)
+	if c := t.claims.Get(k); c != nil {
+		return t.resume(k, c, r, now)
 	}
 	if s := t.admit(k, now, window); s != Granted {
 		return Result{State: s}
 	}
-	c := &claim{}
-	c.start(r, now)
-	t.add(k, c)
+	t.add(k, started(r, now))
 	return Result{State: Granted, RequestID: r.RequestID}
 }
 
 // resume answers a request whose key is in the table.
-func (t *Table) resume(c *claim, r Request, now time.Time) Result {
+func (t *Table) resume(k id, c *claim, r Request, now time.Time) Result {
 	switch {
 	case c.released && c.requestID == r.RequestID:
 		return Result{State: Released, RequestID: r.RequestID}
 	case c.released:
-		c.start(r, now)
+		t.claims.Put(k, started(r, now))
 		return Result{State: Granted, RequestID: r.RequestID}
 	case c.digest != r.Digest:
 		return Result{State: Reused, RequestID: c.requestID}
@@ -122,12 +121,18 @@
 // is finished by that request. A repeated call keeps the first response. A
 // late one, after the deadline, still counts, since it says what happened.
 func (t *Table) Finish(key Key, requestID string, resp Response) bool {
-	c := t.owned(key, requestID)
-	if c == nil || c.released {
+	k, ok := parse(key)
+	if !ok {
+		return false
+	}
+	c := t.claims.Get(k)
+	if c == nil || c.requestID != requestID || c.released {
 		return false
 	}
 	if c.response == nil {
-		c.response = trim(resp)
+		next := *c
+		next.response = trim(resp)
+		t.claims.Put(k, &next)
 	}
 	return true
 }
@@ -141,7 +146,7 @@
 	if !ok {
 		return true
 	}
-	c := t.claims[k]
+	c := t.claims.Get(k)
 	switch {
 	case c == nil:
 		if t.admit(k, now, window) == Granted {
@@ -153,7 +158,7 @@
 	case c.response != nil:
 		return false
 	}
-	*c = claim{requestID: requestID, released: true}
+	t.claims.Put(k, &claim{requestID: requestID, released: true})
 	return true
 }
 
@@ -167,34 +172,32 @@
 		if !ok || k.millis() >= oldest {
 			return n
 		}
-		if c := t.claims[k]; !c.released && c.response == nil && now.UnixNano() < c.deadline {
+		if c := t.claims.Get(k); !c.released && c.response == nil && now.UnixNano() < c.deadline {
 			return n
 		}
 		t.byAge.Pop()
-		delete(t.claims, k)
+		t.claims.Delete(k)
 		t.floor = max(t.floor, k.millis())
 	}
 	return limit
 }
 
 // Len returns the number of claims in the table.
-func (t *Table) Len() int { return len(t.claims) }
+func (t *Table) Len() int { return t.claims.Len() }
 
-// Export returns the content of the table in a fixed order.
-func (t *Table) Export() Export {
-	e := Export{Floor: t.floor, Claims: make([]Saved, 0, len(t.claims))}
-	for k, c := range t.claims {
-		s := Saved{
-			Workspace: k.workspace, Service: k.service, Key: k.key, RequestID: c.requestID,
-			Owner: c.owner, Deadline: c.deadline, Released: c.released, Response: c.response,
-		}
-		if !c.released {
-			s.Digest = c.digest[:]
-		}
-		e.Claims = append(e.Claims, s)
+// Export returns the content of the table, in an order that depends only on
+// the calls that made it.
+func (t *Table) Export() Export { return t.Freeze()() }
+
+// Freeze returns a function that makes the export of the table as it is now.
+// Freeze is fast; the function may run while the table changes.
+func (t *Table) Freeze() func() Export {
+	each, n, floor := t.claims.Freeze(), t.claims.Len(), t.floor
+	return func() Export {
+		e := Export{Floor: floor, Claims: make([]Saved, 0, n)}
+		each(func(k id, c *claim) { e.Claims = append(e.Claims, saved(k, c)) })
+		return e
 	}
-	slices.SortFunc(e.Claims, func(a, b Saved) int { return compare(a.id(), b.id()) })
-	return e
 }
 
 // Import replaces the content of the table.
@@ -221,23 +224,11 @@
 	return Granted
 }
 
-func (t *Table) owned(key Key, requestID string) *claim {
-	k, ok := parse(key)
-	if !ok {
-		return nil
-	}
-	if c := t.claims[k]; c != nil && c.requestID == requestID {
-		return c
-	}
-	return nil
-}
-
 func (t *Table) add(k id, c *claim) {
-	if t.claims == nil {
-		t.claims = make(map[id]*claim)
+	if t.byAge == nil {
 		t.byAge = buffer.NewHeap(func(a, b id) bool { return compare(a, b) < 0 })
 	}
-	t.claims[k] = c
+	t.claims.Put(k, c)
 	t.byAge.Push(k)
 }
 
@@ -248,17 +239,28 @@
 	return t.byAge.Peek()
 }
 
-func (c *claim) start(r Request, now time.Time) {
+func started(r Request, now time.Time) *claim {
 	d := r.Timeout
 	if d <= 0 {
 		d = DefaultTimeout
 	}
-	*c = claim{
+	return &claim{
 		digest: r.Digest, requestID: r.RequestID, owner: r.Owner,
 		deadline: now.Add(min(d, MaxTimeout)).UnixNano(),
 	}
 }
 
+func saved(k id, c *claim) Saved {
+	s := Saved{
+		Workspace: k.workspace, Service: k.service, Key: k.key, RequestID: c.requestID,
+		Owner: c.owner, Deadline: c.deadline, Released: c.released, Response: c.response,
+	}
+	if !c.released {
+		s.Digest = c.digest[:]
+	}
+	return s
+}
+
 func (s Saved) id() id { return id{workspace: s.Workspace, service: s.Service, key: s.Key} }
 
 // millis returns the time in the key, in Unix milliseconds.
--- a/controller/bench_test.go
+++ b/controller/bench_test.go
@@ -132,6 +132,11 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	b.Run("freeze", func(b *testing.B) {
+		for b.Loop() {
+			m.Freeze()
+		}
+	})
 	b.Run("write", func(b *testing.B) {
 		b.SetBytes(int64(len(snap)))
 		for b.Loop() {
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -113,6 +113,11 @@
 // Ledger returns the sums of the ledger, the number of refused deliveries and
 // the single records that are kept, sorted by ID.
 func (m *Machine) Ledger() (totals []biller.Total, refused int64, recs []biller.Record) {
+	totals, refused, list := m.ledgerParts()
+	return totals, refused, list()
+}
+
+func (m *Machine) ledgerParts() ([]biller.Total, int64, func() []biller.Record) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	return m.ledger.Totals(), m.ledger.Refusals(), m.ledger.Records()
@@ -123,7 +128,7 @@
 func (m *Machine) Sizes() (claims, pins, records int, refused int64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.claims.Len(), len(m.pins.pins), m.ledger.Len(), m.ledger.Refusals()
+	return m.claims.Len(), m.pins.pins.Len(), m.ledger.Len(), m.ledger.Refusals()
 }
 
 func (m *Machine) item(s stamp, it *Item) Answer {
--- a/controller/machine_test.go
+++ b/controller/machine_test.go
@@ -153,13 +153,15 @@
 
 var _ = Describe("Machine", func() {
 	// Guards against members of the control group that differ after the same
-	// log, or after one of them was restored from a snapshot.
+	// log, or after one of them was restored from a snapshot, and against a
+	// snapshot that holds parts of what was applied while it was written.
 	It("reaches the same state from the same log and from a snapshot", func() {
 		const seed, entries = 17, 6000
 		rng := rand.New(rand.NewPCG(seed, seed))
 		a, b := newBench(nil), newBench(nil)
 		third := controller.New(nil)
 		states := map[string]int{}
+		frozen, before := a.Freeze(), []byte(nil)
 		for n := range entries {
 			a.at = a.at.Add(time.Duration(rng.IntN(8000)) * time.Millisecond)
 			items := make([]controller.Item, 1+rng.IntN(3))
@@ -200,6 +202,12 @@
 				Expect(sha256.Sum256(got)).To(Equal(sha256.Sum256(snap)), "seed %d, entry %d", seed, n)
 				Expect(m.View()).To(Equal(a.View()))
 			}
+			late, err := frozen()
+			Expect(err).NotTo(HaveOccurred())
+			if before != nil {
+				Expect(sha256.Sum256(late)).To(Equal(sha256.Sum256(before)), "seed %d, entry %d", seed, n)
+			}
+			frozen, before = a.Freeze(), snap
 			third = controller.New(nil)
 			Expect(third.Restore(snap)).To(Succeed())
 			Expect(third.View()).To(Equal(a.View()))
--- a/controller/pins.go
+++ b/controller/pins.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"foxtailwall/buffer"
@@ -16,7 +15,7 @@
 type (
 	// pinTable holds the pins of sessions. Its zero value is empty.
 	pinTable struct {
-		pins map[pinKey]pinned
+		pins buffer.Dense[pinKey, *pinned]
 		// byUse orders the pins by their last use. An element may be older
 		// than its pin; prune then puts it back.
 		byUse *buffer.Heap[usedPin]
@@ -46,9 +45,8 @@
 // one that holds.
 func (t *pinTable) pin(p pinner.Pin, at time.Time) pinner.Pin {
 	k := keyOf(p)
-	if old, ok := t.pins[k]; ok {
-		old.used = max(old.used, at.UnixNano())
-		t.pins[k] = old
+	if old := t.pins.Get(k); old != nil {
+		t.pins.Put(k, &pinned{version: old.version, used: max(old.used, at.UnixNano())})
 		p.Version = old.version
 		return p
 	}
@@ -60,10 +58,9 @@
 // more, and returns the one that holds.
 func (t *pinTable) repin(old, p pinner.Pin, at time.Time) pinner.Pin {
 	k := keyOf(p)
-	cur, ok := t.pins[k]
-	if ok && keyOf(old) == k && cur.version == old.Version {
-		cur.version = p.Version
-		t.pins[k] = cur
+	cur := t.pins.Get(k)
+	if cur != nil && keyOf(old) == k && cur.version == old.Version {
+		t.pins.Put(k, &pinned{version: p.Version, used: cur.used})
 	}
 	return t.pin(p, at)
 }
@@ -80,35 +77,37 @@
 			return
 		}
 		t.byUse.Pop()
-		if p := t.pins[top.key]; p.used > top.used {
+		if p := t.pins.Get(top.key); p.used > top.used {
 			t.byUse.Push(usedPin{used: p.used, key: top.key})
 			continue
 		}
-		delete(t.pins, top.key)
+		t.pins.Delete(top.key)
 	}
 }
 
 func (t *pinTable) add(p pinner.Pin, used int64) {
-	if t.pins == nil {
-		t.pins = make(map[pinKey]pinned)
+	if t.byUse == nil {
 		t.byUse = buffer.NewHeap(func(a, b usedPin) bool {
 			return a.used < b.used || a.used == b.used && compareKeys(a.key, b.key) < 0
 		})
 	}
 	k := keyOf(p)
-	t.pins[k] = pinned{version: p.Version, used: used}
+	t.pins.Put(k, &pinned{version: p.Version, used: used})
 	t.byUse.Push(usedPin{used: used, key: k})
 }
 
-func (t *pinTable) export() []savedPin {
-	out := make([]savedPin, 0, len(t.pins))
-	for k, v := range t.pins {
-		out = append(out, savedPin{Used: v.used, Pin: pinner.Pin{
-			Workspace: k.workspace, Session: k.session, Model: k.model, Version: v.version,
-		}})
+// freeze returns a function that lists the pins as they are now.
+func (t *pinTable) freeze() func() []savedPin {
+	each, n := t.pins.Freeze(), t.pins.Len()
+	return func() []savedPin {
+		out := make([]savedPin, 0, n)
+		each(func(k pinKey, v *pinned) {
+			out = append(out, savedPin{Used: v.used, Pin: pinner.Pin{
+				Workspace: k.workspace, Session: k.session, Model: k.model, Version: v.version,
+			}})
+		})
+		return out
 	}
-	slices.SortFunc(out, func(a, b savedPin) int { return compareKeys(keyOf(a.Pin), keyOf(b.Pin)) })
-	return out
 }
 
 func keyOf(p pinner.Pin) pinKey {
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -41,11 +41,35 @@
 	}
 )
 
-// Snapshot implements replicator.Machine. It copies the state under the lock
-// and encodes the copy without it.
-func (m *Machine) Snapshot() ([]byte, error) {
-	s := m.export()
-	return serializer.Marshal(s)
+// Snapshot implements replicator.Machine.
+func (m *Machine) Snapshot() ([]byte, error) { return m.Freeze()() }
+
+// Freeze returns a function that makes the snapshot of the state as it is now.
+// Freeze takes a few milliseconds for a million records; the function takes
+// seconds and may run while further commands are applied, so that a leader
+// need not stop for it.
+func (m *Machine) Freeze() func() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := snapshot{
+		Format: snapshotFormat, Config: m.raw, ConfigVersion: m.configVersion,
+		ViewVersion: m.view.Version, Progress: m.view.Progress, Quarantined: m.view.Quarantined,
+		// The elements of the history never change, and appending does not
+		// touch those within this length.
+		History: m.history[:len(m.history):len(m.history)],
+		Owners:  make(map[string]owner, len(m.owners)),
+	}
+	for _, k := range m.answers.order {
+		s.Answers = append(s.Answers, savedAnswer{Key: k, Answer: m.answers.byID[k]})
+	}
+	for k, v := range m.owners {
+		s.Owners[k] = v
+	}
+	claims, ledger, pins := m.claims.Freeze(), m.ledger.Freeze(), m.pins.freeze()
+	return func() ([]byte, error) {
+		s.Claims, s.Ledger, s.Pins = claims(), ledger(), pins()
+		return serializer.Marshal(s)
+	}
 }
 
 // Restore implements replicator.Machine. On an error the state is unchanged.
@@ -74,27 +98,6 @@
 	return fmt.Sprintf("snapshot has format %d, this release reads %d; start the release that wrote it", e.Format, snapshotFormat)
 }
 
-func (m *Machine) export() snapshot {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	s := snapshot{
-		Format: snapshotFormat, Config: m.raw, ConfigVersion: m.configVersion,
-		ViewVersion: m.view.Version, Progress: m.view.Progress, Quarantined: m.view.Quarantined,
-		// The elements of the history never change, and appending does not
-		// touch those within this length.
-		History: m.history[:len(m.history):len(m.history)],
-		Claims:  m.claims.Export(), Ledger: m.ledger.Export(), Pins: m.pins.export(),
-		Owners: make(map[string]owner, len(m.owners)),
-	}
-	for _, k := range m.answers.order {
-		s.Answers = append(s.Answers, savedAnswer{Key: k, Answer: m.answers.byID[k]})
-	}
-	for k, v := range m.owners {
-		s.Owners[k] = v
-	}
-	return s
-}
-
 func (m *Machine) restore(s snapshot, conf declarer.Config) {
 	m.raw, m.config, m.configVersion = s.Config, conf, s.ConfigVersion
 	m.declared = nil
