--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,11 @@
 // start sends the attempt and reads the header of its answer. On error the
 // connection is closed.
 func (d *Dialer) start(ctx context.Context, a *router.Attempt, stream bool) (*exchange, error) {
+	if !cleanTarget(a.Path) {
+		return nil, &router.AttemptError{
+			Kind: router.FailMalformed, Outcome: refuser.NotRun, Err: errors.New("the path has bytes that would end it"),
+		}
+	}
 	c, err := d.get(ctx, a.Upstream, a.Fresh, a.Deadline)
 	if err != nil {
 		return nil, cancelled(ctx, err)
@@ -148,6 +154,11 @@
 	return append(b, "\r\n"...)
 }
 
+// cleanTarget reports whether s stays one word of the request line.
+func cleanTarget(s string) bool {
+	return strings.HasPrefix(s, "/") && cleanField(s) && !strings.ContainsAny(s, " \t")
+}
+
 func cleanField(s string) bool {
 	for i := range len(s) {
 		if c := s[i]; c < ' ' && c != '\t' || c == 0x7f {
--- a/router/ports.go
+++ b/router/ports.go
@@ -2,9 +2,22 @@
 //
 // # Usage
 //
+//	r := router.New(router.Options{
+//		Host: name, Zone: zone, Clock: clock, Scope: scope,
+//		Views: views, Upstreams: dialer, Claims: claims, Pins: pins, Bills: bills,
+//	})
+//	answer, err := r.Chat(ctx, &router.ChatRequest{...})
+//	err = r.Stream(ctx, &router.ChatRequest{...}, sink)
+//	answer, err := r.Call(ctx, &router.CallRequest{...})
+//
 // The interfaces of this file are what the request path needs from the rest
 // of a host; package messenger implements them over the network and tests use
-// small fakes.
+// small fakes. Those of decisions.go (Limiter, Chooser, Picker and others)
+// have simple defaults in this package. Package dialer implements Upstreams.
+//
+// A request passes admission, session, plan, replica and attempt. An attempt
+// is followed by another only if it did not run or its request may be
+// repeated, and a refusal says "not run" only if no attempt may have run.
 package router
 
 import (
--- /dev/null
+++ b/server/mix_test.go
@@ -0,0 +1,111 @@
+package server_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/dialer"
+	"foxtailwall/refuser"
+	"foxtailwall/router"
+	"foxtailwall/server"
+)
+
+// faults is an engine that answers with the nonce of the request and, by a
+// seeded choice, with what belongs to another request or is not whole.
+type faults struct {
+	mu   sync.Mutex
+	rng  *rand.Rand
+	last string // The answer before, to be mixed up with the next.
+}
+
+func (f *faults) roll() (n int, last string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(12), f.last
+}
+
+func (f *faults) serve(w http.ResponseWriter, r *http.Request) bool {
+	id, nonce := r.Header.Get("Foxtailwall-Request"), r.Header.Get("X-Nonce")
+	body := fmt.Sprintf("%s is %s", id, nonce)
+	n, last := f.roll()
+	f.mu.Lock()
+	f.last = body
+	f.mu.Unlock()
+	one := "HTTP/1.1 200 OK\r\nFoxtailwall-Request: %s\r\nContent-Length: %d\r\n\r\n%s"
+	mine := fmt.Sprintf(one, id, len(body), body)
+	lastID, _, _ := strings.Cut(last, " ")
+	other := fmt.Sprintf(one, lastID, len(last), last)
+	c, _, err := w.(http.Hijacker).Hijack()
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	switch n {
+	case 0:
+		fmt.Fprint(c, other) // The answer of another.
+	case 1:
+		fmt.Fprint(c, other+mine) // A late answer in front of its own.
+	case 2:
+		fmt.Fprint(c, mine[:len(mine)-3])
+	case 3:
+		fmt.Fprint(c, "HTTP/1.1 503 Leaving\r\nFoxtailwall-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+	case 4: // Nothing but a close.
+	default:
+		fmt.Fprint(c, mine+other) // Its own, and then one that nobody asked for.
+	}
+	return true
+}
+
+var _ = Describe("an entry host between many callers and a faulty upstream", func() {
+	// Guards against crossed, late, cut and repeated answers under load: a
+	// caller gets its own whole answer or a refusal, and one bill for an
+	// answer.
+	It("gives each caller its own answer and bills it once", func() {
+		const seed, callers, each = 3, 16, 40
+		f := &faults{last: "none is none", rng: rand.New(rand.NewPCG(seed, seed))}
+		e := newEngine(1)
+		DeferCleanup(e.Close)
+		e.hook = f.serve
+		at := addrOf(e.Listener)
+		h := start(config(nil, []netip.AddrPort{at, at, at}, false),
+			func(_ *server.Options, o *router.Options, _ *dialer.Options) { o.HedgeAfter = 20 * time.Millisecond })
+		var mu sync.Mutex
+		answered := make(map[string]bool)
+		var wg sync.WaitGroup
+		for i := range callers {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				for j := range each {
+					nonce := fmt.Sprintf("nonce-%d-%d", i, j)
+					resp, body := h.send("GET", "/services/laser/status", "", "X-Nonce", nonce)
+					id := resp.Header.Get("Foxtailwall-Request")
+					if resp.StatusCode != http.StatusOK {
+						Expect(problem(body).Outcome).NotTo(Equal(refuser.Ran))
+						continue
+					}
+					Expect(body).To(And(HavePrefix(id+"-"), HaveSuffix(" is "+nonce)))
+					mu.Lock()
+					answered[id] = true
+					mu.Unlock()
+				}
+			})
+		}
+		wg.Wait()
+		Expect(len(answered)).To(BeNumerically(">", callers*each/2))
+		billed := make(map[string]int)
+		for _, r := range h.bills.all() {
+			billed[r.ID]++
+		}
+		Expect(billed).To(HaveLen(len(answered)))
+		for id, n := range billed {
+			Expect(answered).To(HaveKey(id))
+			Expect(n).To(Equal(1))
+		}
+	})
+})
