Keep idle upstream connections for 2 s, resume TLS sessions, read texts only for ratings

A connection can go silent while it idles, which shows only after a request was sent on it. Handler panics and the steps of a drain are logged.

--- a/dialer/answer.go
+++ b/dialer/answer.go
@@ -65,7 +65,9 @@
 	if p.Usage != nil {
 		ans.Usage = router.Usage{Input: p.Usage.PromptTokens, Output: p.Usage.CompletionTokens}
 	}
-	ans.Text = p.Text()
+	if x.a.Text {
+		ans.Text = p.Text()
+	}
 	return nil
 }
 
@@ -139,7 +141,10 @@
 	}
 	c := router.Chunk{Data: data}
 	if p.Produced() {
-		c.Tokens, c.Text = 1, p.Text()
+		c.Tokens = 1
+	}
+	if s.x.a.Text {
+		c.Text = p.Text()
 	}
 	if p.Usage != nil {
 		c.Usage = &router.Usage{Input: p.Usage.PromptTokens, Output: p.Usage.CompletionTokens}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -53,9 +53,14 @@
 	defaultSilent = 10 * time.Second
 	// defaultBetween is far above the 35 ms that tokens take, so that only a
 	// stream that stands still is cut.
-	defaultBetween     = 5 * time.Second
-	defaultIdle        = 30 * time.Second
-	defaultMaxIdle     = 64
+	defaultBetween = 5 * time.Second
+	// defaultIdle is short since a connection may go silent while it idles,
+	// which shows only after a request was sent on it. The polls of load keep
+	// one connection to each engine of the zone in use.
+	defaultIdle    = 2 * time.Second
+	defaultMaxIdle = 64
+	// sessionCache is the number of upstreams whose TLS sessions are kept.
+	sessionCache       = 2048
 	defaultMaxBody     = 16 << 20
 	defaultMaxEvent    = 1 << 20
 	defaultUserTimeout = 4 * time.Second
@@ -113,6 +118,11 @@
 // New returns a dialer whose watch goroutine runs until Close.
 func New(o Options) *Dialer {
 	o = o.withDefaults()
+	if o.TLS != nil && o.TLS.ClientSessionCache == nil {
+		// Connections are short-lived; resumption saves most of a handshake.
+		o.TLS = o.TLS.Clone()
+		o.TLS.ClientSessionCache = tls.NewLRUClientSessionCache(sessionCache)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dialer{
 		o: o, net: newNetDialer(), cancel: cancel,
@@ -148,7 +158,7 @@
 		if c == nil {
 			break
 		}
-		if c.quiet() {
+		if d.o.Clock.Since(c.since) < d.o.Idle && c.quiet() {
 			c.reused = true
 			return c, nil
 		}
--- a/router/chat.go
+++ b/router/chat.go
@@ -36,6 +36,9 @@
 	plan    PlanRequest
 	steps   []biller.Step
 	notice  Notice
+	// rated says that the answer is offered to the rating service, and text
+	// that its text is needed for that or for a cascade.
+	rated, text bool
 }
 
 // Chat serves a request whose answer is returned whole. Errors are a
@@ -46,9 +49,10 @@
 		return nil, err
 	}
 	defer release()
-	c := &chat{task: t, q: q}
+	c := &chat{task: t, q: q, rated: r.o.Ratings.Wants()}
 	var ans *Answer
 	err = r.planned(c, func(steps []declarer.VersionRef) error {
+		c.text = c.rated || len(steps) > 1
 		ans, err = r.cascade(ctx, c, steps)
 		return err
 	})
@@ -56,7 +60,7 @@
 		return nil, err
 	}
 	r.bill(ctx, c.record(biller.Complete, r.o.Clock.Now()))
-	if r.o.Ratings.Wants() {
+	if c.rated {
 		r.o.Ratings.Offer(c.rateRequest(c.notice.Ref, ans.Text))
 	}
 	c.notice.Tokens = c.tokens()
@@ -184,7 +188,7 @@
 func (r *Router) chatAttempt(c *chat, ref declarer.VersionRef, g target) *Attempt {
 	return &Attempt{
 		ID: g.id, Upstream: g.upstream, Method: http.MethodPost, Path: chatPath, Header: chatHeader,
-		Body: c.q.Body(ref), Engine: true, Fresh: g.fresh, Deadline: c.deadline, Priority: c.priority,
+		Body: c.q.Body(ref), Engine: true, Text: c.text, Fresh: g.fresh, Deadline: c.deadline, Priority: c.priority,
 		Check: func() error { return r.check(c.workspace.Name, ref) },
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// defaultDeadline bounds requests for which nobody names a deadline.
-	defaultDeadline = time.Minute
+	// defaultDeadline bounds requests for which nobody names a deadline. An
+	// answer of 4000 tokens at 35 ms each takes 140 s.
+	defaultDeadline = 5 * time.Minute
 	// maxDeadline bounds what callers may ask for.
 	maxDeadline = time.Hour
 	// controlWait bounds one call of the control group; a leader change
--- a/router/stream.go
+++ b/router/stream.go
@@ -39,7 +39,6 @@
 		tokens int64
 		usage  *Usage
 		text   strings.Builder
-		rated  bool
 		since  time.Time
 		wait   time.Duration // Time to the first token.
 	}
@@ -62,8 +61,9 @@
 		return err
 	}
 	defer release()
-	c := &chat{task: t, q: q, stream: true}
-	s := &streaming{r: r, c: c, sink: sink, rated: r.o.Ratings.Wants()}
+	rated := r.o.Ratings.Wants()
+	c := &chat{task: t, q: q, stream: true, rated: rated, text: rated}
+	s := &streaming{r: r, c: c, sink: sink}
 	err = r.planned(c, func(steps []declarer.VersionRef) error {
 		return s.run(ctx, steps[0])
 	})
@@ -82,7 +82,7 @@
 		s.c.steps = []biller.Step{s.c.billStep(s.p.ref, s.counted())}
 		s.r.bill(ctx, s.c.record(ending(ctx, err), s.r.o.Clock.Now()))
 	}
-	if err == nil && s.rated {
+	if err == nil && s.c.rated {
 		s.r.o.Ratings.Offer(s.c.rateRequest(s.p.ref, s.text.String()))
 	}
 	if err != nil && isSinkError(err) {
@@ -213,7 +213,7 @@
 		s.usage = k.Usage
 	}
 	s.tokens += k.Tokens
-	if s.rated && s.text.Len() < maxRated {
+	if s.c.rated && s.text.Len() < maxRated {
 		s.text.WriteString(k.Text)
 	}
 	if !s.begun && k.Tokens == 0 && s.size+len(k.Data) <= maxHeld {
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -77,6 +77,8 @@
 		Deadline time.Time
 		// Priority goes from 0, the lowest, to 9.
 		Priority int
+		// Text asks for the generated text of the answer.
+		Text bool
 		// Resume names a cut stream and the tokens received, "ID:N".
 		Resume string
 		// Check is called when a connection is ready, before the first byte.
@@ -91,7 +93,7 @@
 		Body   []byte
 		// Usage is set in answers of engines.
 		Usage Usage
-		// Text is the generated text, for the rating service.
+		// Text is the generated text, if the attempt asked for it.
 		Text string
 		// FirstByte is the time until the answer began.
 		FirstByte time.Duration
@@ -103,7 +105,7 @@
 	Chunk struct {
 		// Data is valid until the next call of Next.
 		Data []byte
-		// Text is the generated text.
+		// Text is the generated text, if the attempt asked for it.
 		Text string
 		// Tokens is the number of tokens the chunk carries.
 		Tokens int64
--- a/server/guard.go
+++ b/server/guard.go
@@ -47,7 +47,7 @@
 		panic(v)
 	}
 	s.o.Scope.Counter("server.panics").Inc(1)
-	debug.PrintStack()
+	s.o.Log.Error().Bytes("stack", debug.Stack()).Msg("handler panicked")
 	refuse(w, refuser.New(refuser.Internal, refuser.Unknown, "internal error; the outcome of the request is not known"), 0)
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -27,6 +27,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -34,6 +35,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/net/netutil"
 
@@ -68,6 +70,9 @@
 		Scope  counter.Scope
 		Views  router.Views
 		Router *router.Router
+		// Log receives the stack of a handler that panicked, and the begin
+		// and end of Drain. The zero value logs nothing.
+		Log zerolog.Logger
 		// OperatorDigest is the SHA-256 digest of the operator key, in
 		// hexadecimal. Without it metrics and configuration are not shown.
 		OperatorDigest string
@@ -153,6 +158,8 @@
 	srv := &http.Server{
 		Handler: h, TLSConfig: conf, MaxHeaderBytes: s.o.MaxHeader,
 		ReadHeaderTimeout: s.o.HeaderTimeout, IdleTimeout: s.o.IdleTimeout,
+		// The library would log a line for each handshake that fails.
+		ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError),
 	}
 	s.mu.Lock()
 	if s.stopped {
@@ -179,6 +186,7 @@
 // because ctx ended.
 func (s *Server) Drain(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.o.Log.Info().Dur("grace", s.o.Grace).Msg("readiness fails; the listener stops after the grace time")
 	if err := timekeeper.Sleep(ctx, s.o.Clock, s.o.Grace); err != nil {
 		return errors.Wrap(err, "drain")
 	}
@@ -195,7 +203,9 @@
 			cancel()
 		}
 	})
-	return s.shutdown(bounded, callers, operators)
+	err := s.shutdown(bounded, callers, operators)
+	s.o.Log.Info().Err(err).Msg("requests under way have ended")
+	return err
 }
 
 // Close ends the service at once and cuts what is under way.
