Bound what is in flight, repeat split elections sooner

The refusal to vote still lasts a whole election timeout since the leader was heard, on which the lease depends.

--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -35,6 +35,10 @@
 	// Recovery reads one segment at a time into memory.
 	segmentSize = 16 << 20
 
+	// maxFrame is the size in bytes after which a batch is split. The length
+	// of a frame is stored in 32 bits.
+	maxFrame = 64 << 20
+
 	snapshotName = "snapshot"
 )
 
@@ -135,8 +139,9 @@
 	return j, st, nil
 }
 
-// Write appends the entries, and m if it is not nil, in one frame and returns
-// once they are durable. An entry whose index is not above the last one
+// Write appends the entries, and m if it is not nil, and returns once they are
+// durable. They share one frame and one sync unless they exceed 64 MiB, when a
+// crash may keep the first of them only. An entry whose index is not above the last one
 // replaces that entry and all after it.
 func (j *Journal) Write(m *Meta, entries []Entry) error {
 	j.mu.Lock()
@@ -155,7 +160,28 @@
 			return j.fail(err)
 		}
 	}
-	return j.fail(j.append(m, entries))
+	for {
+		n := fitting(entries)
+		if err := j.append(m, entries[:n]); err != nil {
+			return j.fail(err)
+		}
+		if entries, m = entries[n:], nil; len(entries) == 0 {
+			return nil
+		}
+	}
+}
+
+// fitting returns how many of the entries go into one frame, at least one of
+// any.
+func fitting(entries []Entry) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+		if size > maxFrame && i > 0 {
+			return i
+		}
+	}
+	return len(entries)
 }
 
 // Save stores s durably and removes the segments that it makes obsolete. The
--- a/messenger/group_bench_test.go
+++ b/messenger/group_bench_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -83,6 +84,30 @@
 	}
 }
 
+// BenchmarkFailover measures how long no change is accepted after the leader
+// of three members stopped without notice.
+func BenchmarkFailover(b *testing.B) {
+	var times []time.Duration
+	for b.Loop() {
+		f := startGroup(b, 3, realFiles(b, b.TempDir()))
+		lead := f.leader(context.Background(), 3)
+		i := slices.Index(f.groups, lead)
+		clock := timekeeper.System{}
+		began := clock.Now()
+		f.end[i]()
+		f.groups = slices.Delete(f.groups, i, i+1)
+		for _, _, err := lead.Propose(context.Background(), change); err != nil; {
+			lead = f.leader(context.Background(), 3)
+			_, _, err = lead.Propose(context.Background(), change)
+		}
+		times = append(times, clock.Since(began))
+		f.stop()
+	}
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(times[len(times)-1].Milliseconds()), "max-ms")
+}
+
 // BenchmarkRestart measures how long a member needs to open its directory,
 // and until a group of one is ready again, which includes its election.
 func BenchmarkRestart(b *testing.B) {
--- a/messenger/group_test.go
+++ b/messenger/group_test.go
@@ -30,7 +30,9 @@
 	groupFixture struct {
 		groups   []*replicator.Group
 		machines []*logMachine
-		stop     func()
+		// end stops one member as a crash of its process does.
+		end  []func()
+		stop func()
 	}
 )
 
@@ -88,7 +90,9 @@
 		messenger.HandleGroup(mux, g)
 		srv := messenger.NewServer(mux, nil)
 		wg.Go(func() { srv.Serve(listeners[i]) })
-		wg.Go(func() { g.Run(ctx) })
+		memberCtx, end := context.WithCancel(ctx)
+		wg.Go(func() { g.Run(memberCtx) })
+		f.end = append(f.end, func() { end(); srv.Close() })
 		f.groups = append(f.groups, g)
 		f.machines = append(f.machines, m)
 		stops = append(stops, func() { srv.Close(); tr.Close() })
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -16,14 +16,17 @@
 	leader
 )
 
+// maxTries bounds the growth of the time between elections without a winner.
+const maxTries = 8
+
 type (
 	role uint8
 
 	// tuning holds the durations and sizes of the protocol.
 	tuning struct {
 		heartbeat time.Duration
-		// election is the shortest election timeout; a random part of the
-		// same length is added.
+		// election is the shortest election timeout; a random part of up to
+		// half its length is added.
 		election time.Duration
 		lease    time.Duration
 		// trailing is the number of entries that stay in memory behind a
@@ -51,6 +54,8 @@
 		// since is when the election timeout began, and wait is its length.
 		since time.Duration
 		wait  time.Duration
+		// tries counts the elections in a row that this member stood for.
+		tries int64
 		votes map[string]bool
 
 		log     raftLog
@@ -78,6 +83,8 @@
 	// progress is what a leader knows about another member.
 	progress struct {
 		match, next uint64
+		// bytes is about how much of the entries is not answered yet.
+		bytes int
 		// acked is the leader's clock when it sent the newest message that
 		// the member answered.
 		acked time.Duration
@@ -290,7 +297,16 @@
 
 func (c *core) resetWait() {
 	c.since = c.now
-	c.wait = c.election + time.Duration(c.rng.Int64N(int64(c.election)))
+	c.tries = 0
+	c.wait = c.election + time.Duration(c.rng.Int64N(int64(c.election/2)))
+}
+
+// waitAgain sets the time after which an election without a winner is
+// repeated. It grows, so that slow links do not make votes split forever.
+func (c *core) waitAgain() {
+	c.since = c.now
+	c.tries = min(c.tries+1, maxTries)
+	c.wait = 2*c.heartbeat + time.Duration(c.rng.Int64N(2*int64(c.heartbeat)*c.tries))
 }
 
 // send queues a message that may only leave after the sync, as every answer
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -113,6 +113,33 @@
 		Expect(c.meta.Term).To(Equal(uint64(2)))
 	})
 
+	// Guards against a leader whose memory fills with messages for a member
+	// that does not answer, and against one that never sends to it again.
+	It("bounds what is in flight to a silent member", func() {
+		c := start(journaler.Meta{Term: 2})
+		elect(c)
+		ack(c, "b", 3)
+		for range 40 {
+			c.propose(entryCommand, make([]byte, 1<<20))
+		}
+		sent := func() (n int) {
+			c.replicateAll()
+			for _, e := range c.ready().early {
+				if e.m.To == "b" {
+					n += len(e.m.Entries)
+				}
+			}
+			c.synced()
+			return n
+		}
+		Expect(sent()).To(Equal(16))
+		Expect(sent()).To(BeZero())
+		ack(c, "b", 3+8)
+		Expect(sent()).To(BeNumerically("~", 8, 1))
+		ack(c, "b", 3+24)
+		Expect(sent()).To(BeNumerically(">=", 15))
+	})
+
 	// Guards against two membership changes at once, whose majorities need
 	// not intersect, and against a voter that lacks committed entries.
 	It("changes the membership one at a time and promotes only who has caught up", func() {
@@ -214,7 +241,7 @@
 			s.step()
 		}
 		for _, h := range s.hosts {
-			h.paused = 0
+			h.paused, h.inbox, s.net = 0, nil, nil
 			h.g.core.becomeFollower(h.g.core.meta.Term, "")
 			h.g.core.leaderAt = -defaultElection
 			if h != moved {
@@ -222,7 +249,7 @@
 			}
 		}
 		check()
-		Expect(s.leader()).To(Equal(moved))
+		Expect(s.leader()).To(BeIdenticalTo(moved), s.state())
 	})
 
 	// Guards against a snapshot transfer that starts again whenever the
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -3,7 +3,7 @@
 // campaign asks for pre-votes.
 func (c *core) campaign() {
 	c.role, c.leader = preCandidate, ""
-	c.resetWait()
+	c.waitAgain()
 	c.votes = map[string]bool{c.self.ID: true}
 	if c.won() {
 		c.stand()
--- a/replicator/replicate.go
+++ b/replicator/replicate.go
@@ -10,8 +10,11 @@
 	// maxAppendBytes bounds the entries of one message, so that a heartbeat
 	// is not stuck behind a long transfer.
 	maxAppendBytes = 1 << 20
-	// maxInFlight bounds the entries sent to a member ahead of its answers.
-	maxInFlight = 8192
+	// maxInFlight and maxInFlightBytes bound the entries sent to a member
+	// ahead of its answers, so that a stalled member does not fill the
+	// leader's memory.
+	maxInFlight      = 8192
+	maxInFlightBytes = 16 << 20
 )
 
 // broadcast sends every member what it lacks, at least a heartbeat.
@@ -46,7 +49,7 @@
 	}
 	for {
 		var es []journaler.Entry
-		if p.next <= p.match+maxInFlight {
+		if p.next <= p.match+maxInFlight && p.bytes < maxInFlightBytes {
 			es = c.log.limited(p.next, maxAppendBytes)
 		}
 		if len(es) == 0 && !beat {
@@ -55,6 +58,9 @@
 		beat = false
 		prev := p.next - 1
 		p.next += uint64(len(es))
+		for i := range es {
+			p.bytes += len(es[i].Data)
+		}
 		// The commit index that is sent is the applied one: a member that
 		// answers its own caller must not be ahead of the leader's reads.
 		c.sendEarly(m.Addr, &Message{
@@ -152,9 +158,9 @@
 	}
 	if m.Reject {
 		p.next = max(p.match, min(m.Index, c.log.last())) + 1
+		p.bytes = 0
 	} else {
-		p.match = max(p.match, m.Index)
-		p.next = max(p.next, p.match+1)
+		p.confirm(m.Index)
 		c.advance()
 	}
 	if to, ok := c.member(m.From); ok {
@@ -178,3 +184,16 @@
 	}
 	return p
 }
+
+// confirm notes that the member holds the entries up to index. What is in
+// flight shrinks in proportion, as if all entries had one size.
+func (p *progress) confirm(index uint64) {
+	old := p.next - 1 - p.match
+	p.match = max(p.match, index)
+	p.next = max(p.next, p.match+1)
+	if old == 0 || p.next-1 == p.match {
+		p.bytes = 0
+		return
+	}
+	p.bytes = int(float64(p.bytes) * float64(p.next-1-p.match) / float64(old))
+}
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -118,8 +118,7 @@
 	case !ok:
 		return
 	case m.Index > 0:
-		p.match = max(p.match, m.Index)
-		p.next = max(p.next, p.match+1)
+		p.confirm(m.Index)
 		p.sending = nil
 		c.advance()
 		c.replicate(to, false)
