Do not try an item again that the control group will not take

An item with text that is no UTF-8 was left for the background, where it failed for good and held up the releases and responses behind it. A finish of a claim that is not held is an error now.

--- a/messenger/claims.go
+++ b/messenger/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"sync"
 
@@ -23,6 +24,10 @@
 	_ router.Pins   = (*Control)(nil)
 )
 
+// NotHeldError says that a claim did not belong to the request any more that
+// finished or released it.
+type NotHeldError struct{ RequestID string }
+
 // endedRequests remembers the newest requests that have given up or released
 // their claim. A request among them must not claim again: its release may
 // still be under way and would free a claim that runs.
@@ -68,12 +73,7 @@
 	// The type comes from an upstream; the codec takes valid text only.
 	resp.Type = strings.ToValidUTF8(resp.Type, "")
 	it := controller.Item{Finish: &controller.Finish{Key: k, RequestID: requestID, Response: resp}}
-	_, err := c.Do(ctx, it)
-	if err != nil {
-		c.postpone(it)
-		return &UncertainError{Err: err}
-	}
-	return nil
+	return c.settle(ctx, it, requestID)
 }
 
 // Release implements router.Claims. Like Finish it goes on in the background.
@@ -81,12 +81,28 @@
 func (c *Control) Release(ctx context.Context, k claimer.Key, requestID string) error {
 	c.ended.add(requestID)
 	it := controller.Item{Release: &controller.Release{Key: k, RequestID: requestID}}
-	_, err := c.Do(ctx, it)
-	if err != nil {
+	return c.settle(ctx, it, requestID)
+}
+
+// settle delivers the end of a claim, in the background if need be. An item
+// that the control group will not take is not tried again.
+func (c *Control) settle(ctx context.Context, it controller.Item, requestID string) error {
+	a, err := c.Do(ctx, it)
+	var unknown *UncertainError
+	r, refused := refuser.As(err)
+	switch {
+	case errors.As(err, &unknown), refused && r.Code == refuser.NoQuorum:
 		c.postpone(it)
 		return &UncertainError{Err: err}
+	case err == nil && !a.Done:
+		return &NotHeldError{RequestID: requestID}
 	}
-	return nil
+	return err
+}
+
+// Error implements error.
+func (e *NotHeldError) Error() string {
+	return fmt.Sprintf("the control group holds no such claim of request %s; it was released, finished or pruned before", e.RequestID)
 }
 
 // Pin implements router.Pins. A pin of unknown outcome is harmless, since no
--- a/messenger/controlclient.go
+++ b/messenger/controlclient.go
@@ -272,7 +272,7 @@
 		req := &submitRequest{Items: append([]controller.Item{first}, c.later.Drain(submitItems-1)...)}
 		for {
 			_, err := callLeader[submitRequest, submitResponse](ctx, c.caller(), procSubmit, req)
-			if err == nil {
+			if r, ok := refuser.As(err); err == nil || ok && r.Code != refuser.NoQuorum {
 				break
 			}
 			if err := timekeeper.Sleep(ctx, c.opts.Clock, laterPause); err != nil {
--- a/messenger/operator_test.go
+++ b/messenger/operator_test.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailwall/biller"
+	"foxtailwall/claimer"
 	"foxtailwall/controller"
 	"foxtailwall/declarer"
 	"foxtailwall/messenger"
@@ -109,5 +110,30 @@
 		r, ok := refuser.As(err)
 		Expect(ok).To(BeTrue(), "%v", err)
 		Expect(r.Code).To(Equal(refuser.BadRequest))
+
+		// Such an item must not be tried in the background either, where it
+		// would hold up all others.
+		gone, cancel := context.WithCancel(ctx)
+		cancel()
+		k := newKey()
+		_, err = c.Claim(ctx, claimer.Request{Key: k, RequestID: "a"})
+		Expect(err).NotTo(HaveOccurred())
+		_, ok = refuser.As(c.Release(ctx, claimer.Key{Key: "\xff"}, "x"))
+		Expect(ok).To(BeTrue())
+		Expect(c.Finish(gone, k, "a", claimer.Response{Status: 201})).NotTo(Succeed())
+		Eventually(func() claimer.State {
+			res, err := c.Claim(ctx, claimer.Request{Key: k, RequestID: "b"})
+			Expect(err).NotTo(HaveOccurred())
+			return res.State
+		}).Should(Equal(claimer.Finished))
+	})
+
+	// Guards against a response that seems stored although its claim has
+	// gone.
+	It("says when a finished claim is not held", func(ctx context.Context) {
+		l, _ := controlGroup(1, timekeeper.System{})
+		c := controlClient(l, timekeeper.System{}, messenger.DefaultPatience)
+		var none *messenger.NotHeldError
+		Expect(errors.As(c.Finish(ctx, newKey(), "a", claimer.Response{}), &none)).To(BeTrue())
 	})
 })
