Keep long prompts and other requests on different replicas

All hosts rank the replicas of a pool by the hash of the address; the first ranks, as many as the long prompts' share of the work, take the long prompts.

--- a/picker/picker.go
+++ b/picker/picker.go
@@ -22,6 +22,9 @@
 //	p.Report(address, picker.LoadReport{Incarnation: inc, At: sampled, Running: 4, Slots: 16})
 //	p.CacheEvents(address, inc, events)
 //
+// Long prompts and other requests are kept on different replicas of a pool as
+// long as the load allows; see separation.
+//
 // The weight of a replica comes from package monitor: zero takes it out, a
 // value below one is a replica that is returning to service.
 //
@@ -214,13 +217,15 @@
 	if p.set.Policy != nil {
 		return p.set.Policy.Pick(r, pool)
 	}
-	best := p.scan(r, pool.own, 0)
+	prefill := float64(r.PromptTokens) / p.set.PrefillRate
+	sep := separated{ranks: pool.separation.note(prefill, p.set.Service.Seconds(), len(pool.all)), long: prefill >= longPrefill}
+	best := p.scan(r, pool.own, pool.ownRanks, sep, 0)
 	cross := !best.found || best.minWait > p.set.CrossZone.Seconds()
 	if cross {
-		best = best.merge(p.scan(r, pool.other, crossZonePenalty.Seconds()))
+		best = best.merge(p.scan(r, pool.other, pool.otherRanks, sep, crossZonePenalty.Seconds()))
 	}
 	if len(r.Prefixes) > 0 {
-		best = p.tryHolders(r, pool, cross, best)
+		best = p.tryHolders(r, pool, sep, cross, best)
 	}
 	if !best.found {
 		return Choice{}, false
@@ -250,14 +255,14 @@
 
 // scan returns the replica with the lowest wait plus noise. The minimum over
 // Gumbel noise draws each replica with a weight of exp(-wait/spread).
-func (p *Picker) scan(r Request, replicas []*Replica, penalty float64) leader {
+func (p *Picker) scan(r Request, replicas []*Replica, ranks []int, sep separated, penalty float64) leader {
 	l := leader{score: math.Inf(1), minWait: math.Inf(1)}
 	draw := p.random()
 	at, stride := uint32(draw), uint32(draw>>32)|1
 	reach := noiseMax * p.set.Spread.Seconds()
-	for _, c := range replicas {
+	for i, c := range replicas {
 		at += stride
-		wait := c.wait()
+		wait := c.wait() + sep.penalty(ranks[i])
 		if wait > l.score+reach {
 			continue // no noise makes up for this wait
 		}
@@ -275,7 +280,7 @@
 
 // tryHolders compares best with the replicas that hold a prefix of the prompt.
 // A holder wins only while the prefill it saves exceeds its additional wait.
-func (p *Picker) tryHolders(r Request, pool *Pool, cross bool, best leader) leader {
+func (p *Picker) tryHolders(r Request, pool *Pool, sep separated, cross bool, best leader) leader {
 	var found [maxMatches]match
 	for _, m := range p.index.find(r.Prefixes, p.set.Clock.Now(), found[:0]) {
 		z := pool.zone(m.replica)
@@ -283,7 +288,7 @@
 			continue
 		}
 		cached := r.PromptTokens * m.depth / len(r.Prefixes)
-		score := m.replica.wait() - float64(cached)/p.set.PrefillRate
+		score := m.replica.wait() + sep.penalty(pool.ranks[m.replica]) - float64(cached)/p.set.PrefillRate
 		if z == zoneOther {
 			score += crossZonePenalty.Seconds()
 		}
--- a/picker/pool.go
+++ b/picker/pool.go
@@ -26,7 +26,11 @@
 	// other pools of the same Picker.
 	Pool struct {
 		own, other, all []*Replica
-		zones           map[*Replica]zone
+		// ownRanks and otherRanks are the ranks of own and other.
+		ownRanks, otherRanks []int
+		ranks                map[*Replica]int
+		separation           separation
+		zones                map[*Replica]zone
 	}
 )
 
@@ -48,6 +52,13 @@
 		pool.zones[r] = zoneOther
 		pool.other = append(pool.other, r)
 	}
+	pool.ranks = ranked(pool.all)
+	for _, r := range pool.own {
+		pool.ownRanks = append(pool.ownRanks, pool.ranks[r])
+	}
+	for _, r := range pool.other {
+		pool.otherRanks = append(pool.otherRanks, pool.ranks[r])
+	}
 	return pool
 }
 
--- /dev/null
+++ b/picker/separation_test.go
@@ -0,0 +1,89 @@
+package picker_test
+
+import (
+	"net/netip"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/picker"
+	"foxtailwall/timekeeper"
+)
+
+var _ = Describe("separation", func() {
+	const long, short = 4000, 100
+	var clock *timekeeper.Fake
+	BeforeEach(func() { clock = timekeeper.NewFake(time.Unix(1000, 0)) })
+
+	// mix picks for nine short prompts to each long one and returns the
+	// replicas that each sort got once the shares of work are known.
+	mix := func(p *picker.Picker, pool *picker.Pool) (longs, shorts map[netip.AddrPort]int) {
+		longs, shorts = map[netip.AddrPort]int{}, map[netip.AddrPort]int{}
+		for i := range 2000 {
+			into, tokens := shorts, short
+			if i%10 == 0 {
+				into, tokens = longs, long
+			}
+			c, ok := p.Pick(picker.Request{PromptTokens: tokens}, pool)
+			Expect(ok).To(BeTrue())
+			if i >= 200 {
+				into[c.Replica.Address]++
+			}
+		}
+		return longs, shorts
+	}
+
+	// Guards against first tokens that wait for the prefill of another
+	// request's long prompt, and against hosts in different zones that
+	// disagree about which replicas take the long ones.
+	It("keeps long prompts apart from the others, on the same replicas for all hosts", func() {
+		var first map[netip.AddrPort]int
+		for seed, zone := range []string{"a", "b", "c"} {
+			p := picker.New(picker.Settings{Zone: zone, Clock: clock, Seed: uint64(seed)})
+			ts := targets(8, "a")
+			for i := range ts {
+				ts[i].Zone = string("abc"[i%3])
+				ts[(i+seed)%8], ts[i] = ts[i], ts[(i+seed)%8]
+			}
+			longs, shorts := mix(p, p.Pool(ts))
+			Expect(longs).To(HaveLen(1))
+			for a := range longs {
+				Expect(shorts).NotTo(HaveKey(a))
+			}
+			if first == nil {
+				first = longs
+			}
+			Expect(longs).To(Equal(first))
+		}
+	})
+
+	// Guards against a separation that queues requests while replicas of the
+	// other sort are free, that leaves no replica when those for long prompts
+	// are out, or that splits a pool too small for it.
+	It("gives way to load, to missing replicas and in small pools", func() {
+		p := picker.New(picker.Settings{Zone: "a", Clock: clock})
+		pool := p.Pool(targets(8, "a"))
+		longs, _ := mix(p, pool)
+		for a := range longs {
+			p.Report(a, picker.LoadReport{Incarnation: 1, At: clock.Now(), Running: 8, Waiting: 40, Slots: 8})
+		}
+		busy, shorts := mix(p, pool)
+		for a := range longs {
+			Expect(busy).NotTo(HaveKey(a))
+			Expect(shorts).NotTo(HaveKey(a))
+			p.Replica(a).SetWeight(0)
+		}
+		out, _ := mix(p, pool)
+		Expect(len(out)).To(BeNumerically(">", 1))
+
+		small := p.Pool(targets(2, "a"))
+		for i := range 2 {
+			p.Replica(address(i)).SetWeight(1)
+			p.Report(address(i), picker.LoadReport{Incarnation: 1, At: clock.Now(), Slots: 8})
+		}
+		longs, shorts = mix(p, small)
+		Expect(longs).To(HaveLen(2))
+		Expect(shorts).To(HaveLen(2))
+	})
+})
