Choose a plan that may meet the target when none is proven to

Cause: among plans that are not proven to meet the target the best by quality was taken. The prior of a second step is low, so this was the strong model alone; the cascade never ran, so it was never rated, and the workspace stayed with the strong model although the cascade is better and costs less.

--- a/chooser/chooser.go
+++ b/chooser/chooser.go
@@ -5,7 +5,8 @@
 // A plan meets the quality target if the lower 90% confidence bound of its
 // quality does. Among the plans that meet it and fit the deadline the one of
 // lowest expected cost is taken, or of lowest expected latency, as the
-// workspace weighs. If none meets it, the best one is taken and counted. A
+// workspace weighs. If none meets it, the same order holds among those whose
+// upper bound does, and then the best one is taken; both are counted. A
 // declared share of the requests explores by Thompson sampling.
 //
 // Pass rates, token counts and latencies are learned from what requests did;
@@ -87,7 +88,9 @@
 		first, second  int
 		cost, latency  float64
 		quality, lower float64
-		fits           bool
+		// upper is the upper 90% bound of the quality.
+		upper float64
+		fits  bool
 	}
 )
 
@@ -143,10 +146,15 @@
 }
 
 // better orders plans: those that fit the deadline, then those that meet the
-// target, then by what the workspace weighs; among plans that miss the target
-// by quality. If neither fits the deadline, the faster one is more likely to.
+// target, then those that may still turn out to meet it, each group by what the
+// workspace weighs; the rest by quality. A plan that may meet the target is
+// taken because nothing is learned of a cascade that never runs: ordered by
+// quality, a workspace stays with the strong model although the cascade is
+// better and costs less. If neither fits the deadline, the faster one is more
+// likely to.
 func better(a, b option, weigh declarer.Weigh, target float64) option {
 	am, bm := a.lower >= target, b.lower >= target
+	ah, bh := a.upper >= target, b.upper >= target
 	switch {
 	case a.fits != b.fits:
 		return first(a.fits, a, b)
@@ -154,7 +162,9 @@
 		return first(a.latency < b.latency, a, b)
 	case am != bm:
 		return first(am, a, b)
-	case !am && a.quality != b.quality:
+	case !am && ah != bh:
+		return first(ah, a, b)
+	case !am && !ah && a.quality != b.quality:
 		return first(a.quality > b.quality, a, b)
 	case weigh == declarer.WeighLatency && a.latency != b.latency:
 		return first(a.latency < b.latency, a, b)
@@ -175,7 +185,9 @@
 	e := &ests[i]
 	return option{
 		first: i, second: -1, cost: e.cost, latency: e.latency,
-		quality: e.rate.mean, lower: e.rate.lower, fits: fits(e.p95, r.Left),
+		quality: e.rate.mean, lower: e.rate.lower,
+		upper: e.rate.mean + normalLower*math.Sqrt(e.rate.variance),
+		fits:  fits(e.p95, r.Left),
 	}
 }
 
@@ -202,7 +214,7 @@
 		first: i, second: j,
 		cost:    cheap.cost + (1-kept)*strong.cost,
 		latency: cheap.latency + (1-kept)*strong.latency,
-		quality: quality, lower: quality - normalLower*math.Sqrt(variance),
+		quality: quality, lower: quality - normalLower*math.Sqrt(variance), upper: quality + normalLower*math.Sqrt(variance),
 		fits: fits(cheap.p95+strong.p95, r.Left),
 	}
 }
--- a/chooser/chooser_test.go
+++ b/chooser/chooser_test.go
@@ -89,6 +89,26 @@
 		Entry("the best when none meets the target", declarer.WeighCost, 0.995, true, time.Duration(0), false, "large"),
 	)
 
+	// Guards against a workspace that stays with a strong model that misses
+	// the target, because the cascade that would meet it never runs and so is
+	// never rated; and against one that stays with a cascade whose ratings
+	// show that it misses.
+	It("tries a cascade that may meet the target until ratings rule it out", func() {
+		w := &declarer.Workspace{Name: "w", Quality: map[declarer.Kind]float64{declarer.KindShort: 0.98}}
+		plan := func() []string {
+			p, _ := chooser.New(l).Plan(chooser.Request{Workspace: w, Kind: declarer.KindShort, Candidates: chooser.Candidates{small, large}})
+			Expect(p.Met).To(BeFalse())
+			return names(p)
+		}
+		l = chooser.NewLearner(chooser.Settings{Clock: clock})
+		teach(small, 0, 400, time.Second, 0.8)
+		teach(large, 0, 4000, time.Second, 0.95)
+		teach(large, 1, 10, time.Second, 1)
+		Expect(plan()).To(Equal([]string{"small", "large"}))
+		teach(large, 1, 200, time.Second, 0.5)
+		Expect(plan()).To(Equal([]string{"large"}))
+	})
+
 	// Guards against a candidate that is only for pinned sessions, or is
 	// quarantined, being taken for a new one.
 	It("takes only assigned candidates, and last resorts last", func() {
