--- a/comparer/result.go
+++ b/comparer/result.go
@@ -60,6 +60,8 @@
 		Requests int           `json:"requests"`
 		Quality  float64       `json:"quality"`
 		Meets    bool          `json:"meets"`
+		// Cost is the mean cost of a request in units of the currency.
+		Cost float64 `json:"cost"`
 	}
 
 	group struct {
@@ -67,7 +69,10 @@
 		target float64
 	}
 
-	tally struct{ requests, passed int }
+	tally struct {
+		requests, passed int
+		cost             int64
+	}
 
 	// sums collects the runs of one policy.
 	sums struct {
@@ -123,6 +128,7 @@
 		t.groups[g] = &tally{}
 	}
 	t.groups[g].requests++
+	t.groups[g].cost += c.cost
 	if pass {
 		t.groups[g].passed++
 	}
@@ -149,7 +155,8 @@
 		c := t.groups[g]
 		q := float64(c.passed) / float64(c.requests)
 		deviation := math.Sqrt(g.target * (1 - g.target) / float64(c.requests))
-		k := KindResult{Kind: g.kind, Target: g.target, Requests: c.requests, Quality: q, Meets: q >= g.target-confidence*deviation}
+		k := KindResult{Kind: g.kind, Target: g.target, Requests: c.requests, Quality: q, Meets: q >= g.target-confidence*deviation,
+			Cost: float64(c.cost) / nanosPerUnit / float64(c.requests)}
 		r.Meets = r.Meets && k.Meets
 		r.Kinds = append(r.Kinds, k)
 	}
