--- a/cmd/foxtailwall/compare.go
+++ b/cmd/foxtailwall/compare.go
@@ -21,6 +21,10 @@
 come late. Requests, prefixes and sessions are those of the load subcommand.
 The same seed gives the same result.
 
+With --fault, the version of the large model turns bad or the rating service is
+down during the second third of the run. The last columns show the requests of
+that time; "exposed" counts the answers of the bad version.
+
 With --plot, cost-SCENARIO, first-token-SCENARIO and whole-answer-SCENARIO are
 drawn into that directory.`
 
@@ -32,6 +36,7 @@
 		Description: compareUsage,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "scenario", Value: "cooperative", Usage: "cooperative or festival", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_SCENARIO")},
+			&cli.StringFlag{Name: "fault", Usage: "bad (a version turns bad) or unrated (the rating service is down) for a third of the run; empty for none", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_FAULT")},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_SEED")},
 			&cli.IntFlag{Name: "repeats", Value: 1, Usage: "number of seeds that are pooled", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_REPEATS")},
 			&cli.FloatFlag{Name: "rate", Usage: "arrivals in a second, 0 for the scenario's", Sources: cli.EnvVars("FOXTAILWALL_COMPARE_RATE")},
@@ -49,6 +54,9 @@
 	if !ok {
 		return &settingError{"scenario", c.String("scenario"), "cooperative, festival"}
 	}
+	if s, ok = s.Faulty(c.String("fault")); !ok {
+		return &settingError{"fault", c.String("fault"), "bad, unrated, or empty"}
+	}
 	format := c.String("plot-format")
 	if format != "svg" && format != "png" {
 		return &settingError{"plot-format", format, "svg, png"}
--- a/comparer/baseline.go
+++ b/comparer/baseline.go
@@ -41,13 +41,13 @@
 // and the naive pickers with the best model.
 func Baselines() []Policy {
 	return []Policy{
-		{"always best, round robin", AlwaysBest, RoundRobin},
-		{"always cheapest, round robin", AlwaysCheapest, RoundRobin},
-		{"always cascade, round robin", AlwaysCascade, RoundRobin},
-		{"always best, random", AlwaysBest, Random},
-		{"always best, least requests", AlwaysBest, LeastRequests},
-		{"always cascade, random", AlwaysCascade, Random},
-		{"always cascade, least requests", AlwaysCascade, LeastRequests},
+		{"always best, round robin", AlwaysBest, RoundRobin, nil},
+		{"always cheapest, round robin", AlwaysCheapest, RoundRobin, nil},
+		{"always cascade, round robin", AlwaysCascade, RoundRobin, nil},
+		{"always best, random", AlwaysBest, Random, nil},
+		{"always best, least requests", AlwaysBest, LeastRequests, nil},
+		{"always cascade, random", AlwaysCascade, Random, nil},
+		{"always cascade, least requests", AlwaysCascade, LeastRequests, nil},
 	}
 }
 
--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -25,7 +25,9 @@
 // are those of the load; calls of plain services are left out. A cascade step
 // that is not the last one ends with a rating, after Scenario.RatingDelay; the
 // answer is taken if it passes; if the rating is missing, the policy decides.
-// Network times are added for other zones. Failures are not modelled.
+// Network times are added for other zones. Scenario.Faulty adds a version that turns bad or a
+// rating service that is down for a third of the run; failures of engines are
+// not modelled.
 package comparer
 
 import (
@@ -74,6 +76,9 @@
 		Cost int64
 		// Quality is the declared quality.
 		Quality float64
+		// Quarantined says that the policy's guard took the version out of
+		// use.
+		Quarantined bool
 	}
 
 	// Chooser chooses models.
@@ -118,6 +123,8 @@
 		Name       string
 		NewChooser func(Setup) Chooser
 		NewPicker  func(Setup) Picker
+		// NewGuard makes the guard that all hosts share; nil means none.
+		NewGuard func(Setup) Guard
 	}
 
 	// Options are the settings of a comparison. Zero fields take those of the
--- a/comparer/result.go
+++ b/comparer/result.go
@@ -51,6 +51,8 @@
 		FirstToken loader.Quantiles `json:"firstToken"`
 		Token      loader.Quantiles `json:"token"`
 		Total      loader.Quantiles `json:"total"`
+		// During holds what happened during the fault, nil without one.
+		During *During `json:"during,omitempty"`
 	}
 
 	// KindResult is the quality of requests of one kind with one target.
@@ -83,6 +85,7 @@
 		prompt, cached           int
 		groups                   map[group]*tally
 		first, token, total      loader.Histogram
+		during                   during
 	}
 )
 
@@ -149,6 +152,7 @@
 	r := Result{
 		Requests: t.requests, Refused: t.refused, Meets: true,
 		Cost: float64(t.cost) / nanosPerUnit / n, Steps: float64(t.steps) / n, Cached: float64(t.cached) / float64(max(t.prompt, 1)),
+		During:     t.during.result(),
 		FirstToken: t.first.Quantiles(), Token: t.token.Quantiles(), Total: t.total.Quantiles(),
 	}
 	for _, g := range t.sorted() {
@@ -188,7 +192,7 @@
 	for _, k := range results[0].Kinds {
 		head += fmt.Sprintf("%s >=%.0f%%\t", k.Kind, 100*k.Target)
 	}
-	fmt.Fprintln(t, head+"runs\tcached\tfirst p50\tp95\tp99\ttoken p50\tp95\tp99\twhole p50\tp95\tp99\trefused\t")
+	fmt.Fprintln(t, head+"runs\tcached\tfirst p50\tp95\tp99\ttoken p50\tp95\tp99\twhole p50\tp95\tp99\trefused\t"+duringHead(results[0]))
 	for _, r := range results {
 		fmt.Fprintf(t, "%s\t%.4f\t%t\t", r.Policy, thousand*r.Cost, r.Meets)
 		for _, k := range r.Kinds {
@@ -202,7 +206,7 @@
 		for _, q := range []loader.Quantiles{r.FirstToken, r.Token, r.Total} {
 			fmt.Fprintf(t, "%s\t%s\t%s\t", milliseconds(q.P50), milliseconds(q.P95), milliseconds(q.P99))
 		}
-		fmt.Fprintf(t, "%d\t\n", r.Refused)
+		fmt.Fprintf(t, "%d\t%s\n", r.Refused, r.During)
 	}
 	fmt.Fprintln(t)
 	if err := t.Flush(); err != nil {
@@ -212,6 +216,21 @@
 	return errors.Wrap(err, "write the results")
 }
 
+func duringHead(r Result) string {
+	if r.During == nil {
+		return ""
+	}
+	return "in fault: cost/1000\tquality\texposed\t"
+}
+
+// String returns the columns of the table.
+func (d *During) String() string {
+	if d == nil {
+		return ""
+	}
+	return fmt.Sprintf("%.4f\t%.1f%%\t%d\t", thousand*d.Cost, 100*d.Quality, d.Exposed)
+}
+
 func milliseconds(d time.Duration) string { return strconv.FormatFloat(inMilliseconds(d), 'f', 1, 64) }
 
 func inMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/comparer/scenario.go
+++ b/comparer/scenario.go
@@ -52,6 +52,8 @@
 		// SampledDelay.
 		Sampled      float64
 		SampledDelay time.Duration
+		// Fault is a failure during the run; nil means none.
+		Fault *Fault
 	}
 
 	// size is one model of a scenario.
--- a/comparer/shipped.go
+++ b/comparer/shipped.go
@@ -7,7 +7,9 @@
 	"foxtailwall/chooser"
 	"foxtailwall/declarer"
 	"foxtailwall/emulator"
+	"foxtailwall/governor"
 	"foxtailwall/picker"
+	"foxtailwall/relayer"
 )
 
 type (
@@ -27,6 +29,14 @@
 		tickets map[ticketKey]picker.Ticket
 	}
 
+	// shippedGuard adapts package governor. Its reports take no time beyond
+	// that of the ratings.
+	shippedGuard struct {
+		setup   Setup
+		watches *governor.Watches
+		out     map[declarer.VersionRef]bool
+	}
+
 	// ticketKey names a step of a request; its steps run on different
 	// upstreams.
 	ticketKey struct {
@@ -38,8 +48,14 @@
 // shippedIncarnation is that of all replicas, which never restart.
 const shippedIncarnation = 1
 
-// Shipped returns the policy of the router: packages chooser and picker.
-func Shipped() Policy { return Policy{"shipped", ShippedChooser, ShippedPicker} }
+// Shipped returns the policy of the router: packages chooser and picker,
+// and the change detector of package governor.
+func Shipped() Policy { return Policy{"shipped", ShippedChooser, ShippedPicker, ShippedGuard} }
+
+// ShippedGuard returns the change detector of the control group.
+func ShippedGuard(s Setup) Guard {
+	return &shippedGuard{setup: s, watches: governor.NewWatches(s.Clock), out: make(map[declarer.VersionRef]bool)}
+}
 
 // ShippedChooser returns the chooser of the router.
 func ShippedChooser(s Setup) Chooser {
@@ -75,7 +91,9 @@
 func (c *shippedChooser) Choose(q *Query) []declarer.VersionRef {
 	cs := make(chooser.Candidates, 0, len(q.Allowed))
 	for _, a := range q.Allowed {
-		cs = append(cs, c.candidate(a.Ref))
+		candidate := c.candidate(a.Ref)
+		candidate.LastResort = a.Quarantined
+		cs = append(cs, candidate)
 	}
 	plan, _ := c.chooser.Plan(chooser.Request{
 		Workspace: q.Workspace, Kind: q.Kind, Stream: q.Kind == declarer.KindChat, PromptTokens: q.Prompt, Candidates: cs,
@@ -154,3 +172,22 @@
 	}
 	p.picker.CacheEvents(u.Address, shippedIncarnation, out)
 }
+
+// Rated implements Guard.
+func (g *shippedGuard) Rated(ref declarer.VersionRef, pass bool) {
+	r := relayer.Report{Model: ref.Model, Version: ref.Version, Rated: 1}
+	if pass {
+		r.Passed = 1
+	}
+	g.watches.Add([]relayer.Report{r})
+}
+
+// Step implements Guard.
+func (g *shippedGuard) Step() {
+	for _, c := range g.watches.Step(g.setup.Catalog) {
+		g.out[c.Ref] = !c.Return
+	}
+}
+
+// Quarantined implements Guard.
+func (g *shippedGuard) Quarantined(ref declarer.VersionRef) bool { return g.out[ref] }
--- a/comparer/simulation.go
+++ b/comparer/simulation.go
@@ -35,6 +35,9 @@
 		ups     []*declarer.Upstream
 		rng     *rand.Rand
 		sums    *sums
+		guard   Guard
+		// duration is that of the arrivals.
+		duration time.Duration
 	}
 
 	// event is a function that is due at a time. Events at the same time run
@@ -98,6 +101,11 @@
 		m.ups = append(m.ups, u)
 		m.engines[u] = &engine{batch: emulator.NewBatch(t, emulator.NewCache(s.CacheBlocks, s.EventGap, seed+uint64(i))), rateAt: start}
 	}
+	m.guard = noGuard{}
+	if p.NewGuard != nil {
+		m.guard = p.NewGuard(Setup{Config: s.Config, Catalog: m.catalog, Clock: m.clock, Seed: seed})
+		m.after(guardEvery, m.watch)
+	}
 	for i, zone := range s.Hosts {
 		setup := Setup{Config: s.Config, Catalog: m.catalog, Clock: m.clock, Seed: seed, Host: i, Zone: zone}
 		h := &host{zone: zone, chooser: p.NewChooser(setup), picker: p.NewPicker(setup), seen: make(map[*declarer.Upstream]int64)}
@@ -110,6 +118,7 @@
 
 // run takes all requests through the model.
 func (m *simulation) run(rate float64, duration time.Duration) {
+	m.duration = duration
 	next, stop := iter.Pull(loader.Plan(loader.Config{
 		Seed: m.seed, Mix: m.s.Mix, Rate: rate, Duration: duration, Workspaces: m.workspaces(),
 		Entries: make([]netip.AddrPort, len(m.hosts)),
@@ -172,7 +181,7 @@
 			ref := declarer.VersionRef{Model: mo.Name, Version: v.Name}
 			if w.Allows(ref) {
 				cost := int64(q.Prompt)*v.Price.InputNanos + int64(q.Output)*v.Price.OutputNanos
-				q.Allowed = append(q.Allowed, Candidate{Ref: ref, Cost: cost, Quality: v.Quality})
+				q.Allowed = append(q.Allowed, Candidate{Ref: ref, Cost: cost, Quality: v.Quality, Quarantined: m.guard.Quarantined(ref)})
 			}
 		}
 	}
@@ -238,15 +247,16 @@
 	price := m.catalog.Version(ref).Price
 	c.cost += int64(c.q.Prompt)*price.InputNanos + int64(c.q.Output)*price.OutputNanos
 	c.cached += j.Cached
-	pass := m.s.Versions[ref].Passes(m.seed, c.req.Digest, c.q.Kind)
+	pass := m.passes(ref, c.req.Digest, c.q.Kind)
 	if c.steps == len(c.plan) {
 		c.finish(ref, pass)
 		return
 	}
-	m.after(m.s.RatingDelay, func() {
-		missing := m.rng.Float64() < m.s.RatingMissing
+	down := m.unrated()
+	m.after(m.ratingWait(), func() {
+		missing := down || m.rng.Float64() < m.s.RatingMissing
 		if !missing {
-			c.host.chooser.Rated(c.q, ref, pass)
+			c.rated(ref, pass)
 		}
 		if take := c.host.chooser.Waited(c.q, ref, !missing); take && (pass || missing) {
 			c.finish(ref, pass)
@@ -264,11 +274,18 @@
 		c.first = m.now
 	}
 	m.sums.add(c, pass, m.now)
-	if c.steps == len(c.plan) && m.rng.Float64() < m.s.Sampled {
-		m.after(m.s.SampledDelay, func() { c.host.chooser.Rated(c.q, ref, pass) })
+	m.noteDuring(c, ref, pass)
+	if c.steps == len(c.plan) && m.rng.Float64() < m.s.Sampled && !m.unrated() {
+		m.after(m.s.SampledDelay, func() { c.rated(ref, pass) })
 	}
 }
 
+// rated tells the host and the guard a rating.
+func (c *call) rated(ref declarer.VersionRef, pass bool) {
+	c.host.chooser.Rated(c.q, ref, pass)
+	c.sim.guard.Rated(ref, pass)
+}
+
 // kick starts a step of an idle engine.
 func (m *simulation) kick(e *engine) {
 	if e.busy {
