Emit the counters of the default objectives

Package reporter read router.requests, refusals, streams, slowFirst, gaps, slowGaps, ratings and failedRatings, which the request path did not emit. The gaps of a stream are counted once at its end, not for each token. A rejection by the upstream counts as a request and not as a refusal. Ratings that arrive after the answer are passed on by package hoster, each counted once.

--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -33,6 +33,7 @@
 	replicas  *replicas
 	plans     *plans
 	poller    *poller.Poller
+	router    *router.Router
 	server    *server.Server
 	callerTLS *tls.Config
 }
@@ -53,11 +54,11 @@
 	}
 	e.plans = newPlans(h.clock, h.scope, xxhash.Sum64String(h.set.Name), stats)
 	e.poller = poller.New(poller.Options{
-		Clock: h.clock, Scope: h.scope, Views: h.views, Sink: reports{e.replicas, e.plans},
+		Clock: h.clock, Scope: h.scope, Views: h.views, Sink: reports{e.replicas, e.plans, func(id string, pass bool) { e.router.Rated(id, pass) }},
 		Client: h.reportClient(), Platform: h.set.Platform, Rater: h.set.Rater,
 	})
 	e.replicas.suspect = e.poller.Suspect
-	r := router.New(router.Options{
+	e.router = router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
 		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: shares{}, Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait,
@@ -65,7 +66,7 @@
 	})
 	var err error
 	e.server, err = server.New(server.Options{
-		Clock: h.clock, Scope: h.scope, Views: h.views, Router: r,
+		Clock: h.clock, Scope: h.scope, Views: h.views, Router: e.router,
 		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print,
 		DrainTimeout: h.set.Drain, Grace: h.set.Grace,
 	})
--- a/hoster/reports.go
+++ b/hoster/reports.go
@@ -14,6 +14,8 @@
 type reports struct {
 	replicas *replicas
 	plans    *plans
+	// rated counts a rating for the objectives of package reporter.
+	rated func(id string, pass bool)
 }
 
 const platformLeaving = "leaving"
@@ -59,4 +61,5 @@
 func (r reports) Rated(v router.Rating) {
 	r.plans.learner.Rate(v.RequestID, v.Pass)
 	r.plans.stats.rate(v.RequestID, v.Pass)
+	r.rated(v.RequestID, v.Pass)
 }
--- a/router/call.go
+++ b/router/call.go
@@ -24,7 +24,8 @@
 }
 
 // Call serves a request for a plain service. Errors are a *refuser.Refusal.
-func (r *Router) Call(ctx context.Context, q *CallRequest) (*CallAnswer, error) {
+func (r *Router) Call(ctx context.Context, q *CallRequest) (_ *CallAnswer, err error) {
+	defer r.count(&q.Request, &err)
 	cat, err := r.catalog()
 	if err != nil {
 		return nil, err
--- a/router/chat.go
+++ b/router/chat.go
@@ -44,7 +44,8 @@
 
 // Chat serves a request whose answer is returned whole. Errors are a
 // *refuser.Refusal or a *RejectedError.
-func (r *Router) Chat(ctx context.Context, q *ChatRequest) (*ChatAnswer, error) {
+func (r *Router) Chat(ctx context.Context, q *ChatRequest) (_ *ChatAnswer, err error) {
+	defer r.count(&q.Request, &err)
 	t, release, err := r.admit(ctx, &q.Request, q.PromptTokens+q.MaxTokens)
 	if err != nil {
 		return nil, err
@@ -205,6 +206,7 @@
 		return r.o.Chooser.Accept(c.plan, ref)
 	}
 	r.o.Learner.Learn(req, v)
+	r.Rated(req.RequestID, v.Pass)
 	return v.Pass
 }
 
@@ -237,6 +239,7 @@
 
 // ran tells the learner of a step that ran to its end.
 func (r *Router) ran(c *chat, ref declarer.VersionRef, step int, u Usage, began time.Time) {
+	r.answered(c.stepID(step), c.workspace, ref)
 	r.o.Learner.Ran(StepRun{
 		ID: c.stepID(step), Workspace: c.workspace.Name, Kind: c.plan.Kind, Ref: ref, Step: step,
 		Input: u.Input, Output: u.Output, Took: r.o.Clock.Since(began),
--- a/router/router.go
+++ b/router/router.go
@@ -63,8 +63,9 @@
 
 	// Router serves requests. Make it with New.
 	Router struct {
-		o    Options
-		pins pinCache
+		o          Options
+		pins       pinCache
+		objectives *objectives
 	}
 
 	// task is the state of one request on its way.
@@ -95,7 +96,7 @@
 	o.Monitor = orDefault[Monitor](o.Monitor, trustingMonitor{})
 	o.Ratings = orDefault[Ratings](o.Ratings, noRatings{})
 	o.Learner = orDefault[Learner](o.Learner, noLearner{})
-	return &Router{o: o, pins: pinCache{clock: o.Clock}}
+	return &Router{o: o, pins: pinCache{clock: o.Clock}, objectives: newObjectives()}
 }
 
 func orDefault[T comparable](v, def T) T {
--- a/router/stream.go
+++ b/router/stream.go
@@ -42,6 +42,7 @@
 		rated  bool
 		since  time.Time
 		wait   time.Duration // Time to the first token.
+		pace   pace
 	}
 
 	// sinkError says that the caller's side of a stream failed.
@@ -56,7 +57,8 @@
 
 // Stream serves a request whose answer is streamed into sink. Errors are a
 // *refuser.Refusal or a *RejectedError; they can come after the first chunk.
-func (r *Router) Stream(ctx context.Context, q *ChatRequest, sink Sink) error {
+func (r *Router) Stream(ctx context.Context, q *ChatRequest, sink Sink) (err error) {
+	defer r.count(&q.Request, &err)
 	t, release, err := r.admit(ctx, &q.Request, q.PromptTokens+q.MaxTokens)
 	if err != nil {
 		return err
@@ -78,6 +80,7 @@
 
 // settle bills what was produced, before the caller learns of the end.
 func (s *streaming) settle(ctx context.Context, err error) error {
+	s.countGaps()
 	if err == nil || s.tokens > 0 {
 		s.c.steps = []biller.Step{s.c.billStep(s.p.ref, s.counted())}
 		s.r.bill(ctx, s.c.record(ending(ctx, err), s.r.o.Clock.Now()))
@@ -227,6 +230,9 @@
 	if err := s.begin(); err != nil {
 		return err
 	}
+	if k.Tokens > 0 {
+		s.paced()
+	}
 	if err := s.sink.Chunk(k.Data); err != nil {
 		return &sinkError{err}
 	}
