--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -14,6 +14,7 @@
 	"foxtailwall/monitor"
 	"foxtailwall/picker"
 	"foxtailwall/pinner"
+	"foxtailwall/promoter"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
 	"foxtailwall/timekeeper"
@@ -61,8 +62,14 @@
 		clock   timekeeper.Clock
 	}
 
-	// shares assigns sessions by the share of a rollout.
-	shares struct{}
+	// shares assigns sessions by the share of a rollout, as far as this
+	// host's part of the exposure budget goes.
+	shares struct {
+		exposure *promoter.Exposure
+		// hosts and index are the place of this host among those that take
+		// requests.
+		hosts, index int
+	}
 )
 
 func newReplicas(views router.Views, zone string, clock timekeeper.Clock, scope counter.Scope, seed uint64) *replicas {
@@ -234,18 +241,41 @@
 func (a admission) Retry(workspace string) bool { return a.limiter.Retry(workspace) }
 
 // Assign implements router.Assigner.
-func (shares) Assign(c *declarer.Catalog, m *declarer.Model, workspace, key string) string {
+func (s shares) Assign(c *declarer.Catalog, m *declarer.Model, workspace, key string) string {
 	p := c.Rollout(m.Name)
 	if p == nil || p.State != declarer.RolloutRunning {
 		return m.Stable
 	}
 	ref := declarer.VersionRef{Model: m.Name, Version: p.Version}
-	if pinner.Assigned(ref, workspace+"\x00"+key, p.Share) {
+	if pinner.Assigned(ref, workspace+"\x00"+key, p.Share) && s.take(c, *p) {
 		return p.Version
 	}
 	return m.Stable
 }
 
+// take spends one request of the exposure budget. A request that is planned
+// twice or that leaves the choice of model to the router may spend more than it
+// uses, which keeps the exposure below its bound.
+func (s shares) take(c *declarer.Catalog, p declarer.Progress) bool {
+	for _, r := range c.View.Config.Rollouts {
+		if r.Model == p.Model && r.Version == p.Version {
+			return s.exposure.Take(r, p, s.hosts, s.index)
+		}
+	}
+	return false
+}
+
+// newShares returns the assignment of a host by its place in the sorted list
+// of hosts.
+func newShares(set *Settings) shares {
+	names := make([]string, len(set.Hosts))
+	for i, h := range set.Hosts {
+		names[i] = h.Name
+	}
+	slices.Sort(names)
+	return shares{exposure: &promoter.Exposure{}, hosts: len(names), index: slices.Index(names, set.Name)}
+}
+
 // plans adapts the chooser to the router.
 type plans struct {
 	chooser *chooser.Chooser
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -23,6 +23,9 @@
 //	p.Report(address, picker.LoadReport{Incarnation: inc, At: sampled, Running: 4, Slots: 16})
 //	p.CacheEvents(address, inc, events)
 //
+// Long prompts and other requests are kept on different replicas of a pool as
+// long as the load allows; see separation.
+//
 // The weight of a replica comes from package monitor: zero takes it out, a
 // value below one is a replica that is returning to service.
 //
@@ -216,13 +219,15 @@
 	if p.set.Policy != nil {
 		return p.set.Policy.Pick(r, pool)
 	}
-	best := p.scan(r, pool.own, 0)
+	prefill := float64(r.PromptTokens) / p.set.PrefillRate
+	sep := separated{ranks: pool.separation.note(prefill, p.set.Service.Seconds(), len(pool.all)), long: prefill >= longPrefill, cost: separationPenalty * p.set.Spread.Seconds()}
+	best := p.scan(r, pool.own, pool.ownRanks, sep, 0)
 	cross := !best.found || best.minWait > p.set.CrossZone.Seconds()
 	if cross {
-		best = best.merge(p.scan(r, pool.other, crossZonePenalty.Seconds()))
+		best = best.merge(p.scan(r, pool.other, pool.otherRanks, sep, crossZonePenalty.Seconds()))
 	}
 	if len(r.Prefixes) > 0 {
-		best = p.tryHolders(r, pool, cross, best)
+		best = p.tryHolders(r, pool, sep, cross, best)
 	}
 	if !best.found {
 		return Choice{}, false
@@ -252,13 +257,13 @@
 
 // scan returns the replica with the lowest wait plus noise. The minimum over
 // Gumbel noise draws each replica with a weight of exp(-wait/spread).
-func (p *Picker) scan(r Request, replicas []*Replica, penalty float64) leader {
+func (p *Picker) scan(r Request, replicas []*Replica, ranks []int, sep separated, penalty float64) leader {
 	l := leader{score: math.Inf(1), minWait: math.Inf(1)}
 	draw := p.random()
 	at, stride := uint32(draw), uint32(draw>>32)|1
-	for _, c := range replicas {
+	for i, c := range replicas {
 		at += stride
-		wait := c.wait()
+		wait := c.wait() + sep.penalty(ranks[i])
 		score := wait + penalty - float64(p.noise[at%noiseSize])
 		if score >= l.score && wait >= l.minWait || math.IsInf(wait, 1) || slices.Contains(r.Exclude, c) {
 			continue
@@ -275,7 +280,7 @@
 // A holder wins only while the prefill it saves exceeds its additional wait.
 // Among the holders noise decides as in scan, since hosts that share a stale
 // report would otherwise all send a popular prompt to the same one.
-func (p *Picker) tryHolders(r Request, pool *Pool, cross bool, best leader) leader {
+func (p *Picker) tryHolders(r Request, pool *Pool, sep separated, cross bool, best leader) leader {
 	var found [maxMatches]match
 	holder := leader{score: math.Inf(1)}
 	value := math.Inf(1)
@@ -286,24 +291,26 @@
 			continue
 		}
 		cached := r.PromptTokens * m.depth / len(r.Prefixes)
-		v := p.value(m.replica, z) - float64(cached)/p.set.PrefillRate
+		v := pool.value(m.replica, sep) - float64(cached)/p.set.PrefillRate
 		at++
 		if score := v - float64(p.noise[at%noiseSize]); score < holder.score {
 			holder, value = leader{replica: m.replica, score: score, cached: cached, found: true}, v
 		}
 	}
-	if holder.found && (!best.found || value < p.value(best.replica, pool.zone(best.replica))) {
+	if holder.found && (!best.found || value < pool.value(best.replica, sep)) {
 		return holder
 	}
 	return best
 }
 
-// value returns the expected wait for the replica with the cost of its zone.
-func (p *Picker) value(r *Replica, z zone) float64 {
-	if z == zoneOther {
-		return r.wait() + crossZonePenalty.Seconds()
+// value returns the expected wait for the replica with the costs of its zone
+// and of its place in the separation.
+func (p *Pool) value(r *Replica, sep separated) float64 {
+	v := r.wait() + sep.penalty(p.ranks[r])
+	if p.zone(r) == zoneOther {
+		v += crossZonePenalty.Seconds()
 	}
-	return r.wait()
+	return v
 }
 
 func (p *Picker) known(address netip.AddrPort) *Replica {
