Look for a newer version elsewhere when the watched host sends none

A paused relay keeps its streams open, so its watchers stayed behind while their leases were renewed through the other relay. Without the question to the others the test fails.

--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -41,6 +41,26 @@
 		n.holder.Extend(sent, res.Leases[0])
 	}
 	n.heardHosts(res.Hosts)
+	n.checkLag(ctx, res.Version)
+}
+
+// checkLag looks for a newer version elsewhere when this host still lacks one
+// that was known at its last confirmation, as when the process it watches is
+// paused.
+func (n *Node) checkLag(ctx context.Context, known uint64) {
+	have := n.holder.Version()
+	n.mu.Lock()
+	lags := have < n.known
+	n.known = known
+	if lags {
+		n.stalled = true
+		n.signal()
+	}
+	n.mu.Unlock()
+	if lags {
+		n.opts.Scope.Counter("relayer.stalled").Inc(1)
+		n.Gather(ctx)
+	}
 }
 
 // confirmAt asks the servers in turn until one answers, and returns the
--- a/relayer/node.go
+++ b/relayer/node.go
@@ -56,7 +56,8 @@
 		// Source and Group are set on control hosts.
 		Source Source
 		Group  Group
-		// OnReports receives the reports on the control leader.
+		// OnReports receives the reports on the control leader. The hosts wait
+		// for their leases while it runs.
 		OnReports func([]Report)
 	}
 
@@ -77,8 +78,14 @@
 		leader netip.AddrPort
 		// reports are those of this host and of the hosts it relays for.
 		reports map[reportKey]Report
-		// rehosted is closed when the list of hosts changes.
+		// rehosted is closed when another server should be watched.
 		rehosted chan struct{}
+		// stalled says that the next server should be, because the present
+		// one sends nothing.
+		stalled bool
+		// known is the newest version named by the last answer to a
+		// confirmation.
+		known uint64
 	}
 
 	// pending is a request that waits at a relay for the leader's answer.
@@ -308,7 +315,11 @@
 	wg.Wait()
 	select {
 	case <-moved:
-		return true
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		stalled := n.stalled
+		n.stalled = false
+		return !stalled
 	default:
 	}
 	var be *BaseError
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -385,6 +385,19 @@
 		Expect(a.Holder().Leased()).To(BeFalse())
 	})
 
+	// Guards against a host that stays behind while the relay that it watches
+	// is paused.
+	ginkgo.It("asks others when it still lacks a version known before", func(ctx context.Context) {
+		a := node(2, Options{})
+		a.Gather(ctx)
+		control.view = declarer.View{Version: 6}
+		Expect(leader.holder.offerView(control.view)).To(Succeed())
+		a.Confirm(ctx)
+		Expect(a.Holder().Version()).To(Equal(uint64(5)))
+		a.Confirm(ctx)
+		Expect(a.Holder().Version()).To(Equal(uint64(6)))
+	})
+
 	// Guards against a lease that outlives LeaseTime, or that a leader grants
 	// after its own lease has ended.
 	ginkgo.It("holds a lease for LeaseTime, from a leased leader only", func(ctx context.Context) {
