--- a/demonstrator/process_test.go
+++ b/demonstrator/process_test.go
@@ -9,9 +9,11 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
@@ -25,6 +27,9 @@
 const (
 	testSeed = 11
 	testRate = 30
+	// frozen is longer than the lease and the election time of the control
+	// group.
+	frozen = 2 * time.Second
 )
 
 func TestDemonstrator(t *testing.T) {
@@ -49,7 +54,8 @@
 
 	// Guards against bookings that run twice, bills that are lost or doubled,
 	// configurations that go back and claims that are forgotten when
-	// processes are killed under load and start again.
+	// processes are killed under load and start again, or freeze past their
+	// lease.
 	It("lose nothing that was acknowledged when they are killed under load", func(ctx context.Context) {
 		p := startProcesses(ctx, binary)
 		audit := loader.NewAudit(loader.AuditConfig{})
@@ -69,9 +75,14 @@
 				return nil
 			}}
 		}
+		freeze := func(at time.Duration, i int) loader.Event {
+			return loader.Event{Name: "freeze " + p.hosts[i].set.Name, At: at, Do: func(ctx context.Context) error {
+				return p.freeze(ctx, i, frozen)
+			}}
+		}
 		d.load = loader.New(loader.Config{
 			Clock: d.clock, Seed: testSeed, Entries: p.cluster.entries(), Mix: bookings(),
-			Workspaces: loader.FromConfig(conf, secrets(conf)), Rate: testRate, Duration: 6 * time.Second,
+			Workspaces: loader.FromConfig(conf, secrets(conf)), Rate: testRate, Duration: 10 * time.Second,
 			Timeout: 20 * time.Second, Audit: audit,
 			Events: []loader.Event{
 				kill(1*time.Second, 0), kill(2*time.Second, 1), kill(3*time.Second, 2),
@@ -79,7 +90,7 @@
 					_, err := d.apply(ctx, "south", changed(d.offices.config()))
 					return err
 				}},
-				kill(4*time.Second, 4), kill(5*time.Second, 3),
+				kill(4*time.Second, 4), kill(5*time.Second, 3), freeze(6*time.Second, 0), freeze(7*time.Second, 2),
 			},
 		})
 		Expect(d.load.Run(ctx)).To(Succeed())
@@ -160,6 +171,17 @@
 	_ = h.cmd.Wait()
 }
 
+// freeze stops the process for a time that is longer than the leases of the
+// control group.
+func (p *processes) freeze(ctx context.Context, i int, d time.Duration) error {
+	proc := p.hosts[i].cmd.Process
+	if err := proc.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	err := timekeeper.Sleep(ctx, timekeeper.System{}, d)
+	return errors.CombineErrors(err, proc.Signal(syscall.SIGCONT))
+}
+
 // changed returns the configuration with another price of the south's own.
 func changed(c declarer.Config) declarer.Config {
 	for i := range c.Workspaces {
--- a/hoster/control.go
+++ b/hoster/control.go
@@ -37,6 +37,10 @@
 	proposer struct{ group *replicator.Group }
 )
 
+// The state of the control group is too large to be encoded while its log
+// waits.
+var _ replicator.Freezer = (*controller.Machine)(nil)
+
 // joinControl opens this host's member of the control group, if it has one.
 func (h *Host) joinControl() error {
 	if !h.set.IsControl() {
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -93,6 +93,15 @@
 		Restore(data []byte) error
 	}
 
+	// Freezer is a Machine whose state is too large to be encoded while the
+	// group waits.
+	Freezer interface {
+		// Freeze fixes the state as it is now, in little time, and returns
+		// the function that encodes it. The function may run while Apply is
+		// called.
+		Freeze() func() ([]byte, error)
+	}
+
 	// Transport carries messages to other members. Send does not block; it
 	// may lose, delay, repeat and reorder messages. It must not change m.
 	Transport interface {
--- a/replicator/run.go
+++ b/replicator/run.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"foxtailwall/journaler"
 )
 
 // Run drives the member until ctx ends or its disk fails. After a failure of
@@ -197,24 +199,43 @@
 	if g.saving || c.applied <= c.snap.Index || (!grown && c.applied-c.snap.Index < g.opts.SnapshotEvery) {
 		return nil
 	}
-	data, err := g.opts.Machine.Snapshot()
+	s, err := c.snapshotAt()
 	if err != nil {
-		return errors.Wrap(err, "take a snapshot of the machine")
+		return err
 	}
-	s, err := c.snapshotAt(data)
+	encode, err := g.freeze()
 	if err != nil {
-		return err
+		return errors.Wrap(err, "take a snapshot of the machine")
 	}
 	g.saving, g.bytes = true, 0
 	if !g.background {
-		g.saved <- saved{s, g.journal.Save(s)}
+		g.saved <- g.save(s, encode)
 		return g.collect()
 	}
-	// Heartbeats and syncs must not wait for a large file.
-	g.savers.Go(func() { g.saved <- saved{s, g.journal.Save(s)} })
+	// Heartbeats and syncs must not wait for a large state or file.
+	g.savers.Go(func() { g.saved <- g.save(s, encode) })
 	return nil
 }
 
+// freeze fixes the state of the machine as it is now and returns the function
+// that encodes it, which may run while the machine goes on.
+func (g *Group) freeze() (func() ([]byte, error), error) {
+	if f, ok := g.opts.Machine.(Freezer); ok {
+		return f.Freeze(), nil
+	}
+	data, err := g.opts.Machine.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
+func (g *Group) save(s journaler.Snapshot, encode func() ([]byte, error)) saved {
+	data, err := encode()
+	if err != nil {
+		return saved{s, errors.Wrap(err, "encode a snapshot of the machine")}
+	}
+	s.Data = slices.Clip(data)
+	return saved{s, g.journal.Save(s)}
+}
+
 // collect takes over a snapshot that has been stored.
 func (g *Group) collect() error {
 	select {
--- a/replicator/snapshot.go
+++ b/replicator/snapshot.go
@@ -1,8 +1,6 @@
 package replicator
 
 import (
-	"slices"
-
 	"foxtailwall/journaler"
 )
 
@@ -163,10 +161,10 @@
 }
 
 // snapshotAt returns the snapshot of the machine's state at the applied index.
-func (c *core) snapshotAt(data []byte) (journaler.Snapshot, error) {
+func (c *core) snapshotAt() (journaler.Snapshot, error) {
 	conf := c.confAt(c.applied)
 	b, err := encodeConf(conf)
 	return journaler.Snapshot{
-		Index: c.applied, Term: c.log.term(c.applied), Config: b, Data: slices.Clip(data),
+		Index: c.applied, Term: c.log.term(c.applied), Config: b,
 	}, err
 }
--- a/router/bill.go
+++ b/router/bill.go
@@ -32,11 +32,7 @@
 func (r *Router) bill(ctx context.Context, rec biller.Record) {
 	bounded, release := within(context.WithoutCancel(ctx), r.o.Clock, holdWait)
 	defer release()
-	held, err := r.o.Bills.Hold(bounded, rec)
-	switch {
-	case err != nil:
+	if _, err := r.o.Bills.Hold(bounded, rec); err != nil {
 		r.o.Scope.Counter("billing.failed").Inc(1)
-	case !held:
-		r.o.Scope.Counter("billing.single").Inc(1)
 	}
 }
