Wait for claims while the control group changes its leader

A claim or its end was given up after three quick tries, so that every booking during a leader change (up to 2 s) was refused or lost its stored answer. Both are now tried for 3 s. A refusal other than noQuorum no longer counts as proof that the claim was not stored, as the contract of Claims says.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -262,10 +262,13 @@
 		})
 		a := u.attempt("a")
 		a.Header = http.Header{"X-Good": {"1"}, "X-Bad": {"1\r\nX-Added: 1"}}
-		_, err := newDialer(dialer.Options{}).Do(ctx, a)
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		a.Deadline, a.Priority = clock.Now().Add(3*time.Second), 7
+		_, err := newDialer(dialer.Options{Clock: clock}).Do(ctx, a)
 		Expect(err).NotTo(HaveOccurred())
 		h := <-got
-		Expect(h).To(HaveKey("X-Good"))
+		Expect(h).To(And(HaveKey("X-Good"), HaveKeyWithValue("Foxtailwall-Deadline", []string{"3000"}),
+			HaveKeyWithValue("Foxtailwall-Priority", []string{"7"})))
 		Expect(h).NotTo(HaveKey("X-Added"))
 	})
 
--- a/router/call_test.go
+++ b/router/call_test.go
@@ -16,6 +16,19 @@
 	"foxtailwall/timekeeper"
 )
 
+// pump runs fn and moves the clock on whenever fn waits for it.
+func pump(ctx context.Context, clock *timekeeper.Fake, fn func()) {
+	running, returned := context.WithCancel(ctx)
+	go func() {
+		defer GinkgoRecover()
+		defer returned()
+		fn()
+	}()
+	for clock.WaitTimers(running, 1) == nil {
+		clock.Advance(50 * time.Millisecond)
+	}
+}
+
 func newKey() string { return uuid.Must(uuid.NewV7()).String() }
 
 var _ = Describe("a call that must not run twice", func() {
@@ -82,28 +95,25 @@
 		crashed := *q
 		crashed.ID = "crashed"
 		first := newRig(func(o *router.Options) { o.Claims = r.table })
+		sent, end := make(chan bool), make(chan bool)
 		first.ups.do = func(context.Context, *router.Attempt) (*router.Answer, error) {
-			r.table.mu.Lock()
-			r.table.fail = func(op string) (error, error) { return map[string]error{"finish": errInjected}[op], nil }
-			r.table.mu.Unlock()
-			return ok("booked"), nil
+			close(sent)
+			<-end
+			return nil, failed(router.FailReset, refuser.Unknown)
 		}
-		_, err := first.Call(ctx, &crashed)
-		Expect(err).NotTo(HaveOccurred())
+		var wg sync.WaitGroup
+		wg.Go(func() { first.Call(ctx, &crashed) })
+		defer wg.Wait()
+		defer close(end)
+		<-sent
 
 		q.Deadline = time.Second
-		calling, returned := context.WithCancel(ctx)
-		go func() {
-			defer GinkgoRecover()
-			defer returned()
+		pump(ctx, clock, func() {
 			_, err := r.Call(ctx, q)
 			Expect(refusal(err).Outcome).To(Equal(refuser.Unknown))
-		}()
-		for clock.WaitTimers(calling, 1) == nil {
-			clock.Advance(50 * time.Millisecond)
-		}
+		})
 		r.table.expire()
-		_, err = r.Call(ctx, r.book(q.Key))
+		_, err := r.Call(ctx, r.book(q.Key))
 		Expect(refusal(err)).To(HaveField("Code", refuser.OutcomeUnknown))
 		Expect(r.ups.all()).To(BeEmpty())
 	}, NodeTimeout(20*time.Second))
@@ -126,13 +136,36 @@
 	})
 
 	It("is not sent without a claim", func(ctx context.Context) {
-		r := newRig()
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		r := newRig(func(o *router.Options) { o.Clock = clock })
 		r.table.fail = func(string) (error, error) { return errInjected, nil }
-		_, err := r.Call(ctx, r.book(newKey()))
-		Expect(refusal(err)).To(HaveField("Code", refuser.NoQuorum))
-		Expect(refusal(err).Outcome).To(Equal(refuser.NotRun))
+		pump(ctx, clock, func() {
+			_, err := r.Call(ctx, r.book(newKey()))
+			Expect(refusal(err)).To(HaveField("Code", refuser.NoQuorum))
+			Expect(refusal(err).Outcome).To(Equal(refuser.NotRun))
+		})
 		Expect(r.ups.all()).To(BeEmpty())
-	})
+	}, NodeTimeout(20*time.Second))
+
+	// Guards against bookings that fail whenever the control group changes
+	// its leader.
+	It("waits for a claim and its end while the control group changes its leader", func(ctx context.Context) {
+		r := newRig()
+		n := 0
+		r.table.fail = func(string) (error, error) {
+			if n++; n%3 != 0 {
+				return refuser.New(refuser.NoQuorum, refuser.NotRun, "no leader"), nil
+			}
+			return nil, nil
+		}
+		r.ups.do = func(context.Context, *router.Attempt) (*router.Answer, error) { return ok("booked"), nil }
+		q := r.book(newKey())
+		_, err := r.Call(ctx, q)
+		Expect(err).NotTo(HaveOccurred())
+		a, err := r.Call(ctx, r.book(q.Key))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Stored).To(BeTrue())
+	}, NodeTimeout(20*time.Second))
 
 	// Guards against an outcome that is lost because its caller left.
 	It("runs to its end when the caller leaves", func(ctx context.Context) {
--- a/router/claim.go
+++ b/router/claim.go
@@ -15,13 +15,10 @@
 )
 
 const (
-	// claimPoll and claimPollMax bound the wait between two looks at a claim
-	// that another request holds. The wait doubles in between.
+	// claimPoll and claimPollMax bound the wait between two calls of the
+	// control group for the same claim. The wait doubles in between.
 	claimPoll    = 20 * time.Millisecond
 	claimPollMax = 500 * time.Millisecond
-	// claimTries bounds the tries to reach the control group for one step of
-	// a claim.
-	claimTries = 3
 	// uuidLength is the length of a key's only accepted form; the parser
 	// takes others, under which one UUID would have several keys.
 	uuidLength = 36
@@ -64,7 +61,7 @@
 	other := false // Another request with this key was seen running.
 	for wait := claimPoll; ; wait = min(2*wait, claimPollMax) {
 		req.Timeout = r.left(c.task)
-		res, err := r.claim(ctx, c, req)
+		res, err := r.claim(ctx, req)
 		if err != nil && other {
 			return nil, stillRunning()
 		}
@@ -89,18 +86,21 @@
 		"an earlier request with this key has not ended; resend with the same key to learn its outcome")
 }
 
-// claim asks for the claim. An error that leaves open whether the claim was
-// stored is followed by another try under the same request ID: a claim that
-// already names this request is its own.
-func (r *Router) claim(ctx context.Context, c *call, req claimer.Request) (claimer.Result, error) {
+// claim asks for the claim, again and again while the control group may be
+// changing its leader. After an error it stays open whether the claim was
+// stored, so the next try has the same request ID: a claim that already names
+// this request is its own.
+func (r *Router) claim(ctx context.Context, req claimer.Request) (claimer.Result, error) {
+	if req.Timeout <= 0 {
+		return claimer.Result{}, refuser.New(refuser.DeadlineExceeded, refuser.NotRun,
+			"the request ended before its key was claimed; resend with the same key")
+	}
+	bounded, release := within(ctx, r.o.Clock, min(controlWait, req.Timeout))
+	defer release()
 	var last error
-	for range claimTries {
-		if ctx.Err() != nil || r.left(c.task) <= 0 {
-			break
-		}
-		bounded, release := within(ctx, r.o.Clock, min(controlWait, r.left(c.task)))
+	stored := false // A failed try may have stored the claim.
+	for wait := claimPoll; ; wait = min(2*wait, claimPollMax) {
 		res, err := r.o.Claims.Claim(bounded, req)
-		release()
 		if err == nil {
 			if res.State == claimer.Running && res.RequestID == req.RequestID {
 				res.State = claimer.Granted
@@ -108,17 +108,18 @@
 			return res, nil
 		}
 		last = err
-		if re, ok := refuser.As(err); ok {
-			return res, refuser.New(re.Code, refuser.NotRun, "%s", re.Message).After(re.RetryAfter)
+		re, ok := refuser.As(err)
+		stored = stored || !ok || re.Code != refuser.NoQuorum
+		if timekeeper.Sleep(bounded, r.o.Clock, wait) != nil {
+			break
 		}
 	}
-	if last == nil {
-		return claimer.Result{}, refuser.New(refuser.DeadlineExceeded, refuser.NotRun,
-			"the request ended before its key was claimed; resend with the same key")
-	}
-	// A claim that was stored after all would make a resend wait for nothing.
-	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Release(ctx, req.Key, req.RequestID) })
 	r.o.Scope.Counter("router.claimFailures").Inc(1)
+	if stored {
+		// A claim that was stored after all would make a resend wait for
+		// nothing.
+		r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Release(ctx, req.Key, req.RequestID) })
+	}
 	return claimer.Result{}, refuser.New(refuser.NoQuorum, refuser.NotRun,
 		"the control group did not confirm the claim, and the call was not sent (%v); resend with the same key", last)
 }
@@ -159,11 +160,11 @@
 func (r *Router) settleClaim(ctx context.Context, fn func(context.Context) error) {
 	bounded, release := within(context.WithoutCancel(ctx), r.o.Clock, controlWait)
 	defer release()
-	for range claimTries {
+	for wait := claimPoll; ; wait = min(2*wait, claimPollMax) {
 		if fn(bounded) == nil {
 			return
 		}
-		if timekeeper.Sleep(bounded, r.o.Clock, claimPoll) != nil {
+		if timekeeper.Sleep(bounded, r.o.Clock, wait) != nil {
 			break
 		}
 	}
