--- a/picker/separation.go
+++ b/picker/separation.go
@@ -15,7 +15,8 @@
 	// separationPenalty in seconds keeps long prompts and the others on
 	// different replicas until the wait differs by more. With 0.2 whole
 	// answers of long prompts took longer than with the strong model and
-	// least requests; with 0.05 first tokens waited a third longer.
+	// least requests; with 0.05 first tokens waited a third longer. It is
+	// below the cross-zone threshold, so that an idle zone keeps its requests.
 	separationPenalty = 0.12
 	// minSeparated is the size of a pool from which prompts are separated.
 	minSeparated = 3
--- a/picker/separation_test.go
+++ b/picker/separation_test.go
@@ -35,18 +35,32 @@
 	}
 
 	// Guards against first tokens that wait for the prefill of another
-	// request's long prompt, and against hosts in different zones that
-	// disagree about which replicas take the long ones.
+	// request's long prompt, against hosts in different zones that disagree
+	// about which replicas take the long ones, and against long prompts that
+	// leave an idle zone.
 	It("keeps long prompts apart from the others, on the same replicas for all hosts", func() {
 		var first map[netip.AddrPort]int
+		zones := map[netip.AddrPort]string{}
 		for seed, zone := range []string{"a", "b", "c"} {
 			p := picker.New(picker.Settings{Zone: zone, Clock: clock, Seed: uint64(seed)})
 			ts := targets(8, "a")
 			for i := range ts {
 				ts[i].Zone = string("abc"[i%3])
-				ts[(i+seed)%8], ts[i] = ts[i], ts[(i+seed)%8]
 			}
-			longs, shorts := mix(p, p.Pool(ts))
+			ts = append(ts[seed:], ts[:seed]...)
+			pool := p.Pool(ts)
+			for _, t := range ts {
+				zones[t.Address] = t.Zone
+			}
+			idle, _ := mix(p, pool)
+			for a := range idle {
+				Expect(zones[a]).To(Equal(zone))
+			}
+			// Half a batch on each replica is beyond the cross-zone threshold.
+			for _, t := range ts {
+				p.Report(t.Address, picker.LoadReport{Incarnation: 1, At: clock.Now(), Running: 4, Slots: 8})
+			}
+			longs, shorts := mix(p, pool)
 			Expect(longs).To(HaveLen(1))
 			for a := range longs {
 				Expect(shorts).NotTo(HaveKey(a))
