--- a/picker/picker.go
+++ b/picker/picker.go
@@ -263,11 +263,12 @@
 	at, stride := uint32(draw), uint32(draw>>32)|1
 	for i, c := range replicas {
 		at += stride
-		wait := c.wait() + sep.penalty(ranks[i])
-		score := wait + penalty - float64(p.noise[at%noiseSize])
+		wait := c.wait()
+		score := wait + sep.penalty(ranks[i]) + penalty - float64(p.noise[at%noiseSize])
 		if score >= l.score && wait >= l.minWait || math.IsInf(wait, 1) || slices.Contains(r.Exclude, c) {
 			continue
 		}
+		// The separation is no reason to leave a zone that has free replicas.
 		l.minWait = min(l.minWait, wait)
 		if score < l.score {
 			l.replica, l.score, l.found = c, score, true
