Bill before an answer can be returned again, and after a drain that cuts

Now the bill comes first, Drain waits for the handlers of cut requests, the handover has 5 s of its own, grace must be below drain, and an expired key gets unknown.

--- a/cmd/foxtailwall/serve.go
+++ b/cmd/foxtailwall/serve.go
@@ -80,6 +80,7 @@
 		&cli.StringFlag{Name: "session-keys", Usage: "file with session keys in hexadecimal, one on each line; the first signs", Sources: env("session-keys")},
 		&cli.StringFlag{Name: "operator-keys", Usage: "file with operator keys, one on each line", Sources: env("operator-keys")},
 		&cli.DurationFlag{Name: "drain", Usage: "time a graceful shutdown gives running requests", Value: hoster.DefaultDrain, Sources: env("drain")},
+		&cli.DurationFlag{Name: "grace", Usage: "part of the drain time in which readiness fails and requests are still taken", Value: hoster.DefaultGrace, Sources: env("grace")},
 	}
 	for _, side := range []string{"caller", "peer", "upstream"} {
 		flags = append(flags, tlsFlags(side)...)
@@ -103,7 +104,7 @@
 func serveSettings(c *cli.Command) (hoster.Settings, error) {
 	s := hoster.Settings{
 		Name: c.String("name"), Zone: c.String("zone"), Entry: c.Bool("entry"),
-		Control: c.StringSlice("control"), DataFolder: c.String("data-folder"), Drain: c.Duration("drain"),
+		Control: c.StringSlice("control"), DataFolder: c.String("data-folder"), Drain: c.Duration("drain"), Grace: c.Duration("grace"),
 		CallerTLS: tlsFiles(c, "caller"), PeerTLS: tlsFiles(c, "peer"), UpstreamTLS: tlsFiles(c, "upstream"),
 	}
 	for _, text := range c.StringSlice("hosts") {
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -66,7 +66,7 @@
 	e.server, err = server.New(server.Options{
 		Clock: h.clock, Scope: h.scope, Views: h.views, Router: e.router,
 		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print,
-		DrainTimeout: h.set.Drain, Grace: h.set.Grace,
+		DrainTimeout: h.set.Drain - h.set.Grace, Grace: h.set.Grace,
 	})
 	h.entry = e
 	return err
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -27,8 +28,13 @@
 	"foxtailwall/timekeeper"
 )
 
-// scopePrefix stands before the name of every metric.
-const scopePrefix = "foxtailwall"
+const (
+	// scopePrefix stands before the name of every metric.
+	scopePrefix = "foxtailwall"
+	// handoverTime bounds the delivery of billing records at the end of a
+	// host. What is left then is delivered by the witnesses.
+	handoverTime = 5 * time.Second
+)
 
 type (
 	// Options are what a host gets from its process.
@@ -141,27 +147,26 @@
 // drain ends the service to callers first, because their requests still need
 // the control group, the witnesses and the upstreams.
 func (h *Host) drain(ctx context.Context) error {
+	var err error
+	if h.entry != nil {
+		err = h.entry.server.Drain(ctx)
+	}
+	// The handover has a time of its own: requests that used up the drain
+	// time have left bills as well.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	limit := h.clock.NewTimer(h.set.Drain)
+	limit := h.clock.NewTimer(handoverTime)
 	defer limit.Stop()
-	done := make(chan struct{})
-	defer close(done)
 	p := pool.New()
 	defer p.Wait()
+	defer cancel()
 	p.Go(func() {
 		select {
 		case <-limit.C():
 			cancel()
-		case <-done:
 		case <-ctx.Done():
 		}
 	})
-	defer cancel()
-	var err error
-	if h.entry != nil {
-		err = h.entry.server.Drain(ctx)
-	}
 	if berr := h.bills.Drain(ctx); berr != nil && h.outbox.box.Len() > 0 {
 		err = errors.CombineErrors(err, &UndeliveredError{Records: h.outbox.box.Len()})
 	}
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -12,6 +12,9 @@
 const (
 	// DefaultDrain is the time a graceful shutdown gives running requests.
 	DefaultDrain = 60 * time.Second
+	// DefaultGrace is the time for which a host that shuts down fails its
+	// readiness and still takes requests.
+	DefaultGrace = 5 * time.Second
 	// minSessionKey is the smallest size of a session key in bytes; HMAC with
 	// SHA-256 gains nothing from a shorter one.
 	minSessionKey = 32
@@ -133,9 +136,15 @@
 	if s.Drain == 0 {
 		s.Drain = DefaultDrain
 	}
+	if s.Grace == 0 {
+		s.Grace = DefaultGrace
+	}
 	if s.Drain < 0 {
 		return &SettingError{"drain", s.Drain.String(), "a time above zero, such as 60s"}
 	}
+	if s.Grace < 0 || s.Grace >= s.Drain {
+		return &SettingError{"grace", s.Grace.String(), "a time above zero and below drain, which is " + s.Drain.String()}
+	}
 	return nil
 }
 
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -58,6 +59,7 @@
 		Entry("no session key", func(s *hoster.Settings) { s.SessionKeys = nil }, "session-keys"),
 		Entry("short session key", func(s *hoster.Settings) { s.SessionKeys[0] = []byte("short") }, "session-keys"),
 		Entry("no operator key", func(s *hoster.Settings) { s.OperatorKeys = nil }, "operator-keys"),
+		Entry("grace that leaves no time to drain", func(s *hoster.Settings) { s.Drain = 3 * time.Second }, "grace"),
 		Entry("negative drain", func(s *hoster.Settings) { s.Drain = -1 }, "drain"),
 	)
 
--- a/router/call_test.go
+++ b/router/call_test.go
@@ -85,6 +85,27 @@
 		Expect(a.Stored).To(BeFalse())
 	})
 
+	// Guards against an answer that a resend gets although nobody is billed
+	// for it, because the first host stopped between claim and bill.
+	It("bills a call before its answer can be returned again", func(ctx context.Context) {
+		r := newRig()
+		r.ups.do = func(context.Context, *router.Attempt) (*router.Answer, error) { return ok("booked"), nil }
+		finished := 0
+		r.table.fail = func(op string) (before, after error) {
+			if op == "finish" {
+				finished++
+			}
+			return nil, nil
+		}
+		r.ledger.hold = func(context.Context) (bool, error) {
+			Expect(finished).To(BeZero())
+			return true, nil
+		}
+		_, err := r.Call(ctx, r.book(newKey()))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(finished).To(Equal(1))
+	})
+
 	// Guards against a second run after the entry host died between claim
 	// and finish, and against a resend that waits beyond its own deadline.
 	It("is not run again when its first host has crashed", func(ctx context.Context) {
--- a/router/claim.go
+++ b/router/claim.go
@@ -140,8 +140,10 @@
 	if len(resp.Body) > claimer.MaxResponse || a.Header.Get("Content-Encoding") != "" {
 		resp.Body, resp.Truncated = nil, true
 	}
-	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Finish(ctx, k, c.id, resp) })
+	// The bill comes first: once the claim is finished, a resend through
+	// another host returns the answer, and that host has no bill for it.
 	r.billCall(ctx, c)
+	r.settleClaim(ctx, func(ctx context.Context) error { return r.o.Claims.Finish(ctx, k, c.id, resp) })
 	return &CallAnswer{Status: a.Status, Header: a.Header, Body: a.Body}, nil
 }
 
@@ -180,8 +182,8 @@
 		return nil, refuser.New(refuser.KeyReused, refuser.NotRun,
 			"the Idempotency-Key was used for another call; send this one under a new key")
 	case claimer.Expired:
-		return nil, refuser.New(refuser.KeyExpired, refuser.NotRun,
-			"the Idempotency-Key is older than answers are kept, so a resend cannot be told from a first call")
+		return nil, refuser.New(refuser.KeyExpired, refuser.Unknown,
+			"the Idempotency-Key is older than answers are kept; a call with it may have run, and this one was not run again")
 	case claimer.Invalid:
 		return nil, refuser.New(refuser.KeyInvalid, refuser.NotRun,
 			"the Idempotency-Key must be a UUIDv7 that was made just before the call")
--- a/server/limits_test.go
+++ b/server/limits_test.go
@@ -285,7 +285,9 @@
 		Expect(<-drained).To(Succeed())
 	}, NodeTimeout(20*time.Second))
 
-	It("cuts only what exceeds the drain timeout", func(ctx context.Context) {
+	// Guards against a host that stops before the handler of a cut stream has
+	// billed what the caller received.
+	It("cuts only what exceeds the drain timeout, and bills it", func(ctx context.Context) {
 		drained := make(chan error, 1)
 		go func() { drained <- h.server.Drain(ctx) }()
 		Expect(clock.fake.WaitTimers(ctx, 1)).To(Succeed())
@@ -294,6 +296,7 @@
 		Expect(clock.fake.WaitTimers(ctx, 1)).To(Succeed())
 		clock.fake.Advance(time.Minute)
 		Expect(<-drained).To(HaveOccurred())
+		Expect(h.bills.all()).To(HaveLen(1))
 		Expect(<-body).NotTo(ContainSubstring("[DONE]"))
 	}, NodeTimeout(20*time.Second))
 })
--- a/server/server.go
+++ b/server/server.go
@@ -55,6 +55,9 @@
 	defaultConnections   = 8192
 	defaultGrace         = 5 * time.Second
 	defaultDrainTimeout  = 2 * time.Minute
+	// handlerTime bounds the wait for the handlers of cut requests; a bill may
+	// take the router 2 s.
+	handlerTime = 5 * time.Second
 	// operatorConnections bounds the connections of the operators' port.
 	operatorConnections = 64
 )
@@ -202,6 +205,7 @@
 		}
 	})
 	err := s.shutdown(bounded, callers, operators)
+	s.awaitHandlers()
 	s.o.Log.Info().Err(err).Msg("requests under way have ended")
 	return err
 }
@@ -217,6 +221,21 @@
 	}
 }
 
+// awaitHandlers waits until the handlers of cut requests have billed what they
+// produced. It takes every slot, each of which a handler holds until it ends.
+func (s *Server) awaitHandlers() {
+	limit := s.o.Clock.NewTimer(handlerTime)
+	defer limit.Stop()
+	for range cap(s.slots) {
+		select {
+		case s.slots <- struct{}{}:
+		case <-limit.C():
+			s.o.Scope.Counter("server.handlersLeft").Inc(1)
+			return
+		}
+	}
+}
+
 func (s *Server) shutdown(ctx context.Context, callers, operators []*http.Server) error {
 	var err error
 	for _, srv := range callers {
