Record counters and serve the burn report on the operators' port

A host with a data folder records its counters once a minute; the report that foxtailwall report prints from such files is served beside metrics and configuration.

--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -63,9 +64,13 @@
 		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
 	var err error
+	var report func(io.Writer, string) error
+	if h.record != nil {
+		report = h.record.report
+	}
 	e.server, err = server.New(server.Options{
 		Clock: h.clock, Scope: h.scope, Views: h.views, Router: e.router,
-		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print,
+		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print, Report: report,
 		DrainTimeout: h.set.Drain - h.set.Grace, Grace: h.set.Grace,
 	})
 	h.entry = e
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -58,6 +58,7 @@
 		tls     sides
 		mux     *messenger.Mux
 		outbox  *outboxDisk
+		record  *record
 		control *control
 		client  *messenger.Control
 		bills   *messenger.Bills
@@ -92,7 +93,7 @@
 		set: s, opts: o, clock: o.Clock, log: o.Log, scope: counter.New(scopePrefix),
 		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer),
 	}
-	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.joinControl, h.connectControl, h.followViews, h.buildEntry} {
+	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.openRecord, h.joinControl, h.connectControl, h.followViews, h.buildEntry} {
 		if err := build(); err != nil {
 			return nil, errors.CombineErrors(err, h.scope.Close())
 		}
@@ -184,6 +185,9 @@
 	if h.control != nil {
 		out = append(out, duty{"control group", h.control.group.Run}, duty{"pruning", h.control.service.Run}, duty{"governor", h.control.governor.Run}, duty{"orders to engines", h.control.commander.run})
 	}
+	if h.record != nil {
+		out = append(out, duty{"recording of counters", h.record.run})
+	}
 	if h.entry != nil {
 		out = append(out, duty{"callers port", h.entry.serveCallers}, duty{"operators port", h.entry.serveOperators}, duty{"health", h.entry.replicas.run}, duty{"reports of upstreams", h.entry.poller.Run})
 	}
--- a/server/operators.go
+++ b/server/operators.go
@@ -23,6 +23,7 @@
 	m.GET("/readyz", s.readiness)
 	m.GET("/metrics", s.operated(s.metrics))
 	m.GET("/config", s.operated(s.config))
+	m.GET("/report", s.operated(s.report))
 	return m
 }
 
@@ -69,6 +70,41 @@
 	_, _ = w.Write(text) // An operator that left gets nothing.
 }
 
+// reportTypes are the formats of GET /report.
+var reportTypes = map[string]string{
+	"text": "text/plain; charset=utf-8", "json": "application/json", "html": "text/html; charset=utf-8",
+}
+
+// report answers GET /report?format=FORMAT: how fast this host's workspaces
+// burn their error budgets.
+func (s *Server) report(w http.ResponseWriter, r *http.Request) {
+	format := r.URL.Query().Get("format")
+	if format == "" {
+		format = "text"
+	}
+	kind, ok := reportTypes[format]
+	switch {
+	case !ok:
+		refuse(w, refuser.New(refuser.BadRequest, refuser.NotRun, "format is %q; allowed are text, json and html", format), 0)
+		return
+	case s.o.Report == nil:
+		refuse(w, refuser.New(refuser.NotConfigured, refuser.NotRun, "this host has no data folder, so it records no counters"), 0)
+		return
+	}
+	var b bytes.Buffer
+	err := s.o.Report(&b, format)
+	if re, ok := refuser.As(err); ok {
+		refuse(w, re, 0)
+		return
+	}
+	if err != nil {
+		refuse(w, refuser.New(refuser.Internal, refuser.NotRun, "make the report: %v", err), 0)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	_, _ = w.Write(b.Bytes()) // An operator that left gets nothing.
+}
+
 // metrics answers GET /metrics in the Prometheus text form.
 func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- a/server/server.go
+++ b/server/server.go
@@ -27,6 +27,7 @@
 	"crypto/tls"
 	"encoding/hex"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -80,6 +81,9 @@
 		OperatorDigest string
 		// Print writes the configuration in force; YAML if nil.
 		Print func(declarer.Config) ([]byte, error)
+		// Report writes the service-level burn report of this host in the
+		// format text, json or html; nil if the host records no counters.
+		Report func(w io.Writer, format string) error
 		// Ready returns why the host should get no requests, nil if it
 		// should. A nil function stands for a host that is ready as soon as
 		// it has a configuration.
