Keep the prefix index through small gaps of cache events

Cause: every missed cache event made all entries of its replica uncertain. With a twentieth of the events lost the index was emptied several times a second, so prefix hits were found by chance only. An entry now outlives 64 missed events; the cache of a replica holds a thousand blocks or more, and a wrong hit costs no more than the prefill that it was to save.

--- a/hoster/reports.go
+++ b/hoster/reports.go
@@ -41,7 +41,7 @@
 	for _, e := range events {
 		prefix, err := strconv.ParseUint(e.Prefix, 16, 64)
 		if err != nil {
-			continue // The gap in the sequence makes the picker forget.
+			continue // The picker counts it as missed.
 		}
 		out = append(out, picker.CacheEvent{Seq: e.Seq, Add: e.Add, Prefix: prefix})
 	}
--- a/picker/prefix.go
+++ b/picker/prefix.go
@@ -16,6 +16,11 @@
 	maxHolders = 8
 	// maxMatches bounds the holders that one pick compares.
 	maxMatches = 24
+	// maxMissed is the number of missed events beyond which an entry is
+	// uncertain. Each of them may be its removal, but a cache holds a thousand
+	// blocks or more, and a wrong hit costs no more than the prefill it was to
+	// save. With 0, the loss of a twentieth of the events kept the index empty.
+	maxMissed = 64
 )
 
 type (
@@ -34,6 +39,8 @@
 	prefixIndex struct {
 		mu  sync.RWMutex
 		age time.Duration
+		// missed is the number of missed events that an entry outlives.
+		missed uint32
 		// start is the origin of the holders' expiry times.
 		start   time.Time
 		holders *buffer.LRU[uint64, holderList]
@@ -52,8 +59,8 @@
 		until uint32
 	}
 
-	// feed is the state of one replica's event sequence. Entries made under
-	// an older epoch are invalid.
+	// feed is the state of one replica's event sequence. Its epoch grows by
+	// the missed events; entries made too long before it are invalid.
 	feed struct {
 		incarnation uint64
 		last        uint64
@@ -67,13 +74,13 @@
 )
 
 func newPrefixIndex(size int, age time.Duration, now time.Time) *prefixIndex {
-	return &prefixIndex{age: age, start: now, holders: buffer.NewLRU[uint64, holderList](size), feeds: make(map[*Replica]*feed)}
+	return &prefixIndex{age: age, missed: maxMissed, start: now, holders: buffer.NewLRU[uint64, holderList](size), feeds: make(map[*Replica]*feed)}
 }
 
 func (x *prefixIndex) seconds(t time.Time) uint32 { return uint32(t.Sub(x.start) / time.Second) }
 
-// apply takes events in sequence. After a gap every older entry of the replica
-// is uncertain, because its removal may be among the missed events.
+// apply takes events in sequence. With each missed event the older entries of
+// the replica become less certain, because it may be their removal.
 func (x *prefixIndex) apply(r *Replica, incarnation uint64, events []CacheEvent, now time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -86,7 +93,7 @@
 			continue
 		}
 		if e.Seq > f.last+1 {
-			f.epoch++
+			f.epoch += uint32(min(e.Seq-f.last-1, uint64(x.missed)+1))
 		}
 		f.last = e.Seq
 		list, _ := x.holders.Peek(e.Prefix)
@@ -121,7 +128,7 @@
 		return nil
 	}
 	if incarnation > f.incarnation {
-		*f = feed{incarnation: incarnation, epoch: f.epoch + 1}
+		*f = feed{incarnation: incarnation, epoch: f.epoch + x.missed + 1}
 	}
 	return f
 }
@@ -176,7 +183,7 @@
 
 func (x *prefixIndex) valid(h holder, at uint32) bool {
 	f := x.feeds[h.replica]
-	return f != nil && f.epoch == h.epoch && h.until > at
+	return f != nil && f.epoch-h.epoch <= x.missed && h.until > at
 }
 
 // forget drops the sequence state of a replica that left the configuration,
