Load an outbox file with more records than the capacity

Cause: the file of an outbox keeps acknowledged records until 1024 records and twice the remaining ones were appended. Load counted them against the capacity, so that a host that crashed with a full outbox returned a *FullError at every start. Load now merges without the check; the capacity still applies to new records.

Ruled out: rewriting the file earlier, since a crash between two acknowledgements would still leave more records than the capacity.

--- a/biller/outbox.go
+++ b/biller/outbox.go
@@ -184,16 +184,15 @@
 }
 
 // Load reads what Append and Rewrite were given by an earlier process, in
-// that order. The records count as held since now. It returns a
-// *serializer.DecodeError or a *FullError.
+// that order. The records count as held since now. The capacity does not apply:
+// the file also has acknowledged records that were not yet rewritten away, and
+// a host must start with all of them. It returns a *serializer.DecodeError.
 func (o *Outbox) Load(b []byte, now time.Time) error {
 	var e diskEntry
 	if err := serializer.UnmarshalState(b, &e); err != nil {
 		return err
 	}
-	if err := o.putAll(e.Records, e.Owned, now); err != nil {
-		return err
-	}
+	o.merge(e.Records, e.Owned, now)
 	o.disk.Lock()
 	defer o.disk.Unlock()
 	o.written(e.Records)
@@ -245,12 +244,26 @@
 	return nil
 }
 
+// merge adds the records whatever the capacity.
+func (o *Outbox) merge(recs []Record, owned bool, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, r := range recs {
+		o.set(r, owned, now)
+	}
+}
+
 func (o *Outbox) put(r Record, owned bool, now time.Time) error {
+	if o.held[r.ID] == nil && len(o.held) >= o.opts.Capacity {
+		return &FullError{Capacity: o.opts.Capacity}
+	}
+	o.set(r, owned, now)
+	return nil
+}
+
+func (o *Outbox) set(r Record, owned bool, now time.Time) {
 	h := o.held[r.ID]
 	if h == nil {
-		if len(o.held) >= o.opts.Capacity {
-			return &FullError{Capacity: o.opts.Capacity}
-		}
 		h = &heldRecord{record: r, owned: owned, since: now}
 		o.held[r.ID] = h
 		o.enqueue(r.ID, h)
@@ -261,7 +274,6 @@
 	h.record = Merge(h.record, r)
 	close(o.changed)
 	o.changed = make(chan struct{})
-	return nil
 }
 
 func (o *Outbox) enqueue(id string, h *heldRecord) {
