Grant a lease for an older version only while one runs

Cause: a host that lacked the current version got what was left of a lease time since that version was accepted, even if it held no lease. A host whose lease had ended, or that restarted with an older view from its disk, so got a new lease for a version whose withdrawal was already in force, and Standing went back from in force to pending.

A host that lacks the current version now gets only the shortening of a lease that is running. It counts as having none when its lease has ended or when it confirms less than it has confirmed before, for as long as it does. Standing of leased versions goes by the highest confirmed version, since a host that came back with less holds no lease.

Ruled out: no lease for any host that lags. With a change each second every lease would end; a spec guards against that.

The spec "relays confirmations and reports in one batch" expected a shortened lease for a host that the registry had never heard of, which is the fault. It now has a host whose lease runs and expects the shortened lease for it, and zero for one never heard of.

Before: both entries of "keeps a version in force when a host comes back with an older one" and the changed spec failed. After: package relayer passes with -race.

--- a/relayer/registry.go
+++ b/relayer/registry.go
@@ -43,6 +43,9 @@
 	hostState struct {
 		host    Host
 		version uint64
+		// highest is the highest version that the host has confirmed. A host
+		// that restarts may confirm an older one, but holds no lease then.
+		highest uint64
 		seen    time.Time
 		lease   time.Time
 	}
@@ -94,8 +97,10 @@
 			h = &hostState{}
 			r.hosts[c.Host.Name] = h
 		}
+		fresh := !now.Before(h.lease) || c.Version < h.highest
 		h.host, h.version, h.seen = c.Host, c.Version, now
-		out[i] = r.grant(c.Version, now)
+		h.highest = max(h.highest, c.Version)
+		out[i] = r.grant(c.Version, fresh, now)
 		if end := now.Add(out[i] + leaseSlack); out[i] > 0 && end.After(h.lease) {
 			h.lease = end
 		}
@@ -130,10 +135,17 @@
 }
 
 // grant returns the lease for a host with the version: the whole time if it
-// has the newest, else what is left since the first version it lacks.
-func (r *Registry) grant(version uint64, now time.Time) time.Duration {
+// has the newest, else what is left since the first version it lacks. A host
+// without a running lease must have the newest: the version it lacks may be in
+// force already. Zero for every host that lags would end all leases when the
+// view changes each second.
+func (r *Registry) grant(version uint64, fresh bool, now time.Time) time.Duration {
 	for _, a := range r.accepted {
-		if a.version > version {
+		switch {
+		case a.version <= version:
+		case fresh:
+			return 0
+		default:
 			return max(0, LeaseTime-now.Sub(a.at))
 		}
 	}
@@ -150,7 +162,7 @@
 	cut := r.cutOff(now)
 	for _, h := range r.hosts {
 		switch {
-		case h.version >= version:
+		case h.version >= version, leased && h.highest >= version:
 		case leased && now.Before(h.lease), !leased && r.live(h, now):
 			s.Pending = append(s.Pending, h.host.Name)
 		case cut[h.host.Zone] && !slices.Contains(s.CutOff, h.host.Zone):
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -243,6 +243,50 @@
 		Expect(answered).To(BeNumerically(">", 100))
 	}, ginkgo.Entry("seed 1", uint64(1)), ginkgo.Entry("seed 2", uint64(2)), ginkgo.Entry("seed 3", uint64(3)), ginkgo.Entry("seed 4", uint64(4)))
 
+	// Guards against a host that comes back with an older version, after a
+	// restart or after its lease has ended, and gets a lease for a version
+	// whose withdrawal was already said to be in force.
+	ginkgo.DescribeTable("keeps a version in force when a host comes back with an older one", func(last uint64, silence time.Duration) {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		r := NewRegistry(clock)
+		confirm := func(current uint64, name string, version uint64) time.Duration {
+			return r.Confirm(1, current, []Confirmation{{Host: Host{Name: name, Zone: "z"}, Version: version}})[0]
+		}
+		confirm(10, "a", 10)
+		confirm(10, "b", 10)
+		clock.Advance(LeaseTime + leaseSlack)
+		confirm(10, "a", 10)
+		Expect(confirm(last, "b", last)).To(Equal(LeaseTime))
+		clock.Advance(silence)
+		confirm(11, "a", 11)
+		Expect(r.Standing(11, true).InForce).To(BeTrue())
+		for range 3 {
+			Expect(confirm(11, "b", 10)).To(BeZero())
+			Expect(r.Standing(11, true).InForce).To(BeTrue())
+			Expect(r.Standing(11, false).Pending).To(ConsistOf("b"))
+			clock.Advance(time.Second)
+			confirm(11, "a", 11)
+		}
+		Expect(confirm(11, "b", 11)).To(Equal(LeaseTime))
+	},
+		ginkgo.Entry("after its lease has ended", uint64(10), LeaseTime+leaseSlack),
+		ginkgo.Entry("while the lease from before its restart runs", uint64(11), time.Second),
+	)
+
+	// Guards against leases that all end when the view changes each second.
+	ginkgo.It("keeps the lease of a host that is one version behind", func() {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		r := NewRegistry(clock)
+		for v := uint64(1); v < 60; v++ {
+			have := max(1, v-1)
+			d := r.Confirm(1, v, []Confirmation{{Host: Host{Name: "a", Zone: "z"}, Version: have}})[0]
+			Expect(d).To(Equal(LeaseTime))
+			clock.Advance(time.Second)
+			d = r.Confirm(1, v, []Confirmation{{Host: Host{Name: "a", Zone: "z"}, Version: have}})[0]
+			Expect(d).To(BeNumerically(">=", LeaseTime-time.Second))
+		}
+	})
+
 	// Guards against a partitioned zone that is taken for dead hosts, so that
 	// status would not name it, and the other way round.
 	ginkgo.It("tells a cut-off zone from dead hosts", func() {
@@ -423,7 +467,7 @@
 		Expect(reports).To(BeEmpty())
 		control.leased = true
 		var asked []*pending
-		for i, version := range []uint64{5, 4} {
+		for i, version := range []uint64{5, 4, 4} {
 			p := &pending{done: make(chan confirmed, 1), req: &ConfirmRequest{
 				Confirmations: []Confirmation{{Host: Host{Name: fmt.Sprint("x", i), Zone: "z"}, Version: version}},
 				Reports:       []Report{{Model: "m", Version: "v", Zone: "z", Requests: 2, Errors: 1}},
@@ -431,11 +475,14 @@
 			Expect(relay.gathered.Offer(p)).To(BeTrue())
 			asked = append(asked, p)
 		}
+		// x1 holds a lease from before version 5; x2 was never heard of.
+		leader.registry.Confirm(1, 4, []Confirmation{{Host: Host{Name: "x1", Zone: "z"}, Version: 4}})
 		leader.registry.Confirm(1, 5, nil)
 		clock.Advance(3 * time.Second)
 		relay.relay(ctx)
-		Expect(reports).To(Equal([]Report{{Model: "m", Version: "v", Zone: "z", Requests: 5, Errors: 2}}))
+		Expect(reports).To(Equal([]Report{{Model: "m", Version: "v", Zone: "z", Requests: 7, Errors: 3}}))
 		Expect((<-asked[0].done).res.Leases).To(Equal([]time.Duration{LeaseTime}))
 		Expect((<-asked[1].done).res.Leases).To(Equal([]time.Duration{LeaseTime - 3*time.Second}))
+		Expect((<-asked[2].done).res.Leases).To(Equal([]time.Duration{0}))
 	})
 })
