Propose a quarantine until the log has it

Cause: Step of the watches reports a change once and marks the version as changed before the control group has taken the item. A proposal that failed was never made again, so that a bad version stayed in use, or a good one out of it, until the leader changed.

The governor now compares the watches with the quarantines of the view at each step and proposes the difference. A refused quarantine is proposed again after 30 ticks, since each proposal is an entry of the log. A host that leads again watches anew what the log does not quarantine; otherwise it would propose the quarantines of its earlier leadership.

Ruled out: undoing the mark when a proposal fails, since a failed proposal may still take effect.

--- a/governor/governor.go
+++ b/governor/governor.go
@@ -40,6 +40,9 @@
 	// recorded. Each entry is a new version of the view for all hosts, so
 	// there are few.
 	spendSteps = 4
+	// refusedPause is the time after which a refused quarantine is proposed
+	// again. Each proposal is an entry of the log.
+	refusedPause = 30 * Tick
 )
 
 type (
@@ -64,6 +67,8 @@
 		mu       sync.Mutex
 		term     uint64
 		rollouts map[declarer.VersionRef]*rollout
+		// refused is when the control group last refused a quarantine.
+		refused map[declarer.VersionRef]time.Time
 	}
 
 	// rollout is what this leader has seen of one rollout.
@@ -79,7 +84,10 @@
 
 // New returns a governor that has seen nothing.
 func New(s Settings) *Governor {
-	return &Governor{set: s, watches: NewWatches(s.Clock), rollouts: make(map[declarer.VersionRef]*rollout)}
+	return &Governor{
+		set: s, watches: NewWatches(s.Clock), rollouts: make(map[declarer.VersionRef]*rollout),
+		refused: make(map[declarer.VersionRef]time.Time),
+	}
 }
 
 // Take adds the reports of the zones.
@@ -113,11 +121,18 @@
 	}
 	view := g.set.View()
 	for _, it := range g.decide(term, view) {
-		if _, err := g.set.Propose(ctx, it); err != nil {
+		a, err := g.set.Propose(ctx, it)
+		if err != nil {
 			// The next tick decides anew from the state of the log.
 			g.set.Scope.Counter("governor.proposalsFailed").Inc(1)
 			return
 		}
+		if it.Quarantine != nil && a.Quarantine != nil && !a.Quarantine.OK {
+			g.set.Scope.Counter("governor.quarantinesRefused").Inc(1)
+			g.mu.Lock()
+			g.refused[it.Quarantine.Ref] = g.set.Clock.Now()
+			g.mu.Unlock()
+		}
 	}
 }
 
@@ -128,6 +143,7 @@
 		// What an earlier leadership of this host saw is outdated.
 		g.term = term
 		clear(g.rollouts)
+		clear(g.refused)
 		g.watches.Adopt(view.Quarantined)
 	}
 	var items []controller.Item
@@ -137,9 +153,22 @@
 		}
 	}
 	g.mu.Unlock()
-	cat := declarer.NewCatalog(view)
+	return append(items, g.quarantines(declarer.NewCatalog(view))...)
+}
+
+// quarantines returns the items that bring the log to what the watches want.
+// Comparing with the log repeats an item whose proposal failed.
+func (g *Governor) quarantines(cat *declarer.Catalog) []controller.Item {
 	for _, c := range g.watches.Step(cat) {
 		g.set.Log.Warn().Stringer("version", c.Ref).Bool("returned", c.Return).Str("reason", c.Reason).Msg("quarantine changed")
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var items []controller.Item
+	for _, c := range g.watches.Differences(cat) {
+		if at, ok := g.refused[c.Ref]; ok && !c.Return && g.set.Clock.Now().Sub(at) < refusedPause {
+			continue
+		}
 		items = append(items, controller.Item{Quarantine: &controller.Quarantine{
 			Ref: c.Ref, Return: c.Return, Last: !c.Return && replaceable(cat, c.Ref.Model),
 		}})
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -31,12 +32,17 @@
 	index   uint64
 	rng     *rand.Rand
 	term    uint64
+	// down makes proposals fail.
+	down bool
+	// quarantines counts the proposed quarantines of each version.
+	quarantines map[declarer.VersionRef]int
 }
 
 func newFixture(conf declarer.Config) *fixture {
 	f := &fixture{
 		clock: timekeeper.NewFake(time.Unix(1e9, 0).UTC()), machine: controller.New(nil),
 		rng: rand.New(rand.NewPCG(seed, seed)), term: 1,
+		quarantines: make(map[declarer.VersionRef]int),
 	}
 	f.lead()
 	change, err := controller.NewApply("north", "first", 0, conf)
@@ -50,14 +56,19 @@
 // lead makes a governor that has seen nothing, as a new leader has.
 func (f *fixture) lead() {
 	f.term++
-	term := f.term
 	f.gov = governor.New(governor.Settings{
 		View: f.machine.View, Propose: f.propose, Clock: f.clock,
-		Leading: func() (uint64, bool) { return term, true },
+		Leading: func() (uint64, bool) { return f.term, true },
 	})
 }
 
 func (f *fixture) propose(_ context.Context, it controller.Item) (controller.Answer, error) {
+	if f.down {
+		return controller.Answer{}, errors.New("no quorum")
+	}
+	if it.Quarantine != nil {
+		f.quarantines[it.Quarantine.Ref]++
+	}
 	f.index++
 	cmd, err := controller.Encode(controller.Command{At: f.clock.Now(), Items: []controller.Item{it}})
 	if err != nil {
@@ -175,4 +186,55 @@
 		f.second(v1, 0, 0)
 		Expect(f.machine.View().Quarantined).To(BeEmpty())
 	})
+
+	// Guards against a quarantine or a return that is lost because the
+	// control group was out of reach when it was decided.
+	It("proposes a quarantine and a return again after a failed proposal", func() {
+		f := newFixture(config(false))
+		f.down = true
+		for range 30 {
+			f.second(v1, 20, 0.2)
+		}
+		Expect(f.machine.View().Quarantined).To(BeEmpty())
+		f.down = false
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		f.down = true
+		f.clock.Advance(time.Hour)
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		f.down = false
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(BeEmpty())
+	})
+
+	// Guards against a refused quarantine that fills the log with an entry
+	// each second, and against one that is never proposed again.
+	It("proposes a refused quarantine again after a pause", func() {
+		f := newFixture(config(false))
+		for range 30 {
+			f.second(v1, 20, 0.2)
+		}
+		for range 120 {
+			f.second(v2, 20, 0.2)
+		}
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		Expect(f.quarantines[v1]).To(Equal(1))
+		Expect(f.quarantines[v2]).To(And(BeNumerically(">=", 3), BeNumerically("<=", 5)))
+	})
+
+	// Guards against a host that leads again and repeats a quarantine which
+	// another leader has ended meanwhile.
+	It("follows the log when it leads again", func() {
+		f := newFixture(config(false))
+		for range 30 {
+			f.second(v1, 20, 0.2)
+		}
+		Expect(f.machine.View().Quarantined).To(ConsistOf(v1))
+		_, err := f.propose(context.Background(), controller.Item{Quarantine: &controller.Quarantine{Ref: v1, Return: true}})
+		Expect(err).NotTo(HaveOccurred())
+		f.term++
+		f.second(v1, 0, 0)
+		Expect(f.machine.View().Quarantined).To(BeEmpty())
+	})
 })
--- a/governor/watches.go
+++ b/governor/watches.go
@@ -1,6 +1,7 @@
 package governor
 
 import (
+	"slices"
 	"sync"
 
 	"foxtailwall/declarer"
@@ -59,10 +60,17 @@
 }
 
 // Adopt takes over quarantines that were decided elsewhere, for instance by an
-// earlier leader, so that they end after a probation as well.
+// earlier leader, so that they end after a probation as well. Versions that
+// are not among them are watched anew if they were out of use here.
 func (w *Watches) Adopt(refs []declarer.VersionRef) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for ref, yes := range w.isolated {
+		if yes && !slices.Contains(refs, ref) {
+			delete(w.isolated, ref)
+			delete(w.watches, ref)
+		}
+	}
 	for _, ref := range refs {
 		if w.isolated[ref] {
 			continue
@@ -81,7 +89,7 @@
 	for _, m := range c.View.Config.Models {
 		for i := range m.Versions {
 			ref := declarer.VersionRef{Model: m.Name, Version: m.Versions[i].Name}
-			if p := c.Rollout(m.Name); p != nil && p.Version == ref.Version && p.State == declarer.RolloutRunning {
+			if inRollout(c, ref) {
 				delete(w.batches, ref)
 				continue
 			}
@@ -93,6 +101,30 @@
 	return out
 }
 
+// Differences returns the changes that bring the quarantines of the catalog to
+// those of the watches, as of the last step. Versions in a running rollout are
+// left as they are.
+func (w *Watches) Differences(c *declarer.Catalog) []Change {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Change
+	for _, m := range c.View.Config.Models {
+		for _, v := range m.Versions {
+			ref := declarer.VersionRef{Model: m.Name, Version: v.Name}
+			if watch := w.watches[ref]; watch != nil && !inRollout(c, ref) && w.isolated[ref] != c.Quarantined(ref) {
+				_, reason := watch.State()
+				out = append(out, Change{Ref: ref, Return: !w.isolated[ref], Reason: reason})
+			}
+		}
+	}
+	return out
+}
+
+func inRollout(c *declarer.Catalog, ref declarer.VersionRef) bool {
+	p := c.Rollout(ref.Model)
+	return p != nil && p.Version == ref.Version && p.State == declarer.RolloutRunning
+}
+
 func (w *Watches) step(ref declarer.VersionRef, v *declarer.Version) (Change, bool) {
 	watch := w.watches[ref]
 	if watch == nil {
