--- a/chooser/allowed.go
+++ b/chooser/allowed.go
@@ -8,7 +8,7 @@
 )
 
 // Auto is the model name by which a caller leaves the choice to the router.
-const Auto = "auto"
+const Auto = declarer.AnyModel
 
 type (
 	// Candidate is a version that a request may use.
@@ -106,16 +106,14 @@
 	for i := range m.Versions {
 		v := &m.Versions[i]
 		r := declarer.VersionRef{Model: m.Name, Version: v.Name}
-		if !w.Allows(r) || c.Withdrawn(r) || !usable(c, m, r, leased) {
-			continue
-		}
-		o := Candidate{Ref: r, Version: v, InRollout: rolloutState(c, r) == declarer.RolloutRunning}
-		if c.Quarantined(r) {
+		o := Candidate{Ref: r, Version: v, InRollout: c.RolloutState(r) == declarer.RolloutRunning}
+		switch c.Standing(w.Name, r, leased) {
+		case declarer.Usable:
+			out = append(out, o)
+		case declarer.Quarantined:
 			o.LastResort = true
 			quarantined = append(quarantined, o)
-			continue
 		}
-		out = append(out, o)
 	}
 	if len(out) == 0 {
 		out = quarantined
@@ -126,36 +124,6 @@
 	return out
 }
 
-// usable reports whether roll-out and lease let the version run.
-func usable(c *declarer.Catalog, m *declarer.Model, r declarer.VersionRef, leased bool) bool {
-	if m.CutOff == declarer.CutOffRefuse && !leased {
-		return false
-	}
-	switch rolloutState(c, r) {
-	case declarer.RolloutHalted:
-		return false
-	case declarer.RolloutRunning:
-		return leased
-	}
-	return true
-}
-
-// rolloutState returns the state of the version's roll-out, or "" if it has
-// none. A declared roll-out without progress counts as running, since the
-// version has not yet passed any guard.
-func rolloutState(c *declarer.Catalog, r declarer.VersionRef) declarer.RolloutState {
-	if p := c.Rollout(r.Model); p != nil && p.Version == r.Version {
-		return p.State
-	}
-	declared := slices.ContainsFunc(c.View.Config.Rollouts, func(o declarer.Rollout) bool {
-		return o.Model == r.Model && o.Version == r.Version
-	})
-	if m := c.Model(r.Model); declared && m != nil && m.Stable != r.Version {
-		return declarer.RolloutRunning
-	}
-	return ""
-}
-
 // assign returns the index of the version that a new session gets: the one in
 // roll-out if the session is in its share, else the settled one, or -1.
 func assign(c *declarer.Catalog, m *declarer.Model, cs Candidates, sessionKey string) int {
--- /dev/null
+++ b/declarer/standing.go
@@ -0,0 +1,61 @@
+package declarer
+
+import "slices"
+
+// Standings of a version for one workspace at one moment.
+const (
+	// Usable versions may run.
+	Usable Standing = ""
+	// NotAllowed versions are not declared or not among the workspace's.
+	NotAllowed Standing = "notAllowed"
+	// Withdrawn versions were taken out of use by an operator.
+	Withdrawn Standing = "versionWithdrawn"
+	// Halted versions failed their rollout.
+	Halted Standing = "rolloutHalted"
+	// Unleased versions need a valid lease of the host.
+	Unleased Standing = "leaseExpired"
+	// Quarantined versions were taken out by the change detector and may come
+	// back.
+	Quarantined Standing = "versionQuarantined"
+)
+
+// Standing says whether a version may run, and if not, why.
+type Standing string
+
+// Standing applies all rules on which versions may run. It serves the plan as
+// well as the check at dispatch, so that the two cannot differ.
+func (c *Catalog) Standing(workspace string, r VersionRef, leased bool) Standing {
+	w, m := c.Workspace(workspace), c.Model(r.Model)
+	if w == nil || m == nil || !w.Allows(r) || c.Version(r) == nil {
+		return NotAllowed
+	}
+	if c.Withdrawn(r) {
+		return Withdrawn
+	}
+	state := c.RolloutState(r)
+	switch {
+	case state == RolloutHalted:
+		return Halted
+	case !leased && (state == RolloutRunning || m.CutOff == CutOffRefuse):
+		return Unleased
+	case c.Quarantined(r):
+		return Quarantined
+	}
+	return Usable
+}
+
+// RolloutState returns the state of the version's rollout, or "" if it has
+// none. A declared rollout without progress counts as running, since the
+// version has not yet passed any guard.
+func (c *Catalog) RolloutState(r VersionRef) RolloutState {
+	if p := c.Rollout(r.Model); p != nil && p.Version == r.Version {
+		return p.State
+	}
+	declared := slices.ContainsFunc(c.View.Config.Rollouts, func(o Rollout) bool {
+		return o.Model == r.Model && o.Version == r.Version
+	})
+	if m := c.Model(r.Model); declared && m != nil && m.Stable != r.Version {
+		return RolloutRunning
+	}
+	return ""
+}
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -21,6 +21,11 @@
 	// ratingWait bounds the wait of a cascade for the rating of its cheap
 	// answer.
 	ratingWait = 300 * time.Millisecond
+	// hedgeAfter is the time after which a request for a whole answer is sent
+	// to a second replica as well, within the retry budget. It finds a
+	// connection that went silent under an answer three times sooner than the
+	// bound on the first byte does.
+	hedgeAfter = 10 * time.Second
 	// idleReports is the time after which an unused connection for reports
 	// is closed.
 	idleReports = 30 * time.Second
@@ -60,7 +65,7 @@
 	e.router = router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
-		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: newShares(&h.set), Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait,
+		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: newShares(&h.set), Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait, HedgeAfter: hedgeAfter,
 		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
 	var err error
--- a/loader/mix.go
+++ b/loader/mix.go
@@ -33,7 +33,7 @@
 
 const (
 	// Auto is the model name that leaves the choice to the router.
-	Auto = "auto"
+	Auto = declarer.AnyModel
 
 	pathBookings = "/bookings"
 	pathOrders   = "/orders"
--- a/router/request.go
+++ b/router/request.go
@@ -103,4 +103,4 @@
 )
 
 // AutoModel leaves the choice of the model to the chooser.
-const AutoModel = "auto"
+const AutoModel = declarer.AnyModel
--- a/router/session.go
+++ b/router/session.go
@@ -164,14 +164,14 @@
 // settle turns a pin into the version to run.
 func (r *Router) settle(ctx context.Context, c *declarer.Catalog, q *ChatRequest, s *session, p pinner.Pin, provisional bool) (pinned, error) {
 	leased := r.o.Views.Leased()
-	st := standingOf(c, leased, p.Workspace, p.Ref())
+	st := c.Standing(p.Workspace, p.Ref(), leased)
 	m := c.Model(p.Model)
 	switch {
-	case st == usable:
+	case st == declarer.Usable:
 		return r.signed(p, provisional, ""), nil
 	case m == nil:
 		return pinned{}, refuser.New(refuser.UnknownModel, refuser.NotRun, "the session's model %q was removed", p.Model)
-	case st == withdrawn || st == notAllowed:
+	case st == declarer.Withdrawn || st == declarer.NotAllowed:
 		return r.repin(ctx, c, q, s, p, st)
 	}
 	// The version may come back, so the pin stays and only this request moves.
@@ -187,7 +187,7 @@
 
 // repin moves the session off a version that will not come back, if the
 // caller or the workspace accepts it.
-func (r *Router) repin(ctx context.Context, c *declarer.Catalog, q *ChatRequest, s *session, old pinner.Pin, st standing) (pinned, error) {
+func (r *Router) repin(ctx context.Context, c *declarer.Catalog, q *ChatRequest, s *session, old pinner.Pin, st declarer.Standing) (pinned, error) {
 	w := c.Workspace(old.Workspace)
 	ref, ok := r.assigned(c, r.o.Views.Leased(), old.Workspace, s.id, c.Model(old.Model))
 	if w == nil || !ok {
@@ -205,7 +205,7 @@
 	if s.own {
 		next, provisional = r.restore(ctx, old, next)
 	}
-	if standingOf(c, r.o.Views.Leased(), next.Workspace, next.Ref()) != usable {
+	if c.Standing(next.Workspace, next.Ref(), r.o.Views.Leased()) != declarer.Usable {
 		return pinned{}, refuser.New(refuser.VersionWithdrawn, refuser.NotRun,
 			"the session was moved to %s meanwhile, which is out of use; send the request again", next.Ref())
 	}
