Keep a replacement for a quarantined version that is out of rollout

Cause: the state machine and the overlay of a host counted all versions that are neither withdrawn nor quarantined as usable. A version whose rollout was halted may not run, so that a quarantine of the other one left the model without a version. One whose rollout still runs got all requests, past its budget.

A version is now quarantined only if another one is left that is out of rollout or has finished it. A version in rollout may itself be quarantined.

The spec "quarantines all versions but the last" expected that the stable version may be quarantined while the other is in rollout, which is the fault. It now ends the rollout before these steps, and a table covers each state of the rollout.

Ruled out: counting the version in rollout once it is at its last stage, since its guard may still halt it.

--- a/controller/configure_test.go
+++ b/controller/configure_test.go
@@ -198,6 +198,10 @@
 		c.Withdrawals = []declarer.Withdrawal{{Model: "m", Version: "v2", Intent: declarer.Intent{Owner: "a"}}}
 	}
 	stable := func() string { return b.View().Config.Models[0].Stable }
+	q := func(v string, back, last bool) bool {
+		x := &controller.Quarantine{Ref: declarer.VersionRef{Model: "m", Version: v}, Return: back, Last: last}
+		return b.do(controller.Item{Quarantine: x})[0].Quarantine.OK
+	}
 
 	BeforeEach(func() {
 		b = newBench(nil)
@@ -269,18 +273,32 @@
 	// Guards against a model without a usable version, and against a
 	// quarantined version that is promoted.
 	It("quarantines all versions but the last", func() {
-		q := func(v string, back, last bool) bool {
-			x := &controller.Quarantine{Ref: declarer.VersionRef{Model: "m", Version: v}, Return: back, Last: last}
-			return b.do(controller.Item{Quarantine: x})[0].Quarantine.OK
-		}
 		Expect(q("v9", false, false)).To(BeFalse())
 		Expect(q("v2", false, false)).To(BeTrue())
 		Expect(step(controller.Advance, 0).OK).To(BeFalse())
 		Expect(q("v1", false, false)).To(BeFalse())
 		Expect(q("v2", true, false)).To(BeTrue())
 		Expect(b.View().Quarantined).To(BeEmpty())
+		next("1", func(c *declarer.Config) { c.Rollouts = nil })
 		Expect(q("v1", false, false)).To(BeTrue())
+		Expect(q("v2", false, false)).To(BeFalse())
 		Expect(q("v2", false, true)).To(BeTrue())
 		Expect(b.View().Quarantined).To(HaveLen(2))
 	})
+
+	// Guards against a quarantine that leaves a halted version as the only
+	// one, which may not run, or sends all requests to a version in rollout,
+	// past its budget.
+	DescribeTable("counts a version as a replacement once its rollout is done", func(allowed bool, steps ...controller.PromoteAction) {
+		for i, a := range steps {
+			Expect(step(a, i).OK).To(BeTrue())
+		}
+		Expect(q("v1", false, false)).To(Equal(allowed))
+		Expect(q("v1", false, true)).To(BeTrue())
+	},
+		Entry("first stage", false),
+		Entry("last stage", false, controller.Advance, controller.Advance),
+		Entry("halted", false, controller.Halt),
+		Entry("done", true, controller.Advance, controller.Advance, controller.Done),
+	)
 })
--- a/controller/rollout.go
+++ b/controller/rollout.go
@@ -218,7 +218,7 @@
 		m.view.Quarantined = slices.Delete(slices.Clone(m.view.Quarantined), i, i+1)
 	case !m.exists(q.Ref):
 		return &Quarantined{Reason: fmt.Sprintf("version %s is not declared", q.Ref)}
-	case !q.Last && m.usable(q.Ref.Model) <= 1:
+	case !q.Last && !m.replaced(q.Ref):
 		return &Quarantined{Reason: fmt.Sprintf("version %s is the last usable one of its model", q.Ref)}
 	default:
 		m.view.Quarantined = append(slices.Clone(m.view.Quarantined), q.Ref)
@@ -239,17 +239,16 @@
 	return out
 }
 
-// usable counts the versions of a model that are neither withdrawn nor
-// quarantined.
-func (m *Machine) usable(model string) int {
-	n := 0
-	for _, v := range m.versions(model) {
-		r := declarer.VersionRef{Model: model, Version: v.Name}
-		if !m.withdrawn(r) && !slices.Contains(m.view.Quarantined, r) {
-			n++
-		}
-	}
-	return n
+// replaced reports whether the model has another version that can take all its
+// requests: one that is neither withdrawn, quarantined nor in a rollout. A
+// halted version may not run, and a running one has a budget.
+func (m *Machine) replaced(r declarer.VersionRef) bool {
+	p := m.progress(r.Model)
+	return slices.ContainsFunc(m.versions(r.Model), func(v declarer.Version) bool {
+		o := declarer.VersionRef{Model: r.Model, Version: v.Name}
+		inRollout := p != nil && p.Version == v.Name && p.State != declarer.RolloutDone
+		return o != r && !inRollout && !m.withdrawn(o) && !slices.Contains(m.view.Quarantined, o)
+	})
 }
 
 func (m *Machine) exists(r declarer.VersionRef) bool {
--- a/hoster/views.go
+++ b/hoster/views.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"path/filepath"
+	"slices"
 	"sync"
 
 	"foxtailwall/declarer"
@@ -113,7 +114,7 @@
 	view := c.View
 	view.Quarantined = append([]declarer.VersionRef(nil), view.Quarantined...)
 	for _, ref := range isolated {
-		if c.Quarantined(ref) || usableVersions(c, ref.Model, view.Quarantined) < 2 {
+		if c.Quarantined(ref) || !replaced(c, ref, view.Quarantined) {
 			continue
 		}
 		view.Quarantined = append(view.Quarantined, ref)
@@ -121,23 +122,16 @@
 	return declarer.NewCatalog(view)
 }
 
-func usableVersions(c *declarer.Catalog, model string, quarantined []declarer.VersionRef) int {
-	m := c.Model(model)
-	if m == nil {
-		return 0
-	}
-	out := make(map[declarer.VersionRef]bool, len(quarantined))
-	for _, q := range quarantined {
-		out[q] = true
-	}
-	n := 0
-	for _, v := range m.Versions {
-		ref := declarer.VersionRef{Model: model, Version: v.Name}
-		if !c.Withdrawn(ref) && !out[ref] {
-			n++
-		}
-	}
-	return n
+// replaced reports whether the model has another version that can take all its
+// requests: one that is neither withdrawn, quarantined nor in a rollout. A
+// halted version may not run, and a running one has a budget.
+func replaced(c *declarer.Catalog, ref declarer.VersionRef, quarantined []declarer.VersionRef) bool {
+	m, p := c.Model(ref.Model), c.Rollout(ref.Model)
+	return m != nil && slices.ContainsFunc(m.Versions, func(v declarer.Version) bool {
+		o := declarer.VersionRef{Model: ref.Model, Version: v.Name}
+		inRollout := p != nil && p.Version == v.Name && p.State != declarer.RolloutDone
+		return o != ref && !inRollout && !c.Withdrawn(o) && !slices.Contains(quarantined, o)
+	})
 }
 
 // statuses lists the hosts for the status procedure.
