--- a/declarer/view.go
+++ b/declarer/view.go
@@ -1,6 +1,9 @@
 package declarer
 
 import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
 	"slices"
 	"time"
 )
@@ -47,7 +50,7 @@
 		workspaces map[string]*Workspace
 		models     map[string]*Model
 		services   map[string]*Service
-		keys       map[string]KeyHolder
+		keys       map[[sha256.Size]byte]KeyHolder
 		withdrawn  map[VersionRef]bool
 		quarantine map[VersionRef]bool
 		progress   map[string]*Progress
@@ -79,7 +82,7 @@
 		workspaces: make(map[string]*Workspace, len(v.Config.Workspaces)),
 		models:     make(map[string]*Model, len(v.Config.Models)),
 		services:   make(map[string]*Service, len(v.Config.Services)),
-		keys:       make(map[string]KeyHolder),
+		keys:       make(map[[sha256.Size]byte]KeyHolder),
 		withdrawn:  make(map[VersionRef]bool, len(v.Config.Withdrawals)),
 		quarantine: make(map[VersionRef]bool, len(v.Quarantined)),
 		progress:   make(map[string]*Progress, len(v.Progress)),
@@ -91,7 +94,7 @@
 		c.workspaces[w.Name] = w
 		for _, m := range w.Members {
 			for _, d := range m.KeyDigests {
-				c.keys[d] = KeyHolder{Workspace: w, Member: m.Name}
+				c.keys[blinded(d)] = KeyHolder{Workspace: w, Member: m.Name}
 			}
 		}
 	}
@@ -132,13 +135,26 @@
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
 // Key returns the holder of the API key with the given digest, as made by
-// KeyDigest. The map is keyed by digests, so a look-up leaks no more than
-// timing on the digest of the key.
+// KeyDigest. The time of the look-up depends on a hash under a key that only
+// this process knows, so it tells nothing about the declared digests.
 func (c *Catalog) Key(digest string) (KeyHolder, bool) {
-	h, ok := c.keys[digest]
+	h, ok := c.keys[blinded(digest)]
 	return h, ok
 }
 
+// blindKey is drawn anew by each process.
+var blindKey = func() []byte {
+	b := make([]byte, sha256.Size)
+	_, _ = rand.Read(b) // crypto/rand does not fail.
+	return b
+}()
+
+func blinded(digest string) [sha256.Size]byte {
+	m := hmac.New(sha256.New, blindKey)
+	m.Write([]byte(digest))
+	return [sha256.Size]byte(m.Sum(nil))
+}
+
 // Withdrawn reports whether the version was withdrawn.
 func (c *Catalog) Withdrawn(r VersionRef) bool { return c.withdrawn[r] }
 
