Show in the status how far versions and withdrawals are in force

Cause: nothing outside of tests read the standing of a version, so that an operator could not see whether a withdrawal was in force. The registry of a new leader was empty, so that a zone that was cut off when the leader changed was unknown and never named. The status also left out when a host was seen.

The registry now begins each term with the configured hosts, at version 0 and never seen. The status shows for the newest version and for each withdrawal whether it is in force, the hosts that are waited for and the cut-off zones that may still use an older version. A withdrawal counts from the version of the change that brought it. Only a leader with a lease answers with it.

A host that was never seen, such as one that was removed, is waited for until the leases of earlier leaders have ended, and forgotten after an hour unless its whole zone is silent. Until then no zone counts as cut off, since live hosts may not have confirmed yet.

A withdrawal is in force only when both the live hosts have confirmed and no lease runs, since the log does not keep whether the version was in rollout; models that refuse when cut off go by leases alone.

Ruled out: counting a configured host as one whose lease runs. It would get a shortened lease for an older version that was already out of force under the earlier leader.

--- a/cmd/foxtailwall/operator_test.go
+++ b/cmd/foxtailwall/operator_test.go
@@ -41,6 +41,7 @@
 var _ = Describe("the operators' subcommands", func() {
 	var (
 		group *soloGroup
+		leads bool
 		addr  string
 		conf  declarer.Config
 	)
@@ -61,6 +62,7 @@
 	}
 
 	BeforeEach(func() {
+		leads = true
 		group = &soloGroup{machine: controller.New(nil)}
 		mux := messenger.NewMux()
 		messenger.HandleControl(mux, messenger.ControlOptions{
@@ -68,6 +70,12 @@
 			Hosts: func() []messenger.HostStatus {
 				return []messenger.HostStatus{{Name: "h1", Zone: "a", Version: 1, Live: true}, {Name: "h2", Zone: "b", Version: 0}}
 			},
+			Standing: func(version uint64, leased bool) (messenger.Standing, bool) {
+				if leased {
+					return messenger.Standing{Version: version, Pending: []string{"h2", "h3"}}, leads
+				}
+				return messenger.Standing{Version: version, InForce: version == 1, Pending: []string{"h3"}, CutOff: []string{"b"}}, leads
+			},
 		})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -109,6 +117,29 @@
 		Expect(out).To(ContainSubstring("zone b: 0 of 1 hosts use version 1\n  h2: silent"))
 	})
 
+	// Guards against a withdrawal whose hosts and zones in arrears no operator
+	// sees, and against a standing by a host that does not lead.
+	It("shows how far the version and the withdrawals are in force", func() {
+		conf.Models = []declarer.Model{{Name: "m"}, {Name: "r", CutOff: declarer.CutOffRefuse}}
+		conf.Withdrawals = []declarer.Withdrawal{
+			{Model: "m", Version: "v1", Intent: declarer.Intent{Owner: "vancouver", Why: "blurs"}},
+			{Model: "r", Version: "v2", Intent: declarer.Intent{Owner: "vancouver", Why: "slow"}},
+		}
+		_, err := run("apply", "--office", "vancouver", "--base", "0", "f")
+		Expect(err).NotTo(HaveOccurred())
+		out, err := run("status")
+		Expect(err).NotTo(HaveOccurred())
+		merged := "  version 1: not in force yet, waiting for h2, h3; may still use an older version, cut off: b\n"
+		Expect(out).To(HavePrefix("version 1, configuration 1\n" + merged))
+		Expect(out).To(ContainSubstring("withdrawn m/v1 by vancouver: blurs\n" + merged))
+		Expect(out).To(ContainSubstring("withdrawn r/v2 by vancouver: slow\n  version 1: not in force yet, waiting for h2, h3\n"))
+		Expect(out).To(ContainSubstring("h2: silent, seen never; it may still use version 0"))
+		leads = false
+		out, err = run("status")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).NotTo(ContainSubstring("in force"))
+	})
+
 	It("prints the ledger and the totals", func() {
 		rec := biller.Record{ID: "r1", Workspace: "w", Member: "m", CostNanos: 1_500_000_000, Ending: biller.Complete, At: time.Now(),
 			Steps: []biller.Step{{Model: "a", Version: "v1", InputTokens: 3, OutputTokens: 4}}}
--- a/controller/configure.go
+++ b/controller/configure.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"crypto/sha256"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"foxtailwall/declarer"
@@ -120,6 +122,25 @@
 	return append([]Change(nil), m.history[max(0, len(m.history)-limit):]...)
 }
 
+// WithdrawnAt returns a version that has the withdrawal: that of the change that
+// brought it or, when the history no longer tells, a later one.
+func (m *Machine) WithdrawnAt(r declarer.VersionRef) uint64 {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	line := declarationChange{ref: ref{kindWithdrawal, r.String()}, op: added}.String()
+	for _, c := range slices.Backward(m.history) {
+		listed := slices.ContainsFunc(c.Declarations, func(d string) bool { return d == line || strings.HasPrefix(d, line+" of ") })
+		// A shortened list may leave out the withdrawal.
+		if listed || len(c.Declarations) > maxListed {
+			return c.Version
+		}
+	}
+	if len(m.history) > 0 {
+		return m.history[0].Version
+	}
+	return m.configVersion
+}
+
 // apply decides on a change. A change that was sent before gets its first
 // answer, whatever happened since.
 func (m *Machine) apply(s stamp, a *Apply) *Applied {
--- a/controller/configure_test.go
+++ b/controller/configure_test.go
@@ -255,6 +255,24 @@
 		Expect(stable()).To(Equal("v1"))
 	})
 
+	// Guards against a withdrawal that is said to be in force for the version
+	// of an earlier or an unrelated change.
+	It("tells the version that brought a withdrawal", func() {
+		v2 := declarer.VersionRef{Model: "m", Version: "v2"}
+		first := next("1", withdraw).Version
+		next("2", func(c *declarer.Config) { c.Workspaces = []declarer.Workspace{workspace("w", "a", "")} })
+		Expect(b.WithdrawnAt(v2)).To(Equal(first))
+		next("3", func(c *declarer.Config) { c.Withdrawals = nil })
+		again := next("4", withdraw).Version
+		Expect(b.WithdrawnAt(v2)).To(Equal(again))
+		many := next("5", func(c *declarer.Config) {
+			for i := range 500 {
+				c.Workspaces = append(c.Workspaces, workspace(fmt.Sprint("w", i), "a", ""))
+			}
+		}).Version
+		Expect(b.WithdrawnAt(v2)).To(Equal(many), "its list is shortened")
+	})
+
 	// Guards against a model that falls back to its old version because the
 	// finished rollout was taken out of the text.
 	It("wants the version as stable before a finished rollout ends", func() {
--- a/hoster/control.go
+++ b/hoster/control.go
@@ -63,7 +63,7 @@
 	messenger.HandleGroup(h.mux, c.group)
 	c.service = messenger.HandleControl(h.mux, messenger.ControlOptions{
 		Group: proposer{c.group}, Machine: c.machine, Clock: h.clock, Scope: h.scope,
-		Forward: messenger.Forwarding{Peer: h.peer}, Hosts: c.statuses,
+		Forward: messenger.Forwarding{Peer: h.peer}, Hosts: c.statuses, Standing: c.standing,
 	})
 	c.governor = governor.New(governor.Settings{
 		View: c.machine.View, Leading: c.group.Leading, Clock: h.clock, Scope: h.scope, Log: h.log,
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -106,9 +106,11 @@
 	stop   func() error
 }
 
-// start serves an engine and a host that is its own control group.
-func start(conf emulator.EngineConfig, files hoster.TLSFiles, engineTLS *tls.Config) *running {
+// start serves an engine and a host that is its own control group. The other
+// hosts of the deployment are not started.
+func start(conf emulator.EngineConfig, files hoster.TLSFiles, engineTLS *tls.Config, others ...hoster.Spec) *running {
 	r := &running{set: settings()}
+	r.set.Hosts = append(r.set.Hosts, others...)
 	var l net.Listener
 	l, r.addr = listen()
 	r.engine = emulator.NewEngine(conf)
@@ -220,4 +222,26 @@
 		Expect(r.engine.Orders()).NotTo(BeEmpty())
 		Expect(r.stop()).To(Succeed())
 	}, NodeTimeout(2*time.Minute))
+
+	// Guards against a zone that is cut off when the leader begins, so that it
+	// never confirms anything, and that no operator sees.
+	It("names a cut-off zone in the status", func(ctx context.Context) {
+		l, a := listen()
+		Expect(l.Close()).To(Succeed())
+		r := start(emulator.EngineConfig{Name: "e", Seed: 1}, hoster.TLSFiles{Insecure: true}, nil, hoster.Spec{Name: "far", Zone: "far zone", Addr: a})
+		office := messenger.Operator{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(r.set.Peers, nil)}}
+		change, err := controller.NewApply("office", "", 0, r.declare("v1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = office.Apply(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() (*messenger.Standing, error) {
+			s, err := office.Status(ctx, false)
+			if err != nil {
+				return nil, err
+			}
+			return s.Standing, nil
+		}).WithContext(ctx).WithTimeout(time.Minute).WithPolling(100 * time.Millisecond).Should(
+			HaveValue(And(HaveField("InForce", true), HaveField("Pending", BeEmpty()), HaveField("CutOff", ConsistOf("far zone")))))
+		Expect(r.stop()).To(Succeed())
+	}, NodeTimeout(2*time.Minute))
 })
--- a/hoster/views.go
+++ b/hoster/views.go
@@ -40,6 +40,7 @@
 	own, _ := h.set.Spec(h.set.Name) // Validate has checked the name.
 	opts.Host.Addr = own.Addr
 	for _, s := range h.set.Hosts {
+		opts.Deployment = append(opts.Deployment, relayer.Host{Name: s.Name, Zone: s.Zone, Addr: s.Addr, Control: h.set.isControl(s.Name)})
 		switch {
 		case h.set.isControl(s.Name):
 			opts.Control = append(opts.Control, s.Addr)
@@ -142,7 +143,20 @@
 	}
 	var out []messenger.HostStatus
 	for _, s := range node.Registry().Hosts() {
-		out = append(out, messenger.HostStatus{Name: s.Host.Name, Zone: s.Host.Zone, Version: s.Version, Live: s.Live})
+		out = append(out, messenger.HostStatus{Name: s.Host.Name, Zone: s.Host.Zone, Version: s.Version, Live: s.Live, Seen: s.Seen})
 	}
 	return out
 }
+
+// standing returns how far a version has come into force, if this host leads.
+func (c *control) standing(version uint64, leased bool) (messenger.Standing, bool) {
+	node := c.node.Load()
+	term, leads := c.group.Leading()
+	if node == nil || !leads || !c.group.Leased() {
+		return messenger.Standing{}, false
+	}
+	// The registry may still be that of an earlier term of this host.
+	node.Registry().Lead(term)
+	s := node.Registry().Standing(version, leased)
+	return messenger.Standing{Version: s.Version, InForce: s.InForce, Pending: s.Pending, CutOff: s.CutOff}, true
+}
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,6 +52,10 @@
 		// Hosts lists the hosts with what they have confirmed, for status.
 		// Nil lists none.
 		Hosts func() []HostStatus
+		// Standing returns how far a version has come into force, for hosts
+		// that use it under a lease or for others. It reports false if this
+		// host does not lead. Nil knows nothing.
+		Standing func(version uint64, leased bool) (Standing, bool)
 	}
 
 	// ControlService answers the procedures of the control group on one
@@ -68,6 +73,25 @@
 		Seen time.Time `cbor:"seen" json:"seen"`
 	}
 
+	// Standing says how far a version has come into force.
+	Standing struct {
+		Version uint64 `cbor:"version" json:"version"`
+		// InForce is set once no host that the leader waits for may act on
+		// an older version.
+		InForce bool `cbor:"inForce" json:"inForce"`
+		// Pending names the hosts that are waited for.
+		Pending []string `cbor:"pending,omitempty" json:"pending,omitempty"`
+		// CutOff names the zones whose hosts are all silent and may still
+		// use an older version.
+		CutOff []string `cbor:"cutOff,omitempty" json:"cutOff,omitempty"`
+	}
+
+	// WithdrawalStanding says how far a withdrawal has come into force.
+	WithdrawalStanding struct {
+		Ref declarer.VersionRef `cbor:"ref" json:"ref"`
+		Standing
+	}
+
 	// Shown is the configuration with its history.
 	Shown struct {
 		// Version is the base for the next change.
@@ -85,10 +109,14 @@
 		Progress    []declarer.Progress   `cbor:"progress,omitempty" json:"progress,omitempty"`
 		Quarantined []declarer.VersionRef `cbor:"quarantined,omitempty" json:"quarantined,omitempty"`
 		Withdrawals []declarer.Withdrawal `cbor:"withdrawals,omitempty" json:"withdrawals,omitempty"`
-		Hosts       []HostStatus          `cbor:"hosts,omitempty" json:"hosts,omitempty"`
-		Claims      int                   `cbor:"claims" json:"claims"`
-		Pins        int                   `cbor:"pins" json:"pins"`
-		Records     int                   `cbor:"records" json:"records"`
+		// Standing is that of Version, and Withdrawn that of each withdrawal.
+		// They are left out if the answering host does not lead.
+		Standing  *Standing            `cbor:"standing,omitempty" json:"standing,omitempty"`
+		Withdrawn []WithdrawalStanding `cbor:"withdrawn,omitempty" json:"withdrawn,omitempty"`
+		Hosts     []HostStatus         `cbor:"hosts,omitempty" json:"hosts,omitempty"`
+		Claims    int                  `cbor:"claims" json:"claims"`
+		Pins      int                  `cbor:"pins" json:"pins"`
+		Records   int                  `cbor:"records" json:"records"`
 		// RefusedBills counts the billing records that were not counted.
 		RefusedBills int64 `cbor:"refusedBills" json:"refusedBills"`
 	}
@@ -221,9 +249,55 @@
 	if s.opts.Hosts != nil {
 		out.Hosts = s.opts.Hosts()
 	}
+	s.addStandings(out, v)
 	return out, nil
 }
 
+// addStandings adds how far the view and the withdrawals are in force.
+func (s *ControlService) addStandings(out *Status, v declarer.View) {
+	if s.opts.Standing == nil {
+		return
+	}
+	cur, ok := s.standing(v.Version)
+	if !ok {
+		return
+	}
+	out.Standing = &cur
+	for _, w := range out.Withdrawals {
+		ref := declarer.VersionRef{Model: w.Model, Version: w.Version}
+		at := s.opts.Machine.WithdrawnAt(ref)
+		st, ok := s.standing(at)
+		if refusesCutOff(v.Config, w.Model) {
+			st, ok = s.opts.Standing(at, true)
+		}
+		if !ok {
+			// This host has lost the lead meanwhile.
+			out.Standing, out.Withdrawn = nil, nil
+			return
+		}
+		out.Withdrawn = append(out.Withdrawn, WithdrawalStanding{Ref: ref, Standing: st})
+	}
+}
+
+// standing returns the standing of a version for hosts that use it with and
+// without a lease: whether a withdrawn version was in rollout is not kept.
+func (s *ControlService) standing(version uint64) (Standing, bool) {
+	out, ok := s.opts.Standing(version, false)
+	leased, still := s.opts.Standing(version, true)
+	out.InForce = out.InForce && leased.InForce
+	out.Pending = append(slices.Clone(out.Pending), leased.Pending...)
+	slices.Sort(out.Pending)
+	out.Pending = slices.Compact(out.Pending)
+	return out, ok && still
+}
+
+// refusesCutOff reports whether hosts use the model under a lease only.
+func refusesCutOff(c declarer.Config, model string) bool {
+	return slices.ContainsFunc(c.Models, func(m declarer.Model) bool {
+		return m.Name == model && m.CutOff == declarer.CutOffRefuse
+	})
+}
+
 func (s *ControlService) export(ctx context.Context, _ *exportRequest, send func(*exportPart) error) error {
 	if err := s.barrier(ctx, false); err != nil {
 		if _, notLeader := s.opts.Forward.leaderOf(err); notLeader {
--- a/relayer/node.go
+++ b/relayer/node.go
@@ -56,6 +56,9 @@
 		// Source and Group are set on control hosts.
 		Source Source
 		Group  Group
+		// Deployment lists the configured hosts. The control leader names
+		// those of them that it never hears of.
+		Deployment []Host
 		// OnReports receives the reports on the control leader. The hosts wait
 		// for their leases while it runs.
 		OnReports func([]Report)
@@ -121,7 +124,7 @@
 		return nil, err
 	}
 	return &Node{
-		opts: o, holder: h, registry: NewRegistry(o.Clock), gathered: buffer.New[*pending](gatherSize),
+		opts: o, holder: h, registry: NewRegistry(o.Clock, o.Deployment...), gathered: buffer.New[*pending](gatherSize),
 		reports: make(map[reportKey]Report), rehosted: make(chan struct{}),
 	}, nil
 }
--- a/relayer/registry.go
+++ b/relayer/registry.go
@@ -21,11 +21,14 @@
 
 type (
 	// Registry is the control leader's knowledge of the hosts: versions,
-	// leases and signs of life. It is volatile; a new leader starts with an
-	// empty one and counts all leases as running for one lease time. Make it
-	// with NewRegistry.
+	// leases and signs of life. It is volatile; a new leader starts with the
+	// configured hosts only and counts all leases as running for one lease
+	// time. Make it with NewRegistry.
 	Registry struct {
 		clock timekeeper.Clock
+		// configured are the hosts that a new leader expects, so that a zone
+		// that is cut off when the leader changes is known.
+		configured []Host
 
 		mu       sync.Mutex
 		term     uint64
@@ -46,8 +49,9 @@
 		// highest is the highest version that the host has confirmed. A host
 		// that restarts may confirm an older one, but holds no lease then.
 		highest uint64
-		seen    time.Time
-		lease   time.Time
+		// seen is zero if this leader has not heard of the host.
+		seen  time.Time
+		lease time.Time
 	}
 
 	// Standing says how far a version has come into force.
@@ -72,14 +76,17 @@
 		// CutOff means that the host is silent along with its whole zone,
 		// so that it may be running.
 		CutOff bool
+		// Seen is when the host last confirmed, zero if it has not.
+		Seen time.Time
 		// Lease is how long the host's lease still runs, at most.
 		Lease time.Duration
 	}
 )
 
-// NewRegistry returns an empty registry.
-func NewRegistry(clock timekeeper.Clock) *Registry {
-	return &Registry{clock: clock, hosts: make(map[string]*hostState)}
+// NewRegistry returns a registry of a member that does not lead yet, in a
+// deployment of the given hosts.
+func NewRegistry(clock timekeeper.Clock, configured ...Host) *Registry {
+	return &Registry{clock: clock, configured: configured, hosts: make(map[string]*hostState)}
 }
 
 // Confirm records confirmations as the leader of a term whose newest version
@@ -122,6 +129,9 @@
 	}
 	r.term, r.since, r.accepted = term, now, nil
 	clear(r.hosts)
+	for _, h := range r.configured {
+		r.hosts[h.Name] = &hostState{host: h}
+	}
 }
 
 func (r *Registry) accept(version uint64, now time.Time) {
@@ -159,11 +169,13 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	s := Standing{Version: version}
-	cut := r.cutOff(now)
+	settled, cut := r.settled(now), r.cutOff(now)
 	for _, h := range r.hosts {
 		switch {
 		case h.version >= version, leased && h.highest >= version:
-		case leased && now.Before(h.lease), !leased && r.live(h, now):
+		case !settled, leased && now.Before(h.lease), !leased && r.live(h, now):
+			// Until all is settled a host may hold a lease of an earlier
+			// leader, or be live and not have confirmed yet.
 			s.Pending = append(s.Pending, h.host.Name)
 		case cut[h.host.Zone] && !slices.Contains(s.CutOff, h.host.Zone):
 			s.CutOff = append(s.CutOff, h.host.Zone)
@@ -171,8 +183,8 @@
 	}
 	slices.Sort(s.Pending)
 	slices.Sort(s.CutOff)
-	// Hosts that this leader has not heard of may hold leases of the last.
-	s.InForce = r.settled(now) && len(s.Pending) == 0
+	// A host that is neither configured nor heard of may hold such a lease too.
+	s.InForce = settled && len(s.Pending) == 0
 	return s
 }
 
@@ -185,12 +197,16 @@
 	out := make([]HostStatus, 0, len(r.hosts))
 	for name, h := range r.hosts {
 		live := r.live(h, now)
-		if !live && !cut[h.host.Zone] && now.Sub(h.seen) > forgetAfter {
+		heard := h.seen
+		if heard.IsZero() {
+			heard = r.since
+		}
+		if !live && !cut[h.host.Zone] && now.Sub(heard) > forgetAfter {
 			delete(r.hosts, name)
 			continue
 		}
 		out = append(out, HostStatus{
-			Host: h.host, Version: h.version, Live: live, CutOff: cut[h.host.Zone],
+			Host: h.host, Version: h.version, Live: live, CutOff: cut[h.host.Zone], Seen: h.seen,
 			Lease: max(0, h.lease.Sub(now)),
 		})
 	}
@@ -231,12 +247,18 @@
 	return r.term > 0 && now.Sub(r.since) >= LeaseTime+leaseSlack
 }
 
-func (r *Registry) live(h *hostState, now time.Time) bool { return now.Sub(h.seen) < liveFor }
+func (r *Registry) live(h *hostState, now time.Time) bool {
+	return !h.seen.IsZero() && now.Sub(h.seen) < liveFor
+}
 
 // cutOff returns the zones of which all known hosts are silent. Some silent
-// hosts in a zone with live ones are dead instead.
+// hosts in a zone with live ones are dead instead. A new leader has to wait
+// for the hosts to confirm before it can tell.
 func (r *Registry) cutOff(now time.Time) map[string]bool {
 	cut := make(map[string]bool)
+	if !r.settled(now) {
+		return cut
+	}
 	for _, h := range r.hosts {
 		live, known := cut[h.host.Zone]
 		cut[h.host.Zone] = (!known || live) && !r.live(h, now)
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -313,6 +313,37 @@
 	})
 })
 
+var _ = ginkgo.Describe("Registry of a new leader", func() {
+	// Guards against a zone that is cut off when the leader changes and that
+	// status does not name, and against a host that was removed or never
+	// started and blocks every change.
+	ginkgo.It("names a configured zone that it never hears of, and waits a lease time for it", func() {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		a, gone := Host{Name: "a", Zone: "z1"}, Host{Name: "gone", Zone: "z1"}
+		r := NewRegistry(clock, a, gone, Host{Name: "b", Zone: "z2"})
+		for term := uint64(1); term <= 2; term++ {
+			r.Lead(term)
+			confirm := func() { r.Confirm(term, 7, []Confirmation{{Host: a, Version: 7}}) }
+			confirm()
+			for _, leased := range []bool{false, true} {
+				Expect(r.Standing(7, leased)).To(Equal(Standing{Version: 7, Pending: []string{"b", "gone"}}))
+			}
+			Expect(r.Hosts()).To(HaveLen(3))
+			Expect(r.Hosts()).To(HaveEach(HaveField("CutOff", false)))
+			clock.Advance(LeaseTime + leaseSlack)
+			confirm()
+			for _, leased := range []bool{false, true} {
+				Expect(r.Standing(7, leased)).To(Equal(Standing{Version: 7, InForce: true, CutOff: []string{"z2"}}))
+			}
+			Expect(r.Confirm(term, 7, []Confirmation{{Host: gone, Version: 6}})).To(Equal([]time.Duration{0}))
+			Expect(r.Standing(7, true).InForce).To(BeTrue())
+			clock.Advance(forgetAfter + time.Second)
+			confirm()
+			Expect(r.Hosts()).To(HaveExactElements(HaveField("Host", a), HaveField("Host.Name", "b")))
+		}
+	})
+})
+
 var _ = ginkgo.Describe("relays", func() {
 	// Guards against hosts that disagree on the relays of their zone and so
 	// load the control group, and against control hosts as relays.
