Keep billing records with two hosts while the control group is away

Cause: Drain only repeated the delivery, so that records ended with the host when the control group could not be reached, and with their witness when that drained too. It also went on to accept records. Run never checked a witness again after Hold, so that one that stopped or lost its memory left the owner alone with the record for the rest of a partition.

Drain now closes the outbox for other hosts and, after a failed delivery, hands everything over to other hosts, first to those that are not the present witness, also when its time has passed. It counts what no host took as billing.abandoned.

Ruled out: renewing only for witnesses that left the list of live hosts, since one that restarted without a disk is on the list and holds nothing. Not covered: records read back from the disk after a restart have no known witness; this host and the witness of before deliver them.

--- a/biller/outbox.go
+++ b/biller/outbox.go
@@ -45,6 +45,7 @@
 		witness []place
 		seq     uint64
 		changed chan struct{}
+		closed  bool
 	}
 
 	// OutboxOptions are the settings of an Outbox. The zero value keeps the
@@ -69,6 +70,10 @@
 	// FullError says that an outbox has no room for another record.
 	FullError struct{ Capacity int }
 
+	// ClosedError says that an outbox takes no more records of other hosts,
+	// because its host shuts down.
+	ClosedError struct{}
+
 	// DiskError says that records could not be made durable.
 	DiskError struct{ Err error }
 
@@ -134,6 +139,36 @@
 	return o.write(recs, false)
 }
 
+// Accept is Hold for calls of other hosts. After Close it returns a
+// *ClosedError and holds none of the records.
+func (o *Outbox) Accept(now time.Time, recs []Record) error {
+	if err := o.putOpen(recs, now); err != nil {
+		return err
+	}
+	return o.write(recs, false)
+}
+
+// Close ends the calls of Accept. Every record that it took is among those
+// that Due returns afterwards; all else goes on.
+func (o *Outbox) Close() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+}
+
+// Owned returns those of the named records that this host owns.
+func (o *Outbox) Owned(ids []string) []Record {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []Record
+	for _, id := range ids {
+		if h := o.held[id]; h != nil && h.owned {
+			out = append(out, h.record)
+		}
+	}
+	return out
+}
+
 // Due returns up to limit records to deliver: all records of this host, and
 // those held for others since WitnessDelay or longer.
 func (o *Outbox) Due(now time.Time, limit int) []Record {
@@ -227,6 +262,11 @@
 	return fmt.Sprintf("outbox of %d billing records is full; restore the connection to the control group", e.Capacity)
 }
 
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return "this host shuts down and holds no more billing records; use another witness"
+}
+
 // Error implements error.
 func (e *DiskError) Error() string { return fmt.Sprintf("write billing records: %v", e.Err) }
 
@@ -236,6 +276,21 @@
 func (o *Outbox) putAll(recs []Record, owned bool, now time.Time) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.putEach(recs, owned, now)
+}
+
+// putOpen checks for Close and adds the records under one lock, so that no
+// record is added after Close has returned.
+func (o *Outbox) putOpen(recs []Record, now time.Time) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.closed {
+		return &ClosedError{}
+	}
+	return o.putEach(recs, false, now)
+}
+
+func (o *Outbox) putEach(recs []Record, owned bool, now time.Time) error {
 	for _, r := range recs {
 		if err := o.put(r, owned, now); err != nil {
 			return err
--- a/messenger/hold.go
+++ b/messenger/hold.go
@@ -34,6 +34,13 @@
 	// flushPause is the time between two attempts while the control group
 	// cannot be reached.
 	flushPause = 250 * time.Millisecond
+	// renewAfter is the time after which an own record that the control group
+	// has not taken is given to a witness again: the witness may have stopped
+	// or lost its memory. A short election must not cause such calls.
+	renewAfter = 5 * time.Second
+	// renewPause is the least time between two renewals. Each takes up to
+	// flushBatch records, about 200 KB.
+	renewPause = time.Second
 	// releaseCalls bounds the calls that release records at witnesses.
 	releaseCalls = 4
 )
@@ -78,7 +85,16 @@
 		// resting holds the time until which a witness is left out.
 		resting map[netip.AddrPort]time.Time
 		// held holds the witness of each record of this host.
-		held map[string]netip.AddrPort
+		held map[string]holder
+		// renewed is the time of the last renewal.
+		renewed time.Time
+	}
+
+	// holder is the witness of a record, if addr is valid, and the time of
+	// the last attempt to have one.
+	holder struct {
+		addr netip.AddrPort
+		at   time.Time
 	}
 
 	holdRequest struct {
@@ -96,7 +112,7 @@
 // others. Bills on the same outbox delivers them.
 func HandleHold(m *Mux, box *biller.Outbox, clock timekeeper.Clock) {
 	Handle(m, procHold, func(_ context.Context, r *holdRequest) (*emptyResponse, error) {
-		if err := box.Hold(clock.Now(), r.Records); err != nil {
+		if err := box.Accept(clock.Now(), r.Records); err != nil {
 			return nil, err
 		}
 		return &emptyResponse{}, nil
@@ -114,7 +130,7 @@
 	return &Bills{
 		opts:    opts,
 		resting: make(map[netip.AddrPort]time.Time),
-		held:    make(map[string]netip.AddrPort),
+		held:    make(map[string]holder),
 	}
 }
 
@@ -130,7 +146,11 @@
 	local.Go(func() { err = b.opts.Outbox.Hold(b.opts.Clock.Now(), []biller.Record{r}) })
 	held := b.witness(ctx, r)
 	local.Wait()
-	if own := b.opts.Outbox.Own(r); err == nil {
+	own := b.opts.Outbox.Own(r)
+	if own != nil {
+		b.released(biller.Marks([]biller.Record{r}))
+	}
+	if err == nil {
 		err = own
 	}
 	if !held {
@@ -138,14 +158,15 @@
 		return false, err
 	}
 	if err != nil {
-		// The witness delivers it after biller.WitnessDelay.
+		// The witness delivers it after biller.WitnessDelay if this host
+		// does not.
 		b.opts.Scope.Counter("billing.outboxFailed").Inc(1)
-		b.released(biller.Marks([]biller.Record{r}))
 	}
 	return true, nil
 }
 
-// Run delivers records until ctx ends and returns the error of ctx.
+// Run delivers records until ctx ends and returns the error of ctx. While the
+// control group cannot be reached, it renews the witnesses of own records.
 func (b *Bills) Run(ctx context.Context) error {
 	releases := pool.New().WithMaxGoroutines(releaseCalls)
 	defer releases.Wait()
@@ -159,6 +180,7 @@
 			continue
 		}
 		if err := b.flush(ctx, batch, releases); err != nil {
+			b.renew(ctx)
 			if err := timekeeper.Sleep(ctx, b.opts.Clock, flushPause); err != nil {
 				return err
 			}
@@ -167,23 +189,114 @@
 }
 
 // Drain delivers everything that is held, due or not, for a host that shuts
-// down. It returns the error of ctx if that ends first, with records left.
+// down, and holds nothing more for others. While the control group cannot be
+// reached, the records go to other hosts, also when ctx has ended. It returns
+// the error of ctx if that ends with records that no host took.
 func (b *Bills) Drain(ctx context.Context) error {
+	b.opts.Outbox.Close()
 	releases := pool.New().WithMaxGoroutines(releaseCalls)
 	defer releases.Wait()
 	for {
-		batch := b.opts.Outbox.Due(b.opts.Clock.Now().Add(biller.WitnessDelay), flushBatch)
+		batch := b.all()
 		if len(batch) == 0 {
 			return nil
 		}
-		if err := b.flush(ctx, batch, releases); err != nil {
-			if err := timekeeper.Sleep(ctx, b.opts.Clock, flushPause); err != nil {
-				return err
+		if b.flush(ctx, batch, releases) == nil || b.handOver(ctx) {
+			continue
+		}
+		if err := timekeeper.Sleep(ctx, b.opts.Clock, flushPause); err != nil {
+			b.opts.Scope.Counter("billing.abandoned").Inc(int64(b.opts.Outbox.Len()))
+			return err
+		}
+	}
+}
+
+// all returns a batch of what is held, due or not.
+func (b *Bills) all() []biller.Record {
+	return b.opts.Outbox.Due(b.opts.Clock.Now().Add(biller.WitnessDelay), flushBatch)
+}
+
+// handOver has other hosts hold everything that is held and reports whether
+// they took it all. A record goes to another host than its present witness if
+// there is one, so that two hosts hold it without this one.
+func (b *Bills) handOver(ctx context.Context) bool {
+	ctx = context.WithoutCancel(ctx)
+	for batch := b.all(); len(batch) > 0; batch = b.all() {
+		for present, recs := range b.byWitness(batch) {
+			if !b.give(ctx, recs, b.candidates(func(w Witness) bool { return w.Addr != present }), attemptTimeout) {
+				return false
 			}
+			marks := biller.Marks(recs)
+			b.released(marks)
+			if err := b.opts.Outbox.Acknowledge(marks); err != nil {
+				b.opts.Scope.Counter("billing.diskFailed").Inc(1)
+			}
+			b.opts.Scope.Counter("billing.handedOver").Inc(int64(len(recs)))
+		}
+	}
+	return true
+}
+
+// renew gives own records to a witness again that have stayed with this host
+// for long: the present one, or another if that does not answer.
+func (b *Bills) renew(ctx context.Context) {
+	for present, recs := range b.byWitness(b.opts.Outbox.Owned(b.stale())) {
+		if b.give(ctx, recs, b.candidates(func(w Witness) bool { return w.Addr == present }), attemptTimeout) {
+			b.opts.Scope.Counter("billing.renewed").Inc(int64(len(recs)))
 		}
 	}
 }
 
+// stale returns the records to renew now, those whose witness is no live host
+// and those renewed longest ago first, and notes the attempt.
+func (b *Bills) stale() []string {
+	live := make(map[netip.AddrPort]bool)
+	for _, w := range b.opts.Hosts() {
+		live[w.Addr] = true
+	}
+	now := b.opts.Clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if now.Sub(b.renewed) < renewPause {
+		return nil
+	}
+	b.renewed = now
+	var out []string
+	for id, h := range b.held {
+		if now.Sub(h.at) >= renewAfter {
+			out = append(out, id)
+		}
+	}
+	slices.SortFunc(out, func(x, y string) int {
+		hx, hy := b.held[x], b.held[y]
+		if live[hx.addr] != live[hy.addr] {
+			if live[hx.addr] {
+				return 1
+			}
+			return -1
+		}
+		return hx.at.Compare(hy.at)
+	})
+	out = out[:min(len(out), flushBatch)]
+	for _, id := range out {
+		b.held[id] = holder{addr: b.held[id].addr, at: now}
+	}
+	return out
+}
+
+// byWitness groups records by their present witness. Records of other hosts
+// and those without a witness have the zero address.
+func (b *Bills) byWitness(recs []biller.Record) map[netip.AddrPort][]biller.Record {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[netip.AddrPort][]biller.Record)
+	for _, r := range recs {
+		addr := b.held[r.ID].addr
+		out[addr] = append(out[addr], r)
+	}
+	return out
+}
+
 // wait returns when a record was added or one held for another falls due.
 func (b *Bills) wait(ctx context.Context, changed <-chan struct{}) error {
 	var due <-chan time.Time
@@ -233,13 +346,23 @@
 	}
 }
 
-// witness has another host hold the record and reports whether one does.
+// witness has another host hold the record and reports whether one does. It
+// notes a failure too, so that the record is given to a witness later.
 func (b *Bills) witness(ctx context.Context, r biller.Record) bool {
-	for _, w := range b.candidates() {
-		if b.hold(ctx, w, r) {
-			b.mu.Lock()
-			b.held[r.ID] = w.Addr
-			b.mu.Unlock()
+	recs := []biller.Record{r}
+	if b.give(ctx, recs, b.candidates(nil), holdTimeout) {
+		return true
+	}
+	b.note(recs, netip.AddrPort{})
+	return false
+}
+
+// give has the first of the hosts that answers hold the records. Each attempt
+// ends after the timeout.
+func (b *Bills) give(ctx context.Context, recs []biller.Record, to []Witness, timeout time.Duration) bool {
+	for _, w := range to {
+		if b.hold(ctx, w, recs, timeout) {
+			b.note(recs, w.Addr)
 			return true
 		}
 		b.mu.Lock()
@@ -249,17 +372,28 @@
 	return false
 }
 
-func (b *Bills) hold(ctx context.Context, w Witness, r biller.Record) bool {
-	ctx, cancel := withTimeout(ctx, b.opts.Clock, holdTimeout)
+// note records the witness of the records.
+func (b *Bills) note(recs []biller.Record, addr netip.AddrPort) {
+	h := holder{addr: addr, at: b.opts.Clock.Now()}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range recs {
+		b.held[r.ID] = h
+	}
+}
+
+func (b *Bills) hold(ctx context.Context, w Witness, recs []biller.Record, timeout time.Duration) bool {
+	ctx, cancel := withTimeout(ctx, b.opts.Clock, timeout)
 	defer cancel()
-	_, err := Call[holdRequest, emptyResponse](ctx, b.opts.Peer(w.Addr), procHold, &holdRequest{Records: []biller.Record{r}})
+	_, err := Call[holdRequest, emptyResponse](ctx, b.opts.Peer(w.Addr), procHold, &holdRequest{Records: recs})
 	return err == nil
 }
 
 // candidates returns the witnesses to try: hosts of this zone with a disk,
 // then other hosts of this zone, then hosts of other zones. Within a class
-// each host prefers another one, so that the load is spread.
-func (b *Bills) candidates() []Witness {
+// each host prefers another one, so that the load is spread. Hosts that prefer
+// reports, if not nil, come before all others.
+func (b *Bills) candidates(prefer func(Witness) bool) []Witness {
 	now := b.opts.Clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -273,6 +407,7 @@
 	}
 	slices.SortFunc(out, func(x, y Witness) int {
 		return cmp.Or(
+			cmp.Compare(order(x, prefer), order(y, prefer)),
 			cmp.Compare(b.class(x), b.class(y)),
 			cmp.Compare(b.weight(x), b.weight(y)),
 			cmp.Compare(x.Name, y.Name),
@@ -281,6 +416,13 @@
 	return out[:min(len(out), holdAttempts)]
 }
 
+func order(w Witness, prefer func(Witness) bool) int {
+	if prefer != nil && prefer(w) {
+		return 0
+	}
+	return 1
+}
+
 func (b *Bills) class(w Witness) int {
 	switch {
 	case w.Zone == b.opts.Zone && w.Disk:
@@ -302,12 +444,11 @@
 	defer b.mu.Unlock()
 	out := make(map[netip.AddrPort][]biller.Mark)
 	for _, m := range marks {
-		addr, ok := b.held[m.ID]
-		if !ok {
-			continue
-		}
+		h := b.held[m.ID]
 		delete(b.held, m.ID)
-		out[addr] = append(out[addr], m)
+		if h.addr.IsValid() {
+			out[h.addr] = append(out[h.addr], m)
+		}
 	}
 	return out
 }
