Bound the bytes of work left for later

Cause: runLater drained up to 256 postponed items whatever their size. With response bodies of 64 KiB the command exceeded the 4 MB of the replicated log. translate answered a *replicator.TooLargeError as a missing leader, so that the same call was repeated for ever and blocked all work behind it. An oversized apply was answered with a missing leader for the same reason.

runLater now gathers within the bounds of a call, as gather does, and translate returns a badRequest refusal with outcome notRun, which ends the retries. Items refused in this way are counted as control.dropped.

Ruled out: splitting a refused batch, since the largest call that the bounds allow is far below the limit of the log.

Before: the client test fails (a response is never stored), and the test of translate fails with "knows no leader". After: both pass.

--- a/hoster/control.go
+++ b/hoster/control.go
@@ -13,6 +13,7 @@
 	"foxtailwall/governor"
 	"foxtailwall/journaler"
 	"foxtailwall/messenger"
+	"foxtailwall/refuser"
 	"foxtailwall/relayer"
 	"foxtailwall/replicator"
 )
@@ -106,12 +107,16 @@
 }
 
 // translate tells the control procedures which proposals certainly took no
-// effect: they may try another host.
+// effect: they may try another host. A command that is too large is refused by
+// every host, so that its caller must not repeat it.
 func (p proposer) translate(err error) error {
 	var nl *replicator.NotLeaderError
+	var tl *replicator.TooLargeError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &tl):
+		return refuser.New(refuser.BadRequest, refuser.NotRun, "%v; send less in one call", tl)
 	case errors.As(err, &nl):
 		return &controller.NotLeaderError{Leader: nl.Leader.Addr}
 	case replicator.NotRun(err):
--- a/messenger/control_test.go
+++ b/messenger/control_test.go
@@ -44,6 +44,9 @@
 		deaf bool
 		// gate, if set, holds every proposal back until it is closed.
 		gate chan struct{}
+		// limit, if set, is the size in bytes above which a command is
+		// refused.
+		limit int
 	}
 
 	// fakeMember is one control host on a fakeLog.
@@ -74,6 +77,9 @@
 	case m.n != l.leader:
 		return nil, 0, &controller.NotLeaderError{Leader: l.addrs[l.leader]}
 	}
+	if l.limit > 0 && len(cmd) > l.limit {
+		return nil, 0, refuser.New(refuser.BadRequest, refuser.NotRun, "command of %d bytes", len(cmd))
+	}
 	if l.deaf {
 		l.apply(cmd)
 		return nil, 0, errLost
--- a/messenger/controlclient.go
+++ b/messenger/controlclient.go
@@ -269,10 +269,14 @@
 		if err != nil {
 			return err
 		}
-		req := &submitRequest{Items: append([]controller.Item{first}, c.later.Drain(submitItems-1)...)}
+		req := &submitRequest{Items: c.gatherLater(first)}
 		for {
 			_, err := callLeader[submitRequest, submitResponse](ctx, c.caller(), procSubmit, req)
-			if r, ok := refuser.As(err); err == nil || ok && r.Code != refuser.NoQuorum {
+			if err == nil {
+				break
+			}
+			if r, ok := refuser.As(err); ok && r.Code != refuser.NoQuorum {
+				c.opts.Scope.Counter("control.dropped").Inc(int64(len(req.Items)))
 				break
 			}
 			if err := timekeeper.Sleep(ctx, c.opts.Clock, laterPause); err != nil {
@@ -282,6 +286,22 @@
 	}
 }
 
+// gatherLater adds what waits for later to first, within the bounds of a call.
+// Without a bound on the bytes the control group refuses the call as too large.
+func (c *Control) gatherLater(first controller.Item) []controller.Item {
+	out, size := []controller.Item{first}, sizeOf(first)
+	for len(out) < submitItems && size < submitBytes {
+		select {
+		case it := <-c.later.C():
+			out = append(out, it)
+			size += sizeOf(it)
+		default:
+			return out
+		}
+	}
+	return out
+}
+
 // postpone leaves an item for runLater. A full ring drops it: the claim it
 // belongs to then ends as lost at its deadline.
 func (c *Control) postpone(it controller.Item) {
