Bound the wait of Hold for the local disk

Cause: Hold dropped the bound of its caller and waited for the local sync without a limit, so that a disk that hangs kept every answer waiting. The router already passes a context that is bounded to 2 s and does not end with the caller. Hold now keeps to it: when it ends, Hold counts billing.diskSlow and goes on as on a host without a disk, with the record among its own. At most 4096 writes wait for the disk; calls above go on at once. A witness is not left out because the bound of the caller ended the attempt.

Ruled out: a second bound inside Hold, which would only differ from the one of the router. Not covered: Acknowledge waits for the disk when it is due to rewrite the file, which holds up the deliveries while the disk hangs.

Before: the new test fails (Hold does not return). After: it passes, and messenger and hoster pass with -race.

--- a/messenger/hold.go
+++ b/messenger/hold.go
@@ -41,6 +41,9 @@
 	// renewPause is the least time between two renewals. Each takes up to
 	// flushBatch records, about 200 KB.
 	renewPause = time.Second
+	// maxWrites bounds the records that wait for a disk that hangs, at a
+	// goroutine each. Calls above it go on at once as without a disk.
+	maxWrites = 4096
 	// releaseCalls bounds the calls that release records at witnesses.
 	releaseCalls = 4
 )
@@ -80,6 +83,8 @@
 	// deliveries need Run.
 	Bills struct {
 		opts BillsOptions
+		// writes has an element for each write that waits for the disk.
+		writes chan struct{}
 
 		mu sync.Mutex
 		// resting holds the time until which a witness is left out.
@@ -129,23 +134,22 @@
 func NewBills(opts BillsOptions) *Bills {
 	return &Bills{
 		opts:    opts,
+		writes:  make(chan struct{}, maxWrites),
 		resting: make(map[netip.AddrPort]time.Time),
 		held:    make(map[string]holder),
 	}
 }
 
-// Hold implements router.Bills. It does not end with ctx, since a caller that
-// leaves is billed as well. The record goes to this host's disk, if it has one,
-// while a witness takes it, so that it survives even if both stop. It is
-// delivered only after the witness has answered, so that the delivery knows
-// whom to release.
+// Hold implements router.Bills. The caller passes a ctx with a bound that does
+// not end when the caller of the request leaves, since that is billed as well.
+// The record goes to this host's disk, if it has one, while a witness takes it,
+// so that it survives even if both stop. If the disk has not answered when ctx
+// ends, Hold goes on as on a host without one. The record is delivered only
+// after the witness has answered, so that the delivery knows whom to release.
 func (b *Bills) Hold(ctx context.Context, r biller.Record) (bool, error) {
-	ctx = context.WithoutCancel(ctx)
-	var err error
-	var local conc.WaitGroup
-	local.Go(func() { err = b.opts.Outbox.Hold(b.opts.Clock.Now(), []biller.Record{r}) })
+	stored := b.store(r)
 	held := b.witness(ctx, r)
-	local.Wait()
+	err := b.await(ctx, stored)
 	own := b.opts.Outbox.Own(r)
 	if own != nil {
 		b.released(biller.Marks([]biller.Record{r}))
@@ -165,6 +169,36 @@
 	return true, nil
 }
 
+// store writes the record to the disk of this host and returns the channel of
+// the result, which is nil at once while too many writes wait for the disk.
+func (b *Bills) store(r biller.Record) <-chan error {
+	out := make(chan error, 1)
+	select {
+	case b.writes <- struct{}{}:
+	default:
+		b.opts.Scope.Counter("billing.diskSlow").Inc(1)
+		out <- nil
+		return out
+	}
+	var wg conc.WaitGroup // Nobody waits for a disk that hangs.
+	wg.Go(func() {
+		defer func() { <-b.writes }()
+		out <- b.opts.Outbox.Hold(b.opts.Clock.Now(), []biller.Record{r})
+	})
+	return out
+}
+
+// await returns the result of store, or nil if ctx ends without one.
+func (b *Bills) await(ctx context.Context, stored <-chan error) error {
+	select {
+	case err := <-stored:
+		return err
+	case <-ctx.Done():
+		b.opts.Scope.Counter("billing.diskSlow").Inc(1)
+		return nil
+	}
+}
+
 // Run delivers records until ctx ends and returns the error of ctx. While the
 // control group cannot be reached, it renews the witnesses of own records.
 func (b *Bills) Run(ctx context.Context) error {
@@ -365,6 +399,9 @@
 			b.note(recs, w.Addr)
 			return true
 		}
+		if ctx.Err() != nil {
+			return false // The witness is not at fault.
+		}
 		b.mu.Lock()
 		b.resting[w.Addr] = b.opts.Clock.Now().Add(witnessRest)
 		b.mu.Unlock()
--- a/messenger/hold_disk_test.go
+++ b/messenger/hold_disk_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailwall/biller"
+	"foxtailwall/counter"
 	"foxtailwall/messenger"
 	"foxtailwall/timekeeper"
 )
@@ -52,4 +53,46 @@
 		due := restarted.Due(clock.Now().Add(biller.WitnessDelay), 10)
 		Expect(due).To(ConsistOf(rec))
 	}, NodeTimeout(30*time.Second))
+
+	// Guards against answers that wait for ever while the disk hangs.
+	It("goes on without a disk that hangs when the bound passes", func(ctx context.Context) {
+		clock := timekeeper.NewFake(time.Unix(1000, 0))
+		witness := biller.NewOutbox(biller.OutboxOptions{})
+		mux := messenger.NewMux()
+		messenger.HandleHold(mux, witness, clock)
+		peer := serve(mux)
+		disk, entered := make(chan struct{}), make(chan struct{})
+		DeferCleanup(func() { close(disk) })
+		box := biller.NewOutbox(biller.OutboxOptions{Append: func([]byte) error {
+			close(entered)
+			<-disk
+			return nil
+		}})
+		scope := counter.NewTest("")
+		bills := messenger.NewBills(messenger.BillsOptions{
+			Name: "a1", Zone: "a", Outbox: box, Control: stoppedControl{}, Clock: clock, Scope: scope,
+			Hosts: func() []messenger.Witness { return []messenger.Witness{{Name: "a2", Zone: "a", Addr: peer.Addr()}} },
+			Peer:  func(netip.AddrPort) *messenger.Peer { return peer },
+		})
+		bounded, pass := context.WithCancel(ctx)
+		defer pass()
+		done := make(chan error, 1)
+		go func() {
+			held, err := bills.Hold(bounded, bill("r1", clock.Now()))
+			if err == nil && !held {
+				err = errLost
+			}
+			done <- err
+		}()
+		Eventually(entered).Should(BeClosed())
+		Eventually(witness.Len).Should(Equal(1))
+		// The witness has answered once its timer is stopped.
+		Eventually(clock.Timers).Should(BeZero())
+		Expect(done).NotTo(Receive())
+		pass()
+		Eventually(done).Should(Receive(BeNil()))
+		Expect(box.Due(clock.Now(), 10)).To(HaveLen(1), "the record is one of this host")
+		Expect(scope.Snapshot()).To(ContainElement(And(
+			HaveField("Name", "billing.diskSlow"), HaveField("Value", 1.0))))
+	}, NodeTimeout(30*time.Second))
 })
