--- a/chooser/allowed.go
+++ b/chooser/allowed.go
@@ -18,7 +18,7 @@
 		// Assigned says that a new session gets this version. The others of
 		// the model are for sessions pinned to them.
 		Assigned bool
-		// InRollout says that the version is in a running roll-out. Before it
+		// InRollout says that the version is in a running rollout. Before it
 		// assigns one, the router takes a request from its exposure budget.
 		InRollout bool
 		// LastResort says that the version is quarantined but the model has no
@@ -32,14 +32,14 @@
 
 // Allowed returns the versions that the workspace may use now for a request
 // that names the model, or Auto for all its models. A version is allowed if
-// the workspace allows it, it is not withdrawn or quarantined, its roll-out
+// the workspace allows it, it is not withdrawn or quarantined, its rollout
 // was not halted, and the host has a lease where the version needs one: in a
-// running roll-out and for models that refuse when cut off.
+// running rollout and for models that refuse when cut off.
 //
 // The result holds for one catalog and one moment. The router calls Allowed
 // again at dispatch and sends nothing to a version that is no longer in it.
 //
-// The session key decides which sessions get a version in roll-out; requests
+// The session key decides which sessions get a version in rollout; requests
 // without a session use their request ID.
 func Allowed(c *declarer.Catalog, workspace, model string, leased bool, sessionKey string) Candidates {
 	w := c.Workspace(workspace)
@@ -73,7 +73,7 @@
 
 // Without returns the candidates without the version. If it was assigned,
 // another version of its model takes its place, as if the version did not
-// exist. The router uses it when the exposure budget of a roll-out is spent.
+// exist. The router uses it when the exposure budget of a rollout is spent.
 func (cs Candidates) Without(c *declarer.Catalog, r declarer.VersionRef) Candidates {
 	out := slices.DeleteFunc(slices.Clone(cs), func(o Candidate) bool { return o.Ref == r })
 	if _, ok := out.Assigned(r.Model); ok {
@@ -125,7 +125,7 @@
 }
 
 // assign returns the index of the version that a new session gets: the one in
-// roll-out if the session is in its share, else the settled one, or -1.
+// rollout if the session is in its share, else the settled one, or -1.
 func assign(c *declarer.Catalog, m *declarer.Model, cs Candidates, sessionKey string) int {
 	if p := c.Rollout(m.Name); p != nil && p.State == declarer.RolloutRunning {
 		r := declarer.VersionRef{Model: m.Name, Version: p.Version}
@@ -138,7 +138,7 @@
 }
 
 // settled returns the index of the model's stable version, else that of the
-// version of the highest declared quality that is in no roll-out, or -1.
+// version of the highest declared quality that is in no rollout, or -1.
 func (cs Candidates) settled(c *declarer.Catalog, m *declarer.Model) int {
 	stable := m.Stable
 	if p := c.Rollout(m.Name); p != nil && p.State == declarer.RolloutDone {
--- a/chooser/allowed_test.go
+++ b/chooser/allowed_test.go
@@ -89,7 +89,7 @@
 
 var _ = Describe("Allowed", func() {
 	// Guards promises 1 and 2: a version that the workspace does not allow,
-	// that is withdrawn, halted, quarantined, or in roll-out without a lease
+	// that is withdrawn, halted, quarantined, or in rollout without a lease
 	// must never be a candidate; and a version that is allowed must be one.
 	It("agrees with the promises read off the configuration", func() {
 		const seed = 61
@@ -123,7 +123,7 @@
 		}
 	})
 
-	// Guards against a roll-out that reaches sessions outside its share, or
+	// Guards against a rollout that reaches sessions outside its share, or
 	// that goes on without a lease.
 	DescribeTable("assigns new sessions",
 		func(share float64, state declarer.RolloutState, leased bool, quarantined, want string) {
@@ -160,7 +160,7 @@
 		Entry("without a lease", 1.0, declarer.RolloutRunning, false, "", "v1"),
 		Entry("before the first progress", 1.0, declarer.RolloutState(""), true, "", "v1"),
 		Entry("after a halt", 1.0, declarer.RolloutHalted, true, "", "v1"),
-		Entry("after the roll-out", 0.0, declarer.RolloutDone, false, "", "v2"),
+		Entry("after the rollout", 0.0, declarer.RolloutDone, false, "", "v2"),
 		Entry("with the new version quarantined", 1.0, declarer.RolloutDone, true, "v2", "v1"),
 		Entry("with the stable version quarantined", 0.0, declarer.RolloutRunning, true, "v1", "v0"),
 	)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -1,11 +1,11 @@
 // Package detector decides from counts whether a version is worse than it may
-// be: during a roll-out (Evaluate) and after it (Watch).
+// be: during a rollout (Evaluate) and after it (Watch).
 //
 // Both bet against the hypothesis that the rate of bad events is within its
-// limit. During a roll-out the wealth of the bets is an e-process: by Ville's
+// limit. During a rollout the wealth of the bets is an e-process: by Ville's
 // inequality it ever exceeds 1/FalseAlarms with a probability of at most
-// FalseAlarms, however often it is looked at, so the guard of a whole roll-out
-// raises a false alarm with a probability of at most 1%. After the roll-out a
+// FalseAlarms, however often it is looked at, so the guard of a whole rollout
+// raises a false alarm with a probability of at most 1%. After the rollout a
 // restarting e-detector looks for a change at an unknown time.
 //
 // The evidence depends only on sums of counts. Those of zones and hosts are
@@ -35,7 +35,7 @@
 )
 
 const (
-	// FalseAlarms bounds the probability that the guard of a roll-out ever
+	// FalseAlarms bounds the probability that the guard of a rollout ever
 	// raises an alarm on a version that is within its limits.
 	FalseAlarms = 0.01
 	// lateShare is the share of first tokens that may be late: the guard
@@ -107,7 +107,7 @@
 	return l
 }
 
-// Evaluate returns the evidence that the counts since the start of a roll-out
+// Evaluate returns the evidence that the counts since the start of a rollout
 // give against the version. The mean of the wealths of several bets is itself
 // the wealth of a bet, so the bound holds for all limits together.
 func Evaluate(l Limits, s Stats) Verdict {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -62,7 +62,7 @@
 }
 
 var _ = Describe("Evaluate", func() {
-	// Guards against a guard that halts good roll-outs because it looks often,
+	// Guards against a guard that halts good rollouts because it looks often,
 	// which the naive tests do, and against one that needs more requests on
 	// bad versions than the bound costs.
 	It("keeps its false-alarm bound and detects bad versions", func() {
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -24,7 +24,7 @@
 //		o.Result(order, orderer.Accepted)
 //	}
 //
-// Wants for a model in roll-out come from Split.
+// Wants for a model in rollout come from Split.
 package orderer
 
 import (
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -165,7 +165,7 @@
 		Expect(sentLate).To(BeNumerically(">", 10))
 	})
 
-	// Guards against the loss of capacity in a roll-out: while v2 is brought
+	// Guards against the loss of capacity in a rollout: while v2 is brought
 	// up, v1 must never fall below its wanted number, whatever is under way.
 	It("never unloads below the wanted number", func() {
 		const engines = 9
--- a/orderer/plan.go
+++ b/orderer/plan.go
@@ -9,7 +9,7 @@
 )
 
 // rollbackReserve is the share of a model's engines that keep the stable
-// version until the roll-out is done, so that a rollback finds capacity.
+// version until the rollout is done, so that a rollback finds capacity.
 const rollbackReserve = 0.5
 
 // zoneVersion is a version in a zone.
--- a/pinner/pin.go
+++ b/pinner/pin.go
@@ -14,7 +14,7 @@
 //	cache.Put(pin)
 //	pin, ok := cache.Get(workspace, session, model)
 //
-// A roll-out assigns sessions by a stable hash:
+// A rollout assigns sessions by a stable hash:
 //
 //	if pinner.Assigned(ref, session, progress.Share) { ... }
 package pinner
--- a/pinner/share.go
+++ b/pinner/share.go
@@ -7,8 +7,8 @@
 )
 
 // Assigned reports whether the session belongs to the share, 0 to 1, of
-// sessions that get the version of a roll-out. A session that belongs to a
-// share belongs to every larger one, and different roll-outs pick sessions
+// sessions that get the version of a rollout. A session that belongs to a
+// share belongs to every larger one, and different rollouts pick sessions
 // independently of each other.
 func Assigned(r declarer.VersionRef, session string, share float64) bool {
 	return position(r, session) < share
--- a/promoter/promoter.go
+++ b/promoter/promoter.go
@@ -1,4 +1,4 @@
-// Package promoter decides how a roll-out goes on: when it advances to the next
+// Package promoter decides how a rollout goes on: when it advances to the next
 // stage, when it stops assigning sessions, when it is halted and when it is
 // done.
 //
@@ -42,7 +42,7 @@
 	Stay Action = "stay"
 	// Advance begins the next stage.
 	Advance Action = "advance"
-	// Halt ends the roll-out and rolls it back.
+	// Halt ends the rollout and rolls it back.
 	Halt Action = "halt"
 	// Done makes the version the stable one.
 	Done Action = "done"
@@ -62,7 +62,7 @@
 	defaultBudget = 1000
 )
 
-// defaultStages are used by a roll-out that declares none.
+// defaultStages are used by a rollout that declares none.
 var defaultStages = []declarer.Stage{
 	{Share: 0.01, Soak: 10 * time.Minute, Budget: 500},
 	{Share: 0.05, Soak: 10 * time.Minute, Budget: 2000},
@@ -74,7 +74,7 @@
 	// Action says what a transition does.
 	Action string
 
-	// Transition is the decision on a roll-out.
+	// Transition is the decision on a rollout.
 	Transition struct {
 		Action Action
 		// Progress holds after the transition.
@@ -89,7 +89,7 @@
 	}
 )
 
-// Start returns the progress of a roll-out that begins now.
+// Start returns the progress of a rollout that begins now.
 func Start(r declarer.Rollout, now time.Time) declarer.Progress {
 	return declarer.Progress{
 		Model: r.Model, Version: r.Version, Share: Stages(r)[0].Share,
@@ -97,7 +97,7 @@
 	}
 }
 
-// Stages returns the stages of the roll-out, with the defaults filled in.
+// Stages returns the stages of the rollout, with the defaults filled in.
 func Stages(r declarer.Rollout) []declarer.Stage {
 	if len(r.Stages) == 0 {
 		return defaultStages
@@ -117,11 +117,11 @@
 	return defaultBudget
 }
 
-// Next returns what follows for the roll-out. The stats count since the start
-// of the roll-out. Progress of another version, or none, starts the roll-out.
+// Next returns what follows for the rollout. The stats count since the start
+// of the rollout. Progress of another version, or none, starts the rollout.
 func Next(r declarer.Rollout, p declarer.Progress, s detector.Stats, now time.Time) Transition {
 	if p.Model != r.Model || p.Version != r.Version || p.State == "" {
-		return Transition{Action: Advance, Progress: Start(r, now), Changed: true, Reason: "the roll-out begins"}
+		return Transition{Action: Advance, Progress: Start(r, now), Changed: true, Reason: "the rollout begins"}
 	}
 	if p.State != declarer.RolloutRunning {
 		return Transition{Action: Stay, Progress: p, Reason: p.Reason}
@@ -170,7 +170,7 @@
 }
 
 // evidence returns the number of events that the guard must have seen since
-// the start of the roll-out to pass the last of the stages.
+// the start of the rollout to pass the last of the stages.
 func evidence(stages []declarer.Stage) int64 {
 	total := 0.0
 	for _, s := range stages {
--- a/promoter/promoter_test.go
+++ b/promoter/promoter_test.go
@@ -66,7 +66,7 @@
 var _ = Describe("Next", func() {
 	// Guards against a decision that depends on what one leader remembers,
 	// against a stage that is skipped, and against a halted or finished
-	// roll-out that moves again. Each step starts from the progress alone.
+	// rollout that moves again. Each step starts from the progress alone.
 	It("agrees with a promoter that remembers everything", func() {
 		const seed = 101
 		rng := rand.New(rand.NewPCG(seed, seed))
@@ -112,7 +112,7 @@
 		Expect(ends[promoter.Done]).To(BeNumerically(">", 50))
 	})
 
-	// Guards against a roll-out that passes a stage because nothing was
+	// Guards against a rollout that passes a stage because nothing was
 	// measured, and against one without a guard that never ends.
 	DescribeTable("waits for evidence", func(guard declarer.Guard, s detector.Stats, want promoter.Action) {
 		r := rollout
--- a/router/chat_test.go
+++ b/router/chat_test.go
@@ -199,8 +199,8 @@
 			q.Session, r.pins.err = "s", errInjected
 			r.views.set(rollout(1, declarer.RolloutRunning))
 		}, "a/v1", "", true),
-		Entry("in a running roll-out", func(r *rig, _ *router.ChatRequest) { r.views.set(rollout(1, declarer.RolloutRunning)) }, "a/v2", "", false),
-		Entry("outside the share of a roll-out", func(r *rig, _ *router.ChatRequest) { r.views.set(rollout(0, declarer.RolloutRunning)) }, "a/v1", "", false),
+		Entry("in a running rollout", func(r *rig, _ *router.ChatRequest) { r.views.set(rollout(1, declarer.RolloutRunning)) }, "a/v2", "", false),
+		Entry("outside the share of a rollout", func(r *rig, _ *router.ChatRequest) { r.views.set(rollout(0, declarer.RolloutRunning)) }, "a/v1", "", false),
 		Entry("but the stable one without a lease", func(r *rig, q *router.ChatRequest) {
 			r.views.set(rollout(1, declarer.RolloutRunning))
 			r.views.leased.Store(false)
--- a/router/decisions.go
+++ b/router/decisions.go
@@ -31,7 +31,7 @@
 
 	// Assigner assigns sessions to the versions of a model that is being
 	// rolled out. The same key gets the same version while the share of the
-	// roll-out does not change.
+	// rollout does not change.
 	Assigner interface {
 		Assign(c *declarer.Catalog, m *declarer.Model, workspace, key string) (version string)
 	}
