Let the picker's spread follow the number of hosts

Cause: the spread that 40 hosts on stale reports need mixes too much with 6: the separation of long prompts then needs a penalty that no longer counted in the question whether a zone is short, so that zones kept long prompts that others had room for.

--- a/comparer/comparer.go
+++ b/comparer/comparer.go
@@ -49,6 +49,8 @@
 		// Host is the index of the entry host, Zone its availability zone.
 		Host int
 		Zone string
+		// Hosts is the number of entry hosts.
+		Hosts int
 	}
 
 	// Query is one request that a policy decides on.
--- a/comparer/shipped.go
+++ b/comparer/shipped.go
@@ -66,7 +66,7 @@
 // ShippedPicker returns the picker of the router.
 func ShippedPicker(s Setup) Picker {
 	p := &shippedPicker{
-		picker: picker.New(picker.Settings{Zone: s.Zone, Clock: s.Clock, Seed: hostSeed(s)}),
+		picker: picker.New(picker.Settings{Zone: s.Zone, Clock: s.Clock, Seed: hostSeed(s), Hosts: s.Hosts}),
 		pools:  make(map[declarer.VersionRef]*picker.Pool), ups: make(map[*picker.Replica]*declarer.Upstream),
 		tickets: make(map[ticketKey]picker.Ticket),
 	}
--- a/comparer/simulation.go
+++ b/comparer/simulation.go
@@ -107,7 +107,7 @@
 		m.after(guardEvery, m.watch)
 	}
 	for i, zone := range s.Hosts {
-		setup := Setup{Config: s.Config, Catalog: m.catalog, Clock: m.clock, Seed: seed, Host: i, Zone: zone}
+		setup := Setup{Config: s.Config, Catalog: m.catalog, Clock: m.clock, Seed: seed, Host: i, Zone: zone, Hosts: len(s.Hosts)}
 		h := &host{zone: zone, chooser: p.NewChooser(setup), picker: p.NewPicker(setup), seen: make(map[*declarer.Upstream]int64)}
 		m.hosts = append(m.hosts, h)
 		// Hosts do not poll at the same times.
--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailwall/chooser"
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
@@ -72,8 +74,10 @@
 	}
 )
 
-func newReplicas(views router.Views, zone string, clock timekeeper.Clock, scope counter.Scope, seed uint64) *replicas {
-	r := &replicas{views: views, clock: clock, picker: picker.New(picker.Settings{Zone: zone, Clock: clock, Seed: seed})}
+func newReplicas(views router.Views, set *Settings, clock timekeeper.Clock, scope counter.Scope) *replicas {
+	r := &replicas{views: views, clock: clock, picker: picker.New(picker.Settings{
+		Zone: set.Zone, Clock: clock, Seed: xxhash.Sum64String(set.Name), Hosts: len(set.Hosts),
+	})}
 	r.monitor = monitor.New(monitor.Settings{Clock: clock, Scope: scope, Changed: func(a netip.AddrPort, w float64) {
 		r.picker.Replica(a).SetWeight(w)
 	}})
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -50,7 +50,7 @@
 	e := &entry{host: h}
 	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial, TLS: h.tls.upstream})
 	stats := newStatistics(h.views.node, h.views.watches)
-	e.replicas = newReplicas(h.views, h.set.Zone, h.clock, h.scope, xxhash.Sum64String(h.set.Name))
+	e.replicas = newReplicas(h.views, &h.set, h.clock, h.scope)
 	e.replicas.stats = stats
 	sign := &pinner.Signer{Keys: h.set.SessionKeys, Clock: h.clock}
 	if err := sign.Check(); err != nil {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -54,13 +54,21 @@
 	defaultService = 2 * time.Second
 	// defaultPrefillRate is in prompt tokens per second.
 	defaultPrefillRate = 8000
-	// spreadOfService is the default spread as a share of the service time. In
-	// trials with 40 hosts and reports half a second old, a fifth of it herded:
-	// 95 in 100 first tokens came within 4.3 s, against 2.4 s.
+	// spreadOfService is the default spread as a share of the service time for
+	// spreadHosts hosts or more. In trials with 40 hosts and reports half a
+	// second old, a fifth of it herded: 95 in 100 first tokens came within
+	// 4.3 s, against 2.4 s. With 6 hosts the whole of it mixes too much: at
+	// 50 requests/s the first tokens of the festival took 796 ms.
 	spreadOfService = 0.05
+	spreadHosts     = 40
 	// crossZonePenalty keeps a replica of another zone from being chosen for
 	// a difference that the longer path consumes.
 	crossZonePenalty = 5 * time.Millisecond
+	// crossSeparation bounds in seconds what the separation of long prompts
+	// adds to the wait in the own zone. It is below the default of CrossZone,
+	// so that an idle zone keeps its requests, and lets a zone with some load
+	// use the others' replicas for long prompts.
+	crossSeparation = 0.12
 	// noiseSize is a power of two above the largest pool, so that one pick
 	// uses no noise value twice.
 	noiseSize = 4096
@@ -78,6 +86,9 @@
 		Clock timekeeper.Clock
 		// Seed makes the random choices repeatable.
 		Seed uint64
+		// Hosts is the number of hosts that choose among the same replicas by
+		// the same reports. Zero counts as many.
+		Hosts int
 		// CrossZone is the expected wait in the own zone beyond which other
 		// zones are considered. Zero takes 150 ms.
 		CrossZone time.Duration
@@ -145,7 +156,11 @@
 	}
 	s.CrossZone = positive(s.CrossZone, defaultCrossZone)
 	s.Service = positive(s.Service, defaultService)
-	s.Spread = positive(s.Spread, time.Duration(spreadOfService*float64(s.Service)))
+	if s.Hosts <= 0 || s.Hosts > spreadHosts {
+		s.Hosts = spreadHosts
+	}
+	share := spreadOfService * float64(s.Hosts) / spreadHosts
+	s.Spread = positive(s.Spread, time.Duration(share*float64(s.Service)))
 	s.PrefillRate = positive(s.PrefillRate, defaultPrefillRate)
 	s.Prefixes = positive(s.Prefixes, defaultPrefixes)
 	s.PrefixAge = positive(s.PrefixAge, defaultPrefixAge)
@@ -263,12 +278,12 @@
 	at, stride := uint32(draw), uint32(draw>>32)|1
 	for i, c := range replicas {
 		at += stride
-		wait := c.wait()
-		score := wait + sep.penalty(ranks[i]) + penalty - float64(p.noise[at%noiseSize])
+		apart := sep.penalty(ranks[i])
+		wait := c.wait() + min(apart, crossSeparation)
+		score := c.wait() + apart + penalty - float64(p.noise[at%noiseSize])
 		if score >= l.score && wait >= l.minWait || math.IsInf(wait, 1) || slices.Contains(r.Exclude, c) {
 			continue
 		}
-		// The separation is no reason to leave a zone that has free replicas.
 		l.minWait = min(l.minWait, wait)
 		if score < l.score {
 			l.replica, l.score, l.found = c, score, true
