Serve only once it is known which upstreams are leaving

A host now shows no configuration until the platform has answered and every upstream was asked, for at most 5 s. - Whole requests whose connection went silent with the cut of a zone waited up to the caller's timeout of 8 s. They are sent to a second replica after 4 s in place of 10 s, within the retry budget. - The audit counted a caller that gave up after its own timeout as cut by a shutdown; the trace shows 8.001 s after it was sent, the timeout of that run. Such attempts are told apart now, and the table of the audit's own test has one. The demo drains for 15 s, longer than such a request waits, so that what the drain time cuts is a fault.

--- a/demonstrator/hosts.go
+++ b/demonstrator/hosts.go
@@ -23,8 +23,9 @@
 const (
 	hostsPerZone = 2
 	operatorKey  = "demo-operator-key"
-	// drainTime bounds the shutdown of a host at the end of the demo.
-	drainTime = 5 * time.Second
+	// drainTime bounds the shutdown of a host. It exceeds the time for which a
+	// request can wait on a connection that the cut of a zone has silenced.
+	drainTime = 15 * time.Second
 )
 
 type (
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -23,9 +23,9 @@
 	ratingWait = 300 * time.Millisecond
 	// hedgeAfter is the time after which a request for a whole answer is sent
 	// to a second replica as well, within the retry budget. It finds a
-	// connection that went silent under an answer three times sooner than the
-	// bound on the first byte does.
-	hedgeAfter = 10 * time.Second
+	// connection that went silent under an answer sooner than the bound on the
+	// first byte of 30 s does.
+	hedgeAfter = 4 * time.Second
 	// idleReports is the time after which an unused connection for reports
 	// is closed.
 	idleReports = 30 * time.Second
@@ -64,7 +64,7 @@
 	e.replicas.suspect = e.poller.Suspect
 	e.router = router.New(router.Options{
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
-		Views: h.views, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
+		Views: warmViews{h.views, e.poller}, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
 		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: newShares(&h.set), Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait, HedgeAfter: hedgeAfter,
 		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
 	})
@@ -74,7 +74,7 @@
 		report = h.record.report
 	}
 	e.server, err = server.New(server.Options{
-		Clock: h.clock, Scope: h.scope, Views: h.views, Router: e.router,
+		Clock: h.clock, Scope: h.scope, Views: warmViews{h.views, e.poller}, Router: e.router,
 		OperatorDigest: declarer.KeyDigest(h.set.OperatorKeys[0]), Print: declarer.Print, Report: report,
 		DrainTimeout: h.set.Drain - h.set.Grace, Grace: h.set.Grace,
 	})
@@ -90,6 +90,21 @@
 	return "http"
 }
 
+// warmViews shows no configuration until the host knows which upstreams are
+// leaving, so that a host that has just started sends them nothing.
+type warmViews struct {
+	*views
+	poller *poller.Poller
+}
+
+// Catalog implements router.Views.
+func (v warmViews) Catalog() *declarer.Catalog {
+	if !v.poller.Warm() {
+		return nil
+	}
+	return v.views.Catalog()
+}
+
 // reportClient returns the client for reports of upstreams.
 func (h *Host) reportClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -320,6 +320,7 @@
 				{Entry: 1, Sent: at(9), Ended: at(12), Status: 200, Interrupted: true},
 				{Entry: 1, Sent: at(9), Ended: at(12), Status: 200},
 				{Entry: 0, Sent: at(9), Ended: at(12), Interrupted: true},
+				{Entry: 1, Sent: at(9), Ended: at(12), Interrupted: true, GaveUp: true},
 				{Entry: 1, Sent: at(11), Ended: at(12), Interrupted: true},
 			} {
 				a.Result(result("d", t))
--- a/loader/result.go
+++ b/loader/result.go
@@ -26,8 +26,10 @@
 		// Accepted says that the caller accepted another version for its
 		// session.
 		Accepted bool
-		// Interrupted says that the connection ended before the response did.
+		// Interrupted says that the connection ended before the response did,
+		// and GaveUp that the caller ended it after its own timeout.
 		Interrupted bool
+		GaveUp      bool
 	}
 
 	// Result is what a caller got for one request.
--- a/loader/sender.go
+++ b/loader/sender.go
@@ -142,6 +142,7 @@
 	a.Ended = s.l.clock.Now()
 	if err != nil {
 		a.Code, a.Outcome, a.Interrupted = CodeTransport, refuser.Unknown, true
+		a.GaveUp = a.Ended.Sub(a.Sent) >= s.l.conf.Timeout
 	}
 	return a
 }
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -22,6 +22,7 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,9 @@
 	// the list's own lag it must stay below the 3 s in which a leaving
 	// upstream still may get work.
 	listInterval = 500 * time.Millisecond
+	// warmLimit is the time after which a host serves although it has not
+	// heard of all upstreams.
+	warmLimit = 5 * time.Second
 	// callTimeout bounds one call.
 	callTimeout = time.Second
 	// concurrent bounds the calls under way.
@@ -114,6 +118,11 @@
 		suspects *buffer.Ring[netip.AddrPort]
 		offers   *buffer.Ring[router.RateRequest]
 
+		// warm is closed once the host knows which upstreams are leaving.
+		warm                         chan struct{}
+		listOnce, roundOnce, limited sync.Once
+		waiting                      atomic.Int32
+
 		mu      sync.Mutex
 		cursors map[netip.AddrPort]cursor
 		wanted  float64
@@ -154,10 +163,27 @@
 	if o.Scheme == "" {
 		o.Scheme = "http"
 	}
-	return &Poller{
-		o: o, cursors: make(map[netip.AddrPort]cursor),
+	p := &Poller{
+		o: o, warm: make(chan struct{}), cursors: make(map[netip.AddrPort]cursor),
 		suspects: buffer.New[netip.AddrPort](suspectRing), offers: buffer.New[router.RateRequest](offerRing),
 	}
+	p.waiting.Store(1)
+	if o.Platform.IsValid() {
+		p.waiting.Store(2)
+	}
+	return p
+}
+
+// Warm reports whether every upstream has been asked once and the platform has
+// answered, or warmLimit has passed since the start. Before that a host that has just
+// started may not know that an upstream is leaving.
+func (p *Poller) Warm() bool {
+	select {
+	case <-p.warm:
+		return true
+	default:
+		return false
+	}
 }
 
 // Error implements error.
@@ -170,6 +196,7 @@
 	duties := pool.New().WithContext(ctx)
 	duties.Go(p.runUpstreams)
 	duties.Go(p.runSuspects)
+	duties.Go(p.runLimit)
 	if p.o.Platform.IsValid() {
 		duties.Go(p.runPlatform)
 	}
@@ -200,6 +227,9 @@
 			}
 		}
 		round.Wait()
+		if p.o.Views.Catalog() != nil {
+			p.roundOnce.Do(p.warmer)
+		}
 		if len(us) > 0 {
 			continue
 		}
@@ -209,6 +239,22 @@
 	}
 }
 
+// warmer notes that one of the first reports is in.
+func (p *Poller) warmer() {
+	if p.waiting.Add(-1) == 0 {
+		p.limited.Do(func() { close(p.warm) })
+	}
+}
+
+// runLimit lets the host serve although reports are missing.
+func (p *Poller) runLimit(ctx context.Context) error {
+	if err := timekeeper.Sleep(ctx, p.o.Clock, warmLimit); err != nil {
+		return err
+	}
+	p.limited.Do(func() { close(p.warm) })
+	return nil
+}
+
 func (p *Poller) runSuspects(ctx context.Context) error {
 	for {
 		addr, err := p.suspects.Take(ctx)
@@ -265,6 +311,7 @@
 		list, err := get[hostList](ctx, p, p.o.Platform, "/hosts")
 		if err == nil {
 			p.o.Sink.Hosts(list.Hosts)
+			p.listOnce.Do(p.warmer)
 		} else if ctx.Err() == nil {
 			p.o.Scope.Counter("poller.failed", "report", "platform").Inc(1)
 		}
