--- a/demonstrator/hosts.go
+++ b/demonstrator/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,7 +23,11 @@
 
 const (
 	hostsPerZone = 2
-	operatorKey  = "demo-operator-key"
+	// minPort and maxPort bound the ports of hosts, and portTries how often a
+	// free one is looked for.
+	minPort, maxPort = 20000, 30000
+	portTries        = 100
+	operatorKey      = "demo-operator-key"
 	// drainTime bounds the shutdown of a host. It exceeds the time for which a
 	// request can wait on a connection that the cut of a zone has silenced.
 	drainTime = 15 * time.Second
@@ -97,7 +102,7 @@
 // reserve opens a free port, so that its number is known before the host that
 // uses it starts.
 func (c *cluster) reserve(zone string) (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listenLow()
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "reserve a port")
 	}
@@ -110,6 +115,21 @@
 	return addr, nil
 }
 
+// listenLow listens on a free port below those that the system gives to
+// outgoing connections: one of them could take the port of a host that stops,
+// before it starts again.
+func listenLow() (net.Listener, error) {
+	var err error
+	for range portTries {
+		var l net.Listener
+		port := minPort + rand.IntN(maxPort-minPort)
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // listen hands out a reserved port once; a host that starts again opens it
 // anew.
 func (c *cluster) listen(addr netip.AddrPort) (net.Listener, error) {
--- a/loader/bill.go
+++ b/loader/bill.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"foxtailwall/biller"
 	"foxtailwall/declarer"
@@ -34,7 +35,8 @@
 			c.note(true, "request %d (%v) has %d bills", r.Index, ids, len(bills))
 		case r.Answered && len(bills) == 0:
 			v.BillsMissing++
-			c.note(true, "request %d (%v) was answered and has no bill", r.Index, ids)
+			c.note(true, "request %d (%v) was answered by entry %d at %s and has no bill",
+				r.Index, ids, r.last().Entry, r.last().Ended.Format(time.StampMilli))
 		case r.wrongBill(bills, x) || a.wrongPrice(bills):
 			v.BillsWrong++
 			c.note(true, "request %d (%v) of %s/%s has a wrong bill: %+v", r.Index, ids, r.Workspace.Name, r.Member.Name, bills[0])
