--- a/router/call_test.go
+++ b/router/call_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/claimer"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
 	"foxtailwall/timekeeper"
@@ -85,6 +86,15 @@
 		Expect(a.Stored).To(BeFalse())
 	})
 
+	// Guards against a caller that books again under a new key, because a
+	// resend with an expired key was told that nothing had run.
+	It("does not call a resend with an expired key unrun", func(ctx context.Context) {
+		r := newRig(func(o *router.Options) { o.Claims = expiredClaims{} })
+		_, err := r.Call(ctx, r.book(newKey()))
+		Expect(refusal(err)).To(And(HaveField("Code", refuser.KeyExpired), HaveField("Outcome", refuser.Unknown)))
+		Expect(r.ups.all()).To(BeEmpty())
+	})
+
 	// Guards against an answer that a resend gets although nobody is billed
 	// for it, because the first host stopped between claim and bill.
 	It("bills a call before its answer can be returned again", func(ctx context.Context) {
@@ -386,3 +396,10 @@
 		Expect(r.ledger.all()).To(HaveLen(1))
 	}, NodeTimeout(20*time.Second))
 })
+
+// expiredClaims is a table that has pruned the key.
+type expiredClaims struct{ router.Claims }
+
+func (expiredClaims) Claim(context.Context, claimer.Request) (claimer.Result, error) {
+	return claimer.Result{State: claimer.Expired}, nil
+}
