Use the pin cache, the listener and the ends that were there already

Cause, found by reading the whole change with a list of unreachable functions: - The router had a pin cache of its own beside pinner.Cache; bound and life are the same, and the one that is left drops the pins used longest ago in place of an arbitrary half. - Hosts opened their ports with net.Listen, so that the keep-alive by which server.Listen finds callers that vanished within 20 s was never set. - Nothing closed the dialer and the transport of the control group when a host ended, which leaked their goroutines where several hosts run in one process. - A field of the limiter's adapter was never read.

Left for later: the comparison policies, chooser.Allowed and orderer.Split and Throttled are reached by tests and the comparer only; settingError of the subcommands and of hoster differ in their text.

--- a/hoster/decisions.go
+++ b/hoster/decisions.go
@@ -61,7 +61,6 @@
 	// admission adapts the limiter to the router.
 	admission struct {
 		limiter *limiter.Limiter
-		clock   timekeeper.Clock
 	}
 
 	// shares assigns sessions by the share of a rollout, as far as this
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -66,7 +66,7 @@
 		Host: h.set.Name, Zone: h.set.Zone, Clock: h.clock, Scope: h.scope,
 		Views: warmViews{h.views, e.poller}, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
 		Signer: sign, Picker: e.replicas, Monitor: e.replicas, Assigner: newShares(&h.set), Chooser: e.plans, Learner: e.plans, Ratings: e.poller, RatingWait: ratingWait, HedgeAfter: hedgeAfter,
-		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope}), clock: h.clock},
+		Limiter: admission{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope})},
 	})
 	var err error
 	var report func(io.Writer, string) error
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -25,6 +25,7 @@
 
 	"foxtailwall/counter"
 	"foxtailwall/messenger"
+	"foxtailwall/server"
 	"foxtailwall/timekeeper"
 )
 
@@ -129,8 +130,8 @@
 	<-failed.Done()
 	err := h.drain(inner)
 	stop()
-	h.closePeers()
 	err = errors.CombineErrors(duties.Wait(), err)
+	h.closeConnections()
 	err = errors.CombineErrors(err, h.scope.Close())
 	h.log.Info().Err(err).Msg("host stopped")
 	return err
@@ -218,7 +219,7 @@
 func (h *Host) listen(setting string, addr netip.AddrPort) (net.Listener, error) {
 	open := h.opts.Listen
 	if open == nil {
-		open = func(a netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", a.String()) }
+		open = func(a netip.AddrPort) (net.Listener, error) { return server.Listen(context.Background(), a) }
 	}
 	l, err := open(addr)
 	if err != nil {
@@ -239,7 +240,14 @@
 	return p
 }
 
-func (h *Host) closePeers() {
+// closeConnections ends what the duties have used.
+func (h *Host) closeConnections() {
+	if h.entry != nil {
+		h.entry.dialer.Close()
+	}
+	if h.control != nil {
+		h.control.transport.Close()
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, p := range h.peers {
--- a/router/router.go
+++ b/router/router.go
@@ -10,6 +10,7 @@
 
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
+	"foxtailwall/pinner"
 	"foxtailwall/refuser"
 	"foxtailwall/timekeeper"
 )
@@ -26,6 +27,12 @@
 	// holdWait bounds the wait for a second holder of a billing record. The
 	// answer is complete by then, so the caller waits for nothing else.
 	holdWait = 2 * time.Second
+	// maxPins bounds the pins cached on one host; each takes some 200 bytes.
+	maxPins = 1 << 16
+	// pinLife is the time for which a cached pin is used. It is far below
+	// the retention of pins in the control group, so that a session in use
+	// is asked for there before it is pruned.
+	pinLife = 5 * time.Minute
 	// maxAttempts bounds the attempts of one step, whatever the budget.
 	maxAttempts = 4
 )
@@ -65,7 +72,7 @@
 	// Router serves requests. Make it with New.
 	Router struct {
 		o          Options
-		pins       pinCache
+		pins       *pinner.Cache
 		objectives *objectives
 	}
 
@@ -97,7 +104,7 @@
 	o.Monitor = orDefault[Monitor](o.Monitor, trustingMonitor{})
 	o.Ratings = orDefault[Ratings](o.Ratings, noRatings{})
 	o.Learner = orDefault[Learner](o.Learner, noLearner{})
-	return &Router{o: o, pins: pinCache{clock: o.Clock}, objectives: newObjectives()}
+	return &Router{o: o, pins: pinner.NewCache(o.Clock, maxPins, pinLife), objectives: newObjectives()}
 }
 
 func orDefault[T comparable](v, def T) T {
--- a/router/session.go
+++ b/router/session.go
@@ -115,7 +115,7 @@
 	if !s.own {
 		return pinner.Pin{}, false
 	}
-	return r.pins.get(pinKey{workspace, s.id, model})
+	return r.pins.Get(workspace, s.id, model)
 }
 
 // pinned is a step of a plan after its session was pinned.
@@ -148,7 +148,7 @@
 		defer release()
 		held, err := r.o.Pins.Pin(bounded, p)
 		if err == nil {
-			r.pins.put(held)
+			r.pins.Put(held)
 			return held, false
 		}
 	}
@@ -224,7 +224,7 @@
 		r.o.Scope.Counter("router.pinsProvisional").Inc(1)
 		return next, true
 	}
-	r.pins.put(held)
+	r.pins.Put(held)
 	return held, false
 }
 
