Join the control group through seeds and keep its number of voters

Cause: the group had a fixed list of peers by name, so a host could not be replaced by one at another address, and a group larger than the wanted number of voters could not exist.

Change: with Options.Seeds, hosts ask the seeds (which hand the wish on to the leader), are taken in as learners, and take the place of voters that are silent. A wiped or replaced host has a new identity; the first group is formed only by the seeds, with Bootstrap. A member that hears no leader asks again, also when it was removed while it was suspended. VerifyReads lets barriers do without the lease, for machines whose monotonic clock stands still while they are suspended.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -42,6 +42,11 @@
 		tuning
 		self  Member
 		peers []Peer
+		// seeds, bootstrap and voters are the options of a group that is
+		// joined through seeds.
+		seeds     func() []netip.AddrPort
+		bootstrap bool
+		voters    int
 		rng   *rand.Rand
 		now   time.Duration
 
@@ -153,6 +158,9 @@
 		c.askToJoin()
 		return
 	}
+	if c.seeds != nil {
+		c.askAgain()
+	}
 	if c.isVoter(c.self.ID) && now-c.since >= c.wait {
 		c.campaign()
 	}
@@ -173,7 +181,11 @@
 	if c.now-c.beat >= c.heartbeat {
 		c.broadcast()
 	}
-	c.promote()
+	if c.seeds != nil {
+		c.balance()
+	} else {
+		c.promote()
+	}
 	c.readdress(c.self)
 }
 
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -67,8 +67,22 @@
 		// Name and Addr are this host's, as in Peers.
 		Name string
 		Addr netip.AddrPort
-		// Peers lists all hosts of the group, this one included.
-		Peers     []Peer
+		// Peers lists all hosts of the group, this one included. It is not
+		// used where Seeds is set.
+		Peers []Peer
+		// Seeds returns addresses at which other members may be found. With
+		// it, the group takes in every host that asks to join.
+		Seeds func() []netip.AddrPort
+		// Bootstrap allows a first group to be formed by the seeds, once all
+		// of them have answered that they have no log.
+		Bootstrap bool
+		// Voters is the number of voters to keep where Seeds is set; other
+		// members follow the log and take the place of voters that are gone.
+		Voters int
+		// VerifyReads makes every Barrier ask a majority. It is needed where
+		// the monotonic clock stands still while the machine is suspended,
+		// because a lease then seems to hold for too long.
+		VerifyReads bool
 		FS        journaler.FS
 		Machine   Machine
 		Transport Transport
@@ -190,6 +204,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.seeds, c.bootstrap, c.voters = o.Seeds, o.Bootstrap, o.Voters
 	g := &Group{
 		opts: o, core: c, journal: j, start: o.Clock.Now(),
 		inbox: buffer.New[*Message](inboxSize), calls: buffer.New[*call](callsSize),
@@ -222,7 +237,9 @@
 		return &OptionError{"Clock, FS, Machine, Transport", "must be set"}
 	case o.Lease+o.Heartbeat > o.Election:
 		return &OptionError{"Lease", "must be shorter than Election by at least Heartbeat"}
-	case !slices.Contains(o.Peers, Peer{Name: o.Name, Addr: o.Addr}):
+	case o.Seeds != nil && o.Voters < 1:
+		return &OptionError{"Voters", "must be at least 1 where Seeds is set"}
+	case o.Seeds == nil && !slices.Contains(o.Peers, Peer{Name: o.Name, Addr: o.Addr}):
 		return &OptionError{"Peers", fmt.Sprintf("must contain this host, %s at %s", o.Name, o.Addr)}
 	}
 	return nil
@@ -257,7 +274,7 @@
 // index of the newest entry applied. It needs no messages while the lease
 // holds, and a round to a majority otherwise.
 func (g *Group) Barrier(ctx context.Context) (uint64, error) {
-	if g.Leased() {
+	if !g.opts.VerifyReads && g.Leased() {
 		return g.applied.Load(), nil
 	}
 	out := g.do(ctx, &call{barrier: true})
--- a/replicator/member.go
+++ b/replicator/member.go
@@ -214,6 +214,10 @@
 	if c.empties == nil {
 		c.empties = make(map[string]bool)
 	}
+	if c.seeds != nil {
+		c.askSeeds()
+		return
+	}
 	for _, p := range c.peers {
 		if p.Name != c.self.Name {
 			c.send(p.Addr, &Message{Kind: kindJoin, Member: &c.self})
@@ -227,11 +231,19 @@
 	if m.Member == nil {
 		return
 	}
-	c.send(m.Member.Addr, &Message{Kind: kindJoinReply, To: m.From, Member: &c.self, Empty: c.empty()})
+	if m.From == m.Member.ID {
+		c.send(m.Member.Addr, &Message{Kind: kindJoinReply, To: m.From, Member: &c.self, Empty: c.empty()})
+		c.forwardJoin(m)
+	}
 	if c.role != leader || m.Member.Name == c.self.Name || !c.known(*m.Member) {
 		return
 	}
-	if _, ok := c.member(m.From); ok {
+	if _, ok := c.member(m.Member.ID); ok {
+		c.readdress(*m.Member)
+		return
+	}
+	if c.seeds != nil {
+		c.admit(*m.Member)
 		return
 	}
 	old, ok := find(c.conf(), func(o Member) bool { return o.Name == m.Member.Name })
@@ -245,6 +257,9 @@
 
 // known reports whether the member is a configured peer or replaces a member.
 func (c *core) known(m Member) bool {
+	if c.seeds != nil {
+		return true
+	}
 	if slices.ContainsFunc(c.peers, func(p Peer) bool { return p.Name == m.Name }) {
 		return true
 	}
@@ -257,6 +272,7 @@
 		return nil
 	}
 	c.empties[m.Member.Name] = m.Empty
+	c.empties[m.Member.Addr.String()] = m.Empty
 	return nil
 }
 
@@ -268,6 +284,11 @@
 			return
 		}
 	}
+	c.form()
+}
+
+// form makes this member the only voter of a new group.
+func (c *core) form() {
 	self := c.self
 	self.Voter = true
 	conf := []Member{self}
--- a/replicator/replicator_test.go
+++ b/replicator/replicator_test.go
@@ -14,6 +14,26 @@
 }
 
 var _ = Describe("Group", func() {
+	// Guards against the same in a group that is joined through seeds, whose
+	// members are wiped and replaced by empty ones at other addresses, and
+	// against a second group formed by such a member.
+	It("stays linearizable while members join through seeds and are replaced", func() {
+		acked, wipes, replaced := 0, 0, 0
+		for seed := range uint64(24) {
+			s := newSeededSim(seed, 3+int(seed%3), 3)
+			s.heal()
+			s.calm = false
+			s.run(2 * time.Minute)
+			s.heal()
+			acked += s.check()
+			wipes += s.wipes
+			replaced += s.replaced
+		}
+		GinkgoWriter.Println("acknowledged", acked, "wiped disks", wipes, "replaced", replaced)
+		Expect(acked).To(BeNumerically(">", 5000))
+		Expect(replaced).To(BeNumerically(">", 50))
+	})
+
 	// Guards against lost or reordered acknowledged commands, stale reads, a
 	// command that takes effect after a refusal as not run, two leaders that
 	// serve reads at once, and a group that does not recover.
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -32,6 +32,9 @@
 		paused  time.Duration
 		down    time.Duration
 		boots   int
+		// emptied says that the disk was lost or the host replaced, so that it
+		// may not form a group.
+		emptied bool
 	}
 
 	packet struct {
@@ -79,6 +82,10 @@
 		load    float64
 		rewired time.Duration
 		calm    bool
+		// voters is the number of voters to keep in a group that is joined
+		// through seeds; zero means a fixed list of peers.
+		voters   int
+		replaced int
 	}
 )
 
@@ -118,8 +125,12 @@
 	return lo + time.Duration(s.rng.Int64N(int64(hi-lo)))
 }
 
-func newSim(seed uint64, hosts int) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, seed)), cut: make(map[[2]int]bool), slow: make(map[[2]int]time.Duration)}
+func newSim(seed uint64, hosts int) *sim { return newSeededSim(seed, hosts, 0) }
+
+// newSeededSim returns a group that is joined through the first three hosts
+// and keeps so many voters.
+func newSeededSim(seed uint64, hosts, voters int) *sim {
+	s := &sim{voters: voters, rng: rand.New(rand.NewPCG(seed, seed)), cut: make(map[[2]int]bool), slow: make(map[[2]int]time.Duration)}
 	for i := range hosts {
 		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7000+i))
 		s.peers = append(s.peers, Peer{Name: fmt.Sprintf("h%d", i), Addr: addr})
@@ -136,12 +147,16 @@
 	h.boots++
 	h.machine = &recorder{}
 	h.inbox, h.calls = nil, nil
-	g, err := New(Options{
+	o := Options{
 		Name: h.peer.Name, Addr: h.peer.Addr, Peers: append(slices.Clone(s.peers), h.peer), FS: h.fs, Machine: h.machine,
 		Transport: h, Clock: h, SnapshotEvery: 40, Trailing: 15,
 		Rand:  rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
 		NewID: func() string { return fmt.Sprintf("%s-%d", h.peer.Name, h.boots) },
-	})
+	}
+	if s.voters > 0 {
+		o.Peers, o.Seeds, o.Voters, o.Bootstrap = nil, s.seeds, s.voters, !h.emptied
+	}
+	g, err := New(o)
 	if err != nil {
 		var ce *journaler.CorruptError
 		Expect(errors.As(err, &ce)).To(BeFalse(), "a crash looks like damage: %v", err)
@@ -152,6 +167,15 @@
 	h.g = g
 }
 
+// seeds returns the present addresses of the first three hosts.
+func (s *sim) seeds() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, h := range s.hosts[:3] {
+		out = append(out, h.peer.Addr)
+	}
+	return out
+}
+
 // crash ends the member; what its disk had not synced is lost or torn.
 func (s *sim) crash(h *host) {
 	h.fs.Fault(nil)
@@ -308,9 +332,21 @@
 		if s.wipes == s.repairs && s.repaired() {
 			s.wipe(h)
 		}
+	case 4:
+		if s.voters > 0 && s.wipes == s.repairs && s.repaired() {
+			s.replace(h)
+		}
 	}
 }
 
+// replace takes the host away for good; an empty one comes at another address.
+func (s *sim) replace(h *host) {
+	s.wipe(h)
+	s.replaced++
+	h.peer.Name += "r"
+	h.peer.Addr = netip.AddrPortFrom(h.peer.Addr.Addr(), h.peer.Addr.Port()+1000)
+}
+
 // rewire gives the network new faults, or none.
 func (s *sim) rewire() {
 	clear(s.cut)
@@ -365,6 +401,7 @@
 	h.fs.Wipe()
 	h.g = nil
 	h.down = s.now + s.between(0, time.Second)
+	h.emptied = true
 	s.wipes++
 }
 
@@ -379,6 +416,9 @@
 	if c.confs[len(c.confs)-1].index > c.commit || c.commit < c.termStart || len(c.conf()) != len(s.hosts) {
 		return false
 	}
+	if s.voters > 0 {
+		return s.manned(c)
+	}
 	for _, h := range s.hosts {
 		if h.g == nil || !c.isVoter(h.g.ID()) {
 			return false
@@ -387,6 +427,20 @@
 	return true
 }
 
+// manned reports whether the group has its number of voters and every host's
+// present identity is a member.
+func (s *sim) manned(c *core) bool {
+	for _, h := range s.hosts {
+		if h.g == nil {
+			return false
+		}
+		if _, ok := c.member(h.g.ID()); !ok {
+			return false
+		}
+	}
+	return c.countVoters() == min(s.voters, len(s.hosts))
+}
+
 func (s *sim) leader() *host {
 	var lead *host
 	for _, h := range s.hosts {
