Keep author-named documents and ordered rollouts in the control group

Cause: a configuration had a base version but no version chosen by its author, and an operator could not order a rollout with a duration.

Change: two more kinds of items in the state machine.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -62,6 +62,9 @@
 		Quarantine *Quarantine      `cbor:"quarantine,omitempty"`
 		Own        *Own             `cbor:"own,omitempty"`
 		Prune      *Prune           `cbor:"prune,omitempty"`
+		Put        *Document        `cbor:"put,omitempty"`
+		Order      *RolloutOrder    `cbor:"order,omitempty"`
+		Step       *RolloutStep     `cbor:"step,omitempty"`
 	}
 
 	// Result is what Machine.Apply returns for a Command.
@@ -84,6 +87,9 @@
 		Promote    *Promoted        `cbor:"promote,omitempty"`
 		Quarantine *Quarantined     `cbor:"quarantine,omitempty"`
 		Own        *Owned           `cbor:"own,omitempty"`
+		// Put is the version of the document in force.
+		Put     uint64   `cbor:"put,omitempty"`
+		Ordered *Ordered `cbor:"ordered,omitempty"`
 		// Fault says that the item was not understood.
 		Fault string `cbor:"fault,omitempty"`
 	}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -54,6 +54,9 @@
 		ledger biller.Ledger
 		pins   pinTable
 		owners map[string]owner
+
+		document Document
+		rollouts []OrderedRollout
 	}
 
 	// stamp is what all items of one command share.
@@ -156,6 +159,12 @@
 		return Answer{Quarantine: m.quarantine(it.Quarantine)}
 	case it.Own != nil:
 		return Answer{Own: m.own(s, it.Own)}
+	case it.Put != nil:
+		return Answer{Put: m.put(it.Put)}
+	case it.Order != nil:
+		return Answer{Ordered: m.order(s, it.Order)}
+	case it.Step != nil:
+		return Answer{Done: m.stepOrder(it.Step)}
 	case it.Prune != nil:
 		m.pruneOwners(s.at)
 		return Answer{Done: true}
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -32,7 +32,9 @@
 		Ledger        biller.Export         `cbor:"ledger"`
 		Pins          []savedPin            `cbor:"pins,omitempty"`
 		// Owners is a map with text keys, which the codec sorts.
-		Owners map[string]owner `cbor:"owners,omitempty"`
+		Owners   map[string]owner `cbor:"owners,omitempty"`
+		Document Document         `cbor:"document"`
+		Rollouts []OrderedRollout `cbor:"rollouts,omitempty"`
 	}
 
 	savedAnswer struct {
@@ -56,8 +58,9 @@
 		ViewVersion: m.view.Version, Progress: m.view.Progress, Quarantined: m.view.Quarantined,
 		// The elements of the history never change, and appending does not
 		// touch those within this length.
-		History: m.history[:len(m.history):len(m.history)],
-		Owners:  make(map[string]owner, len(m.owners)),
+		History:  m.history[:len(m.history):len(m.history)],
+		Owners:   make(map[string]owner, len(m.owners)),
+		Document: m.document, Rollouts: m.rollouts,
 	}
 	for _, k := range m.answers.order {
 		s.Answers = append(s.Answers, savedAnswer{Key: k, Answer: m.answers.byID[k]})
@@ -122,6 +125,10 @@
 	for k, v := range s.Owners {
 		m.owners[k] = v
 	}
+	m.document, m.rollouts = s.Document, s.Rollouts
+	for i := range m.rollouts {
+		m.rollouts[i].StartedAt = m.rollouts[i].StartedAt.UTC()
+	}
 	m.view.Progress, m.view.Quarantined = s.Progress, s.Quarantined
 	for i := range m.view.Progress {
 		m.view.Progress[i].Since = m.view.Progress[i].Since.UTC()
