--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -39,6 +39,8 @@
 			statusCommand(),
 			ledgerCommand(),
 			serveCommand(),
+			entryCommand(),
+			controlCommand(),
 			compareCommand(),
 			loadCommand(),
 			reportCommand(),
--- /dev/null
+++ b/coordinator/lead.go
@@ -0,0 +1,79 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+
+	"foxtailwall/controller"
+	"foxtailwall/stager"
+	"foxtailwall/timekeeper"
+)
+
+// runList reads the list of upstreams while this host leads.
+func (c *Coordinator) runList(ctx context.Context) {
+	for leading := false; timekeeper.Sleep(ctx, c.set.Clock, listEvery) == nil; {
+		if !c.Leading() {
+			if leading {
+				c.hub.Forget()
+			}
+			leading = false
+			continue
+		}
+		leading = true
+		c.readList(ctx)
+	}
+}
+
+func (c *Coordinator) readList(ctx context.Context) {
+	list, err := c.set.List(ctx)
+	if err != nil {
+		c.set.Scope.Counter("coordinator.listFailed").Inc(1)
+		c.set.Log.Info().AnErr("cause", err).Msg("the list of upstreams was not read")
+		return
+	}
+	if !c.inv.Update(list) && len(c.hub.Upstreams()) > 0 {
+		c.hub.Reread()
+		return
+	}
+	c.lists++
+	c.hub.Put(fmt.Sprintf("%s/%d/%d", c.set.Name, c.set.Clock.Now().UnixNano(), c.lists), c.inv.List())
+	c.set.Log.Info().Int("upstreams", len(list)).Msg("the list of upstreams has changed")
+}
+
+// runRollouts moves rollouts on while this host leads.
+func (c *Coordinator) runRollouts(ctx context.Context) {
+	for timekeeper.Sleep(ctx, c.set.Clock, orderEvery) == nil {
+		if !c.Leading() {
+			continue
+		}
+		for _, r := range c.Published().Rollouts {
+			if r.State == controller.RolloutRunning {
+				c.moveOn(ctx, r)
+			}
+		}
+	}
+}
+
+func (c *Coordinator) moveOn(ctx context.Context, r controller.OrderedRollout) {
+	e := stager.Evidence{Counts: c.hub.Counts(), Running: c.hub.Running(r.Service)}
+	for _, u := range c.hub.Upstreams() {
+		switch {
+		case u.Service != r.Service || u.Leaving:
+		case u.Version == r.Target:
+			e.Ready++
+		default:
+			e.Old++
+		}
+	}
+	step, ok := stager.Next(r, c.set.Clock.Now(), e)
+	if !ok {
+		return
+	}
+	if _, err := c.propose(ctx, controller.Item{Step: &step}); err != nil {
+		c.set.Log.Info().Str("service", r.Service).AnErr("cause", err).Msg("the step of a rollout was not taken")
+		return
+	}
+	c.set.Log.Info().Str("service", r.Service).Str("target", r.Target).Str("state", string(step.State)).
+		Int("share", step.Share).Bool("moving", step.Moving).Int("ready", e.Ready).Int("old", e.Old).
+		Msg("rollout moved on")
+}
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"io"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +26,8 @@
 	maxHeader = 64 << 10
 	// readBuffer is small since every open stream holds one.
 	readBuffer = 4 << 10
+	// maxInformational bounds the 1xx answers before the real one.
+	maxInformational = 8
 )
 
 type (
@@ -38,6 +41,9 @@
 		// reused says that an exchange on the connection has succeeded.
 		reused bool
 		since  time.Time
+		// keep is how long the peer keeps the connection when it is unused;
+		// zero means that it has not said so.
+		keep time.Duration
 	}
 
 	// countedConn counts the bytes handed to the network.
@@ -76,7 +82,7 @@
 	return n, err
 }
 
-func newNetDialer() net.Dialer {
+func newNetDialer(userTimeout time.Duration) net.Dialer {
 	return net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3,
@@ -87,7 +93,7 @@
 				// Sent bytes that stay unacknowledged end the connection;
 				// the kernel's default would wait for 15 minutes.
 				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-					int(defaultUserTimeout.Milliseconds()))
+					int(userTimeout.Milliseconds()))
 			})
 			return errors.CombineErrors(cerr, err)
 		},
@@ -135,6 +141,51 @@
 	return &router.AttemptError{Kind: kind, Outcome: refuser.NotRun, Err: errors.Wrap(err, "open connection")}
 }
 
+// send writes a request. Header and body go out together where the connection
+// allows it.
+func (c *conn) send(head, body []byte) error {
+	bufs := net.Buffers{head}
+	if len(body) > 0 {
+		bufs = append(bufs, body)
+	}
+	if c.Conn != net.Conn(c.raw) {
+		_, err := bufs.WriteTo(c.Conn)
+		return err
+	}
+	// The counting wrapper hides the vectored write, so count its result.
+	n, err := bufs.WriteTo(c.raw.Conn)
+	c.raw.sent.Add(n)
+	return err
+}
+
+// header reads the header of the next answer, whose body the caller reads.
+func (c *conn) header(method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for range maxInformational {
+		c.limit.armed, c.limit.left = true, maxHeader
+		resp, err := http.ReadResponse(c.br, req) //nolint:bodyclose // The exchange ends with its connection.
+		c.limit.armed = false
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.Newf("the upstream switched protocols unasked")
+		}
+	}
+	return nil, errors.Newf("the upstream sent more than %d informational answers", maxInformational)
+}
+
+// expired reports whether the connection has been unused for too long.
+func (c *conn) expired(now time.Time, idle time.Duration) bool {
+	if c.keep > 0 {
+		idle = min(idle, c.keep)
+	}
+	return now.Sub(c.since) >= idle
+}
+
 // quiet reports whether the peer has neither closed the idle connection nor
 // sent anything on it. Either would make the next request fail after it was
 // sent, or give it the answer of an earlier one.
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -32,6 +32,7 @@
 	"crypto/tls"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,6 +99,9 @@
 		MaxBody int64
 		// MaxEvent bounds one chunk of a streamed answer, in bytes.
 		MaxEvent int
+		// UserTimeout is the time after which sent bytes that stay
+		// unacknowledged end a connection.
+		UserTimeout time.Duration
 	}
 
 	// Dialer sends attempts. It implements router.Upstreams. Make it with
@@ -127,7 +131,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dialer{
-		o: o, net: newNetDialer(), cancel: cancel,
+		o: o, net: newNetDialer(o.UserTimeout), cancel: cancel,
 		idle: make(map[netip.AddrPort][]*conn),
 	}
 	if d.o.Dial == nil {
@@ -163,7 +167,7 @@
 		if c == nil {
 			break
 		}
-		if d.o.Clock.Since(c.since) < d.o.Idle && c.quiet() {
+		if !c.expired(d.o.Clock.Now(), d.o.Idle) && c.quiet() {
 			c.reused = true
 			return c, nil
 		}
@@ -214,15 +218,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for addr, cs := range d.idle {
-		n := 0
-		for n < len(cs) && now.Sub(cs[n].since) >= d.o.Idle {
-			cs[n].Close()
-			n++
-		}
-		if n == len(cs) {
+		left := slices.DeleteFunc(cs, func(c *conn) bool {
+			if !c.expired(now, d.o.Idle) {
+				return false
+			}
+			c.Close()
+			return true
+		})
+		if len(left) == 0 {
 			delete(d.idle, addr)
-		} else if n > 0 {
-			d.idle[addr] = append([]*conn(nil), cs[n:]...)
+		} else {
+			d.idle[addr] = left
 		}
 	}
 }
@@ -246,6 +252,7 @@
 	o.MaxIdle = or(o.MaxIdle, defaultMaxIdle)
 	o.MaxBody = or(o.MaxBody, defaultMaxBody)
 	o.MaxEvent = or(o.MaxEvent, defaultMaxEvent)
+	o.UserTimeout = or(o.UserTimeout, defaultUserTimeout)
 	return o
 }
 
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -23,8 +22,6 @@
 	resumeHeader   = "Foxtailwall-Resume"
 	notRunHeader   = "Foxtailwall-Not-Run"
 
-	// maxInformational bounds the 1xx answers before the real one.
-	maxInformational = 8
 	// maxRetryAfter bounds what an upstream may ask callers to wait.
 	maxRetryAfter = time.Minute
 )
@@ -95,19 +92,7 @@
 // send writes the request. Header and body go out together where the
 // connection allows it.
 func (x *exchange) send() error {
-	head := x.appendHead(make([]byte, 0, 512))
-	bufs := net.Buffers{head}
-	if len(x.a.Body) > 0 {
-		bufs = append(bufs, x.a.Body)
-	}
-	if x.c.Conn != net.Conn(x.c.raw) {
-		_, err := bufs.WriteTo(x.c.Conn)
-		return err
-	}
-	// The counting wrapper hides the vectored write, so count its result.
-	n, err := bufs.WriteTo(x.c.raw.Conn)
-	x.c.raw.sent.Add(n)
-	return err
+	return x.c.send(x.appendHead(make([]byte, 0, 512)), x.a.Body)
 }
 
 func (x *exchange) appendHead(b []byte) []byte {
@@ -170,23 +155,9 @@
 
 // header reads the header of the answer.
 func (x *exchange) header() error {
-	req := &http.Request{Method: x.a.Method}
-	for range maxInformational {
-		x.c.limit.armed, x.c.limit.left = true, maxHeader
-		resp, err := http.ReadResponse(x.c.br, req) //nolint:bodyclose // The exchange ends with its connection.
-		x.c.limit.armed = false
-		if err != nil {
-			return err
-		}
-		if resp.StatusCode >= http.StatusOK {
-			x.resp = resp
-			return nil
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return errors.Newf("the upstream switched protocols unasked")
-		}
-	}
-	return errors.Newf("the upstream sent more than %d informational answers", maxInformational)
+	resp, err := x.c.header(x.a.Method)
+	x.resp = resp
+	return err
 }
 
 // verify checks that the answer belongs to the attempt and that its end can
--- a/dialer/watcher.go
+++ b/dialer/watcher.go
@@ -41,8 +41,11 @@
 	// watch is the progress of one exchange. Its times are nanoseconds after
 	// the base of the watcher.
 	watch struct {
-		owner    *watcher
-		stop     func()
+		owner *watcher
+		stop  func()
+		// more is asked, if it is set, when the progress bound is missed. It
+		// returns the time to add, zero to stop the exchange.
+		more     func() time.Duration
 		progress atomic.Int64
 		deadline atomic.Int64
 		fired    atomic.Int32
@@ -82,8 +85,11 @@
 }
 
 // add returns a watch without bounds; stop is called once if one is missed.
-func (w *watcher) add(stop func()) *watch {
-	x := &watch{owner: w, stop: stop}
+func (w *watcher) add(stop func()) *watch { return w.addWith(stop, nil) }
+
+// addWith also sets the function that is asked for more time.
+func (w *watcher) addWith(stop func(), more func() time.Duration) *watch {
+	x := &watch{owner: w, stop: stop, more: more}
 	x.progress.Store(math.MaxInt64)
 	x.deadline.Store(math.MaxInt64)
 	w.mu.Lock()
@@ -115,6 +121,10 @@
 	case now >= x.deadline.Load():
 		x.fired.Store(int32(pastDeadline))
 	case now >= x.progress.Load():
+		if d := x.extension(); d > 0 {
+			x.progress.Store(now + int64(d))
+			return false
+		}
 		x.fired.Store(int32(noProgress))
 	default:
 		return false
@@ -122,5 +132,12 @@
 	return true
 }
 
+func (x *watch) extension() time.Duration {
+	if x.more == nil {
+		return 0
+	}
+	return x.more()
+}
+
 // reason tells why the exchange was stopped, inTime if it was not.
 func (x *watch) reason() reason { return reason(x.fired.Load()) }
--- /dev/null
+++ b/forwarder/call.go
@@ -0,0 +1,455 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"foxtailwall/controller"
+	"foxtailwall/dialer"
+	"foxtailwall/matcher"
+	"foxtailwall/placer"
+	"foxtailwall/refuser"
+	"foxtailwall/router"
+	"foxtailwall/tracker"
+)
+
+const (
+	// maxTries bounds the attempts of a request, also those that reached no
+	// upstream.
+	maxTries = 6
+	// maxAnswer bounds an answer that is not a stream, in bytes.
+	maxAnswer = 16 << 20
+	// defaultBody bounds a request's body where the configuration does not, in
+	// bytes.
+	defaultBody = 16 << 20
+	// shortestTry is the least time for which a request is sent to an
+	// upstream.
+	shortestTry = 20 * time.Millisecond
+	// workPerRequest is the work of a request beside that of its tokens, in
+	// tokens.
+	workPerRequest = 400
+)
+
+type (
+	// call is one request of a caller.
+	call struct {
+		f     *Forwarder
+		w     http.ResponseWriter
+		r     *http.Request
+		begun time.Time
+
+		env       Envelope
+		table     *matcher.Table
+		route     *matcher.Route
+		service   *matcher.Service
+		workspace string
+		urgency   int
+		body      []byte
+		until     time.Time
+
+		session uint64
+		rollout *controller.OrderedRollout
+		target  bool
+
+		tries int
+		// arrivals counts the attempts of which an upstream has received
+		// something, ran those that may have run.
+		arrivals, ran int
+		tried         []tracker.Key
+		// last is a failure that an upstream answered, for when no other
+		// attempt can be made.
+		last *answer
+
+		// What of a stream was forwarded.
+		started bool
+		events  int
+		lastID  string
+		model   string
+		size    int
+	}
+
+	// answer is a whole answer of an upstream.
+	answer struct {
+		status int
+		header http.Header
+		body   []byte
+	}
+)
+
+// admit finds route and workspace and reads the body.
+func (c *call) admit() *refusal {
+	cur := c.f.InForce()
+	if cur.Table == nil {
+		return refuse(http.StatusServiceUnavailable, refuser.NotConfigured, startWait)
+	}
+	c.table = cur.Table
+	c.env = c.f.set.Codec.Request(c.r.Header)
+	target := c.r.RequestURI
+	path, _, _ := strings.Cut(target, "?")
+	route, ok := c.table.Route(hostOnly(c.r.Host), path)
+	if !ok {
+		return refuse(http.StatusNotFound, refuser.UnknownService, 0)
+	}
+	c.route = route
+	if ref := c.identify(); ref != nil {
+		return ref
+	}
+	if c.env.ID == "" {
+		return refuse(http.StatusBadRequest, refuser.BadRequest, 0)
+	}
+	wait := route.Timeout
+	if c.env.Wait > 0 {
+		wait = min(wait, c.env.Wait)
+	}
+	c.until = c.begun.Add(wait)
+	if ref := c.readBody(); ref != nil {
+		return ref
+	}
+	c.assign(cur)
+	return nil
+}
+
+// identify finds the workspace that holds the caller's key.
+func (c *call) identify() *refusal {
+	c.urgency = c.route.Priority
+	if !c.table.Keyed() {
+		return nil
+	}
+	ws, ok := c.table.Workspace(c.env.Key)
+	switch {
+	case ok:
+		c.workspace = ws.Name
+		if ws.Priority != nil {
+			c.urgency = *ws.Priority
+		}
+	case !c.route.Open:
+		return refuse(http.StatusUnauthorized, refuser.Unauthorized, 0)
+	}
+	return nil
+}
+
+func (c *call) readBody() *refusal {
+	most := c.table.Limits().BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	if c.r.ContentLength > most {
+		return refuse(http.StatusRequestEntityTooLarge, refuser.BodyTooLarge, 0)
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	if n := c.r.ContentLength; n > 0 {
+		c.body = make([]byte, n)
+		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
+			return refuse(http.StatusBadRequest, refuser.BadRequest, 0)
+		}
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(c.r.Body, most+1))
+	if err != nil {
+		return refuse(http.StatusBadRequest, refuser.BadRequest, 0)
+	}
+	if int64(len(b)) > most {
+		return refuse(http.StatusRequestEntityTooLarge, refuser.BodyTooLarge, 0)
+	}
+	c.body = b
+	return nil
+}
+
+// assign chooses service, version and model.
+func (c *call) assign(cur InForce) {
+	c.session = c.sessionHash()
+	name := c.route.Split(xxhash.Sum64String(c.env.ID))
+	c.service, _ = c.table.Service(name) // Check has found it.
+	c.f.set.Budget.Request(name)
+	if r, ok := cur.Rollouts[name]; ok {
+		c.rollout = &r
+	}
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	if c.rollout == nil {
+		c.f.assigner.Note(name, c.session, false, c.begun)
+		return
+	}
+	c.target = c.f.assigner.Target(*c.rollout, c.session, c.begun)
+}
+
+// sessionHash returns what the requests of a session have in common: what the
+// caller names, else the part of the prompt that is shared by the fewest.
+func (c *call) sessionHash() uint64 {
+	if c.env.Session != "" {
+		return xxhash.Sum64String(c.env.Session)
+	}
+	if n := len(c.env.Parts); n >= 2 {
+		return c.env.Parts[n-2].ID
+	}
+	return xxhash.Sum64String(c.env.ID)
+}
+
+// group returns the hash of the parts of the prompt that other requests share.
+func (c *call) group() uint64 {
+	if n := len(c.env.Parts); n >= 2 {
+		return c.env.Parts[n-2].ID | 1
+	}
+	return 0
+}
+
+// run makes attempts until the request is answered.
+func (c *call) run() {
+	if c.route.Sizes != nil && c.env.AnyModel {
+		c.model = c.route.Sizes[c.size]
+	}
+	for {
+		t, ref := c.place()
+		if ref != nil {
+			c.giveUp(ref)
+			return
+		}
+		if c.attempt(t) {
+			return
+		}
+	}
+}
+
+// place chooses the upstream for the next attempt, or says why there is none.
+func (c *call) place() (*placer.Ticket, *refusal) {
+	left := c.until.Sub(c.f.set.Clock.Now())
+	switch {
+	case c.r.Context().Err() != nil:
+		return nil, refuse(0, refuser.DeadlineExceeded, 0)
+	case left < shortestTry:
+		return nil, refuse(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0)
+	case c.tries >= maxTries, c.arrivals >= max(c.route.MaxAttempts, 1):
+		return nil, refuse(http.StatusBadGateway, refuser.UpstreamFailed, busyWait)
+	}
+	req := placer.Request{Service: c.service.Name, Versions: c.versions(), Tried: c.tried}
+	if c.service.Engine != nil {
+		req.Group = c.group()
+		req.Work = float64(c.env.Input+c.env.Output) + workPerRequest
+	}
+	t, ok := c.f.set.Placer.Pick(req)
+	if !ok && len(c.tried) > 0 {
+		// All upstreams were tried; a second time is better than none.
+		req.Tried = nil
+		t, ok = c.f.set.Placer.Pick(req)
+	}
+	if !ok {
+		return nil, refuse(http.StatusServiceUnavailable, refuser.NoUpstream, startWait)
+	}
+	if c.arrivals > 0 && !c.f.set.Budget.Allow(c.service.Name) {
+		t.Done(placer.Abandoned, 0)
+		return nil, refuse(http.StatusBadGateway, refuser.RetryBudget, busyWait)
+	}
+	c.tries++
+	c.tried = append(c.tried, t.Upstream().Key())
+	return t, nil
+}
+
+// versions restricts the upstreams to those of the request's version.
+func (c *call) versions() placer.Versions {
+	switch {
+	case c.rollout == nil:
+		return placer.Versions{}
+	case c.target:
+		return placer.Versions{Only: c.rollout.Target}
+	}
+	return placer.Versions{Not: c.rollout.Target}
+}
+
+// attempt sends the request to one upstream and reports whether the request is
+// answered.
+func (c *call) attempt(t *placer.Ticket) bool {
+	up := t.Upstream()
+	sent := c.f.set.Clock.Now()
+	g := &guard{c: c, t: t, since: sent}
+	fw := &dialer.Forward{
+		Upstream: up.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
+		Fields: c.f.set.Codec.Fields(c.r.Header, Dispatch{
+			Upstream: up.ID, Workspace: c.workspace, Left: c.until.Sub(sent), Model: c.model,
+			Resume: c.lastID, Urgency: c.engineUrgency(),
+		}),
+		Body: c.body, ID: c.env.ID, IDField: c.f.set.Codec.IDField(),
+		Fresh: c.route.Kind == matcher.NonIdempotent && c.tries > 1, Deadline: c.until,
+		FirstByte: g.first(), More: g.more,
+	}
+	ans, err := c.f.set.Upstreams.Forward(c.r.Context(), fw)
+	if err != nil {
+		return c.failed(t, err)
+	}
+	c.arrivals++
+	t.Heard()
+	return c.answered(t, ans, g, sent)
+}
+
+// engineUrgency is the urgency that engines are told, below 0 for plain
+// services.
+func (c *call) engineUrgency() int {
+	if c.service.Engine == nil {
+		return -1
+	}
+	return min(max(c.urgency, 0), 9)
+}
+
+// failed handles an attempt without a header, or one that broke off.
+func (c *call) failed(t *placer.Ticket, err error) bool {
+	var ae *router.AttemptError
+	if !errors.As(err, &ae) {
+		ae = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Err: err}
+	}
+	if ae.Outcome != refuser.NotRun {
+		c.arrivals++
+		c.ran++
+	}
+	t.Done(placement(ae.Kind, ae.Outcome), 0)
+	c.logAttempt(t.Upstream(), string(ae.Kind), ae.Outcome, ae.Err)
+	if c.r.Context().Err() != nil {
+		c.logEnd(0, "callerLeft")
+		return true
+	}
+	if ae.Kind == router.FailDeadline {
+		c.giveUp(refuse(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0))
+		return true
+	}
+	if ae.Outcome == refuser.NotRun || c.route.Repeatable() {
+		return false
+	}
+	c.giveUp(refuse(http.StatusBadGateway, refuser.OutcomeUnknown, 0))
+	return true
+}
+
+// placement says what the failure of an attempt tells about the upstream.
+func placement(k router.FailKind, o refuser.Outcome) placer.Outcome {
+	switch k {
+	case router.FailRefused:
+		return placer.Refused
+	case router.FailStalled:
+		return placer.Silent
+	case router.FailSilent, router.FailCancelled, router.FailDeadline:
+		return placer.Abandoned
+	case router.FailReset, router.FailCut, router.FailMismatch, router.FailMalformed:
+		if o == refuser.NotRun {
+			return placer.Abandoned
+		}
+		return placer.Broken
+	}
+	return placer.Abandoned
+}
+
+// answered handles an answer whose header was read.
+func (c *call) answered(t *placer.Ticket, ans *dialer.Forwarded, g *guard, sent time.Time) bool {
+	reply := c.f.set.Codec.Reply(ans.Header)
+	first := c.f.set.Clock.Since(sent)
+	switch {
+	case reply.NotRun:
+		return c.notRun(t, ans)
+	case !sound(ans, reply, c.env.ID):
+		ans.Abort()
+		c.ran++
+		return c.unusable(t, "the answer is not the upstream's")
+	case c.route.Kind == matcher.Stream && ans.Status == http.StatusOK:
+		return c.stream(t, ans, g, first)
+	}
+	c.ran++
+	return c.whole(t, ans, first)
+}
+
+// sound reports whether the answer is what an upstream answers to this
+// request.
+func sound(ans *dialer.Forwarded, reply Reply, id string) bool {
+	if ans.Status/100 != 2 {
+		return true
+	}
+	return reply.Signed && reply.ID == id && ans.Header.Get("Content-Encoding") == ""
+}
+
+// notRun handles an answer that proves that the request did not run.
+func (c *call) notRun(t *placer.Ticket, ans *dialer.Forwarded) bool {
+	status := ans.Status
+	if _, err := io.Copy(io.Discard, io.LimitReader(ans, maxAnswer)); err == nil {
+		ans.Finish()
+	}
+	ans.Abort()
+	out := placer.Busy
+	if status == http.StatusMisdirectedRequest {
+		out = placer.Misdirected
+		// Nothing that may run the request has received it.
+		c.arrivals--
+	}
+	t.Done(out, 0)
+	c.logAttempt(t.Upstream(), "refused", refuser.NotRun, errors.Newf("status %d", status))
+	return false
+}
+
+// unusable ends an attempt whose answer cannot be used.
+func (c *call) unusable(t *placer.Ticket, why string) bool {
+	t.Done(placer.Broken, 0)
+	c.logAttempt(t.Upstream(), string(router.FailMalformed), refuser.Unknown, errors.Newf("%s", why))
+	if c.route.Repeatable() {
+		return false
+	}
+	c.giveUp(refuse(http.StatusBadGateway, refuser.OutcomeUnknown, 0))
+	return true
+}
+
+// whole reads an answer to its end and forwards it, unless another upstream
+// may do better.
+func (c *call) whole(t *placer.Ticket, ans *dialer.Forwarded, first time.Duration) bool {
+	body, err := readAnswer(ans)
+	if err != nil {
+		// The attempt was counted when its header came.
+		c.arrivals--
+		c.ran--
+		return c.failed(t, err)
+	}
+	ans.Finish()
+	a := &answer{status: ans.Status, header: ans.Header, body: body}
+	c.count(t.Upstream(), ans.Status >= http.StatusInternalServerError, first)
+	if ans.Status < http.StatusInternalServerError {
+		t.Done(placer.Good, first)
+		c.deliver(a)
+		return true
+	}
+	t.Done(placer.Failed, first)
+	c.logAttempt(t.Upstream(), string(router.FailStatus), refuser.Ran, errors.Newf("status %d", ans.Status))
+	if c.route.Repeatable() && ans.Status != http.StatusGatewayTimeout {
+		c.last = a
+		return false
+	}
+	c.deliver(a)
+	return true
+}
+
+func readAnswer(ans *dialer.Forwarded) ([]byte, error) {
+	if ans.Length > maxAnswer {
+		return nil, errors.Newf("the answer exceeds %d bytes", maxAnswer)
+	}
+	if ans.Length >= 0 {
+		body := make([]byte, ans.Length)
+		_, err := io.ReadFull(ans, body)
+		if err != nil || ans.Length == 0 {
+			return body, err
+		}
+		// The end of the body frees the connection.
+		_, err = ans.Read(make([]byte, 1))
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(ans, maxAnswer))
+}
+
+// hostOnly returns the host without its port.
+func hostOnly(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
--- /dev/null
+++ b/forwarder/guard.go
@@ -0,0 +1,76 @@
+package forwarder
+
+import (
+	"time"
+
+	"foxtailwall/matcher"
+	"foxtailwall/placer"
+)
+
+const (
+	// silentBase and silentPerToken are the time for which an upstream that
+	// sends nothing at all is waited for: reading a prompt takes long.
+	silentBase     = 500 * time.Millisecond
+	silentPerToken = 60 * time.Microsecond
+	// silentPause is the part of the longest pause of a stream on time after
+	// which an upstream that sends nothing at all is given up.
+	silentPause = 0.55
+	// defaultPause stands for a longest pause that the route does not state.
+	defaultPause = 800 * time.Millisecond
+	// extraWait is added while the upstream sends to other requests.
+	extraWait = 150 * time.Millisecond
+	// patience is how often the target the first event may take at an
+	// upstream that answers other requests.
+	patience = 2.0
+	// pausePatience is the same for pauses, as a multiple of the longest.
+	pausePatience = 3.0
+)
+
+// guard decides how long an attempt may stay without progress.
+//
+// It answers upstreams that go silent without closing their connections. An
+// upstream that sends to other requests is only slow, and moving the request
+// would cost more than waiting; one that sends nothing at all is given up well
+// before the caller's patience ends.
+type guard struct {
+	c *call
+	t *placer.Ticket
+	// since is when the attempt was sent, or when its last event came.
+	since time.Time
+	begun bool
+}
+
+// first returns the bound on the time to the header of the answer, zero if the
+// request may not be sent again and so has to wait.
+func (g *guard) first() time.Duration {
+	if !g.c.route.Repeatable() {
+		return 0
+	}
+	return silentBase + time.Duration(g.c.env.Input)*silentPerToken
+}
+
+// pause returns the bound on the time to the next event.
+func (g *guard) pause() time.Duration {
+	return time.Duration(silentPause * float64(g.longest()))
+}
+
+func (g *guard) longest() time.Duration {
+	if g.c.route.MaxPause > 0 {
+		return g.c.route.MaxPause
+	}
+	return defaultPause
+}
+
+// more returns the time to add when a bound is missed. It is called by the
+// dialer's watch.
+func (g *guard) more() time.Duration {
+	waited := g.c.f.set.Clock.Since(g.since)
+	limit := time.Duration(patience * float64(g.c.route.Target))
+	if g.begun {
+		limit = time.Duration(pausePatience * float64(g.longest()))
+	}
+	if g.c.route.Kind == matcher.Stream && waited < limit && g.t.HeardSince(g.since) {
+		return extraWait
+	}
+	return 0
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,293 @@
+// Package placer chooses the upstream for each attempt of a request.
+//
+// It knows what this host itself has under way and how attempts have ended;
+// no upstream is asked for its health. Upstreams of the host's own zone come
+// first. Requests that share the beginning of a prompt are kept together on
+// the same engines by rendezvous hashing with bounded load, so that all hosts
+// agree without messages; requests to plain services go where the expected
+// wait is shortest.
+//
+// # Usage
+//
+//	p := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+//	p.Update(list)
+//	t, ok := p.Pick(placer.Request{Service: "engines", Group: hash, Work: 1200})
+//	if !ok {
+//		// No upstream may serve the request now.
+//	}
+//	t.Done(placer.Good, firstByte)
+package placer
+
+import (
+	"sync"
+	"time"
+
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+// Outcomes of attempts.
+const (
+	// Good means that the whole answer arrived.
+	Good Outcome = iota
+	// Failed means that the upstream answered with a failure of its own.
+	Failed
+	// Broken means that the answer broke off or was no answer.
+	Broken
+	// Refused means that no connection could be opened.
+	Refused
+	// Silent means that the upstream sent nothing for too long.
+	Silent
+	// Busy means that the upstream refused the request because it is full.
+	Busy
+	// Misdirected means that another upstream has the address.
+	Misdirected
+	// Abandoned means that the attempt was given up for reasons that say
+	// nothing about the upstream.
+	Abandoned
+)
+
+const (
+	// ejectBase is how long an upstream is passed over after its first
+	// failure; it doubles up to ejectMost with each further one.
+	ejectBase = 500 * time.Millisecond
+	ejectMost = 4 * time.Second
+	// ejectBusy is how long a full upstream is passed over.
+	ejectBusy = 60 * time.Millisecond
+	// ejectGone is how long an address that belongs to another upstream is
+	// passed over; the list will have changed by then.
+	ejectGone = 10 * time.Second
+	// ejectGrey is how long an upstream is passed over that fails more often
+	// or answers later than its peers.
+	ejectGrey = 1500 * time.Millisecond
+
+	// rateDecay is the weight of the newest outcome in the failure rates.
+	rateDecay = 0.1
+	// greyRate is how far above the rate of its peers an upstream's failure
+	// rate may be, and greyLeast the number of outcomes before it counts.
+	greyRate  = 0.25
+	greyLeast = 5
+	// expectedRate is the failure rate of an upstream of which nothing is
+	// known.
+	expectedRate = 0.05
+	// slowRatio is how much later than its peers an upstream may answer, and
+	// slowLeast the smallest time to the first byte that counts as late.
+	slowRatio = 3.0
+	slowLeast = 150 * time.Millisecond
+
+	// loadBound is the load, as a multiple of the mean, up to which requests
+	// of a group stay together, and loadSlack is added to it, in tokens.
+	loadBound = 1.35
+	loadSlack = 6000
+	// spillShare is the part of an engine's slots that one host fills before
+	// it uses other zones.
+	spillShare = 0.6
+	// plainSpill is the number of requests of this host at a plain service
+	// beyond which other zones are used.
+	plainSpill = 3
+	// unknownLatency stands for the latency of an upstream not used yet.
+	unknownLatency = 20 * time.Millisecond
+)
+
+type (
+	// Outcome says how an attempt ended.
+	Outcome uint8
+
+	// Settings configures a Placer.
+	Settings struct {
+		Clock timekeeper.Clock
+		// Zone is the availability zone of this host.
+		Zone string
+	}
+
+	// Versions restricts the versions of a service that may be used.
+	Versions struct {
+		// Only is the one version to use, Not the one not to use; empty
+		// means no restriction.
+		Only, Not string
+	}
+
+	// Request is what matters of a request for its placement.
+	Request struct {
+		Service  string
+		Versions Versions
+		// Group is the hash of what requests share that should run at the
+		// same upstream; zero means nothing.
+		Group uint64
+		// Work is the number of tokens to be read and generated; zero for
+		// plain services.
+		Work float64
+		// Tried lists the upstreams that the request was sent to.
+		Tried []tracker.Key
+	}
+
+	// Placer chooses upstreams. Make it with New. It is safe for use by
+	// several goroutines.
+	Placer struct {
+		set Settings
+
+		mu    sync.Mutex
+		pools map[string]*pool
+	}
+
+	// pool is the upstreams of a service.
+	pool struct {
+		ups []*upstream
+	}
+
+	// upstream is one upstream with what this host knows of it.
+	upstream struct {
+		tracker.Upstream
+		hash uint64
+		// running and work count the requests under way and their tokens.
+		running int
+		work    float64
+
+		outcomes int
+		badRate  float64
+		first    time.Duration
+
+		ejected   time.Time
+		ejections int
+		// trial lets one request through at a time after an ejection.
+		trial bool
+		heard time.Time
+	}
+
+	// Ticket is an attempt under way. Done ends it.
+	Ticket struct {
+		p    *Placer
+		up   *upstream
+		work float64
+		done bool
+	}
+)
+
+// New returns a placer without upstreams.
+func New(s Settings) *Placer {
+	return &Placer{set: s, pools: make(map[string]*pool)}
+}
+
+// Update takes over a list of upstreams. What is known of those that stay is
+// kept.
+func (p *Placer) Update(list []tracker.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := make(map[tracker.Key]*upstream)
+	for _, pl := range p.pools {
+		for _, u := range pl.ups {
+			old[u.Key()] = u
+		}
+	}
+	p.pools = make(map[string]*pool)
+	for _, in := range list {
+		u := old[in.Key()]
+		if u == nil || u.Service != in.Service {
+			u = &upstream{hash: hashString(in.ID)}
+		}
+		u.Upstream = in
+		pl := p.pools[in.Service]
+		if pl == nil {
+			pl = &pool{}
+			p.pools[in.Service] = pl
+		}
+		pl.ups = append(pl.ups, u)
+	}
+}
+
+// Pick chooses an upstream; ok is false if there is none to choose from.
+func (p *Placer) Pick(r Request) (t *Ticket, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.pools[r.Service]
+	if pl == nil {
+		return nil, false
+	}
+	u := p.choose(pl, r)
+	if u == nil {
+		return nil, false
+	}
+	u.running++
+	u.work += r.Work
+	return &Ticket{p: p, up: u, work: r.Work}, true
+}
+
+// Ready returns the number of upstreams of the service that take new
+// requests, in total and of the version.
+func (p *Placer) Ready(service, version string) (all, of int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.pools[service]
+	if pl == nil {
+		return 0, 0
+	}
+	for _, u := range pl.ups {
+		if u.Leaving {
+			continue
+		}
+		all++
+		if u.Version == version {
+			of++
+		}
+	}
+	return all, of
+}
+
+// Running returns the number of requests of this host at upstreams of the
+// service that have another version.
+func (p *Placer) Running(service, not string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	if pl := p.pools[service]; pl != nil {
+		for _, u := range pl.ups {
+			if u.Version != not {
+				n += u.running
+			}
+		}
+	}
+	return n
+}
+
+// Upstream returns the chosen upstream.
+func (t *Ticket) Upstream() tracker.Upstream { return t.up.Upstream }
+
+// Heard notes that bytes have arrived from the upstream.
+func (t *Ticket) Heard() {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	t.up.heard = t.p.set.Clock.Now()
+}
+
+// HeardSince reports whether any request of this host has received bytes from
+// the upstream since the time.
+func (t *Ticket) HeardSince(at time.Time) bool {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	return t.up.heard.After(at)
+}
+
+// Leaving reports whether the upstream is known to be leaving by now.
+func (t *Ticket) Leaving() bool {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	return t.up.Leaving
+}
+
+// Done ends the attempt. The first byte of its answer came after first, which
+// is zero if there was none. Only the first call counts.
+func (t *Ticket) Done(o Outcome, first time.Duration) {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	u := t.up
+	u.running--
+	u.work -= t.work
+	u.note(o, first, t.p.set.Clock.Now())
+	if o == Good || o == Failed || o == Broken {
+		t.p.judge(u)
+	}
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,167 @@
+package placer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/placer"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+func TestPlacer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placer")
+}
+
+// fleet returns so many upstreams of service "s" in each of the zones a, b
+// and c.
+func fleet(each, slots int) []tracker.Upstream {
+	var out []tracker.Upstream
+	for _, z := range []string{"a", "b", "c"} {
+		for i := range each {
+			out = append(out, tracker.Upstream{
+				ID: fmt.Sprintf("%s%d", z, i), Service: "s", Zone: z, Version: "v1", Slots: slots,
+				Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(9000+len(out))),
+			})
+		}
+	}
+	return out
+}
+
+var _ = Describe("Placer", func() {
+	var (
+		clock *timekeeper.Fake
+		p     *placer.Placer
+	)
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(100, 0))
+		p = placer.New(placer.Settings{Clock: clock, Zone: "a"})
+	})
+	pick := func(r placer.Request) *placer.Ticket {
+		r.Service = "s"
+		t, ok := p.Pick(r)
+		Expect(ok).To(BeTrue())
+		return t
+	}
+
+	// Guards against prompts that are read again because hosts send the
+	// requests of a group to different engines.
+	It("sends a group to the same engine from every host", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+		p.Update(fleet(6, 64))
+		other.Update(fleet(6, 64))
+		used := make(map[string]bool)
+		for g := range uint64(50) {
+			a := pick(placer.Request{Group: g + 1, Work: 1000})
+			b, _ := other.Pick(placer.Request{Service: "s", Group: g + 1, Work: 1000})
+			Expect(a.Upstream().ID).To(Equal(b.Upstream().ID))
+			Expect(a.Upstream().Zone).To(Equal("a"))
+			used[a.Upstream().ID] = true
+			a.Done(placer.Good, time.Millisecond)
+			b.Done(placer.Good, time.Millisecond)
+		}
+		Expect(used).To(HaveLen(6))
+	})
+
+	// Replays a load in which one subject gets all traffic at once. Guards
+	// against an engine that gets it all while its peers idle.
+	It("spreads a hot group", func() {
+		p.Update(fleet(6, 64))
+		load := make(map[string]int)
+		for range 60 {
+			load[pick(placer.Request{Group: 7, Work: 5000}).Upstream().ID]++
+		}
+		Expect(len(load)).To(BeNumerically(">=", 5))
+		for id, n := range load {
+			Expect(n).To(BeNumerically("<=", 18), id)
+		}
+	})
+
+	// Replays the loss of a zone's engines. Guards against requests that are
+	// refused or wait while other zones have room.
+	It("uses other zones when its own has no healthy upstream", func() {
+		p.Update(fleet(2, 64))
+		for range 2 {
+			t := pick(placer.Request{Group: 3, Work: 10})
+			Expect(t.Upstream().Zone).To(Equal("a"))
+			t.Done(placer.Refused, 0)
+		}
+		Expect(pick(placer.Request{Group: 3, Work: 10}).Upstream().Zone).NotTo(Equal("a"))
+		clock.Advance(time.Second)
+		Expect(pick(placer.Request{Group: 3, Work: 10}).Upstream().Zone).To(Equal("a"))
+	})
+
+	// Guards against a recovering upstream that is flooded at once.
+	It("tries one request after an ejection", func() {
+		p.Update(fleet(1, 64))
+		t := pick(placer.Request{Work: 10})
+		t.Done(placer.Silent, 0)
+		clock.Advance(time.Second)
+		first := pick(placer.Request{Work: 10})
+		Expect(first.Upstream().Zone).To(Equal("a"))
+		Expect(pick(placer.Request{Work: 10}).Upstream().Zone).NotTo(Equal("a"))
+		first.Done(placer.Good, time.Millisecond)
+		Expect(pick(placer.Request{Work: 10}).Upstream().Zone).To(Equal("a"))
+	})
+
+	// Replays an upstream that fails half of its requests while its health
+	// check is good, beside peers that fail one in seven.
+	It("passes over an upstream that fails more often than its peers", func() {
+		p.Update(fleet(3, 64))
+		n := make(map[string]int)
+		for i := range 400 {
+			t := pick(placer.Request{})
+			id := t.Upstream().ID
+			n[id]++
+			clock.Advance(5 * time.Millisecond)
+			out := placer.Good
+			if id == "a0" && i%2 == 0 || i%7 == 0 {
+				out = placer.Failed
+			}
+			t.Done(out, 20*time.Millisecond)
+		}
+		Expect(n["a0"]).To(BeNumerically("<", 100))
+	})
+
+	// Guards against new requests at an upstream that is leaving, of another
+	// version, or that was tried already.
+	It("leaves out what may not be used", func() {
+		list := fleet(1, 64)
+		list[0].Leaving = true
+		list[1].Version = "v2"
+		p.Update(list)
+		Expect(pick(placer.Request{Work: 1, Versions: placer.Versions{Not: "v2"}}).Upstream().ID).To(Equal("c0"))
+		Expect(pick(placer.Request{Work: 1, Versions: placer.Versions{Only: "v2"}}).Upstream().ID).To(Equal("b0"))
+		_, ok := p.Pick(placer.Request{Service: "s", Tried: []tracker.Key{list[1].Key(), list[2].Key()}})
+		Expect(ok).To(BeFalse())
+		_, ok = p.Pick(placer.Request{Service: "none"})
+		Expect(ok).To(BeFalse())
+	})
+
+	// Guards against lost knowledge when the list is read again.
+	It("keeps what it knows when the list changes", func() {
+		p.Update(fleet(1, 64))
+		t := pick(placer.Request{Work: 1})
+		t.Done(placer.Refused, 0)
+		p.Update(fleet(2, 64))
+		for range 4 {
+			Expect(pick(placer.Request{Work: 1}).Upstream().ID).NotTo(Equal("a0"))
+		}
+	})
+
+	// Guards against a plain service whose nearest upstream is overrun.
+	It("spreads requests to plain services over the zones under load", func() {
+		p.Update(fleet(1, 6))
+		zones := make(map[string]int)
+		for range 9 {
+			zones[pick(placer.Request{}).Upstream().Zone]++
+		}
+		Expect(zones).To(HaveLen(3))
+	})
+})
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -47,8 +47,8 @@
 		seeds     func() []netip.AddrPort
 		bootstrap bool
 		voters    int
-		rng   *rand.Rand
-		now   time.Duration
+		rng       *rand.Rand
+		now       time.Duration
 
 		role   role
 		meta   journaler.Meta
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -83,12 +83,12 @@
 		// the monotonic clock stands still while the machine is suspended,
 		// because a lease then seems to hold for too long.
 		VerifyReads bool
-		FS        journaler.FS
-		Machine   Machine
-		Transport Transport
-		Clock     timekeeper.Clock
-		Scope     counter.Scope
-		Log       zerolog.Logger
+		FS          journaler.FS
+		Machine     Machine
+		Transport   Transport
+		Clock       timekeeper.Clock
+		Scope       counter.Scope
+		Log         zerolog.Logger
 
 		// Heartbeat, Election and Lease override the defaults of 100 ms,
 		// 700 ms and 500 ms.
--- /dev/null
+++ b/starter/entry.go
@@ -0,0 +1,272 @@
+package starter
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailwall/budgeter"
+	"foxtailwall/controller"
+	"foxtailwall/dialer"
+	"foxtailwall/forwarder"
+	"foxtailwall/matcher"
+	"foxtailwall/placer"
+	"foxtailwall/syncer"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+const (
+	// connectTimeout bounds the opening of a connection to an upstream, which
+	// is a few milliseconds away.
+	connectTimeout = 300 * time.Millisecond
+	// userTimeout ends connections whose bytes stay unacknowledged.
+	userTimeout = 700 * time.Millisecond
+	// upstreamIdle is how long an unused connection to an upstream is kept.
+	upstreamIdle = 4 * time.Second
+	// maxIdle bounds the unused connections to one upstream.
+	maxIdle = 24
+
+	// leaderSilence is how long the leader may be silent, or its list old,
+	// before an entry reads the list of upstreams itself.
+	leaderSilence = 2 * time.Second
+	// listPause is the pause between such readings.
+	listPause = time.Second
+
+	// leaveShare is the part of the grace period in which connections are
+	// still accepted: the platform takes two seconds to stop sending new ones.
+	leaveShare = 0.4
+	// endShare is the part of the grace period after which requests that are
+	// still under way are cut.
+	endShare = 0.92
+)
+
+// entry is a host that serves callers.
+type entry struct {
+	set  atomic.Pointer[Settings]
+	opts Options
+
+	placer  *placer.Placer
+	budget  *budgeter.Budget
+	forward *forwarder.Forwarder
+	client  *syncer.Client
+	started time.Time
+	leaving atomic.Bool
+
+	// mu guards what the leader or the platform has told.
+	mu        sync.Mutex
+	published uint64
+	document  uint64
+	listName  string
+	listAt    time.Time
+	inv       tracker.Inventory
+	rollouts  []controller.OrderedRollout
+}
+
+// RunEntry runs an entry until ctx ends, and then lets running requests end
+// within the grace period.
+func RunEntry(ctx context.Context, s Settings, o Options) error {
+	if err := s.checkEntry(); err != nil {
+		return err
+	}
+	s.tune()
+	e := &entry{opts: o, started: o.Clock.Now()}
+	e.set.Store(&s)
+	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone})
+	e.budget = budgeter.New(budgeter.Settings{
+		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
+	})
+	upstreams := dialer.New(dialer.Options{
+		Clock: o.Clock, Scope: o.Scope, Connect: connectTimeout, UserTimeout: userTimeout,
+		Idle: upstreamIdle, MaxIdle: maxIdle,
+	})
+	defer upstreams.Close()
+	e.forward = forwarder.New(forwarder.Settings{
+		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Budget: e.budget, Clock: o.Clock,
+		Scope: o.Scope, Log: o.Log, Session: s.Session,
+	})
+	e.client = syncer.NewClient(syncer.ClientSettings{
+		Seeds: e.seeds, Report: e.report, Apply: e.apply, Clock: o.Clock, Log: o.Log,
+	})
+	o.Log.Info().Str("zone", s.Zone).Msg("entry started")
+	return e.run(ctx)
+}
+
+func (s *Settings) checkEntry() error {
+	switch {
+	case !s.Callers.IsValid():
+		return &SettingError{"callers", s.Callers.String(), "an IP address and a port"}
+	case !s.Ready.IsValid():
+		return &SettingError{"ready", s.Ready.String(), "an IP address and a port"}
+	case s.Retries.Window <= 0:
+		return &SettingError{"retries.window", s.Retries.Window.String(), "above 0"}
+	}
+	return s.checkCommon()
+}
+
+func (e *entry) run(ctx context.Context) error {
+	set := e.set.Load()
+	callers := &http.Server{Handler: e.forward, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	// The duties outlive the signal, because requests go on for a while.
+	duties, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	p := pool.New().WithErrors().WithFirstError()
+	p.Go(func() error { defer cancel(); return serve(duties, "callers", set.Callers, callers) })
+	p.Go(func() error { defer cancel(); return serve(duties, "readiness", set.Ready, ready) })
+	p.Go(func() error { e.client.Run(duties); return nil })
+	p.Go(func() error { e.readLists(duties); return nil })
+	p.Go(func() error { reload(duties, &e.opts, &e.set); return nil })
+	p.Go(func() error {
+		select {
+		case <-ctx.Done():
+			e.leave(callers)
+		case <-duties.Done():
+		}
+		cancel()
+		return errors.CombineErrors(callers.Close(), ready.Close())
+	})
+	return p.Wait()
+}
+
+// leave takes no new connections after a while and waits for the running
+// requests.
+func (e *entry) leave(callers *http.Server) {
+	grace := e.set.Load().Grace
+	e.leaving.Store(true)
+	e.forward.Close()
+	e.opts.Log.Info().Dur("grace", grace).Msg("entry is leaving")
+	begun := e.opts.Clock.Now()
+	wait := func(share float64) time.Duration {
+		return max(0, time.Duration(share*float64(grace))-e.opts.Clock.Since(begun))
+	}
+	// The background context never ends the wait.
+	_ = timekeeper.Sleep(context.Background(), e.opts.Clock, wait(leaveShare))
+	ctx, cancel := context.WithTimeout(context.Background(), wait(endShare))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		e.opts.Log.Info().AnErr("cause", err).Msg("requests were cut at the end of the grace period")
+	}
+	e.opts.Log.Info().Msg("entry stopped")
+}
+
+// ready answers whether this host takes new connections.
+func (e *entry) ready(w http.ResponseWriter, r *http.Request) {
+	status := http.StatusOK
+	switch {
+	case r.URL.Path != e.opts.Protocol.ReadyPath:
+		status = http.StatusNotFound
+	case e.leaving.Load() || e.forward.InForce().Table == nil || !e.listed():
+		status = http.StatusServiceUnavailable
+	}
+	w.WriteHeader(status)
+}
+
+func (e *entry) listed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inv.Known()
+}
+
+func (e *entry) seeds() []netip.AddrPort { return peerSeeds(*e.set.Load()) }
+
+// report says what this host has and has seen.
+func (e *entry) report() syncer.Report {
+	set := e.set.Load()
+	r := syncer.Report{Host: set.Name, Zone: set.Zone, Started: e.started.UnixNano()}
+	for l, n := range e.forward.Counts() {
+		r.Counts = append(r.Counts, syncer.Counted{Line: l, Count: n})
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r.Published, r.List = e.published, e.listName
+	r.Running = make(map[string]int)
+	for _, ro := range e.rollouts {
+		if ro.State == controller.RolloutRunning {
+			r.Running[ro.Service] = e.placer.Running(ro.Service, ro.Target)
+		}
+	}
+	return r
+}
+
+// apply takes over what the leader told. Older versions are never put in force
+// again.
+func (e *entry) apply(u *syncer.Update) {
+	e.budget.SetHosts(u.Hosts)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if u.ListAge >= 0 {
+		e.listAt = e.opts.Clock.Now().Add(-u.ListAge)
+	}
+	if u.Published != nil && u.Published.Version > e.published {
+		e.put(u.Published)
+	}
+	if u.Upstreams != nil {
+		e.listName = u.Upstreams.Name
+		e.takeList(u.Upstreams.Upstreams)
+	}
+}
+
+// put puts a configuration and rollouts in force. The caller holds mu.
+func (e *entry) put(p *syncer.Published) {
+	e.published = p.Version
+	cur := e.forward.InForce()
+	next := forwarder.InForce{Table: cur.Table, Rollouts: make(map[string]controller.OrderedRollout, len(p.Rollouts))}
+	for _, r := range p.Rollouts {
+		next.Rollouts[r.Service] = r
+	}
+	e.rollouts = p.Rollouts
+	if p.Document.Version > e.document {
+		conf, err := e.opts.Protocol.Config(p.Document.Body)
+		if err != nil {
+			// It was read before it was acknowledged, by the same release.
+			e.opts.Log.Error().Err(err).Uint64("version", p.Document.Version).Msg("the configuration cannot be read; the last one stays in force")
+		} else {
+			next.Table = matcher.New(conf)
+			e.document = p.Document.Version
+		}
+	}
+	e.forward.Put(next)
+	e.opts.Log.Info().Uint64("config", e.document).Uint64("published", p.Version).Int("rollouts", len(p.Rollouts)).
+		Msg("configuration in force")
+}
+
+// takeList puts a list of upstreams in force. The caller holds mu.
+func (e *entry) takeList(list []tracker.Upstream) {
+	if e.inv.Update(list) {
+		e.opts.Log.Info().Str("list", e.listName).Int("upstreams", len(list)).Msg("list of upstreams in force")
+	}
+	e.placer.Update(e.inv.List())
+}
+
+// readLists reads the list of upstreams from the platform while the leader
+// cannot tell it.
+func (e *entry) readLists(ctx context.Context) {
+	for timekeeper.Sleep(ctx, e.opts.Clock, listPause) == nil {
+		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
+			continue
+		}
+		list, err := e.opts.Protocol.List(ctx)
+		if err != nil {
+			e.opts.Log.Info().AnErr("cause", err).Msg("the list of upstreams was not read")
+			continue
+		}
+		e.mu.Lock()
+		e.listName = ""
+		e.takeList(list)
+		e.mu.Unlock()
+	}
+}
+
+// listHeard returns when the list of upstreams was last known to be new.
+func (e *entry) listHeard() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.listAt
+}
--- /dev/null
+++ b/syncer/hub.go
@@ -0,0 +1,211 @@
+package syncer
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"sync"
+	"time"
+
+	"foxtailwall/controller"
+	"foxtailwall/stager"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+// maxWait bounds the time that a call may wait, in place of what the host asks.
+const maxWait = 5 * time.Second
+
+type (
+	// Source is the state of the control group on this host.
+	Source interface {
+		// Leading reports whether this host leads the group and has applied
+		// all that was committed before.
+		Leading() bool
+		// Leader returns the address of the leader, if it is known.
+		Leader() netip.AddrPort
+		// Members returns the addresses of the group's members.
+		Members() []netip.AddrPort
+		Published() controller.Published
+		// Changed is closed when Published changes.
+		Changed() <-chan struct{}
+	}
+
+	// HubSettings configures a Hub.
+	HubSettings struct {
+		Source Source
+		Clock  timekeeper.Clock
+	}
+
+	// Hub answers hosts and collects their reports. Make it with NewHub. It is
+	// safe for use by several goroutines.
+	Hub struct {
+		set HubSettings
+
+		mu      sync.Mutex
+		list    List
+		readAt  time.Time
+		news    chan struct{}
+		reports map[hostKey]reported
+	}
+
+	hostKey struct {
+		host    string
+		started int64
+	}
+
+	reported struct {
+		at      time.Time
+		counts  []Counted
+		running map[string]int
+	}
+)
+
+// NewHub returns a hub without a list.
+func NewHub(s HubSettings) *Hub {
+	return &Hub{set: s, news: make(chan struct{}), reports: make(map[hostKey]reported)}
+}
+
+// Put takes over a list of upstreams that has just been read. The name must
+// differ from that of every other list of any host.
+func (h *Hub) Put(name string, ups []tracker.Upstream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list = List{Name: name, Upstreams: ups}
+	h.readAt = h.set.Clock.Now()
+	close(h.news)
+	h.news = make(chan struct{})
+}
+
+// Reread notes that the list was read again without a change.
+func (h *Hub) Reread() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.readAt = h.set.Clock.Now()
+}
+
+// Forget drops the list, because this host no longer reads it.
+func (h *Hub) Forget() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.list, h.readAt = List{}, time.Time{}
+}
+
+// Watch answers a host as soon as there is something that it does not have.
+func (h *Hub) Watch(ctx context.Context, r *Report) *Update {
+	h.take(r)
+	timer := h.set.Clock.NewTimer(min(max(r.Wait, 0), maxWait))
+	defer timer.Stop()
+	for {
+		changed, news := h.set.Source.Changed(), h.newsChan()
+		if !h.set.Source.Leading() {
+			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
+		}
+		u := h.update(r)
+		if u.Published != nil || u.Upstreams != nil {
+			return u
+		}
+		select {
+		case <-ctx.Done():
+			return u
+		case <-timer.C():
+			return u
+		case <-changed:
+		case <-news:
+		}
+	}
+}
+
+func (h *Hub) newsChan() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.news
+}
+
+func (h *Hub) take(r *Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reports[hostKey{r.Host, r.Started}] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running}
+}
+
+func (h *Hub) update(r *Report) *Update {
+	p := h.set.Source.Published()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	u := &Update{
+		Leads: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: len(h.live()), ListAge: -1,
+	}
+	if !h.readAt.IsZero() {
+		u.ListAge = h.set.Clock.Since(h.readAt)
+	}
+	if p.Version > r.Published {
+		u.Published = &Published{Version: p.Version, Document: p.Document, Rollouts: p.Rollouts}
+	}
+	if h.list.Name != "" && h.list.Name != r.List {
+		l := h.list
+		u.Upstreams = &l
+	}
+	return u
+}
+
+// live returns the hosts that reported lately.
+func (h *Hub) live() map[string]reported {
+	out := make(map[string]reported)
+	for k, r := range h.reports {
+		if h.set.Clock.Since(r.at) < hostLife && !out[k.host].at.After(r.at) {
+			out[k.host] = r
+		}
+	}
+	return out
+}
+
+// Counts returns the answers that all hosts have counted, those included that
+// no longer live.
+func (h *Hub) Counts() map[stager.Line]stager.Count {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[stager.Line]stager.Count)
+	for _, r := range h.reports {
+		for _, c := range r.counts {
+			n := out[c.Line]
+			n.All += c.Count.All
+			n.Bad += c.Count.Bad
+			out[c.Line] = n
+		}
+	}
+	return out
+}
+
+// Running returns the requests under way at live hosts on other versions than
+// the target of the service's rollout, below 0 if a host has not told.
+func (h *Hub) Running(service string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sum := 0
+	for _, r := range h.live() {
+		n, ok := r.running[service]
+		if !ok {
+			return -1
+		}
+		sum += n
+	}
+	return sum
+}
+
+// Upstreams returns the newest list.
+func (h *Hub) Upstreams() []tracker.Upstream {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.list.Upstreams
+}
+
+// Hosts returns the names of the hosts that live.
+func (h *Hub) Hosts() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for name := range maps.Keys(h.live()) {
+		out = append(out, name)
+	}
+	return out
+}
--- /dev/null
+++ b/tracker/tracker_test.go
@@ -0,0 +1,52 @@
+package tracker_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/tracker"
+)
+
+func TestTracker(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "tracker")
+}
+
+func up(id string, born int64, leaving bool) tracker.Upstream {
+	return tracker.Upstream{ID: id, Born: born, Address: netip.MustParseAddrPort("127.0.0.1:80"), Leaving: leaving}
+}
+
+var _ = Describe("Inventory", func() {
+	// Guards against new requests to a leaving upstream that an older page of
+	// the list shows as ready again.
+	It("remembers that an incarnation is leaving", func() {
+		var v tracker.Inventory
+		Expect(v.Update([]tracker.Upstream{up("a", 1, false)})).To(BeTrue())
+		Expect(v.Update([]tracker.Upstream{up("a", 1, true)})).To(BeTrue())
+		Expect(v.Update([]tracker.Upstream{up("a", 1, false)})).To(BeFalse())
+		Expect(v.List()[0].Leaving).To(BeTrue())
+	})
+
+	// Guards against an upstream that started again under its old ID and
+	// never gets requests.
+	It("takes a new start under the same ID as a new incarnation", func() {
+		var v tracker.Inventory
+		v.Update([]tracker.Upstream{up("a", 1, true)})
+		v.Update([]tracker.Upstream{up("a", 2, false)})
+		Expect(v.List()[0].Leaving).To(BeFalse())
+	})
+
+	// Guards against needless messages to all hosts.
+	It("reports no change of remaining times", func() {
+		var v tracker.Inventory
+		a := up("a", 1, false)
+		a.Cold = time.Second
+		Expect(v.Update([]tracker.Upstream{a})).To(BeTrue())
+		a.Cold = time.Millisecond
+		Expect(v.Update([]tracker.Upstream{a})).To(BeFalse())
+	})
+})
