Ask a larger model where the smallest is not confident

Cause: the smallest model answered everything, and about 44% of its answers were to requests that are too hard for it.

Change: package sizer decides from the model's confidence and from how busy the engines are; the answer is dropped before its first byte reaches the caller.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -67,11 +67,12 @@
 		last *answer
 
 		// What of a stream was forwarded.
-		started bool
-		events  int
-		lastID  string
-		model   string
-		size    int
+		started    bool
+		events     int
+		lastID     string
+		model      string
+		confidence int
+		size       int
 	}
 
 	// answer is a whole answer of an upstream.
@@ -193,10 +194,11 @@
 	return xxhash.Sum64String(c.env.ID)
 }
 
-// group returns the hash of the parts of the prompt that other requests share.
+// group returns the hash of the parts of the prompt that other requests share,
+// and of the model, since each model caches its own.
 func (c *call) group() uint64 {
 	if n := len(c.env.Parts); n >= 2 {
-		return c.env.Parts[n-2].ID | 1
+		return c.env.Parts[n-2].ID ^ xxhash.Sum64String(c.model) | 1
 	}
 	return 0
 }
@@ -354,6 +356,11 @@
 		c.ran++
 		return c.unusable(t, "the answer is not the upstream's")
 	case c.route.Kind == matcher.Stream && ans.Status == http.StatusOK:
+		c.confidence = reply.Confidence
+		if c.escalate(t, first) {
+			ans.Abort()
+			return false
+		}
 		return c.stream(t, ans, g, first)
 	}
 	c.ran++
--- /dev/null
+++ b/forwarder/cascade.go
@@ -0,0 +1,40 @@
+package forwarder
+
+import (
+	"time"
+
+	"foxtailwall/placer"
+	"foxtailwall/sizer"
+)
+
+// escalationReserve is the part of the budget of repeats that is left for
+// failures.
+const escalationReserve = 0.2
+
+// escalate reports whether the answer that has just begun is dropped and a
+// larger model asked. Nothing of it has reached the caller.
+func (c *call) escalate(t *placer.Ticket, first time.Duration) bool {
+	if c.model == "" {
+		return false
+	}
+	c.f.gauge.Note(sizer.Key{Service: c.service.Name, Model: c.model}, first)
+	if c.started || c.arrivals >= c.route.MaxAttempts || c.f.set.Budget.Left(c.service.Name) < escalationReserve {
+		return false
+	}
+	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
+	next, ok := sizer.Next(sizer.Answer{
+		Size: c.size, Sizes: len(c.route.Sizes), Confidence: c.confidence,
+		Pressure: c.f.gauge.Pressure(largest, c.route.Target),
+	})
+	if !ok {
+		return false
+	}
+	c.f.set.Scope.Counter("forwarder.escalated", "from", c.model).Inc(1)
+	t.Done(placer.Good, first)
+	c.count(t.Upstream(), false, first)
+	c.ran++
+	c.size, c.model = next, c.route.Sizes[next]
+	// The upstream has not failed and may run the larger model as well.
+	c.tried = nil
+	return true
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,6 +36,7 @@
 	"foxtailwall/dialer"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
+	"foxtailwall/sizer"
 	"foxtailwall/stager"
 	"foxtailwall/timekeeper"
 )
@@ -137,6 +138,7 @@
 
 		mu       sync.Mutex
 		assigner stager.Assigner
+		gauge    sizer.Gauge
 		tally    tally
 	}
 
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -43,7 +43,7 @@
 // first returns the bound on the time to the header of the answer, zero if the
 // request may not be sent again and so has to wait.
 func (g *guard) first() time.Duration {
-	if !g.c.route.Repeatable() {
+	if !g.c.route.Repeatable() || g.last() && g.c.route.Kind != matcher.Stream {
 		return 0
 	}
 	return silentBase + time.Duration(g.c.env.Input)*silentPerToken
@@ -54,6 +54,10 @@
 	return time.Duration(silentPause * float64(g.longest()))
 }
 
+// last reports whether no further attempt may follow, so that giving up would
+// only help a caller that can come back.
+func (g *guard) last() bool { return g.c.arrivals+1 >= g.c.route.MaxAttempts }
+
 func (g *guard) longest() time.Duration {
 	if g.c.route.MaxPause > 0 {
 		return g.c.route.MaxPause
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -78,7 +78,7 @@
 		e = e.Str("route", c.route.Name).Uint64("config", c.table.Version())
 	}
 	if c.model != "" {
-		e = e.Str("model", c.model)
+		e = e.Str("model", c.model).Int("confidence", c.confidence)
 	}
 	e.Msg("request ended")
 }
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -58,7 +58,7 @@
 	case c.ran == 0 && !promises(ref.status):
 		// Nothing may have run, so the caller may come back.
 		ref = refuse(http.StatusServiceUnavailable, ref.code, max(ref.again, busyWait))
-	case c.ran > 0 && promises(ref.status) && c.route.Kind == matcher.NonIdempotent:
+	case c.ran > 0 && promises(ref.status):
 		ref = refuse(http.StatusBadGateway, ref.code, 0)
 	}
 	c.refuse(ref)
--- /dev/null
+++ b/sizer/sizer.go
@@ -0,0 +1,112 @@
+// Package sizer chooses among models of different sizes that may answer the
+// same request.
+//
+// The smallest model answers first. Its answer comes with its own opinion of
+// how good it is, before the first byte reaches the caller; where that is too
+// low, the answer is dropped and a larger model is asked. How low is too low
+// depends on how busy the engines are: larger models take several times the
+// time of an engine, and an answer that is late helps nobody.
+//
+// # Usage
+//
+//	var g sizer.Gauge
+//	g.Note(key, firstByte)
+//	next, ok := sizer.Next(sizer.Answer{Size: 0, Sizes: 3, Confidence: 31, Pressure: g.Pressure(key, target)})
+//	if ok {
+//		// Drop the answer and ask the model of size next.
+//	}
+package sizer
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// enough is the confidence from which an answer is kept on idle engines,
+	// in hundredths. An answer is as likely good as bad at 50; a larger model
+	// costs about a seventh of what an answer is worth, so that one is asked
+	// unless the answer is good with a probability of five sixths.
+	enough = 60
+	// doubtful is the confidence below which the next size would fail as well,
+	// so that the largest is asked.
+	doubtful = 45
+
+	// easyPressure is the part of the target that the first byte takes up to
+	// which engines count as idle, and hardPressure the part at which no
+	// larger model is asked any more.
+	easyPressure = 0.35
+	hardPressure = 1.0
+	// stepPressure is the part from which one size up is asked in place of the
+	// largest.
+	stepPressure = 0.6
+
+	// decay is the weight of the newest time in the mean.
+	decay = 0.05
+)
+
+type (
+	// Answer is what is known when an answer begins.
+	Answer struct {
+		// Size is the position of the model among so many Sizes.
+		Size, Sizes int
+		// Confidence goes from 0 to 100; below 0 it is not known.
+		Confidence int
+		// Pressure is the usual time to the first byte of the largest model as
+		// a part of the target.
+		Pressure float64
+	}
+
+	// Gauge measures the time to the first byte by key. Its zero value is
+	// ready to use. It is safe for use by several goroutines.
+	Gauge struct {
+		mu    sync.Mutex
+		means map[Key]time.Duration
+	}
+
+	// Key names what is measured apart.
+	Key struct{ Service, Model string }
+)
+
+// Next returns the size to ask next, and false if the answer is to be kept.
+func Next(a Answer) (int, bool) {
+	if a.Confidence < 0 || a.Size+1 >= a.Sizes || a.Confidence >= threshold(a.Pressure) {
+		return a.Size, false
+	}
+	if a.Confidence >= doubtful || a.Pressure >= stepPressure {
+		return a.Size + 1, true
+	}
+	return a.Sizes - 1, true
+}
+
+// threshold is the confidence from which an answer is kept. It falls under
+// pressure, so that only the worst answers are asked for again.
+func threshold(pressure float64) int {
+	over := (pressure - easyPressure) / (hardPressure - easyPressure)
+	return int(enough * (1 - min(max(over, 0), 1)))
+}
+
+// Note takes over the time to a first byte.
+func (g *Gauge) Note(k Key, first time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.means == nil {
+		g.means = make(map[Key]time.Duration)
+	}
+	m, ok := g.means[k]
+	if !ok {
+		m = first
+	}
+	g.means[k] = m + time.Duration(decay*float64(first-m))
+}
+
+// Pressure returns the usual time to the first byte as a part of the target, 0
+// if nothing is known.
+func (g *Gauge) Pressure(k Key, target time.Duration) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if target <= 0 {
+		return 0
+	}
+	return float64(g.means[k]) / float64(target)
+}
--- /dev/null
+++ b/sizer/sizer_test.go
@@ -0,0 +1,54 @@
+package sizer_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/sizer"
+)
+
+func TestSizer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sizer")
+}
+
+var _ = DescribeTable("Next",
+	func(a sizer.Answer, size int, again bool) {
+		a.Sizes = 3
+		got, ok := sizer.Next(a)
+		Expect(ok).To(Equal(again))
+		if again {
+			Expect(got).To(Equal(size))
+		}
+	},
+	// Guards against answers that are too hard for the model.
+	Entry("low confidence on idle engines", sizer.Answer{Confidence: 20}, 2, true),
+	Entry("just too low", sizer.Answer{Confidence: 55}, 1, true),
+	// Guards against the cost of larger models where they do not help.
+	Entry("high confidence", sizer.Answer{Confidence: 80}, 0, false),
+	Entry("the largest has answered", sizer.Answer{Size: 2, Confidence: 10}, 0, false),
+	Entry("no opinion", sizer.Answer{Confidence: -1}, 0, false),
+	// Guards against larger models that make busy engines late.
+	Entry("a fair answer on busy engines", sizer.Answer{Confidence: 40, Pressure: 0.8}, 0, false),
+	Entry("a bad answer on busy engines", sizer.Answer{Confidence: 5, Pressure: 0.8}, 1, true),
+	Entry("overloaded engines", sizer.Answer{Confidence: 0, Pressure: 1.2}, 0, false),
+)
+
+var _ = Describe("Gauge", func() {
+	// Guards against a single late answer that counts as load.
+	It("follows the usual time", func() {
+		var g sizer.Gauge
+		k := sizer.Key{Service: "s", Model: "m"}
+		Expect(g.Pressure(k, time.Second)).To(BeZero())
+		g.Note(k, 100*time.Millisecond)
+		g.Note(k, 2*time.Second)
+		Expect(g.Pressure(k, time.Second)).To(BeNumerically("<", 0.25))
+		for range 100 {
+			g.Note(k, 2*time.Second)
+		}
+		Expect(g.Pressure(k, time.Second)).To(BeNumerically(">", 1.5))
+	})
+})
