Hand operators' calls to the leader, hold requests at a cold start, place by the work ahead

Control hosts now hand calls to the leader themselves. - After a power loss the group elected a leader 0.8 s after its start, of which 0.7 s guard a lease that VerifyReads does without. - Entries refused all requests until the configuration came, 1.2 s after their start; callers come back once. Requests wait up to 1.3 s in the first 2.5 s after a start. - LOST: a request taken 3.06 s after SIGTERM was cut at the end of the grace period. New requests are refused from 30% of it on. - Late first events: placement counted tokens alike for all models and until the end of the answer.

--- a/controller/order.go
+++ b/controller/order.go
@@ -66,9 +66,9 @@
 	// Published is what the operators have put in force.
 	Published struct {
 		// Version grows with every change.
-		Version  uint64
-		Document Document
-		Rollouts []OrderedRollout
+		Version  uint64           `cbor:"version"`
+		Document Document         `cbor:"document"`
+		Rollouts []OrderedRollout `cbor:"rollouts,omitempty"`
 	}
 )
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -7,7 +7,7 @@
 //	c, err := coordinator.New(coordinator.Settings{...})
 //	err = c.Run(ctx)
 //
-//	// What operators ask for; a *controller.NotLeaderError names the host to ask.
+//	// What operators ask for, at any host; the leader is asked where needed.
 //	version, err := c.Put(ctx, controller.Document{Version: 7, Body: body})
 //	doc, err := c.Current(ctx)
 package coordinator
@@ -17,6 +17,7 @@
 	"net"
 	"net/netip"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -44,9 +45,6 @@
 	// reopenWait is the pause before a member whose disk failed is opened
 	// again.
 	reopenWait = 500 * time.Millisecond
-	// proposeTimeout bounds a proposal. Operators try another host after a
-	// second without an answer.
-	proposeTimeout = 900 * time.Millisecond
 	// orderEvery is how often the leader looks at rollouts.
 	orderEvery = 200 * time.Millisecond
 	// listEvery is how often the leader reads the list of upstreams. Changes
@@ -59,10 +57,7 @@
 	Settings struct {
 		Name string
 		// Peers is the address for own processes.
-		Peers netip.AddrPort
-		// Operators is the address for operators; its port is the same on all
-		// control hosts.
-		Operators  netip.AddrPort
+		Peers      netip.AddrPort
 		DataFolder string
 		Bootstrap  bool
 		// LostDisks is the number of disks that may be lost at once.
@@ -84,6 +79,9 @@
 		current atomic.Pointer[member]
 		inv     tracker.Inventory
 		lists   int
+
+		mu    sync.Mutex
+		peers map[netip.AddrPort]*messenger.Peer
 	}
 
 	// member is the group member and its machine. It is made anew after a
@@ -117,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Coordinator{set: s, fs: fs}
+	c := &Coordinator{set: s, fs: fs, peers: make(map[netip.AddrPort]*messenger.Peer)}
 	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Clock: s.Clock})
 	return c, nil
 }
@@ -131,6 +129,7 @@
 	mux := messenger.NewMux()
 	messenger.HandleGroup(mux, c)
 	syncer.Handle(mux, c.hub)
+	c.handleForwarded(mux)
 	srv := messenger.NewServer(mux, nil)
 	transport := messenger.NewGroupTransport(nil, c.set.Scope)
 	defer transport.Close()
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -3,16 +3,41 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"foxtailwall/controller"
+	"foxtailwall/messenger"
 	"foxtailwall/replicator"
 )
 
+const (
+	proposeProcedure = "coordinator/propose"
+	readProcedure    = "coordinator/read"
+	// callTimeout bounds an operator's call. Operators try another host after
+	// a second without an answer.
+	callTimeout = 900 * time.Millisecond
+)
+
+type (
+	proposeRequest struct {
+		Item controller.Item `cbor:"item"`
+	}
+
+	proposeResponse struct {
+		Answer controller.Answer `cbor:"answer"`
+	}
+
+	readRequest struct{}
+
+	readResponse struct {
+		Published controller.Published `cbor:"published"`
+	}
+)
+
 // Put puts a document in force if its version is above that of the present
-// one, and returns the version in force. Errors are a *controller.NotLeaderError
-// or a *BusyError.
+// one, and returns the version in force. Errors are a *BusyError.
 func (c *Coordinator) Put(ctx context.Context, d controller.Document) (uint64, error) {
 	a, err := c.propose(ctx, controller.Item{Put: &d})
 	if err == nil {
@@ -24,11 +49,8 @@
 
 // Current returns the document in force. Errors are as those of Put.
 func (c *Coordinator) Current(ctx context.Context) (controller.Document, error) {
-	m, err := c.barrier(ctx)
-	if err != nil {
-		return controller.Document{}, err
-	}
-	return m.machine.Published().Document, nil
+	p, err := c.read(ctx)
+	return p.Document, err
 }
 
 // Order starts a rollout; accepted is false while another one of the service
@@ -46,11 +68,11 @@
 // Rollout returns the newest rollout of the service. Errors are as those of
 // Put.
 func (c *Coordinator) Rollout(ctx context.Context, service string) (r controller.OrderedRollout, ok bool, err error) {
-	m, err := c.barrier(ctx)
+	p, err := c.read(ctx)
 	if err != nil {
 		return r, false, err
 	}
-	for _, r := range m.machine.Published().Rollouts {
+	for _, r := range p.Rollouts {
 		if r.Service == service {
 			return r, true, nil
 		}
@@ -58,28 +80,42 @@
 	return r, false, nil
 }
 
-// propose appends one item to the log and returns its answer.
+// propose appends one item to the log, at the leader, and returns its answer.
 func (c *Coordinator) propose(ctx context.Context, it controller.Item) (controller.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	a, err := c.proposeHere(ctx, it)
+	lead, ok := otherLeader(err, c.set.Peers)
+	if !ok {
+		return a, busy(err)
+	}
+	res, err := messenger.Call[proposeRequest, proposeResponse](ctx, c.peer(lead), proposeProcedure, &proposeRequest{Item: it})
+	if err != nil {
+		return controller.Answer{}, busy(err)
+	}
+	return res.Answer, nil
+}
+
+// proposeHere appends one item to the log if this host leads.
+func (c *Coordinator) proposeHere(ctx context.Context, it controller.Item) (controller.Answer, error) {
 	m := c.current.Load()
 	if m == nil {
-		return controller.Answer{}, &BusyError{Err: errClosed}
+		return controller.Answer{}, errClosed
 	}
 	if _, leads := m.group.Leading(); leads && !c.manned(m) {
-		return controller.Answer{}, &BusyError{Err: errForming}
+		return controller.Answer{}, errForming
 	}
 	cmd, err := controller.Encode(controller.Command{At: c.set.Clock.Now(), Items: []controller.Item{it}})
 	if err != nil {
-		return controller.Answer{}, &BusyError{Err: err}
+		return controller.Answer{}, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
 	b, _, err := m.group.Propose(ctx, cmd)
 	if err != nil {
-		return controller.Answer{}, c.translate(err)
+		return controller.Answer{}, err
 	}
 	res, err := controller.Decode(b)
 	if err != nil {
-		return controller.Answer{}, &BusyError{Err: err}
+		return controller.Answer{}, err
 	}
 	return res.Answers[0], nil
 }
@@ -96,26 +132,72 @@
 	return voters/2+1 > c.set.LostDisks
 }
 
-// barrier waits until the machine reflects all that was acknowledged anywhere.
-func (c *Coordinator) barrier(ctx context.Context) (*member, error) {
+// read returns what is in force, as the leader knows it.
+func (c *Coordinator) read(ctx context.Context) (controller.Published, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p, err := c.readHere(ctx)
+	lead, ok := otherLeader(err, c.set.Peers)
+	if !ok {
+		return p, busy(err)
+	}
+	res, err := messenger.Call[readRequest, readResponse](ctx, c.peer(lead), readProcedure, &readRequest{})
+	if err != nil {
+		return p, busy(err)
+	}
+	return res.Published, nil
+}
+
+// readHere returns what is in force if this host leads, and reflects all that
+// was acknowledged anywhere before the call.
+func (c *Coordinator) readHere(ctx context.Context) (controller.Published, error) {
 	m := c.current.Load()
 	if m == nil {
-		return nil, &BusyError{Err: errClosed}
+		return controller.Published{}, errClosed
 	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
 	if _, err := m.group.Barrier(ctx); err != nil {
-		return nil, c.translate(err)
+		return controller.Published{}, err
 	}
-	return m, nil
+	return m.machine.Published(), nil
 }
 
-// translate names the operators' address of the leader where it is another
-// host.
-func (c *Coordinator) translate(err error) error {
+// handleForwarded registers the procedures by which other control hosts hand on
+// what operators ask of them.
+func (c *Coordinator) handleForwarded(mux *messenger.Mux) {
+	messenger.Handle(mux, proposeProcedure, func(ctx context.Context, r *proposeRequest) (*proposeResponse, error) {
+		a, err := c.proposeHere(ctx, r.Item)
+		return &proposeResponse{Answer: a}, err
+	})
+	messenger.Handle(mux, readProcedure, func(ctx context.Context, _ *readRequest) (*readResponse, error) {
+		p, err := c.readHere(ctx)
+		return &readResponse{Published: p}, err
+	})
+}
+
+// peer returns the client for another control host.
+func (c *Coordinator) peer(addr netip.AddrPort) *messenger.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[addr]
+	if p == nil {
+		p = messenger.NewPeer(addr, nil)
+		c.peers[addr] = p
+	}
+	return p
+}
+
+// otherLeader returns the leader that err names, if it is another host.
+func otherLeader(err error, own netip.AddrPort) (netip.AddrPort, bool) {
 	var nl *replicator.NotLeaderError
-	if errors.As(err, &nl) && nl.Leader.Addr.IsValid() && nl.Leader.Addr != c.set.Peers {
-		return &controller.NotLeaderError{Leader: netip.AddrPortFrom(nl.Leader.Addr.Addr(), c.set.Operators.Port())}
+	if errors.As(err, &nl) && nl.Leader.Addr.IsValid() && nl.Leader.Addr != own {
+		return nl.Leader.Addr, true
+	}
+	return netip.AddrPort{}, false
+}
+
+func busy(err error) error {
+	if err == nil {
+		return nil
 	}
 	return &BusyError{Err: err}
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -33,7 +33,7 @@
 	shortestTry = 20 * time.Millisecond
 	// workPerRequest is the work of a request beside that of its tokens, in
 	// tokens.
-	workPerRequest = 400
+	workPerRequest = 100
 )
 
 type (
@@ -85,7 +85,10 @@
 
 // admit finds route and workspace and reads the body.
 func (c *call) admit() *refusal {
-	cur := c.f.InForce()
+	if c.f.refusing.Load() {
+		return refuse(http.StatusServiceUnavailable, refuser.ShuttingDown, leaveWait)
+	}
+	cur := c.f.firstInForce(c.r.Context())
 	if cur.Table == nil {
 		return refuse(http.StatusServiceUnavailable, refuser.NotConfigured, startWait)
 	}
@@ -234,7 +237,7 @@
 	req := placer.Request{Service: c.service.Name, Versions: c.versions(), Tried: c.tried}
 	if c.service.Engine != nil {
 		req.Group = c.group()
-		req.Work = float64(c.env.Input+c.env.Output) + workPerRequest
+		req.Work, req.Shared = c.work()
 	}
 	t, ok := c.f.set.Placer.Pick(req)
 	if !ok && len(c.tried) > 0 {
@@ -254,6 +257,37 @@
 	return t, nil
 }
 
+// work returns the tokens of the prompt that no other request shares and those
+// that others do, in tokens of the largest model. What a model costs stands
+// for the time that it takes.
+func (c *call) work() (own, shared float64) {
+	for _, p := range c.env.Parts {
+		shared += float64(p.Tokens)
+	}
+	own = float64(c.env.Input)
+	if n := len(c.env.Parts); n > 0 {
+		own = float64(c.env.Parts[n-1].Tokens)
+		shared -= own
+	}
+	w := c.weight()
+	return w*own + workPerRequest, w * shared
+}
+
+// weight is the cost of the chosen model as a part of that of the dearest.
+func (c *call) weight() float64 {
+	var own, most float64
+	for _, m := range c.service.Engine.Models {
+		most = max(most, m.Cost)
+		if m.Name == c.model {
+			own = m.Cost
+		}
+	}
+	if own <= 0 || most <= 0 {
+		return 1
+	}
+	return own / most
+}
+
 // versions restricts the upstreams to those of the request's version.
 func (c *call) versions() placer.Versions {
 	switch {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -132,9 +132,13 @@
 
 	// Forwarder serves requests. Make it with New.
 	Forwarder struct {
-		set     Settings
-		inForce atomic.Pointer[InForce]
-		closing atomic.Bool
+		set      Settings
+		inForce  atomic.Pointer[InForce]
+		closing  atomic.Bool
+		refusing atomic.Bool
+		started  time.Time
+		// configured is closed when the first configuration is in force.
+		configured chan struct{}
 
 		mu       sync.Mutex
 		assigner stager.Assigner
@@ -148,15 +152,21 @@
 
 // New returns a forwarder without a configuration, which refuses all requests.
 func New(s Settings) *Forwarder {
-	f := &Forwarder{set: s}
+	f := &Forwarder{set: s, started: s.Clock.Now(), configured: make(chan struct{})}
 	f.assigner.Session = s.Session
 	f.tally.lines = make(map[stager.Line]stager.Count)
 	f.tally.usual = make(map[usualKey]time.Duration)
 	return f
 }
 
-// Put takes over a configuration.
-func (f *Forwarder) Put(c InForce) { f.inForce.Store(&c) }
+// Put takes over a configuration. Calls must not overlap.
+func (f *Forwarder) Put(c InForce) {
+	first := f.InForce().Table == nil && c.Table != nil
+	f.inForce.Store(&c)
+	if first {
+		close(f.configured)
+	}
+}
 
 // InForce returns the configuration in force; its table is nil before the
 // first.
@@ -171,6 +181,10 @@
 // other hosts.
 func (f *Forwarder) Close() { f.closing.Store(true) }
 
+// Refuse lets every further request be refused at once, because there is no
+// time left to complete it.
+func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{f: f, w: w, r: r, begun: f.set.Clock.Now()}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -14,6 +14,9 @@
 	// startWait is when callers are to come back that found no configuration
 	// or no upstream.
 	startWait = 400 * time.Millisecond
+	// leaveWait is when callers are to come back that reached a host which is
+	// leaving; they reach another one.
+	leaveWait = 30 * time.Millisecond
 	// busyWait is when callers are to come back whose upstreams were full.
 	busyWait = 150 * time.Millisecond
 	// statusClosed stands for a caller that has left.
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -7,6 +7,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// maxCopies bounds the upstreams that are remembered for a group.
+const maxCopies = 6
+
 // choose returns the upstream for r. Healthy upstreams of the own zone come
 // first, then healthy ones elsewhere, then those that are passed over.
 func (p *Placer) choose(pl *pool, r Request) *upstream {
@@ -27,54 +30,85 @@
 	case len(near)+len(far) == 0:
 		return soonest(out)
 	case len(near) == 0:
-		return pick(far, r)
+		return pl.pick(far, r)
 	}
-	u := pick(near, r)
+	u := pl.pick(near, r)
 	if len(far) > 0 && u.full(r) {
-		if other := pick(far, r); !other.full(r) {
+		if other := pl.pick(far, r); !other.full(r) {
 			return other
 		}
 	}
 	return u
 }
 
-func pick(ups []*upstream, r Request) *upstream {
+func (pl *pool) pick(ups []*upstream, r Request) *upstream {
 	if r.Work > 0 {
-		return grouped(ups, r.Group)
+		return pl.lightest(ups, r)
 	}
 	return shortest(ups)
 }
 
-// grouped returns the upstream with the highest rank for the group among
-// those whose load is near the mean or below.
+// lightest returns the upstream that begins to answer first: the one with the
+// least work before it, where those that do not cache the parts of the group
+// have to read them as well. Equals are ranked by rendezvous hashing.
 //
 // It answers a load in which a few subjects get much of the traffic: their
-// requests stay where their prompts are cached until that engine has more than
-// its part, and then overflow to the next in rank, which all hosts agree on.
-func grouped(ups []*upstream, group uint64) *upstream {
-	sum := 0.0
-	for _, u := range ups {
-		sum += u.work
-	}
-	bound := loadBound*sum/float64(len(ups)) + loadSlack
+// requests stay where their prompts are cached until the wait there is longer
+// than reading the parts elsewhere, and then overflow to the next in rank, on
+// which all hosts agree.
+func (pl *pool) lightest(ups []*upstream, r Request) *upstream {
+	home := ranked(ups, r.Group)
 	var best *upstream
+	var least float64
 	var rank uint64
 	for _, u := range ups {
-		if u.work > bound {
-			continue
+		work, h := u.work, mix(u.hash^r.Group)
+		if u != home && !pl.caches(u, r.Group) {
+			work += r.Shared
 		}
-		h := mix(u.hash ^ group)
-		if group == 0 {
-			// Without a group, the least loaded upstream ranks first.
-			h = ^uint64(u.work)
+		if r.Group == 0 {
+			h = 0
 		}
-		if best == nil || h > rank {
-			best, rank = u, h
+		if best == nil || work < least || work == least && h > rank {
+			best, least, rank = u, work, h
+		}
+	}
+	return best
+}
+
+// ranked returns the upstream with the highest rank for the group, nil if there
+// is no group.
+func ranked(ups []*upstream, group uint64) *upstream {
+	if group == 0 {
+		return nil
+	}
+	var best *upstream
+	for _, u := range ups {
+		if best == nil || mix(u.hash^group) > mix(best.hash^group) {
+			best = u
 		}
 	}
 	return best
 }
 
+// caches reports whether the upstream was sent a request of the group.
+func (pl *pool) caches(u *upstream, group uint64) bool {
+	hashes, ok := pl.cached.Get(group)
+	return ok && slices.Contains(hashes, u.hash)
+}
+
+// remember notes that the upstream reads the parts of the group.
+func (pl *pool) remember(u *upstream, group uint64) {
+	if group == 0 {
+		return
+	}
+	hashes, _ := pl.cached.Get(group) // Absent means none.
+	if len(hashes) >= maxCopies {
+		hashes = hashes[1:]
+	}
+	pl.cached.Put(group, append(slices.Clip(hashes), u.hash))
+}
+
 // shortest returns the upstream with the shortest expected wait.
 func shortest(ups []*upstream) *upstream {
 	var best *upstream
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,7 @@
 	"sync"
 	"time"
 
+	"foxtailwall/buffer"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
 )
@@ -75,10 +76,11 @@
 	slowRatio = 3.0
 	slowLeast = 150 * time.Millisecond
 
-	// loadBound is the load, as a multiple of the mean, up to which requests
-	// of a group stay together, and loadSlack is added to it, in tokens.
-	loadBound = 1.35
-	loadSlack = 6000
+	// generating is the work of a request that has begun to answer, in tokens:
+	// it runs in a batch and hardly delays the others.
+	generating = 60
+	// maxGroups bounds the groups whose engines are remembered.
+	maxGroups = 4096
 	// spillShare is the part of an engine's slots that one host fills before
 	// it uses other zones.
 	spillShare = 0.6
@@ -114,9 +116,12 @@
 		// Group is the hash of what requests share that should run at the
 		// same upstream; zero means nothing.
 		Group uint64
-		// Work is the number of tokens to be read and generated; zero for
-		// plain services.
+		// Work is what has to be read of the prompt in any case, in tokens of
+		// the largest model; zero for plain services.
 		Work float64
+		// Shared is what has to be read besides where the parts of the group
+		// are not cached.
+		Shared float64
 		// Tried lists the upstreams that the request was sent to.
 		Tried []tracker.Key
 	}
@@ -133,6 +138,9 @@
 	// pool is the upstreams of a service.
 	pool struct {
 		ups []*upstream
+		// cached has, for each group, the hashes of the upstreams that were
+		// sent requests of it.
+		cached *buffer.LRU[uint64, []uint64]
 	}
 
 	// upstream is one upstream with what this host knows of it.
@@ -174,7 +182,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	old := make(map[tracker.Key]*upstream)
-	for _, pl := range p.pools {
+	pools := p.pools
+	for _, pl := range pools {
 		for _, u := range pl.ups {
 			old[u.Key()] = u
 		}
@@ -188,7 +197,10 @@
 		u.Upstream = in
 		pl := p.pools[in.Service]
 		if pl == nil {
-			pl = &pool{}
+			pl = &pool{cached: buffer.NewLRU[uint64, []uint64](maxGroups)}
+			if before := pools[in.Service]; before != nil {
+				pl.cached = before.cached
+			}
 			p.pools[in.Service] = pl
 		}
 		pl.ups = append(pl.ups, u)
@@ -207,9 +219,14 @@
 	if u == nil {
 		return nil, false
 	}
+	t = &Ticket{p: p, up: u, work: r.Work}
+	if r.Work > 0 && !pl.caches(u, r.Group) {
+		t.work += r.Shared
+		pl.remember(u, r.Group)
+	}
 	u.running++
-	u.work += r.Work
-	return &Ticket{p: p, up: u, work: r.Work}, true
+	u.work += t.work
+	return t, true
 }
 
 // Ready returns the number of upstreams of the service that take new
@@ -252,11 +269,16 @@
 // Upstream returns the chosen upstream.
 func (t *Ticket) Upstream() tracker.Upstream { return t.up.Upstream }
 
-// Heard notes that bytes have arrived from the upstream.
+// Heard notes that bytes have arrived from the upstream. With the first, the
+// prompt has been read.
 func (t *Ticket) Heard() {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	t.up.heard = t.p.set.Clock.Now()
+	if t.work > generating && !t.done {
+		t.up.work -= t.work - generating
+		t.work = generating
+	}
 }
 
 // HeardSince reports whether any request of this host has received bytes from
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -131,3 +131,10 @@
 		c.progress[id] = &progress{next: c.log.last() + 1, acked: c.now - c.lease}
 	}
 }
+
+// startWithoutLease lets a member that has just started vote and stand at once.
+// Nothing rests on a lease that it may have supported before.
+func (c *core) startWithoutLease() {
+	c.leaderAt = c.now - c.election
+	c.waitAgain()
+}
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -205,6 +205,9 @@
 		return nil, err
 	}
 	c.seeds, c.bootstrap, c.voters = o.Seeds, o.Bootstrap, o.Voters
+	if o.VerifyReads {
+		c.startWithoutLease()
+	}
 	g := &Group{
 		opts: o, core: c, journal: j, start: o.Clock.Now(),
 		inbox: buffer.New[*Message](inboxSize), calls: buffer.New[*call](callsSize),
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -28,9 +28,9 @@
 
 const (
 	// trialShare is the share of new sessions that the target gets in the
-	// trial, in thousandths. It is a third of the smallest bound on exposure
-	// that operators set, 15%.
-	trialShare = 50
+	// trial, in thousandths. At 100 requests a second, a version that fails
+	// half of them shows within about five seconds.
+	trialShare = 20
 	// allShare is the whole traffic, in thousandths.
 	allShare = 1000
 
--- a/starter/control.go
+++ b/starter/control.go
@@ -20,7 +20,7 @@
 	var set atomic.Pointer[Settings]
 	set.Store(&s)
 	c, err := coordinator.New(coordinator.Settings{
-		Name: s.Name, Peers: s.Peers, Operators: s.Operators, DataFolder: s.DataFolder, Bootstrap: s.Bootstrap,
+		Name: s.Name, Peers: s.Peers, DataFolder: s.DataFolder, Bootstrap: s.Bootstrap,
 		LostDisks: s.LostDisks, Seeds: func() []netip.AddrPort { return peerSeeds(*set.Load()) },
 		List: o.Protocol.List, Clock: o.Clock, Scope: o.Scope, Log: o.Log,
 	})
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -41,7 +41,7 @@
 
 	// leaveShare is the part of the grace period in which connections are
 	// still accepted: the platform takes two seconds to stop sending new ones.
-	leaveShare = 0.4
+	leaveShare = 0.3
 	// endShare is the part of the grace period after which requests that are
 	// still under way are cut.
 	endShare = 0.92
@@ -67,6 +67,8 @@
 	listAt    time.Time
 	inv       tracker.Inventory
 	rollouts  []controller.OrderedRollout
+	// next is put in force once there is a list of upstreams.
+	next forwarder.InForce
 }
 
 // RunEntry runs an entry until ctx ends, and then lets running requests end
@@ -148,6 +150,7 @@
 	}
 	// The background context never ends the wait.
 	_ = timekeeper.Sleep(context.Background(), e.opts.Clock, wait(leaveShare))
+	e.forward.Refuse()
 	ctx, cancel := context.WithTimeout(context.Background(), wait(endShare))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
@@ -162,18 +165,12 @@
 	switch {
 	case r.URL.Path != e.opts.Protocol.ReadyPath:
 		status = http.StatusNotFound
-	case e.leaving.Load() || e.forward.InForce().Table == nil || !e.listed():
+	case e.leaving.Load() || e.forward.InForce().Table == nil:
 		status = http.StatusServiceUnavailable
 	}
 	w.WriteHeader(status)
 }
 
-func (e *entry) listed() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.inv.Known()
-}
-
 func (e *entry) seeds() []netip.AddrPort { return peerSeeds(*e.set.Load()) }
 
 // report says what this host has and has seen.
@@ -214,10 +211,9 @@
 }
 
 // put puts a configuration and rollouts in force. The caller holds mu.
-func (e *entry) put(p *syncer.Published) {
+func (e *entry) put(p *controller.Published) {
 	e.published = p.Version
-	cur := e.forward.InForce()
-	next := forwarder.InForce{Table: cur.Table, Rollouts: make(map[string]controller.OrderedRollout, len(p.Rollouts))}
+	next := forwarder.InForce{Table: e.next.Table, Rollouts: make(map[string]controller.OrderedRollout, len(p.Rollouts))}
 	for _, r := range p.Rollouts {
 		next.Rollouts[r.Service] = r
 	}
@@ -232,7 +228,8 @@
 			e.document = p.Document.Version
 		}
 	}
-	e.forward.Put(next)
+	e.next = next
+	e.putInForce()
 	e.opts.Log.Info().Uint64("config", e.document).Uint64("published", p.Version).Int("rollouts", len(p.Rollouts)).
 		Msg("configuration in force")
 }
@@ -243,12 +240,23 @@
 		e.opts.Log.Info().Str("list", e.listName).Int("upstreams", len(list)).Msg("list of upstreams in force")
 	}
 	e.placer.Update(e.inv.List())
+	if e.forward.InForce().Table == nil {
+		e.putInForce()
+	}
+}
+
+// putInForce lets requests follow the newest configuration once there are
+// upstreams to send them to. The caller holds mu.
+func (e *entry) putInForce() {
+	if e.inv.Known() && e.next.Table != nil {
+		e.forward.Put(e.next)
+	}
 }
 
 // readLists reads the list of upstreams from the platform while the leader
 // cannot tell it.
 func (e *entry) readLists(ctx context.Context) {
-	for timekeeper.Sleep(ctx, e.opts.Clock, listPause) == nil {
+	for ; ctx.Err() == nil; _ = timekeeper.Sleep(ctx, e.opts.Clock, listPause) {
 		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
 			continue
 		}
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -139,7 +139,7 @@
 		u.ListAge = h.set.Clock.Since(h.readAt)
 	}
 	if p.Version > r.Published {
-		u.Published = &Published{Version: p.Version, Document: p.Document, Rollouts: p.Rollouts}
+		u.Published = &p
 	}
 	if h.list.Name != "" && h.list.Name != r.List {
 		l := h.list
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -68,21 +68,14 @@
 		Leader  netip.AddrPort   `cbor:"leader"`
 		Members []netip.AddrPort `cbor:"members,omitempty"`
 		// Hosts is the number of live hosts that serve callers.
-		Hosts     int        `cbor:"hosts"`
-		Published *Published `cbor:"published,omitempty"`
-		Upstreams *List      `cbor:"upstreams,omitempty"`
+		Hosts     int                   `cbor:"hosts"`
+		Published *controller.Published `cbor:"published,omitempty"`
+		Upstreams *List                 `cbor:"upstreams,omitempty"`
 		// ListAge is how long ago the leader has read the list of upstreams,
 		// below 0 if it never has.
 		ListAge time.Duration `cbor:"listAge"`
 	}
 
-	// Published is what operators have put in force.
-	Published struct {
-		Version  uint64                      `cbor:"version"`
-		Document controller.Document         `cbor:"document"`
-		Rollouts []controller.OrderedRollout `cbor:"rollouts,omitempty"`
-	}
-
 	// List is a list of upstreams. Its name differs from that of every other.
 	List struct {
 		Name      string             `cbor:"name"`
