--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -24,7 +24,7 @@
 	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
 	next, ok := sizer.Next(sizer.Answer{
 		Size: c.size, Sizes: len(c.route.Sizes), Confidence: c.confidence,
-		Pressure: c.f.gauge.Pressure(largest, c.route.Target),
+		Pressure: c.f.gauge.Pressure(largest, c.route.Target) + c.spent(),
 	})
 	if !ok {
 		return false
@@ -38,3 +38,11 @@
 	c.tried = nil
 	return true
 }
+
+// spent is the time that has passed as a part of the route's target.
+func (c *call) spent() float64 {
+	if c.route.Target <= 0 {
+		return 0
+	}
+	return float64(c.f.set.Clock.Since(c.begun)) / float64(c.route.Target)
+}
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -11,7 +11,7 @@
 const maxCopies = 6
 
 // choose returns the upstream for r. Healthy upstreams of the own zone come
-// first, then healthy ones elsewhere, then those that are passed over.
+// first unless others are much less busy; those that are passed over come last.
 func (p *Placer) choose(pl *pool, r Request) *upstream {
 	now := p.set.Clock.Now()
 	var near, far, out []*upstream
@@ -26,26 +26,13 @@
 			far = append(far, u)
 		}
 	}
-	switch {
-	case len(near)+len(far) == 0:
+	if len(near)+len(far) == 0 {
 		return soonest(out)
-	case len(near) == 0:
-		return pl.pick(far, r)
 	}
-	u := pl.pick(near, r)
-	if len(far) > 0 && u.full(r) {
-		if other := pl.pick(far, r); !other.full(r) {
-			return other
-		}
-	}
-	return u
-}
-
-func (pl *pool) pick(ups []*upstream, r Request) *upstream {
 	if r.Work > 0 {
-		return pl.lightest(ups, r)
+		return pl.lightest(near, far, r, now)
 	}
-	return shortest(ups)
+	return shortest(near, far)
 }
 
 // lightest returns the upstream that begins to answer first: the one with the
@@ -56,16 +43,19 @@
 // requests stay where their prompts are cached until the wait there is longer
 // than reading the parts elsewhere, and then overflow to the next in rank, on
 // which all hosts agree.
-func (pl *pool) lightest(ups []*upstream, r Request) *upstream {
-	home := ranked(ups, r.Group)
+func (pl *pool) lightest(near, far []*upstream, r Request, now time.Time) *upstream {
+	home := ranked(near, r.Group)
+	if home == nil {
+		home = ranked(far, r.Group)
+	}
 	var best *upstream
 	var least float64
 	var rank uint64
-	for _, u := range ups {
-		work, h := u.work, mix(u.hash^r.Group)
+	weigh := func(u *upstream, work float64) {
 		if u != home && !pl.caches(u, r.Group) {
 			work += r.Shared
 		}
+		h := mix(u.hash ^ r.Group)
 		if r.Group == 0 {
 			h = 0
 		}
@@ -73,6 +63,12 @@
 			best, least, rank = u, work, h
 		}
 	}
+	for _, u := range near {
+		weigh(u, u.load(now))
+	}
+	for _, u := range far {
+		weigh(u, u.load(now)+farWork)
+	}
 	return best
 }
 
@@ -110,19 +106,25 @@
 }
 
 // shortest returns the upstream with the shortest expected wait.
-func shortest(ups []*upstream) *upstream {
+func shortest(near, far []*upstream) *upstream {
 	var best *upstream
-	var least time.Duration
-	for _, u := range ups {
+	var least float64
+	weigh := func(u *upstream, factor float64) {
 		first := u.first
 		if first == 0 {
 			first = unknownLatency
 		}
-		wait := time.Duration(u.running+1) * first
+		wait := factor * float64(u.running+1) * float64(first)
 		if best == nil || wait < least || wait == least && u.outcomes < best.outcomes {
 			best, least = u, wait
 		}
 	}
+	for _, u := range near {
+		weigh(u, 1)
+	}
+	for _, u := range far {
+		weigh(u, farWait)
+	}
 	return best
 }
 
@@ -147,14 +149,6 @@
 	return !now.Before(u.ejected) && (!u.trial || u.running == 0)
 }
 
-// full reports whether this host fills its part of the upstream.
-func (u *upstream) full(r Request) bool {
-	if r.Work > 0 {
-		return float64(u.running) >= spillShare*float64(u.Slots)
-	}
-	return u.running >= plainSpill
-}
-
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
 
 // mix is the finalizer of splitmix64.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -81,12 +81,12 @@
 	generating = 60
 	// maxGroups bounds the groups whose engines are remembered.
 	maxGroups = 4096
-	// spillShare is the part of an engine's slots that one host fills before
-	// it uses other zones.
-	spillShare = 0.6
-	// plainSpill is the number of requests of this host at a plain service
-	// beyond which other zones are used.
-	plainSpill = 3
+	// farWork is the work, in tokens, that is waited for in the own zone
+	// before a request goes to another, for the bytes between zones.
+	farWork = 1500
+	// farWait is how much longer than elsewhere, as a factor, the wait at a
+	// plain service of the own zone may be.
+	farWait = 1.3
 	// unknownLatency stands for the latency of an upstream not used yet.
 	unknownLatency = 20 * time.Millisecond
 )
@@ -141,6 +141,9 @@
 		// cached has, for each group, the hashes of the upstreams that were
 		// sent requests of it.
 		cached *buffer.LRU[uint64, []uint64]
+		// perToken is the time that a token of work takes on idle engines;
+		// zero before the first answer.
+		perToken time.Duration
 	}
 
 	// upstream is one upstream with what this host knows of it.
@@ -151,6 +154,11 @@
 		running int
 		work    float64
 
+		// foreign is the work of other hosts before the last request that was
+		// answered, as its time to the first byte tells, at the time foreignAt.
+		foreign   float64
+		foreignAt time.Time
+
 		outcomes int
 		badRate  float64
 		first    time.Duration
@@ -167,7 +175,11 @@
 		p    *Placer
 		up   *upstream
 		work float64
-		done bool
+		// ahead is the work of this host before the request, with its own.
+		ahead float64
+		at    time.Time
+		heard bool
+		done  bool
 	}
 )
 
@@ -226,6 +238,7 @@
 	}
 	u.running++
 	u.work += t.work
+	t.ahead, t.at = u.work, p.set.Clock.Now()
 	return t, true
 }
 
@@ -274,11 +287,16 @@
 func (t *Ticket) Heard() {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
-	t.up.heard = t.p.set.Clock.Now()
+	now := t.p.set.Clock.Now()
+	t.up.heard = now
 	if t.work > generating && !t.done {
 		t.up.work -= t.work - generating
 		t.work = generating
 	}
+	if !t.heard && t.ahead > 0 {
+		t.heard = true
+		t.p.pools[t.up.Service].measure(t.up, t.ahead, now.Sub(t.at), now)
+	}
 }
 
 // HeardSince reports whether any request of this host has received bytes from
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -37,9 +37,6 @@
 	// larger model is asked any more.
 	easyPressure = 0.35
 	hardPressure = 1.0
-	// stepPressure is the part from which one size up is asked in place of the
-	// largest.
-	stepPressure = 0.6
 
 	// decay is the weight of the newest time in the mean.
 	decay = 0.05
@@ -52,8 +49,8 @@
 		Size, Sizes int
 		// Confidence goes from 0 to 100; below 0 it is not known.
 		Confidence int
-		// Pressure is the usual time to the first byte of the largest model as
-		// a part of the target.
+		// Pressure is the time that has passed, and that the largest model
+		// usually takes to its first byte, as a part of the target.
 		Pressure float64
 	}
 
@@ -73,7 +70,7 @@
 	if a.Confidence < 0 || a.Size+1 >= a.Sizes || a.Confidence >= threshold(a.Pressure) {
 		return a.Size, false
 	}
-	if a.Confidence >= doubtful || a.Pressure >= stepPressure {
+	if a.Confidence >= doubtful {
 		return a.Size + 1, true
 	}
 	return a.Sizes - 1, true
