--- a/placer/placer.go
+++ b/placer/placer.go
@@ -141,9 +141,6 @@
 		// cached has, for each group, the hashes of the upstreams that were
 		// sent requests of it.
 		cached *buffer.LRU[uint64, []uint64]
-		// perToken is the time that a token of work takes on idle engines;
-		// zero before the first answer.
-		perToken time.Duration
 	}
 
 	// upstream is one upstream with what this host knows of it.
@@ -154,11 +151,6 @@
 		running int
 		work    float64
 
-		// foreign is the work of other hosts before the last request that was
-		// answered, as its time to the first byte tells, at the time foreignAt.
-		foreign   float64
-		foreignAt time.Time
-
 		outcomes int
 		badRate  float64
 		first    time.Duration
@@ -175,11 +167,7 @@
 		p    *Placer
 		up   *upstream
 		work float64
-		// ahead is the work of this host before the request, with its own.
-		ahead float64
-		at    time.Time
-		heard bool
-		done  bool
+		done bool
 	}
 )
 
@@ -238,7 +226,6 @@
 	}
 	u.running++
 	u.work += t.work
-	t.ahead, t.at = u.work, p.set.Clock.Now()
 	return t, true
 }
 
@@ -287,16 +274,11 @@
 func (t *Ticket) Heard() {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
-	now := t.p.set.Clock.Now()
-	t.up.heard = now
+	t.up.heard = t.p.set.Clock.Now()
 	if t.work > generating && !t.done {
 		t.up.work -= t.work - generating
 		t.work = generating
 	}
-	if !t.heard && t.ahead > 0 {
-		t.heard = true
-		t.p.pools[t.up.Service].measure(t.up, t.ahead, now.Sub(t.at), now)
-	}
 }
 
 // HeardSince reports whether any request of this host has received bytes from
