--- /dev/null
+++ b/coordinator/coordinator_test.go
@@ -0,0 +1,143 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+	"foxtailwall/coordinator"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+func TestCoordinator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "coordinator")
+}
+
+// patience bounds waits for what must happen at some time.
+const patience = time.Minute
+
+// hosts are control hosts on addresses of the loopback network.
+type hosts struct {
+	addrs   []netip.AddrPort
+	folders []string
+	running []*coordinator.Coordinator
+	stops   []context.CancelFunc
+	done    []chan struct{}
+}
+
+// freePort returns a port that is free on the first n addresses of the
+// loopback network.
+func freePort(n int) uint16 {
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		port := uint16(l.Addr().(*net.TCPAddr).Port)
+		free := true
+		for i := 1; i < n && free; i++ {
+			o, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", i+1, port))
+			if free = err == nil; free {
+				o.Close()
+			}
+		}
+		l.Close()
+		if free {
+			return port
+		}
+	}
+}
+
+func newHosts(n int) *hosts {
+	h := &hosts{running: make([]*coordinator.Coordinator, n), stops: make([]context.CancelFunc, n), done: make([]chan struct{}, n)}
+	port := freePort(n)
+	for i := range n {
+		h.addrs = append(h.addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), port))
+		h.folders = append(h.folders, GinkgoT().TempDir())
+	}
+	return h
+}
+
+func (h *hosts) start(i int, bootstrap bool) {
+	c, err := coordinator.New(coordinator.Settings{
+		Name: fmt.Sprintf("c%d", i), Peers: h.addrs[i], DataFolder: h.folders[i], Bootstrap: bootstrap, LostDisks: 1,
+		Seeds: func() []netip.AddrPort { return h.addrs[:3] }, Clock: timekeeper.System{},
+		List: func(context.Context) ([]tracker.Upstream, error) { return nil, nil },
+	})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	h.running[i], h.stops[i], h.done[i] = c, cancel, make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(h.done[i])
+		Expect(c.Run(ctx)).To(Succeed())
+	}()
+	DeferCleanup(func() { h.stop(i) })
+}
+
+func (h *hosts) stop(i int) {
+	h.stops[i]()
+	<-h.done[i]
+}
+
+// put puts the version in force through host i, as often as it takes.
+func (h *hosts) put(i int, version uint64) {
+	Eventually(func() error {
+		_, err := h.running[i].Put(context.Background(), controller.Document{Version: version, Body: []byte(fmt.Sprint(version))})
+		return err
+	}, patience).Should(Succeed())
+}
+
+// version reads the version in force through host i.
+func (h *hosts) version(i int) func() uint64 {
+	return func() uint64 {
+		d, err := h.running[i].Current(context.Background())
+		if err != nil {
+			return 0
+		}
+		return d.Version
+	}
+}
+
+var _ = Describe("Coordinator", func() {
+	// Guards against control hosts that answer only where they lead, and
+	// against changes that are lost with a host or its disk.
+	It("keeps what was acknowledged when a disk is lost", func() {
+		h := newHosts(3)
+		for i := range 3 {
+			h.start(i, true)
+		}
+		for i := range 3 {
+			h.put(i, uint64(10+i))
+			Expect(h.version((i + 1) % 3)()).To(Equal(uint64(10 + i)))
+		}
+		for i := range 3 {
+			h.stop(i)
+			Expect(os.RemoveAll(h.folders[i])).To(Succeed())
+			h.start(i, false)
+			Eventually(h.version(i), patience).Should(Equal(uint64(12 + i)))
+			// All three must vote again before the next disk is lost.
+			Eventually(func() []netip.AddrPort { return h.running[i].Members() }, patience).Should(HaveLen(3))
+			h.put(i, uint64(13+i))
+		}
+	})
+
+	// Guards against a host that lost its disk and forms a group of its own.
+	It("forms no group without the bootstrap", func() {
+		h := newHosts(3)
+		for i := range 3 {
+			h.start(i, false)
+		}
+		_, err := h.running[0].Put(context.Background(), controller.Document{Version: 1})
+		Expect(err).To(HaveOccurred())
+		Expect(h.running[0].Members()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/starter/starter_test.go
@@ -0,0 +1,227 @@
+package starter_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+	"foxtailwall/coordinator"
+	"foxtailwall/dialer"
+	"foxtailwall/forwarder"
+	"foxtailwall/matcher"
+	"foxtailwall/starter"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+func TestStarter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "starter")
+}
+
+// patience bounds waits for what must happen at some time.
+const patience = time.Minute
+
+// codec speaks a protocol with short names.
+type codec struct{}
+
+func (codec) IDField() string { return "X-Id" }
+
+func (codec) Request(h http.Header) forwarder.Envelope { return forwarder.Envelope{ID: h.Get("X-Id")} }
+
+func (codec) Fields(h http.Header, _ forwarder.Dispatch) []dialer.Field {
+	return []dialer.Field{{Name: "X-Id", Value: h.Get("X-Id")}}
+}
+
+func (codec) Reply(h http.Header) forwarder.Reply {
+	return forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
+}
+
+func freeAddr() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// deployment is one control host, one entry and one upstream.
+type deployment struct {
+	control, entry starter.Settings
+	opts           starter.Options
+	stopEntry      context.CancelFunc
+	ended          chan error
+}
+
+func deploy(upstream http.HandlerFunc) *deployment {
+	srv := httptest.NewServer(upstream)
+	DeferCleanup(srv.Close)
+	up := tracker.Upstream{ID: "u", Service: "s", Zone: "a", Version: "v1", Address: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+	d := &deployment{ended: make(chan error, 1)}
+	d.opts = starter.Options{Clock: timekeeper.System{}, Protocol: starter.Protocol{
+		Codec: codec{},
+		Config: func(b []byte) (c matcher.Config, err error) {
+			err = json.Unmarshal(b, &c)
+			return c, err
+		},
+		List:      func(context.Context) ([]tracker.Upstream, error) { return []tracker.Upstream{up}, nil },
+		Operators: operators, ReadyPath: "/ready",
+		Settings: func() (starter.Settings, error) { return d.entry, nil },
+	}}
+	operatorsAddr := freeAddr()
+	retries := starter.Retries{Ratio: 1, Window: 10 * time.Second, Slack: 10}
+	d.control = starter.Settings{
+		Name: "c", Zone: "a", Operators: operatorsAddr, Seeds: []netip.AddrPort{operatorsAddr}, Bootstrap: true,
+		Peers: freeAddr(), DataFolder: GinkgoT().TempDir(), Grace: time.Second,
+	}
+	d.entry = starter.Settings{
+		Name: "e", Zone: "a", Callers: freeAddr(), Ready: freeAddr(), Peers: d.control.Peers, Seeds: d.control.Seeds,
+		Grace: 3 * time.Second, Retries: retries,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(starter.RunControl(ctx, d.control, d.opts)).To(Succeed())
+	}()
+	entryCtx, stop := context.WithCancel(context.Background())
+	d.stopEntry = stop
+	go func() { d.ended <- starter.RunEntry(entryCtx, d.entry, d.opts) }()
+	DeferCleanup(func() {
+		cancel()
+		stop()
+		<-done
+	})
+	return d
+}
+
+// operators takes a document with its version in the path.
+func operators(c *coordinator.Coordinator) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var d controller.Document
+		_, err := fmt.Sscanf(r.URL.Path, "/%d", &d.Version)
+		if err == nil {
+			d.Body, err = io.ReadAll(r.Body)
+		}
+		if err == nil {
+			_, err = c.Put(r.Context(), d)
+		}
+		if err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+func (d *deployment) put(c matcher.Config) {
+	body, err := json.Marshal(c)
+	Expect(err).NotTo(HaveOccurred())
+	Eventually(func() int {
+		resp, err := http.Post(fmt.Sprintf("http://%s/%d", d.control.Operators, c.Version), "", strings.NewReader(string(body)))
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}, patience).Should(Equal(200))
+}
+
+func status(addr netip.AddrPort, path string) func() int {
+	return func() int {
+		req, err := http.NewRequest("GET", "http://"+addr.String()+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("X-Id", "1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+}
+
+func config(version uint64, prefix string) matcher.Config {
+	return matcher.Config{
+		Version: version, Services: []matcher.Service{{Name: "s"}},
+		Routes: []matcher.Route{{
+			Name: "r", Host: "127.0.0.1", Prefix: prefix, Kind: matcher.Idempotent, Timeout: 5 * time.Second,
+			MaxAttempts: 2, Splits: []matcher.Split{{Service: "s", Weight: 1}},
+		}},
+	}
+}
+
+var _ = Describe("a deployment", func() {
+	// Guards against a part of the path from operator and platform to the
+	// caller that is not connected.
+	It("serves what the operator has put in force", func() {
+		d := deploy(func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", r.Header.Get("X-Id")) })
+		Eventually(status(d.entry.Ready, "/ready"), patience).Should(Equal(503))
+		d.put(config(3, "/a/"))
+		Eventually(status(d.entry.Ready, "/ready"), patience).Should(Equal(200))
+		Expect(status(d.entry.Callers, "/a/x")()).To(Equal(200))
+		d.put(config(2, "/old/"))
+		d.put(config(4, "/b/"))
+		Eventually(status(d.entry.Callers, "/b/x"), patience).Should(Equal(200))
+		Expect(status(d.entry.Callers, "/a/x")()).To(Equal(404))
+		Expect(status(d.entry.Callers, "/old/x")()).To(Equal(404))
+	})
+
+	// Guards against running requests that are cut by a shutdown, and against
+	// an entry that still counts as ready.
+	It("lets running requests end when it is stopped", func() {
+		begun, release := make(chan struct{}), make(chan struct{})
+		d := deploy(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			close(begun)
+			<-release
+		})
+		d.put(config(1, "/a/"))
+		Eventually(status(d.entry.Ready, "/ready"), patience).Should(Equal(200))
+		got := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			got <- status(d.entry.Callers, "/a/x")()
+		}()
+		<-begun
+		d.stopEntry()
+		Eventually(status(d.entry.Ready, "/ready"), patience).Should(Equal(503))
+		close(release)
+		Expect(<-got).To(Equal(200))
+		Expect(<-d.ended).To(Succeed())
+	})
+})
+
+// Guards against a host that starts with settings it cannot work with.
+var _ = DescribeTable("settings are checked",
+	func(change func(*starter.Settings), setting string) {
+		s := starter.Settings{
+			Name: "e", Callers: netip.MustParseAddrPort("127.0.0.1:1"), Ready: netip.MustParseAddrPort("127.0.0.1:2"),
+			Peers: netip.MustParseAddrPort("127.0.0.1:3"), Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:4")},
+			Grace: time.Second, Retries: starter.Retries{Window: time.Second},
+		}
+		change(&s)
+		err := starter.RunEntry(context.Background(), s, starter.Options{Clock: timekeeper.System{}})
+		var se *starter.SettingError
+		Expect(errors.As(err, &se)).To(BeTrue())
+		Expect(se.Setting).To(Equal(setting))
+	},
+	Entry("no name", func(s *starter.Settings) { s.Name = "" }, "name"),
+	Entry("no callers", func(s *starter.Settings) { s.Callers = netip.AddrPort{} }, "callers"),
+	Entry("no readiness", func(s *starter.Settings) { s.Ready = netip.AddrPort{} }, "ready"),
+	Entry("no address for own processes", func(s *starter.Settings) { s.Peers = netip.AddrPort{} }, "peers"),
+	Entry("no seeds", func(s *starter.Settings) { s.Seeds = nil }, "seeds"),
+	Entry("no grace", func(s *starter.Settings) { s.Grace = 0 }, "grace"),
+	Entry("no window", func(s *starter.Settings) { s.Retries.Window = 0 }, "retries.window"),
+)
--- /dev/null
+++ b/syncer/syncer_test.go
@@ -0,0 +1,155 @@
+package syncer_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+	"foxtailwall/stager"
+	"foxtailwall/syncer"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+func TestSyncer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "syncer")
+}
+
+// source is the state of a control host.
+type source struct {
+	mu      sync.Mutex
+	leading bool
+	leader  netip.AddrPort
+	pub     controller.Published
+	changed chan struct{}
+}
+
+func (s *source) Leading() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.leading }
+
+func (s *source) Leader() netip.AddrPort { return s.leader }
+
+func (s *source) Members() []netip.AddrPort { return nil }
+
+func (s *source) Published() controller.Published { s.mu.Lock(); defer s.mu.Unlock(); return s.pub }
+
+func (s *source) Changed() <-chan struct{} { s.mu.Lock(); defer s.mu.Unlock(); return s.changed }
+
+func (s *source) put(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pub = controller.Published{Version: version, Document: controller.Document{Version: version}}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var _ = Describe("Hub", func() {
+	var (
+		clock *timekeeper.Fake
+		src   *source
+		hub   *syncer.Hub
+	)
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(100, 0))
+		src = &source{leading: true, changed: make(chan struct{})}
+		hub = syncer.NewHub(syncer.HubSettings{Source: src, Clock: clock})
+	})
+	watch := func(r syncer.Report) <-chan *syncer.Update {
+		out := make(chan *syncer.Update, 1)
+		go func() { out <- hub.Watch(context.Background(), &r) }()
+		return out
+	}
+
+	// Guards against a configuration that reaches hosts only with their next
+	// call.
+	It("answers as soon as there is news", func() {
+		src.put(3)
+		u := <-watch(syncer.Report{Host: "a"})
+		Expect(u.Published.Document.Version).To(Equal(uint64(3)))
+		waiting := watch(syncer.Report{Host: "a", Published: 3, Wait: time.Second})
+		src.put(4)
+		Expect((<-waiting).Published.Version).To(Equal(uint64(4)))
+		waiting = watch(syncer.Report{Host: "a", Published: 4, Wait: time.Second})
+		hub.Put("l1", []tracker.Upstream{{ID: "u"}})
+		Expect((<-waiting).Upstreams.Name).To(Equal("l1"))
+	})
+
+	// Guards against a host that follows a control host which no longer leads.
+	It("names the leader when it does not lead", func() {
+		src.leading, src.leader = false, netip.MustParseAddrPort("127.0.0.1:1")
+		u := <-watch(syncer.Report{Host: "a"})
+		Expect(u.Leads).To(BeFalse())
+		Expect(u.Leader).To(Equal(src.leader))
+	})
+
+	// Guards against counts that are lost or added twice when a host starts
+	// again.
+	It("adds up the counts of all starts", func() {
+		src.put(1)
+		l := stager.Line{Service: "s", Version: "v", Route: "r"}
+		report := func(host string, started int64, n uint64) {
+			<-watch(syncer.Report{Host: host, Started: started, Counts: []syncer.Counted{{Line: l, Count: stager.Count{All: n}}}})
+		}
+		report("a", 1, 5)
+		report("a", 1, 7)
+		report("a", 2, 1)
+		report("b", 1, 2)
+		Expect(hub.Counts()[l].All).To(Equal(uint64(10)))
+		Expect(hub.Hosts()).To(ConsistOf("a", "b"))
+		clock.Advance(10 * time.Second)
+		Expect(hub.Hosts()).To(BeEmpty())
+		Expect(hub.Counts()[l].All).To(Equal(uint64(10)))
+	})
+
+	// Guards against a rollout that is completed while requests are under way
+	// on a host that has not told of them.
+	It("knows the running requests only when all hosts have told", func() {
+		src.put(1)
+		<-watch(syncer.Report{Host: "a", Running: map[string]int{"s": 2}})
+		Expect(hub.Running("s")).To(Equal(2))
+		<-watch(syncer.Report{Host: "b"})
+		Expect(hub.Running("s")).To(BeNumerically("<", 0))
+	})
+})
+
+var _ = Describe("Client", func() {
+	// Guards against a host that stays with a control host which is gone or
+	// does not lead.
+	It("finds the leader and leaves it when it is lost", func() {
+		a, b := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2")
+		var mu sync.Mutex
+		leader := b
+		heard := make(chan netip.AddrPort, 100)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c := syncer.NewClient(syncer.ClientSettings{
+			Seeds: func() []netip.AddrPort { return []netip.AddrPort{a, b} }, Clock: timekeeper.System{},
+			Report: func() syncer.Report { return syncer.Report{} },
+			Apply:  func(u *syncer.Update) { heard <- u.Leader },
+			Call: func(_ context.Context, to netip.AddrPort, _ *syncer.Report) (*syncer.Update, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				if !leader.IsValid() {
+					return nil, errors.New("gone")
+				}
+				return &syncer.Update{Leads: to == leader, Leader: leader}, nil
+			},
+		})
+		go c.Run(ctx)
+		for range 3 {
+			Expect(<-heard).To(Equal(b))
+		}
+		Expect(c.Heard()).NotTo(BeZero())
+		mu.Lock()
+		leader = a
+		mu.Unlock()
+		Eventually(heard, time.Minute).Should(Receive(Equal(a)))
+	})
+})
