--- a/cmd/foxtailwall/host.go
+++ b/cmd/foxtailwall/host.go
@@ -59,14 +59,18 @@
 				Name: "settings", Usage: "path of the platform's settings file", Required: true,
 				Sources: cli.EnvVars(translator.SettingsVariable),
 			},
+			&cli.Uint16Flag{
+				Name: "metrics-port", Usage: "port on which metrics are served under /metrics; 0 serves none",
+				Sources: env("metrics-port"),
+			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return startHost(ctx, c.String("settings"), run)
+			return startHost(ctx, c.String("settings"), c.Uint16("metrics-port"), run)
 		},
 	}
 }
 
-func startHost(ctx context.Context, path string, run runHost) error {
+func startHost(ctx context.Context, path string, metricsPort uint16, run runHost) error {
 	read := func() (starter.Settings, error) { return translator.ReadSettings(path) }
 	set, err := read()
 	if err != nil {
@@ -78,7 +82,11 @@
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	scope := counter.New("foxtailwall")
-	defer scope.Close()
+	defer func() {
+		if err := scope.Close(); err != nil {
+			log.Warn().Err(err).Msg("the last metrics were not reported")
+		}
+	}()
 	return run(ctx, set, starter.Options{
 		Protocol: starter.Protocol{
 			Codec:     translator.Headers{},
@@ -88,7 +96,7 @@
 			ReadyPath: translator.ReadyPath,
 			Settings:  read,
 		},
-		Clock: timekeeper.System{}, Scope: scope, Log: log, Hangup: hangup,
+		Clock: timekeeper.System{}, Scope: scope, Log: log, Hangup: hangup, MetricsPort: metricsPort,
 	})
 }
 
@@ -99,5 +107,9 @@
 	d := diode.NewWriter(w, logLines, 0, func(missed int) {
 		direct.Warn().Int("lines", missed).Msg("log lines were dropped")
 	})
-	return d, func() { d.Close() }
+	return d, func() {
+		if err := d.Close(); err != nil {
+			direct.Warn().Err(err).Msg("the last log lines were not written")
+		}
+	}
 }
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -163,7 +163,7 @@
 	req := &http.Request{Method: method}
 	for range maxInformational {
 		c.limit.armed, c.limit.left = true, maxHeader
-		resp, err := http.ReadResponse(c.br, req) //nolint:bodyclose // The exchange ends with its connection.
+		resp, err := http.ReadResponse(c.br, req)
 		c.limit.armed = false
 		if err != nil {
 			return nil, err
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -155,7 +155,7 @@
 
 // header reads the header of the answer.
 func (x *exchange) header() error {
-	resp, err := x.c.header(x.a.Method)
+	resp, err := x.c.header(x.a.Method) //nolint:bodyclose // The exchange ends with its connection.
 	x.resp = resp
 	return err
 }
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -197,7 +197,7 @@
 // requests that arrive late on the connection are passed over.
 func (a *Forwarded) header() error {
 	for range maxStrays + 1 {
-		resp, err := a.c.header(a.f.Method)
+		resp, err := a.c.header(a.f.Method) //nolint:bodyclose // The exchange ends with its connection.
 		if err != nil {
 			return a.fail(router.FailReset, err)
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -227,7 +227,7 @@
 	// Guards against failures of one upstream that reach callers of
 	// idempotent requests.
 	It("sends an idempotent request to a second upstream", func() {
-		b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 		b.upstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
 		b.route(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
 		Expect(b.do("GET", "/p/", "").body).To(Equal("done"))
@@ -237,7 +237,7 @@
 	// Guards against more attempts than the route allows.
 	It("keeps to the attempts of the route", func() {
 		for range 3 {
-			b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) })
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 		}
 		b.route(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
 		a := b.do("GET", "/p/", "")
@@ -257,8 +257,8 @@
 			Expect(b.runs()).To(Equal([]string{"u0"}))
 		},
 		Entry("broken connection", http.HandlerFunc(cut), 502),
-		Entry("failure", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }), 500),
-		Entry("status that would promise", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }), 502),
+		Entry("failure", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }), 500),
+		Entry("status that would promise", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }), 502),
 		Entry("no signature", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("X-Sign") }), 502),
 		Entry("encoded body", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Encoding", "gzip") }), 502),
 	)
@@ -268,7 +268,7 @@
 	It("sends a request on that provably did not run", func() {
 		b.upstream(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("X-Not-Run", "1")
-			w.WriteHeader(503)
+			w.WriteHeader(http.StatusServiceUnavailable)
 		})
 		b.upstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
 		b.route(matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 2})
@@ -308,7 +308,7 @@
 		})
 		b.route(matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 1})
 		ctx, cancel := context.WithCancel(context.Background())
-		req, err := http.NewRequestWithContext(ctx, "GET", b.front.URL+"/p/", nil)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL+"/p/", nil)
 		Expect(err).NotTo(HaveOccurred())
 		req.Header.Set("X-Id", "id1")
 		req.Header.Set("X-Key", "k")
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -60,7 +60,7 @@
 			err = errEventTooLong
 		}
 		if err != nil {
-			return c.streamCut(t, first, err)
+			return c.streamCut(t, err)
 		}
 	}
 }
@@ -89,7 +89,7 @@
 func (c *call) streamEnd(t *placer.Ticket, ans *dialer.Forwarded, first time.Duration, whole bool) bool {
 	if !whole {
 		ans.Abort()
-		return c.streamCut(t, first, errPartialEvent)
+		return c.streamCut(t, errPartialEvent)
 	}
 	ans.Finish()
 	c.ran++
@@ -106,7 +106,7 @@
 }
 
 // streamCut handles a stream that broke off.
-func (c *call) streamCut(t *placer.Ticket, first time.Duration, err error) bool {
+func (c *call) streamCut(t *placer.Ticket, err error) bool {
 	// The attempt was counted when its header came.
 	c.arrivals--
 	done := c.failed(t, err)
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -134,8 +134,8 @@
 		workspaces map[string]*Workspace
 	}
 
-	// Fault is a reason why a configuration is refused.
-	Fault struct {
+	// FaultError is a reason why a configuration is refused.
+	FaultError struct {
 		// Where names the part of the configuration.
 		Where  string
 		Reason string
@@ -143,13 +143,13 @@
 )
 
 // Error implements error.
-func (f Fault) Error() string { return f.Where + ": " + f.Reason }
+func (f FaultError) Error() string { return f.Where + ": " + f.Reason }
 
 // Check returns the faults of c, none if it is valid.
-func Check(c Config) []Fault {
-	var faults []Fault
+func Check(c Config) []FaultError {
+	var faults []FaultError
 	fault := func(where, format string, args ...any) {
-		faults = append(faults, Fault{Where: where, Reason: fmt.Sprintf(format, args...)})
+		faults = append(faults, FaultError{Where: where, Reason: fmt.Sprintf(format, args...)})
 	}
 	if c.Version == 0 {
 		fault("version", "must be at least 1")
--- a/server/operators.go
+++ b/server/operators.go
@@ -106,9 +106,13 @@
 }
 
 // metrics answers GET /metrics in the Prometheus text form.
-func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) { Metrics(w, s.o.Scope) }
+
+// Metrics answers with all metrics of the scope in the Prometheus text form.
+func Metrics(w http.ResponseWriter, scope counter.Scope) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_, _ = w.Write(exposition(s.o.Scope.Snapshot()))
+	// A caller that has left needs no metrics.
+	_, _ = w.Write(exposition(scope.Snapshot()))
 }
 
 func printYAML(c declarer.Config) ([]byte, error) { return yaml.Marshal(c) }
--- a/starter/control.go
+++ b/starter/control.go
@@ -35,6 +35,7 @@
 	p.Go(func() error { defer cancel(); return c.Run(ctx) })
 	p.Go(func() error { defer cancel(); return serve(ctx, "operators", s.Operators, srv) })
 	p.Go(func() error { reload(ctx, &o, &set); return nil })
+	p.Go(func() error { serveMetrics(ctx, &s, &o); return nil })
 	p.Go(func() error {
 		<-ctx.Done()
 		return srv.Close()
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -124,6 +124,7 @@
 	p.Go(func() error { defer cancel(); return serve(duties, "readiness", set.Ready, ready) })
 	p.Go(func() error { e.client.Run(duties); return nil })
 	p.Go(func() error { e.readLists(duties); return nil })
+	p.Go(func() error { serveMetrics(duties, set, &e.opts); return nil })
 	p.Go(func() error { reload(duties, &e.opts, &e.set); return nil })
 	p.Go(func() error {
 		select {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -103,6 +103,9 @@
 		Log      zerolog.Logger
 		// Hangup delivers SIGHUP; nil is never.
 		Hangup <-chan os.Signal
+		// MetricsPort is the port at the address for own processes on which
+		// metrics are served under /metrics; 0 serves none.
+		MetricsPort uint16
 	}
 
 	// SettingError names a setting that cannot be used.
@@ -157,3 +160,24 @@
 	}
 	return errors.Wrapf(err, "serve %s", what)
 }
+
+// serveMetrics serves the metrics until ctx ends. A failure is logged and ends
+// nothing else.
+func serveMetrics(ctx context.Context, s *Settings, o *Options) {
+	if o.MetricsPort == 0 {
+		return
+	}
+	srv := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/metrics" {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			server.Metrics(w, o.Scope)
+		})}
+	stop := context.AfterFunc(ctx, func() { srv.Close() })
+	defer stop()
+	if err := serve(ctx, "metrics", netip.AddrPortFrom(s.Peers.Addr(), o.MetricsPort), srv); err != nil {
+		o.Log.Error().Err(err).Msg("metrics are not served")
+	}
+}
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -92,14 +92,18 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
+	controlOpts := d.opts
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
-		Expect(starter.RunControl(ctx, d.control, d.opts)).To(Succeed())
+		Expect(starter.RunControl(ctx, d.control, controlOpts)).To(Succeed())
 	}()
 	entryCtx, stop := context.WithCancel(context.Background())
 	d.stopEntry = stop
-	go func() { d.ended <- starter.RunEntry(entryCtx, d.entry, d.opts) }()
+	entryOpts := d.opts
+	entryOpts.MetricsPort = freeAddr().Port()
+	d.opts.MetricsPort = entryOpts.MetricsPort
+	go func() { d.ended <- starter.RunEntry(entryCtx, d.entry, entryOpts) }()
 	DeferCleanup(func() {
 		cancel()
 		stop()
@@ -140,7 +144,7 @@
 
 func status(addr netip.AddrPort, path string) func() int {
 	return func() int {
-		req, err := http.NewRequest("GET", "http://"+addr.String()+path, nil)
+		req, err := http.NewRequest(http.MethodGet, "http://"+addr.String()+path, nil)
 		Expect(err).NotTo(HaveOccurred())
 		req.Header.Set("X-Id", "1")
 		resp, err := http.DefaultClient.Do(req)
@@ -171,6 +175,8 @@
 		d.put(config(3, "/a/"))
 		Eventually(status(d.entry.Ready, "/ready"), patience).Should(Equal(200))
 		Expect(status(d.entry.Callers, "/a/x")()).To(Equal(200))
+		metrics := netip.AddrPortFrom(d.entry.Peers.Addr(), d.opts.MetricsPort)
+		Expect(status(metrics, "/metrics")()).To(Equal(200))
 		d.put(config(2, "/old/"))
 		d.put(config(4, "/b/"))
 		Eventually(status(d.entry.Callers, "/b/x"), patience).Should(Equal(200))
