Tell the sessions of a trial between hosts; never end the last attempt by silence

One that had begun on the old version at one entry was drawn for the trial at another that did not know it. Entries now tell the leader which drawn sessions run on the old version, and keep those of all hosts there; the trial begins once every live host has told. - LOST: a stream was cut because its upstream was silent although no further attempt was allowed. Silence no longer ends a last attempt. - Calls of the platform: every entry read the list itself at the start, and the leader read three pages every 0.8 s. Entries wait 1.2 s for the leader's list, which is read as soon as it leads and then every 1.2 s. - Middle sizes: an answer of the middle model was dropped below the confidence for the smallest.

New spec: sessions that hop between eight hosts keep their version.

--- a/buffer/lru.go
+++ b/buffer/lru.go
@@ -1,5 +1,7 @@
 package buffer
 
+import "iter"
+
 type (
 	// LRU is a map of bounded size that forgets the entry put or touched
 	// least recently. It is not safe for concurrent use. Make it with NewLRU.
@@ -27,6 +29,18 @@
 	return l
 }
 
+// All goes through the entries, the newest first, without touching them. The
+// map must not be changed meanwhile.
+func (l *LRU[K, V]) All() iter.Seq2[K, V] {
+	return func(yield func(K, V) bool) {
+		for n := l.root.next; n != &l.root; n = n.next {
+			if !yield(n.key, n.value) {
+				return
+			}
+		}
+	}
+}
+
 // Len returns the number of entries.
 func (l *LRU[K, V]) Len() int { return len(l.entries) }
 
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -48,8 +48,10 @@
 	// orderEvery is how often the leader looks at rollouts.
 	orderEvery = 200 * time.Millisecond
 	// listEvery is how often the leader reads the list of upstreams. Changes
-	// must be in force within 3 s of their publication.
-	listEvery = 800 * time.Millisecond
+	// must be in force within 3 s of their publication, and every call costs.
+	listEvery = 1200 * time.Millisecond
+	// listTick is how often a host looks whether it has begun to lead.
+	listTick = 100 * time.Millisecond
 )
 
 type (
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -3,24 +3,28 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"foxtailwall/controller"
 	"foxtailwall/stager"
 	"foxtailwall/timekeeper"
 )
 
-// runList reads the list of upstreams while this host leads.
+// runList reads the list of upstreams while this host leads, at once when it
+// begins to.
 func (c *Coordinator) runList(ctx context.Context) {
-	for leading := false; timekeeper.Sleep(ctx, c.set.Clock, listEvery) == nil; {
-		if !c.Leading() {
-			if leading {
+	var read time.Time
+	for timekeeper.Sleep(ctx, c.set.Clock, listTick) == nil {
+		switch {
+		case !c.Leading():
+			if !read.IsZero() {
 				c.hub.Forget()
 			}
-			leading = false
-			continue
+			read = time.Time{}
+		case read.IsZero() || c.set.Clock.Since(read) >= listEvery:
+			read = c.set.Clock.Now()
+			c.readList(ctx)
 		}
-		leading = true
-		c.readList(ctx)
 	}
 }
 
@@ -55,7 +59,7 @@
 }
 
 func (c *Coordinator) moveOn(ctx context.Context, r controller.OrderedRollout) {
-	e := stager.Evidence{Counts: c.hub.Counts(), Running: c.hub.Running(r.Service)}
+	e := stager.Evidence{Counts: c.hub.Counts(), Running: c.hub.Running(r.Service), Prepared: c.hub.Prepared(r.Service, r.Target)}
 	for _, u := range c.hub.Upstreams() {
 		switch {
 		case u.Service != r.Service || u.Leaving:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,8 +22,10 @@
 package forwarder
 
 import (
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,6 +165,9 @@
 func (f *Forwarder) Put(c InForce) {
 	first := f.InForce().Table == nil && c.Table != nil
 	f.inForce.Store(&c)
+	f.mu.Lock()
+	f.assigner.Forget(slices.Collect(maps.Values(c.Rollouts)))
+	f.mu.Unlock()
 	if first {
 		close(f.configured)
 	}
@@ -177,6 +182,21 @@
 	return InForce{}
 }
 
+// Kept returns the sessions that stay on another version in the trial of the
+// rollout.
+func (f *Forwarder) Kept(r controller.OrderedRollout) []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.assigner.Kept(r, f.set.Clock.Now())
+}
+
+// Keep takes over such sessions from other hosts.
+func (f *Forwarder) Keep(service, target string, sessions []uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.assigner.Keep(service, target, sessions)
+}
+
 // Close lets every further answer end its connection, so that callers go to
 // other hosts.
 func (f *Forwarder) Close() { f.closing.Store(true) }
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -43,7 +43,7 @@
 // first returns the bound on the time to the header of the answer, zero if the
 // request may not be sent again and so has to wait.
 func (g *guard) first() time.Duration {
-	if !g.c.route.Repeatable() || g.last() && g.c.route.Kind != matcher.Stream {
+	if !g.c.route.Repeatable() || g.last() {
 		return 0
 	}
 	return silentBase + time.Duration(g.c.env.Input)*silentPerToken
@@ -54,9 +54,15 @@
 	return time.Duration(silentPause * float64(g.longest()))
 }
 
-// last reports whether no further attempt may follow, so that giving up would
-// only help a caller that can come back.
-func (g *guard) last() bool { return g.c.arrivals+1 >= g.c.route.MaxAttempts }
+// last reports whether no further attempt may follow. Silence is then no reason
+// to end the attempt; the caller decides how long it waits.
+func (g *guard) last() bool {
+	made := g.c.arrivals
+	if !g.begun {
+		made++
+	}
+	return made >= g.c.route.MaxAttempts
+}
 
 func (g *guard) longest() time.Duration {
 	if g.c.route.MaxPause > 0 {
@@ -68,6 +74,9 @@
 // more returns the time to add when a bound is missed. It is called by the
 // dialer's watch.
 func (g *guard) more() time.Duration {
+	if !g.c.route.Repeatable() || g.last() {
+		return extraWait
+	}
 	waited := g.c.f.set.Clock.Since(g.since)
 	limit := time.Duration(patience * float64(g.c.route.Target))
 	if g.begun {
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -27,9 +27,10 @@
 	// in hundredths. An answer is as likely good as bad at 50; a larger model
 	// costs about a seventh of what an answer is worth, so that one is asked
 	// unless the answer is good with a probability of five sixths.
-	enough = 60
+	enough = 65
 	// doubtful is the confidence below which the next size would fail as well,
-	// so that the largest is asked.
+	// so that the largest is asked. An answer of a middle size is kept from
+	// there on, since asking again costs a third attempt.
 	doubtful = 45
 
 	// easyPressure is the part of the target that the first byte takes up to
@@ -67,7 +68,11 @@
 
 // Next returns the size to ask next, and false if the answer is to be kept.
 func Next(a Answer) (int, bool) {
-	if a.Confidence < 0 || a.Size+1 >= a.Sizes || a.Confidence >= threshold(a.Pressure) {
+	keep := threshold(a.Pressure)
+	if a.Size > 0 {
+		keep = min(keep, doubtful)
+	}
+	if a.Confidence < 0 || a.Size+1 >= a.Sizes || a.Confidence >= keep {
 		return a.Size, false
 	}
 	if a.Confidence >= doubtful {
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -30,6 +30,8 @@
 	// Guards against the cost of larger models where they do not help.
 	Entry("high confidence", sizer.Answer{Confidence: 80}, 0, false),
 	Entry("the largest has answered", sizer.Answer{Size: 2, Confidence: 10}, 0, false),
+	Entry("a fair answer of a middle size", sizer.Answer{Size: 1, Confidence: 50}, 0, false),
+	Entry("a bad answer of a middle size", sizer.Answer{Size: 1, Confidence: 30}, 2, true),
 	Entry("no opinion", sizer.Answer{Confidence: -1}, 0, false),
 	// Guards against larger models that make busy engines late.
 	Entry("a fair answer on busy engines", sizer.Answer{Confidence: 40, Pressure: 0.8}, 0, false),
--- a/stager/assigner.go
+++ b/stager/assigner.go
@@ -1,6 +1,8 @@
 package stager
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,17 +17,27 @@
 	defaultSession = 5 * time.Second
 	// maxSessions bounds the sessions that are remembered.
 	maxSessions = 8192
+	// maxKept bounds the sessions of a trial that stay on another version.
+	maxKept = 2048
 )
 
 type (
 	// Assigner keeps sessions on their version on one host. Its zero value is
 	// ready to use. It is not safe for use by several goroutines.
+	//
+	// A session may reach several hosts. All of them draw the same sessions for
+	// the trial; those among them that had begun on another version before are
+	// told from host to host with Kept and Keep, and stay there.
 	Assigner struct {
 		// Session is how long after its last request a session still counts as
 		// going on; zero means 5 s.
 		Session time.Duration
 
 		seen *buffer.LRU[sessionKey, seen]
+		// own and kept are the sessions drawn for a running trial that stay on
+		// another version: those of this host, and those of all hosts.
+		own, kept map[trial]map[uint64]bool
+		scanned   map[trial]bool
 	}
 
 	sessionKey struct {
@@ -33,6 +45,9 @@
 		session uint64
 	}
 
+	// trial names a rollout.
+	trial struct{ service, target string }
+
 	seen struct {
 		target bool
 		at     time.Time
@@ -42,23 +57,95 @@
 // Target reports whether a request of the session is to run on the target of
 // the rollout. A request without a session has a number of its own.
 func (a *Assigner) Target(r controller.OrderedRollout, session uint64, now time.Time) bool {
-	k := sessionKey{service: r.Service, session: session}
-	old, ok := a.recent(k, now)
-	target := false
+	target := a.target(r, session, now)
+	if r.State == controller.RolloutRunning && !target && drawn(r, session) {
+		a.own = put(a.own, r, session)
+		a.kept = put(a.kept, r, session)
+	}
+	a.Note(r.Service, session, target, now)
+	return target
+}
+
+func (a *Assigner) target(r controller.OrderedRollout, session uint64, now time.Time) bool {
+	old, ok := a.recent(sessionKey{service: r.Service, session: session}, now)
 	switch {
 	case r.State == controller.RolloutCompleted:
-		target = true
+		return true
 	case r.State == controller.RolloutRolledBack:
+		return false
 	case ok && old.target:
-		target = true
-	case ok && !r.Moving:
-	default:
-		target = draw(r, session) < r.Share
+		return true
+	case r.Moving:
+		return draw(r, session) < r.Share
+	case ok, a.kept[trialOf(r)][session]:
+		return false
 	}
-	a.Note(r.Service, session, target, now)
-	return target
+	return draw(r, session) < r.Share
+}
+
+// Kept returns the sessions drawn for the trial that this host has seen on
+// another version.
+func (a *Assigner) Kept(r controller.OrderedRollout, now time.Time) []uint64 {
+	if !a.scanned[trialOf(r)] {
+		a.scan(r, now)
+	}
+	return slices.Collect(maps.Keys(a.own[trialOf(r)]))
+}
+
+// scan finds the sessions that had begun before the rollout.
+func (a *Assigner) scan(r controller.OrderedRollout, now time.Time) {
+	if a.scanned == nil {
+		a.scanned = make(map[trial]bool)
+	}
+	a.scanned[trialOf(r)] = true
+	if a.seen == nil {
+		return
+	}
+	for k, s := range a.seen.All() {
+		if k.service == r.Service && !s.target && now.Sub(s.at) < a.session() && drawn(r, k.session) {
+			a.own = put(a.own, r, k.session)
+			a.kept = put(a.kept, r, k.session)
+		}
+	}
+}
+
+// Keep takes over the sessions that other hosts have seen on another version.
+func (a *Assigner) Keep(service, target string, sessions []uint64) {
+	r := controller.OrderedRollout{RolloutOrder: controller.RolloutOrder{Service: service, Target: target}}
+	for _, s := range sessions {
+		a.kept = put(a.kept, r, s)
+	}
+}
+
+// Forget drops what is known of rollouts other than those that run.
+func (a *Assigner) Forget(running []controller.OrderedRollout) {
+	gone := func(t trial, _ map[uint64]bool) bool {
+		return !slices.ContainsFunc(running, func(r controller.OrderedRollout) bool { return trialOf(r) == t })
+	}
+	maps.DeleteFunc(a.own, gone)
+	maps.DeleteFunc(a.kept, gone)
+	maps.DeleteFunc(a.scanned, func(t trial, _ bool) bool { return gone(t, nil) })
+}
+
+func put(m map[trial]map[uint64]bool, r controller.OrderedRollout, session uint64) map[trial]map[uint64]bool {
+	if m == nil {
+		m = make(map[trial]map[uint64]bool)
+	}
+	t := trialOf(r)
+	if m[t] == nil {
+		m[t] = make(map[uint64]bool)
+	}
+	if len(m[t]) < maxKept {
+		m[t][session] = true
+	}
+	return m
 }
 
+func trialOf(r controller.OrderedRollout) trial { return trial{r.Service, r.Target} }
+
+// drawn reports whether the session belongs to the trial.
+func drawn(r controller.OrderedRollout, session uint64) bool { return draw(r, session) < trialShare }
+
 // Note remembers that a request of the session runs, or has just ended, on the
 // target or on another version.
 func (a *Assigner) Note(service string, session uint64, target bool, now time.Time) {
@@ -73,11 +160,14 @@
 		return seen{}, false
 	}
 	s, ok := a.seen.Get(k)
-	within := a.Session
-	if within == 0 {
-		within = defaultSession
+	return s, ok && now.Sub(s.at) < a.session()
+}
+
+func (a *Assigner) session() time.Duration {
+	if a.Session == 0 {
+		return defaultSession
 	}
-	return s, ok && now.Sub(s.at) < within
+	return a.Session
 }
 
 // draw places the session between 0 and 999, the same on all hosts, so that a
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -57,6 +57,9 @@
 	{after: 0.66, share: allShare},
 }
 
+// prepareTime bounds the wait for hosts that have not told their sessions.
+const prepareTime = 2500 * time.Millisecond
+
 // completeAfter is the part of the time after which a rollout is completed even
 // if answers are still under way on the old version.
 const completeAfter = 0.88
@@ -91,6 +94,8 @@
 		// Running is the number of requests under way on other versions, or
 		// below 0 if not all hosts have told.
 		Running int
+		// Prepared says that all hosts know which sessions keep their version.
+		Prepared bool
 	}
 )
 
@@ -108,6 +113,9 @@
 	if e.Ready == 0 {
 		return step, false
 	}
+	if r.Share == 0 && !e.Prepared && now.Sub(r.StartedAt) < prepareTime {
+		return step, false
+	}
 	passed := float64(now.Sub(r.StartedAt)) / float64(max(r.Duration, time.Second))
 	step.Share = max(step.Share, trialShare)
 	for _, s := range stages {
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -143,3 +143,55 @@
 		Expect(s.State).To(Equal(controller.RolloutRunning))
 	})
 })
+
+var _ = Describe("Assigner", func() {
+	// Replays sessions whose requests reach other hosts by turns. Guards
+	// against sessions that begin on the old version and run on the target in
+	// the trial, or the other way round.
+	It("keeps sessions on their version across hosts", func() {
+		const hosts, tick = 8, 100 * time.Millisecond
+		moves, onTarget := 0, 0
+		for seed := range uint64(20) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			as := make([]stager.Assigner, hosts)
+			start := time.Unix(1000, 0)
+			r := controller.OrderedRollout{
+				RolloutOrder: controller.RolloutOrder{Service: "s", Target: "v2", Duration: duration}, State: controller.RolloutRunning,
+			}
+			last := make(map[uint64]bool)
+			for at := -6 * time.Second; at < duration/2; at += tick {
+				now := start.Add(at)
+				for range 10 {
+					// New sessions begin all the time.
+					session := rng.Uint64N(200) + uint64(at/(3*time.Second)+10)*150
+					host := &as[rng.IntN(hosts)]
+					target := false
+					if at >= 0 {
+						target = host.Target(r, session, now)
+					} else {
+						host.Note("s", session, false, now)
+					}
+					if was, ok := last[session]; ok && was != target {
+						moves++
+					}
+					last[session] = target
+					if target {
+						onTarget++
+					}
+				}
+				if at >= 0 && at%(4*tick) == 0 {
+					for i := range as {
+						for j := range as {
+							as[j].Keep("s", "v2", as[i].Kept(r, now))
+						}
+					}
+				}
+				if at == time.Second {
+					r.Share = 20
+				}
+			}
+		}
+		Expect(onTarget).To(BeNumerically(">", 100))
+		Expect(moves).To(BeNumerically("<=", 20), "one for each rollout")
+	})
+})
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -35,9 +35,10 @@
 
 	// leaderSilence is how long the leader may be silent, or its list old,
 	// before an entry reads the list of upstreams itself.
-	leaderSilence = 2 * time.Second
-	// listPause is the pause between such readings.
-	listPause = time.Second
+	leaderSilence = 2500 * time.Millisecond
+	// listPause is the pause between such readings, and how long an entry that
+	// has just started waits for the leader's.
+	listPause = 1200 * time.Millisecond
 
 	// leaveShare is the part of the grace period in which connections are
 	// still accepted: the platform takes two seconds to stop sending new ones.
@@ -188,6 +189,7 @@
 	for _, ro := range e.rollouts {
 		if ro.State == controller.RolloutRunning {
 			r.Running[ro.Service] = e.placer.Running(ro.Service, ro.Target)
+			r.Kept = append(r.Kept, syncer.Kept{Service: ro.Service, Target: ro.Target, Sessions: e.forward.Kept(ro)})
 		}
 	}
 	return r
@@ -197,6 +199,9 @@
 // again.
 func (e *entry) apply(u *syncer.Update) {
 	e.budget.SetHosts(u.Hosts)
+	for _, k := range u.Kept {
+		e.forward.Keep(k.Service, k.Target, k.Sessions)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if u.ListAge >= 0 {
@@ -257,7 +262,7 @@
 // readLists reads the list of upstreams from the platform while the leader
 // cannot tell it.
 func (e *entry) readLists(ctx context.Context) {
-	for ; ctx.Err() == nil; _ = timekeeper.Sleep(ctx, e.opts.Clock, listPause) {
+	for timekeeper.Sleep(ctx, e.opts.Clock, listPause) == nil {
 		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
 			continue
 		}
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -58,6 +59,7 @@
 		at      time.Time
 		counts  []Counted
 		running map[string]int
+		kept    []Kept
 	}
 )
 
@@ -125,7 +127,7 @@
 func (h *Hub) take(r *Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[hostKey{r.Host, r.Started}] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running}
+	h.reports[hostKey{r.Host, r.Started}] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running, kept: r.Kept}
 }
 
 func (h *Hub) update(r *Report) *Update {
@@ -135,6 +137,7 @@
 	u := &Update{
 		Leads: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: len(h.live()), ListAge: -1,
 	}
+	u.Kept = h.allKept(r)
 	if !h.readAt.IsZero() {
 		u.ListAge = h.set.Clock.Since(h.readAt)
 	}
@@ -192,6 +195,45 @@
 	return sum
 }
 
+// Prepared reports whether all live hosts have told their sessions for the
+// rollout.
+func (h *Hub) Prepared(service, target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range h.live() {
+		if !slices.ContainsFunc(r.kept, func(k Kept) bool { return k.Service == service && k.Target == target }) {
+			return false
+		}
+	}
+	return true
+}
+
+// allKept returns the kept sessions of all hosts for the rollouts that the host
+// of the report knows.
+func (h *Hub) allKept(r *Report) []Kept {
+	var out []Kept
+	for _, k := range r.Kept {
+		sessions := make(map[uint64]bool)
+		for _, o := range h.reports {
+			for _, ok := range o.kept {
+				if ok.Service != k.Service || ok.Target != k.Target {
+					continue
+				}
+				for _, s := range ok.Sessions {
+					sessions[s] = true
+				}
+			}
+		}
+		for _, s := range k.Sessions {
+			delete(sessions, s)
+		}
+		if len(sessions) > 0 {
+			out = append(out, Kept{Service: k.Service, Target: k.Target, Sessions: slices.Collect(maps.Keys(sessions))})
+		}
+	}
+	return out
+}
+
 // Upstreams returns the newest list.
 func (h *Hub) Upstreams() []tracker.Upstream {
 	h.mu.Lock()
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -52,6 +52,16 @@
 		// Running is, for each service that is rolled out, the number of
 		// requests under way on other versions than the target.
 		Running map[string]int `cbor:"running,omitempty"`
+		// Kept are the sessions that stay on another version in a trial.
+		Kept []Kept `cbor:"kept,omitempty"`
+	}
+
+	// Kept are the sessions drawn for the trial of a rollout that run on
+	// another version.
+	Kept struct {
+		Service  string   `cbor:"service"`
+		Target   string   `cbor:"target"`
+		Sessions []uint64 `cbor:"sessions"`
 	}
 
 	// Counted is a line with its count.
@@ -74,6 +84,8 @@
 		// ListAge is how long ago the leader has read the list of upstreams,
 		// below 0 if it never has.
 		ListAge time.Duration `cbor:"listAge"`
+		// Kept are those of all hosts.
+		Kept []Kept `cbor:"kept,omitempty"`
 	}
 
 	// List is a list of upstreams. Its name differs from that of every other.
