explain: follow one request through the logs of all hosts

Request lines carry upstream and version, escalations have a line of their own, and the volume is bounded by a sampler (300 a second, then one in twenty).

--- a/cmd/foxtailwall/host.go
+++ b/cmd/foxtailwall/host.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -76,6 +77,7 @@
 	if err != nil {
 		return err
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	out, closeLog := boundedLog(os.Stdout)
 	defer closeLog()
 	log := zerolog.New(out).With().Timestamp().Str("host", set.Name).Logger()
--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -44,6 +44,7 @@
 			compareCommand(),
 			loadCommand(),
 			reportCommand(),
+			explainCommand(),
 			standinCommand(),
 			referenceCommand(),
 		},
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -62,6 +62,8 @@
 		// something, ran those that may have run.
 		arrivals, ran int
 		tried         []tracker.Key
+		// upstream is that of the newest attempt.
+		upstream tracker.Upstream
 		// last is a failure that an upstream answered, for when no other
 		// attempt can be made.
 		last *answer
@@ -253,7 +255,8 @@
 		return nil, refuse(http.StatusBadGateway, refuser.RetryBudget, busyWait)
 	}
 	c.tries++
-	c.tried = append(c.tried, t.Upstream().Key())
+	c.upstream = t.Upstream()
+	c.tried = append(c.tried, c.upstream.Key())
 	return t, nil
 }
 
--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -30,6 +30,8 @@
 		return false
 	}
 	c.f.set.Scope.Counter("forwarder.escalated", "from", c.model).Inc(1)
+	c.f.lines.Info().Str("request", c.env.ID).Str("from", c.model).Str("to", c.route.Sizes[next]).
+		Int("confidence", c.confidence).Dur("first", first).Msg("a larger model is asked")
 	t.Done(placer.Good, first)
 	c.count(t.Upstream(), false, first)
 	c.ran++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -142,6 +142,9 @@
 		// configured is closed when the first configuration is in force.
 		configured chan struct{}
 
+		// lines writes about requests, in a bounded volume.
+		lines zerolog.Logger
+
 		mu       sync.Mutex
 		assigner stager.Assigner
 		gauge    sizer.Gauge
@@ -155,6 +158,7 @@
 // New returns a forwarder without a configuration, which refuses all requests.
 func New(s Settings) *Forwarder {
 	f := &Forwarder{set: s, started: s.Clock.Now(), configured: make(chan struct{})}
+	f.lines = sampled(s.Log)
 	f.assigner.Session = s.Session
 	f.tally.lines = make(map[stager.Line]stager.Count)
 	f.tally.usual = make(map[usualKey]time.Duration)
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -4,6 +4,8 @@
 	"maps"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"foxtailwall/refuser"
 	"foxtailwall/stager"
 	"foxtailwall/tracker"
@@ -16,6 +18,11 @@
 	slowLeast  = 250 * time.Millisecond
 	// usualDecay is the weight of the newest answer in what is usual.
 	usualDecay = 0.05
+
+	// maxLines is the number of log lines about requests in a second that are
+	// all written; beyond it, every sampleLines-th is.
+	maxLines    = 300
+	sampleLines = 20
 )
 
 type (
@@ -29,6 +36,13 @@
 	usualKey struct{ service, route string }
 )
 
+// sampled bounds the volume of the lines about requests.
+func sampled(log zerolog.Logger) zerolog.Logger {
+	return log.Sample(&zerolog.BurstSampler{
+		Burst: maxLines, Period: time.Second, NextSampler: &zerolog.BasicSampler{N: sampleLines},
+	})
+}
+
 // Counts returns the answers since the host started.
 func (f *Forwarder) Counts() map[stager.Line]stager.Count {
 	f.mu.Lock()
@@ -62,7 +76,7 @@
 // logAttempt writes the line of an attempt that did not answer the request.
 func (c *call) logAttempt(up tracker.Upstream, kind string, out refuser.Outcome, err error) {
 	c.f.set.Scope.Counter("forwarder.attemptsFailed", "kind", kind).Inc(1)
-	c.f.set.Log.Info().Str("request", c.env.ID).Str("route", c.route.Name).Str("upstream", up.ID).
+	c.f.lines.Info().Str("request", c.env.ID).Str("route", c.route.Name).Str("upstream", up.ID).
 		Str("version", up.Version).Str("kind", kind).Str("outcome", string(out)).Int("try", c.tries).
 		Int("events", c.events).Uint64("config", c.table.Version()).AnErr("cause", err).Msg("attempt failed")
 }
@@ -72,11 +86,14 @@
 func (c *call) logEnd(status int, how string) {
 	took := c.f.set.Clock.Since(c.begun)
 	c.f.set.Scope.Record("forwarder.request", took, "how", how)
-	e := c.f.set.Log.Info().Str("request", c.env.ID).Int("status", status).Str("how", how).
+	e := c.f.lines.Info().Str("request", c.env.ID).Int("status", status).Str("how", how).
 		Dur("took", took).Int("tries", c.tries).Int("events", c.events)
 	if c.route != nil {
 		e = e.Str("route", c.route.Name).Uint64("config", c.table.Version())
 	}
+	if c.upstream.ID != "" {
+		e = e.Str("upstream", c.upstream.ID).Str("version", c.upstream.Version)
+	}
 	if c.model != "" {
 		e = e.Str("model", c.model).Int("confidence", c.confidence)
 	}
