Accept connections to the end of a shutdown

Entries now accept to the end and refuse, from 30% of the grace period on, what may not be complete at its end.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -31,6 +31,10 @@
 	// shortestTry is the least time for which a request is sent to an
 	// upstream.
 	shortestTry = 20 * time.Millisecond
+	// promptTime and outputTime bound what engines need for a prompt, also with
+	// a second model, and for a token of the answer.
+	promptTime = 1500 * time.Millisecond
+	outputTime = 15 * time.Millisecond
 	// workPerRequest is the work of a request beside that of its tokens, in
 	// tokens.
 	workPerRequest = 100
@@ -87,9 +91,6 @@
 
 // admit finds route and workspace and reads the body.
 func (c *call) admit() *refusal {
-	if c.f.refusing.Load() {
-		return refuse(http.StatusServiceUnavailable, refuser.ShuttingDown, leaveWait)
-	}
 	cur := c.f.firstInForce(c.r.Context())
 	if cur.Table == nil {
 		return refuse(http.StatusServiceUnavailable, refuser.NotConfigured, startWait)
@@ -114,6 +115,9 @@
 		wait = min(wait, c.env.Wait)
 	}
 	c.until = c.begun.Add(wait)
+	if end := c.f.leaving.Load(); end != nil && c.begun.Add(min(c.longest(), wait)).After(*end) {
+		return refuse(http.StatusServiceUnavailable, refuser.ShuttingDown, leaveWait)
+	}
 	if ref := c.readBody(); ref != nil {
 		return ref
 	}
@@ -121,6 +125,14 @@
 	return nil
 }
 
+// longest returns a time within which the answer is complete if nothing fails.
+func (c *call) longest() time.Duration {
+	if c.route.Kind != matcher.Stream || c.env.Output <= 0 {
+		return c.route.Timeout
+	}
+	return promptTime + time.Duration(c.env.Output)*outputTime
+}
+
 // identify finds the workspace that holds the caller's key.
 func (c *call) identify() *refusal {
 	c.urgency = c.route.Priority
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -134,11 +134,13 @@
 
 	// Forwarder serves requests. Make it with New.
 	Forwarder struct {
-		set      Settings
-		inForce  atomic.Pointer[InForce]
-		closing  atomic.Bool
-		refusing atomic.Bool
-		started  time.Time
+		set     Settings
+		inForce atomic.Pointer[InForce]
+		closing atomic.Bool
+		running atomic.Int64
+		// leaving is when this host ends, nil while it is not known.
+		leaving atomic.Pointer[time.Time]
+		started time.Time
 		// configured is closed when the first configuration is in force.
 		configured chan struct{}
 
@@ -205,12 +207,17 @@
 // other hosts.
 func (f *Forwarder) Close() { f.closing.Store(true) }
 
-// Refuse lets every further request be refused at once, because there is no
-// time left to complete it.
-func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+// Leave lets further requests be refused at once that may not be complete when
+// this host ends.
+func (f *Forwarder) Leave(end time.Time) { f.leaving.Store(&end) }
+
+// Running returns the number of requests under way.
+func (f *Forwarder) Running() int { return int(f.running.Load()) }
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.running.Add(1)
+	defer f.running.Add(-1)
 	c := &call{f: f, w: w, r: r, begun: f.set.Clock.Now()}
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -40,9 +40,11 @@
 	// has just started waits for the leader's.
 	listPause = 1200 * time.Millisecond
 
-	// leaveShare is the part of the grace period in which connections are
-	// still accepted: the platform takes two seconds to stop sending new ones.
+	// leaveShare is the part of the grace period in which all requests are
+	// still taken: the platform takes two seconds to stop sending new ones.
 	leaveShare = 0.3
+	// leaveTick is how often a leaving entry looks whether requests are running.
+	leaveTick = 100 * time.Millisecond
 	// endShare is the part of the grace period after which requests that are
 	// still under way are cut.
 	endShare = 0.92
@@ -139,28 +141,37 @@
 	return p.Wait()
 }
 
-// leave takes no new connections after a while and waits for the running
-// requests.
+// leave lets callers go to other hosts and waits for the running requests. New
+// connections are accepted to the end, because the platform goes on sending them
+// when most hosts of the zone are leaving.
 func (e *entry) leave(callers *http.Server) {
 	grace := e.set.Load().Grace
+	begun := e.opts.Clock.Now()
+	end := begun.Add(time.Duration(endShare * float64(grace)))
 	e.leaving.Store(true)
 	e.forward.Close()
 	e.opts.Log.Info().Dur("grace", grace).Msg("entry is leaving")
-	begun := e.opts.Clock.Now()
-	wait := func(share float64) time.Duration {
-		return max(0, time.Duration(share*float64(grace))-e.opts.Clock.Since(begun))
+	e.pause(time.Duration(leaveShare * float64(grace)))
+	e.forward.Leave(end)
+	for e.opts.Clock.Now().Before(end) && e.forward.Running() > 0 {
+		e.pause(leaveTick)
 	}
-	// The background context never ends the wait.
-	_ = timekeeper.Sleep(context.Background(), e.opts.Clock, wait(leaveShare))
-	e.forward.Refuse()
-	ctx, cancel := context.WithTimeout(context.Background(), wait(endShare))
+	// A request may have come in meanwhile.
+	ctx, cancel := context.WithTimeout(context.Background(), max(leaveTick, end.Sub(e.opts.Clock.Now())))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		e.opts.Log.Info().AnErr("cause", err).Msg("requests were cut at the end of the grace period")
+		e.opts.Log.Info().AnErr("cause", err).Int("running", e.forward.Running()).
+			Msg("requests were cut at the end of the grace period")
 	}
 	e.opts.Log.Info().Msg("entry stopped")
 }
 
+// pause waits for d.
+func (e *entry) pause(d time.Duration) {
+	// The background context never ends the wait.
+	_ = timekeeper.Sleep(context.Background(), e.opts.Clock, d)
+}
+
 // ready answers whether this host takes new connections.
 func (e *entry) ready(w http.ResponseWriter, r *http.Request) {
 	status := http.StatusOK
