--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -17,14 +17,14 @@
 	if c.model == "" {
 		return false
 	}
-	c.f.gauge.Note(sizer.Key{Service: c.service.Name, Model: c.model}, first)
+	c.f.gauge.Note(sizer.Key{Service: c.service.Name, Model: c.model}, first, c.f.set.Clock.Now())
 	if c.started || c.arrivals >= c.route.MaxAttempts || c.f.set.Budget.Left(c.service.Name) < escalationReserve {
 		return false
 	}
 	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
 	next, ok := sizer.Next(sizer.Answer{
 		Size: c.size, Sizes: len(c.route.Sizes), Confidence: c.confidence,
-		Pressure: c.f.gauge.Pressure(largest, c.route.Target) + c.spent(),
+		Pressure: c.f.gauge.Pressure(largest, c.route.Target, c.f.set.Clock.Now()) + c.spent(),
 	})
 	if !ok {
 		return false
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -10,14 +10,15 @@
 // # Usage
 //
 //	var g sizer.Gauge
-//	g.Note(key, firstByte)
-//	next, ok := sizer.Next(sizer.Answer{Size: 0, Sizes: 3, Confidence: 31, Pressure: g.Pressure(key, target)})
+//	g.Note(key, firstByte, now)
+//	next, ok := sizer.Next(sizer.Answer{Size: 0, Sizes: 3, Confidence: 31, Pressure: g.Pressure(key, target, now)})
 //	if ok {
 //		// Drop the answer and ask the model of size next.
 //	}
 package sizer
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -40,7 +41,11 @@
 	hardPressure = 1.0
 
 	// decay is the weight of the newest time in the mean.
-	decay = 0.05
+	decay = 0.08
+	// halfLife is the time after which half of a mean is forgotten that is not
+	// measured again: where little is asked of a model because it was late, its
+	// engines may have become idle.
+	halfLife = time.Second
 )
 
 type (
@@ -59,7 +64,12 @@
 	// ready to use. It is safe for use by several goroutines.
 	Gauge struct {
 		mu    sync.Mutex
-		means map[Key]time.Duration
+		means map[Key]mean
+	}
+
+	mean struct {
+		first time.Duration
+		at    time.Time
 	}
 
 	// Key names what is measured apart.
@@ -88,27 +98,32 @@
 	return int(enough * (1 - min(max(over, 0), 1)))
 }
 
-// Note takes over the time to a first byte.
-func (g *Gauge) Note(k Key, first time.Duration) {
+// Note takes over the time to a first byte that came now.
+func (g *Gauge) Note(k Key, first time.Duration, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.means == nil {
-		g.means = make(map[Key]time.Duration)
+		g.means = make(map[Key]mean)
 	}
-	m, ok := g.means[k]
-	if !ok {
-		m = first
+	usual := first
+	if m, ok := g.means[k]; ok {
+		usual = m.left(now)
 	}
-	g.means[k] = m + time.Duration(decay*float64(first-m))
+	g.means[k] = mean{first: usual + time.Duration(decay*float64(first-usual)), at: now}
 }
 
 // Pressure returns the usual time to the first byte as a part of the target, 0
 // if nothing is known.
-func (g *Gauge) Pressure(k Key, target time.Duration) float64 {
+func (g *Gauge) Pressure(k Key, target time.Duration, now time.Time) float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if target <= 0 {
 		return 0
 	}
-	return float64(g.means[k]) / float64(target)
+	return float64(g.means[k].left(now)) / float64(target)
+}
+
+// left returns what is not forgotten of the mean.
+func (m mean) left(now time.Time) time.Duration {
+	return time.Duration(float64(m.first) * math.Exp2(-float64(now.Sub(m.at))/float64(halfLife)))
 }
