--- a/placer/placer.go
+++ b/placer/placer.go
@@ -131,8 +131,9 @@
 	Placer struct {
 		set Settings
 
-		mu    sync.Mutex
-		pools map[string]*pool
+		mu      sync.Mutex
+		pools   map[string]*pool
+		ratesAt time.Time
 	}
 
 	// pool is the upstreams of a service.
@@ -150,6 +151,9 @@
 		// running and work count the requests under way and their tokens.
 		running int
 		work    float64
+		// placed is the work since TakePlaced was last called, rate that of
+		// all hosts in tokens a second.
+		placed, rate float64
 
 		outcomes int
 		badRate  float64
@@ -226,6 +230,7 @@
 	}
 	u.running++
 	u.work += t.work
+	u.placed += t.work
 	return t, true
 }
 
