--- a/placer/choose.go
+++ b/placer/choose.go
@@ -30,7 +30,7 @@
 		return soonest(out)
 	}
 	if r.Work > 0 {
-		return p.lightest(pl, near, far, r, now)
+		return pl.lightest(near, far, r)
 	}
 	return shortest(near, far)
 }
@@ -43,7 +43,7 @@
 // requests stay where their prompts are cached until the wait there is longer
 // than reading the parts elsewhere, and then overflow to the next in rank, on
 // which all hosts agree.
-func (p *Placer) lightest(pl *pool, near, far []*upstream, r Request, now time.Time) *upstream {
+func (pl *pool) lightest(near, far []*upstream, r Request) *upstream {
 	home := ranked(near, r.Group)
 	if home == nil {
 		home = ranked(far, r.Group)
@@ -64,10 +64,10 @@
 		}
 	}
 	for _, u := range near {
-		weigh(u, p.load(u, now))
+		weigh(u, u.work)
 	}
 	for _, u := range far {
-		weigh(u, p.load(u, now)+farWork)
+		weigh(u, u.work+farWork)
 	}
 	return best
 }
--- a/placer/health.go
+++ b/placer/health.go
@@ -6,19 +6,19 @@
 func (u *upstream) note(o Outcome, first time.Duration, now time.Time) {
 	switch o {
 	case Good:
-		u.tally(0)
+		u.rate(0)
 		u.latency(first)
 		u.ejections, u.trial = 0, false
 		u.heard = now
 	case Failed:
-		u.tally(1)
+		u.rate(1)
 		u.latency(first)
 		u.trial = false
 		u.heard = now
 	case Broken:
-		u.tally(1)
+		u.rate(1)
 	case Refused, Silent:
-		u.tally(1)
+		u.rate(1)
 		u.eject(now, min(ejectBase<<u.ejections, ejectMost))
 		u.ejections = min(u.ejections+1, 3)
 	case Busy:
@@ -37,7 +37,7 @@
 	u.trial = true
 }
 
-func (u *upstream) tally(bad float64) {
+func (u *upstream) rate(bad float64) {
 	u.outcomes++
 	// The first outcomes weigh as in a plain mean.
 	w := max(rateDecay, 1/float64(u.outcomes))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -131,9 +131,8 @@
 	Placer struct {
 		set Settings
 
-		mu      sync.Mutex
-		pools   map[string]*pool
-		ratesAt time.Time
+		mu    sync.Mutex
+		pools map[string]*pool
 	}
 
 	// pool is the upstreams of a service.
@@ -151,9 +150,6 @@
 		// running and work count the requests under way and their tokens.
 		running int
 		work    float64
-		// placed is the work since TakePlaced was last called, rate that of
-		// all hosts in tokens a second.
-		placed, rate float64
 
 		outcomes int
 		badRate  float64
@@ -230,7 +226,6 @@
 	}
 	u.running++
 	u.work += t.work
-	u.placed += t.work
 	return t, true
 }
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -190,7 +190,6 @@
 func (e *entry) report() syncer.Report {
 	set := e.set.Load()
 	r := syncer.Report{Host: set.Name, Zone: set.Zone, Started: e.started.UnixNano()}
-	r.Placed = e.placer.TakePlaced()
 	for l, n := range e.forward.Counts() {
 		r.Counts = append(r.Counts, syncer.Counted{Line: l, Count: n})
 	}
@@ -222,13 +221,6 @@
 	if u.Published != nil && u.Published.Version > e.published {
 		e.put(u.Published)
 	}
-	if list := e.inv.List(); len(u.Rates) == len(list) && e.listName != "" {
-		rates := make(map[string]float64, len(list))
-		for i := range list {
-			rates[list[i].ID] = float64(u.Rates[i])
-		}
-		e.placer.SetRates(rates)
-	}
 	if u.Upstreams != nil {
 		e.listName = u.Upstreams.Name
 		e.takeList(u.Upstreams.Upstreams)
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -14,15 +14,8 @@
 	"foxtailwall/tracker"
 )
 
-const (
-	// maxWait bounds the time that a call may wait, in place of what the host
-	// asks.
-	maxWait = 5 * time.Second
-	// foldEvery is the interval over which placed work is counted, and
-	// foldWeight the weight of the newest one in the rates.
-	foldEvery  = 400 * time.Millisecond
-	foldWeight = 0.4
-)
+// maxWait bounds the time that a call may wait, in place of what the host asks.
+const maxWait = 5 * time.Second
 
 type (
 	// Source is the state of the control group on this host.
@@ -55,10 +48,6 @@
 		readAt  time.Time
 		news    chan struct{}
 		reports map[hostKey]reported
-
-		// placed is the work since the last fold, rates that of a second.
-		placed, rates map[string]float64
-		foldedAt      time.Time
 	}
 
 	hostKey struct {
@@ -76,7 +65,7 @@
 
 // NewHub returns a hub without a list.
 func NewHub(s HubSettings) *Hub {
-	return &Hub{set: s, news: make(chan struct{}), reports: make(map[hostKey]reported), placed: make(map[string]float64)}
+	return &Hub{set: s, news: make(chan struct{}), reports: make(map[hostKey]reported)}
 }
 
 // Put takes over a list of upstreams that has just been read. The name must
@@ -138,42 +127,9 @@
 func (h *Hub) take(r *Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.fold()
-	for id, work := range r.Placed {
-		h.placed[id] += work
-	}
 	h.reports[hostKey{r.Host, r.Started}] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running, kept: r.Kept}
 }
 
-// fold turns the work that hosts have placed into rates, at most once in each
-// interval.
-func (h *Hub) fold() {
-	now := h.set.Clock.Now()
-	passed := now.Sub(h.foldedAt)
-	if passed < foldEvery {
-		return
-	}
-	rates := make(map[string]float64, len(h.rates))
-	for id, r := range h.rates {
-		if r *= 1 - foldWeight; r > 1 {
-			rates[id] = r
-		}
-	}
-	for id, work := range h.placed {
-		rates[id] += foldWeight * work / passed.Seconds()
-	}
-	h.placed, h.rates, h.foldedAt = make(map[string]float64), rates, now
-}
-
-// ratesOf returns the rates in the order of the list.
-func (h *Hub) ratesOf() []float32 {
-	out := make([]float32, len(h.list.Upstreams))
-	for i := range h.list.Upstreams {
-		out[i] = float32(h.rates[h.list.Upstreams[i].ID])
-	}
-	return out
-}
-
 func (h *Hub) update(r *Report) *Update {
 	p := h.set.Source.Published()
 	h.mu.Lock()
@@ -188,9 +144,6 @@
 	if p.Version > r.Published {
 		u.Published = &p
 	}
-	if h.list.Name != "" && h.list.Name == r.List {
-		u.Rates = h.ratesOf()
-	}
 	if h.list.Name != "" && h.list.Name != r.List {
 		l := h.list
 		u.Upstreams = &l
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -52,9 +52,6 @@
 		// Running is, for each service that is rolled out, the number of
 		// requests under way on other versions than the target.
 		Running map[string]int `cbor:"running,omitempty"`
-		// Placed is the work that the host has placed since its last report, by
-		// the ID of the upstream.
-		Placed map[string]float64 `cbor:"placed,omitempty"`
 		// Kept are the sessions that stay on another version in a trial.
 		Kept []Kept `cbor:"kept,omitempty"`
 	}
@@ -87,9 +84,6 @@
 		// ListAge is how long ago the leader has read the list of upstreams,
 		// below 0 if it never has.
 		ListAge time.Duration `cbor:"listAge"`
-		// Rates are the work a second that all hosts place, in the order of
-		// the list that the host has.
-		Rates []float32 `cbor:"rates,omitempty"`
 		// Kept are those of all hosts.
 		Kept []Kept `cbor:"kept,omitempty"`
 	}
