--- a/placer/choose.go
+++ b/placer/choose.go
@@ -53,7 +53,7 @@
 	var rank uint64
 	weigh := func(u *upstream, work float64) {
 		if u != home && !pl.caches(u, r.Group) {
-			work += r.Shared
+			work += missCost * r.Shared
 		}
 		h := mix(u.hash ^ r.Group)
 		if r.Group == 0 {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -76,6 +76,10 @@
 	slowRatio = 3.0
 	slowLeast = 150 * time.Millisecond
 
+	// missCost is what reading shared parts counts for where they are not known
+	// to be cached, as a multiple of their work: other hosts may have sent them
+	// there.
+	missCost = 0.5
 	// generating is the work of a request that has begun to answer, in tokens:
 	// it runs in a batch and hardly delays the others.
 	generating = 60
