One copy of how an attempt at an upstream ends

The exchange of chat requests and the forwarded request had the same code for the end of an attempt; both now embed hold.

--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -28,16 +28,12 @@
 
 // exchange is one request and its answer on one connection.
 type exchange struct {
-	d       *Dialer
-	a       *router.Attempt
-	c       *conn
-	w       *watch
-	ctx     context.Context
-	unhook  func() bool
-	resp    *http.Response
-	begun   time.Time
-	wait    time.Duration // Time to the header of the answer.
-	settled bool
+	hold
+	a     *router.Attempt
+	ctx   context.Context
+	resp  *http.Response
+	begun time.Time
+	wait  time.Duration // Time to the header of the answer.
 }
 
 // start sends the attempt and reads the header of its answer. On error the
@@ -52,7 +48,7 @@
 	if err != nil {
 		return nil, cancelled(ctx, err)
 	}
-	x := &exchange{d: d, a: a, c: c, ctx: ctx, begun: d.o.Clock.Now()}
+	x := &exchange{hold: hold{d: d, c: c}, a: a, ctx: ctx, begun: d.o.Clock.Now()}
 	c.raw.sent.Store(0)
 	x.w = d.watcher.add(func() { c.Close() })
 	x.w.until(a.Deadline)
@@ -246,40 +242,10 @@
 	x.d.put(x.c)
 }
 
-// release ends the watch and reports whether the connection is still open.
-func (x *exchange) release() bool {
-	x.settled = true
-	x.d.watcher.remove(x.w)
-	return x.unhook() && x.w.reason() == inTime
-}
-
 // fail closes the connection and returns the error that says what became of
-// the attempt. The kind stands unless the watch or the caller has stopped it.
+// the attempt. An engine may just have needed longer than its caller had.
 func (x *exchange) fail(kind router.FailKind, err error) error {
-	open := x.release()
-	x.c.Close()
-	late := x.w.reason()
-	if x.c.reused && x.resp == nil && (late == noProgress || late == pastDeadline && !x.a.Engine) {
-		// An engine may just have needed longer than its caller had.
-		x.d.o.Scope.Counter("dialer.silent").Inc(1)
-		x.d.purge(x.c.addr)
-	}
-	switch {
-	case late == pastDeadline:
-		kind = router.FailDeadline
-	case late == noProgress && x.c.reused && x.resp == nil:
-		kind = router.FailSilent
-	case late == noProgress:
-		kind = router.FailStalled
-	case !open:
-		kind = router.FailCancelled
-	}
-	x.d.o.Scope.Counter("dialer.failures", "kind", string(kind)).Inc(1)
-	out := refuser.Unknown
-	if x.c.raw.sent.Load() == 0 {
-		out = refuser.NotRun
-	}
-	return &router.AttemptError{Kind: kind, Outcome: out, Err: errors.Wrapf(err, "upstream %s", x.a.Upstream.Name)}
+	return x.failed(kind, x.resp != nil, !x.a.Engine, x.a.Upstream.Name, err)
 }
 
 // cancelled replaces the kind of a failed dial when the caller has left.
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -67,17 +67,13 @@
 		// the connection.
 		Framed bool
 
-		d      *Dialer
-		f      *Forward
-		c      *conn
-		w      *watch
-		unhook func() bool
-		resp   *http.Response
+		hold
+		f    *Forward
+		resp *http.Response
 		// written is closed when the body was sent; nil if it was sent before
 		// the answer was read.
 		written chan struct{}
 		stray   bool
-		settled bool
 	}
 )
 
@@ -93,7 +89,7 @@
 	if err != nil {
 		return nil, cancelled(ctx, err)
 	}
-	a := &Forwarded{d: d, f: f, c: c}
+	a := &Forwarded{hold: hold{d: d, c: c}, f: f}
 	c.raw.sent.Store(0)
 	a.w = d.watcher.addWith(func() { c.Close() }, f.More)
 	a.w.until(f.Deadline)
@@ -220,38 +216,9 @@
 	return a.fail(router.FailMismatch, errors.New("the answer carries the ID of another request"))
 }
 
-// release ends the watch and reports whether the connection is still open.
-func (a *Forwarded) release() bool {
-	a.settled = true
-	a.d.watcher.remove(a.w)
-	return a.unhook() && a.w.reason() == inTime
-}
-
 // fail closes the connection and returns what became of the attempt.
 func (a *Forwarded) fail(kind router.FailKind, err error) error {
-	open := a.release()
-	a.c.Close()
-	late := a.w.reason()
-	if late == noProgress && a.c.reused && a.resp == nil {
-		a.d.o.Scope.Counter("dialer.silent").Inc(1)
-		a.d.purge(a.c.addr)
-	}
-	switch {
-	case late == pastDeadline:
-		kind = router.FailDeadline
-	case late == noProgress && a.c.reused && a.resp == nil:
-		kind = router.FailSilent
-	case late == noProgress:
-		kind = router.FailStalled
-	case !open:
-		kind = router.FailCancelled
-	}
-	a.d.o.Scope.Counter("dialer.failures", "kind", string(kind)).Inc(1)
-	out := refuser.Unknown
-	if a.c.raw.sent.Load() == 0 {
-		out = refuser.NotRun
-	}
-	return &router.AttemptError{Kind: kind, Outcome: out, Err: errors.Wrapf(err, "upstream %s", a.f.Upstream)}
+	return a.failed(kind, a.resp != nil, false, a.f.Upstream.String(), err)
 }
 
 // keepAlive returns the time for which the peer keeps an unused connection.
