--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,7 +24,6 @@
 import (
 	"maps"
 	"net/http"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -152,9 +151,6 @@
 		gauge    sizer.Gauge
 		tally    tally
 	}
-
-	// UpstreamAddr is where an attempt is sent.
-	UpstreamAddr = netip.AddrPort
 )
 
 // New returns a forwarder without a configuration, which refuses all requests.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -233,27 +233,6 @@
 	return t, true
 }
 
-// Ready returns the number of upstreams of the service that take new
-// requests, in total and of the version.
-func (p *Placer) Ready(service, version string) (all, of int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	pl := p.pools[service]
-	if pl == nil {
-		return 0, 0
-	}
-	for _, u := range pl.ups {
-		if u.Leaving {
-			continue
-		}
-		all++
-		if u.Version == version {
-			of++
-		}
-	}
-	return all, of
-}
-
 // Running returns the number of requests of this host at upstreams of the
 // service that have another version.
 func (p *Placer) Running(service, not string) int {
@@ -293,13 +272,6 @@
 	return t.up.heard.After(at)
 }
 
-// Leaving reports whether the upstream is known to be leaving by now.
-func (t *Ticket) Leaving() bool {
-	t.p.mu.Lock()
-	defer t.p.mu.Unlock()
-	return t.up.Leaving
-}
-
 // Done ends the attempt. The first byte of its answer came after first, which
 // is zero if there was none. Only the first call counts.
 func (t *Ticket) Done(o Outcome, first time.Duration) {
