Spend the budget on the worst answers; judge the silence of a lone request later

The confidence from which an answer is kept now falls with the budget below 30%, and 8% are left for failures alone. - At the start requests were moved that waited at busy engines: with 24 entries a zone, a host seldom has a second request at an engine, and took the silence of the only one for that of the engine.

--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -8,8 +8,8 @@
 )
 
 // escalationReserve is the part of the budget of repeats that is left for
-// failures.
-const escalationReserve = 0.2
+// failures alone.
+const escalationReserve = 0.08
 
 // escalate reports whether the answer that has just begun is dropped and a
 // larger model asked. Nothing of it has reached the caller.
@@ -18,12 +18,14 @@
 		return false
 	}
 	c.f.gauge.Note(sizer.Key{Service: c.service.Name, Model: c.model}, first, c.f.set.Clock.Now())
-	if c.started || c.arrivals >= c.route.MaxAttempts || c.f.set.Budget.Left(c.service.Name) < escalationReserve {
+	budget := c.f.set.Budget.Left(c.service.Name)
+	if c.started || c.arrivals >= c.route.MaxAttempts || budget < escalationReserve {
 		return false
 	}
 	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
 	next, ok := sizer.Next(sizer.Answer{
 		Size: c.size, Sizes: len(c.route.Sizes), Confidence: c.confidence,
+		Budget:   budget,
 		Pressure: c.f.gauge.Pressure(largest, c.route.Target, c.f.set.Clock.Now()) + c.spent(),
 	})
 	if !ok {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -349,6 +349,36 @@
 			Expect(a.header.Get("X-Sign")).To(Equal("u0"))
 		})
 
+		// Guards against a stream that waits for an upstream which sends
+		// nothing, although another could answer.
+		It("gives up an upstream that stays silent", func() {
+			b.upstream(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
+				for i := range 3 {
+					event(w, i+1)
+				}
+			})
+			b.route(stream)
+			Expect(b.do("POST", "/p/", "x").body).To(Equal(whole))
+			Expect(b.runs()).To(Equal([]string{"u0", "u1"}))
+		})
+
+		// Guards against an end of the last attempt that only its upstream's
+		// silence gives a reason for.
+		It("lets the last attempt wait", func() {
+			release := make(chan struct{})
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
+				select {
+				case <-time.After(1500 * time.Millisecond):
+				case <-release:
+				}
+				event(w, 1)
+			})
+			DeferCleanup(func() { close(release) })
+			b.route(matcher.Route{Kind: matcher.Stream, MaxAttempts: 1, Resumable: true})
+			Expect(b.do("POST", "/p/", "x").body).To(Equal("id: 1\ndata: e1\n\n"))
+		})
+
 		// Guards against a stream that looks complete although it is not.
 		It("breaks the answer off when it cannot go on", func() {
 			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -12,6 +12,10 @@
 	// sends nothing at all is waited for: reading a prompt takes long.
 	silentBase     = 500 * time.Millisecond
 	silentPerToken = 60 * time.Microsecond
+	// silentAlone is added where this is the host's only request at the
+	// upstream, whose silence then says little. An upstream that is gone shows
+	// sooner, by bytes that stay unacknowledged.
+	silentAlone = 450 * time.Millisecond
 	// silentPause is the part of the longest pause of a stream on time after
 	// which an upstream that sends nothing at all is given up.
 	silentPause = 0.55
@@ -82,6 +86,9 @@
 	if g.begun {
 		limit = time.Duration(pausePatience * float64(g.longest()))
 	}
+	if alone := g.first() + silentAlone - waited; !g.begun && alone > 0 && g.t.Running() <= 1 {
+		return alone
+	}
 	if g.c.route.Kind == matcher.Stream && waited < limit && g.t.HeardSince(g.since) {
 		return extraWait
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -272,6 +272,13 @@
 	return t.up.heard.After(at)
 }
 
+// Running returns the number of requests of this host at the upstream.
+func (t *Ticket) Running() int {
+	t.p.mu.Lock()
+	defer t.p.mu.Unlock()
+	return t.up.running
+}
+
 // Done ends the attempt. The first byte of its answer came after first, which
 // is zero if there was none. Only the first call counts.
 func (t *Ticket) Done(o Outcome, first time.Duration) {
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -11,7 +11,7 @@
 //
 //	var g sizer.Gauge
 //	g.Note(key, firstByte, now)
-//	next, ok := sizer.Next(sizer.Answer{Size: 0, Sizes: 3, Confidence: 31, Pressure: g.Pressure(key, target, now)})
+//	next, ok := sizer.Next(sizer.Answer{Size: 0, Sizes: 3, Confidence: 31, Budget: 1, Pressure: g.Pressure(key, target, now)})
 //	if ok {
 //		// Drop the answer and ask the model of size next.
 //	}
@@ -40,6 +40,11 @@
 	easyPressure = 0.35
 	hardPressure = 1.0
 
+	// amplePart is the part of the budget of repeats from which it does not
+	// matter. Below it the confidence from which an answer is kept falls, so
+	// that the worst answers are asked for again and failures can be repeated.
+	amplePart = 0.3
+
 	// decay is the weight of the newest time in the mean.
 	decay = 0.08
 	// halfLife is the time after which half of a mean is forgotten that is not
@@ -58,6 +63,8 @@
 		// Pressure is the time that has passed, and that the largest model
 		// usually takes to its first byte, as a part of the target.
 		Pressure float64
+		// Budget is the part of the budget of repeats that is left.
+		Budget float64
 	}
 
 	// Gauge measures the time to the first byte by key. Its zero value is
@@ -78,7 +85,7 @@
 
 // Next returns the size to ask next, and false if the answer is to be kept.
 func Next(a Answer) (int, bool) {
-	keep := threshold(a.Pressure)
+	keep := threshold(a.Pressure, a.Budget)
 	if a.Size > 0 {
 		keep = min(keep, doubtful)
 	}
@@ -92,10 +99,12 @@
 }
 
 // threshold is the confidence from which an answer is kept. It falls under
-// pressure, so that only the worst answers are asked for again.
-func threshold(pressure float64) int {
+// pressure and with the budget, so that only the worst answers are asked for
+// again.
+func threshold(pressure, budget float64) int {
 	over := (pressure - easyPressure) / (hardPressure - easyPressure)
-	return int(enough * (1 - min(max(over, 0), 1)))
+	idle := 1 - min(max(over, 0), 1)
+	return int(enough * idle * min(max(budget, 0)/amplePart, 1))
 }
 
 // Note takes over the time to a first byte that came now.
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -18,6 +18,9 @@
 var _ = DescribeTable("Next",
 	func(a sizer.Answer, size int, again bool) {
 		a.Sizes = 3
+		if a.Budget == 0 {
+			a.Budget = 1
+		}
 		got, ok := sizer.Next(a)
 		Expect(ok).To(Equal(again))
 		if again {
@@ -32,6 +35,10 @@
 	Entry("the largest has answered", sizer.Answer{Size: 2, Confidence: 10}, 0, false),
 	Entry("a fair answer of a middle size", sizer.Answer{Size: 1, Confidence: 50}, 0, false),
 	Entry("a bad answer of a middle size", sizer.Answer{Size: 1, Confidence: 30}, 2, true),
+	// Guards against fair answers that use up the budget which failures and
+	// bad answers need.
+	Entry("a fair answer with little budget", sizer.Answer{Confidence: 40, Budget: 0.15}, 0, false),
+	Entry("a bad answer with little budget", sizer.Answer{Confidence: 10, Budget: 0.15}, 2, true),
 	Entry("no opinion", sizer.Answer{Confidence: -1}, 0, false),
 	// Guards against larger models that make busy engines late.
 	Entry("a fair answer on busy engines", sizer.Answer{Confidence: 40, Pressure: 0.8}, 0, false),
