--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -352,7 +352,12 @@
 		// Guards against a stream that waits for an upstream which sends
 		// nothing, although another could answer.
 		It("gives up an upstream that stays silent", func() {
-			b.upstream(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+			b.upstream(func(_ http.ResponseWriter, r *http.Request) {
+				// The end of the connection shows once the body has been read.
+				_, err := io.Copy(io.Discard, r.Body)
+				Expect(err).NotTo(HaveOccurred())
+				<-r.Context().Done()
+			})
 			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
 				for i := range 3 {
 					event(w, i+1)
