Guard the fields that the dialer's watch reads

Cause, found by reading: guard.since and begun were written by the request's goroutine and read by the watch of the dialer, and the count of attempts with them. They are atomic now, and whether an attempt is the last one is fixed when it begins.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -319,7 +319,7 @@
 func (c *call) attempt(t *placer.Ticket) bool {
 	up := t.Upstream()
 	sent := c.f.set.Clock.Now()
-	g := &guard{c: c, t: t, since: sent}
+	g := newGuard(c, t, sent)
 	fw := &dialer.Forward{
 		Upstream: up.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Fields: c.f.set.Codec.Fields(c.r.Header, Dispatch{
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"sync/atomic"
 	"time"
 
 	"foxtailwall/matcher"
@@ -39,15 +40,25 @@
 type guard struct {
 	c *call
 	t *placer.Ticket
-	// since is when the attempt was sent, or when its last event came.
-	since time.Time
-	begun bool
+	// last says that no further attempt may follow. Silence is then no reason
+	// to end the attempt; the caller decides how long it waits.
+	last bool
+	// since is when the attempt was sent, or when its last event came. It and
+	// begun are read by the dialer's watch.
+	since atomic.Pointer[time.Time]
+	begun atomic.Bool
+}
+
+func newGuard(c *call, t *placer.Ticket, sent time.Time) *guard {
+	g := &guard{c: c, t: t, last: c.arrivals+1 >= c.route.MaxAttempts}
+	g.since.Store(&sent)
+	return g
 }
 
 // first returns the bound on the time to the header of the answer, zero if the
 // request may not be sent again and so has to wait.
 func (g *guard) first() time.Duration {
-	if !g.c.route.Repeatable() || g.last() {
+	if !g.c.route.Repeatable() || g.last {
 		return 0
 	}
 	return silentBase + time.Duration(g.c.env.Input)*silentPerToken
@@ -58,16 +69,6 @@
 	return time.Duration(silentPause * float64(g.longest()))
 }
 
-// last reports whether no further attempt may follow. Silence is then no reason
-// to end the attempt; the caller decides how long it waits.
-func (g *guard) last() bool {
-	made := g.c.arrivals
-	if !g.begun {
-		made++
-	}
-	return made >= g.c.route.MaxAttempts
-}
-
 func (g *guard) longest() time.Duration {
 	if g.c.route.MaxPause > 0 {
 		return g.c.route.MaxPause
@@ -78,18 +79,19 @@
 // more returns the time to add when a bound is missed. It is called by the
 // dialer's watch.
 func (g *guard) more() time.Duration {
-	if !g.c.route.Repeatable() || g.last() {
+	if !g.c.route.Repeatable() || g.last {
 		return extraWait
 	}
-	waited := g.c.f.set.Clock.Since(g.since)
+	since, begun := *g.since.Load(), g.begun.Load()
+	waited := g.c.f.set.Clock.Since(since)
 	limit := time.Duration(patience * float64(g.c.route.Target))
-	if g.begun {
+	if begun {
 		limit = time.Duration(pausePatience * float64(g.longest()))
 	}
-	if alone := g.first() + silentAlone - waited; !g.begun && alone > 0 && g.t.Running() <= 1 {
+	if alone := g.first() + silentAlone - waited; !begun && alone > 0 && g.t.Running() <= 1 {
 		return alone
 	}
-	if g.c.route.Kind == matcher.Stream && waited < limit && g.t.HeardSince(g.since) {
+	if g.c.route.Kind == matcher.Stream && waited < limit && g.t.HeardSince(since) {
 		return extraWait
 	}
 	return 0
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -29,10 +29,11 @@
 // the request is answered. If the answer breaks off, the next attempt goes on
 // after the last whole event.
 func (c *call) stream(t *placer.Ticket, ans *dialer.Forwarded, g *guard, first time.Duration) bool {
-	g.begun = true
+	g.begun.Store(true)
 	buf := make([]byte, 0, eventBuffer)
 	for {
-		g.since = c.f.set.Clock.Now()
+		now := c.f.set.Clock.Now()
+		g.since.Store(&now)
 		ans.Within(g.pause())
 		if cap(buf)-len(buf) < eventBuffer/2 {
 			buf = append(buf, make([]byte, eventBuffer)...)[:len(buf)]
