Count an attempt once, when it ends

Cause: the forwarder counted an attempt when its header came and took it back when the body broke off, so that the count was wrong in between and each new outcome had to know of the correction.

A spec now has an attempt of each outcome and the attempts of the route as the bound.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -62,7 +62,7 @@
 		target  bool
 
 		tries int
-		// arrivals counts the attempts of which an upstream has received
+		// arrivals counts the ended attempts of which an upstream has received
 		// something, ran those that may have run.
 		arrivals, ran int
 		tried         []tracker.Key
@@ -334,7 +334,6 @@
 	if err != nil {
 		return c.failed(t, err)
 	}
-	c.arrivals++
 	t.Heard()
 	return c.answered(t, ans, g, sent)
 }
@@ -355,8 +354,7 @@
 		ae = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Err: err}
 	}
 	if ae.Outcome != refuser.NotRun {
-		c.arrivals++
-		c.ran++
+		c.spend(true)
 	}
 	t.Done(placement(ae.Kind, ae.Outcome), 0)
 	c.logAttempt(t.Upstream(), string(ae.Kind), ae.Outcome, ae.Err)
@@ -402,7 +400,7 @@
 		return c.notRun(t, ans)
 	case !sound(ans, reply, c.env.ID):
 		ans.Abort()
-		c.ran++
+		c.spend(true)
 		return c.unusable(t, "the answer is not the upstream's")
 	case c.route.Kind == matcher.Stream && ans.Status == http.StatusOK:
 		c.confidence = reply.Confidence
@@ -412,10 +410,18 @@
 		}
 		return c.stream(t, ans, g, first)
 	}
-	c.ran++
 	return c.whole(t, ans, first)
 }
 
+// spend counts an attempt that has ended and of which an upstream has received
+// something.
+func (c *call) spend(ran bool) {
+	c.arrivals++
+	if ran {
+		c.ran++
+	}
+}
+
 // sound reports whether the answer is what an upstream answers to this
 // request.
 func sound(ans *dialer.Forwarded, reply Reply, id string) bool {
@@ -434,9 +440,10 @@
 	ans.Abort()
 	out := placer.Busy
 	if status == http.StatusMisdirectedRequest {
-		out = placer.Misdirected
 		// Nothing that may run the request has received it.
-		c.arrivals--
+		out = placer.Misdirected
+	} else {
+		c.spend(false)
 	}
 	t.Done(out, 0)
 	c.logAttempt(t.Upstream(), "refused", refuser.NotRun, errors.Newf("status %d", status))
@@ -459,12 +466,10 @@
 func (c *call) whole(t *placer.Ticket, ans *dialer.Forwarded, first time.Duration) bool {
 	body, err := readAnswer(ans)
 	if err != nil {
-		// The attempt was counted when its header came.
-		c.arrivals--
-		c.ran--
 		return c.failed(t, err)
 	}
 	ans.Finish()
+	c.spend(true)
 	a := &answer{status: ans.Status, header: ans.Header, body: body}
 	c.count(t.Upstream(), ans.Status >= http.StatusInternalServerError, first)
 	if ans.Status < http.StatusInternalServerError {
--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -19,7 +19,7 @@
 	}
 	c.f.gauge.Note(sizer.Key{Service: c.service.Name, Model: c.model}, first, c.f.set.Clock.Now())
 	budget := c.f.set.Budget.Left(c.service.Name)
-	if c.started || c.arrivals >= c.route.MaxAttempts || budget < escalationReserve {
+	if c.started || c.arrivals+1 >= c.route.MaxAttempts || budget < escalationReserve {
 		return false
 	}
 	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
@@ -36,7 +36,7 @@
 		Int("confidence", c.confidence).Dur("first", first).Msg("a larger model is asked")
 	t.Done(placer.Good, first)
 	c.count(t.Upstream(), false, first)
-	c.ran++
+	c.spend(true)
 	c.size, c.model = next, c.route.Sizes[next]
 	// The upstream has not failed and may run the larger model as well.
 	c.tried = nil
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -248,6 +248,26 @@
 		Expect(b.runs()).To(HaveLen(2))
 	})
 
+	// Guards against an attempt that counts twice, as one that was answered and
+	// as one that broke off, and against one that counts although another
+	// upstream had the address.
+	It("counts each attempt once", func() {
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Not-Run", "1")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		})
+		b.upstream(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "9")
+			fmt.Fprint(w, "part")
+			cut(w, r)
+		})
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.Header().Del("X-Sign") })
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		b.route(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 3})
+		Expect(b.do("GET", "/p/", "").body).To(Equal("done"))
+		Expect(b.runs()).To(Equal([]string{"u0", "u1", "u2", "u3"}))
+	})
+
 	// Guards against a request that runs twice, and against a status that
 	// says that it has not run.
 	DescribeTable("runs a non-idempotent request at most once",
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -47,7 +47,7 @@
 			if werr := c.forward(ans, buf[:end]); werr != nil {
 				ans.Abort()
 				t.Done(placer.Abandoned, first)
-				c.ran++
+				c.spend(true)
 				c.logEnd(statusClosed, "callerLeft")
 				return true
 			}
@@ -93,7 +93,7 @@
 		return c.streamCut(t, errPartialEvent)
 	}
 	ans.Finish()
-	c.ran++
+	c.spend(true)
 	t.Done(placer.Good, first)
 	c.count(t.Upstream(), false, first)
 	if !c.started {
@@ -108,8 +108,6 @@
 
 // streamCut handles a stream that broke off.
 func (c *call) streamCut(t *placer.Ticket, err error) bool {
-	// The attempt was counted when its header came.
-	c.arrivals--
 	done := c.failed(t, err)
 	if !done {
 		c.f.set.Scope.Counter("forwarder.resumed").Inc(1)
