--- a/cmd/foxtailwall/compare.go
+++ b/cmd/foxtailwall/compare.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"foxtailwall/comparer"
+	"foxtailwall/validator"
 )
 
 const compareUsage = `Runs policies side by side on the same seed and arrivals against a model of a
@@ -52,14 +53,14 @@
 func runCompare(_ context.Context, c *cli.Command) error {
 	s, ok := comparer.ScenarioByName(c.String("scenario"))
 	if !ok {
-		return &settingError{"scenario", c.String("scenario"), "cooperative, festival"}
+		return validator.Wrong("scenario", c.String("scenario"), "cooperative, festival")
 	}
 	if s, ok = s.Faulty(c.String("fault")); !ok {
-		return &settingError{"fault", c.String("fault"), "bad, unrated, or empty"}
+		return validator.Wrong("fault", c.String("fault"), "bad, unrated, or empty")
 	}
 	format := c.String("plot-format")
 	if format != "svg" && format != "png" {
-		return &settingError{"plot-format", format, "svg, png"}
+		return validator.Wrong("plot-format", format, "svg, png")
 	}
 	results := comparer.Run(s, comparePolicies(), comparer.Options{
 		Seed: c.Uint64("seed"), Repeats: c.Int("repeats"), Rate: c.Float("rate"), Duration: c.Duration("duration"),
--- a/cmd/foxtailwall/load.go
+++ b/cmd/foxtailwall/load.go
@@ -19,6 +19,7 @@
 	"foxtailwall/emulator"
 	"foxtailwall/loader"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const loadUsage = `Sends the load of one of the first two deployments to a running system of entry
@@ -122,10 +123,10 @@
 func loadConfig(c *cli.Command) (loader.Config, error) {
 	mix, ok := loader.MixByName(c.String("mix"))
 	if !ok {
-		return loader.Config{}, &settingError{"mix", c.String("mix"), "cooperative, festival"}
+		return loader.Config{}, validator.Wrong("mix", c.String("mix"), "cooperative, festival")
 	}
 	if c.Float("rate") <= 0 {
-		return loader.Config{}, &settingError{"rate", fmt.Sprint(c.Float("rate")), "a number above 0"}
+		return loader.Config{}, validator.Wrong("rate", fmt.Sprint(c.Float("rate")), "a number above 0")
 	}
 	conf := loader.Config{
 		Seed: c.Uint64("seed"), Mix: mix, Model: c.String("model"), Rate: c.Float("rate"),
@@ -149,7 +150,7 @@
 func loadDeclared(c *cli.Command, conf *loader.Config) error {
 	b, err := os.ReadFile(c.String("config"))
 	if err != nil {
-		return &settingError{"config", c.String("config"), "a readable file with the configuration"}
+		return validator.Wrong("config", c.String("config"), "a readable file with the configuration")
 	}
 	var declared declarer.Config
 	if err := yaml.Unmarshal(b, &declared); err != nil {
@@ -161,7 +162,7 @@
 	}
 	conf.Workspaces = loader.FromConfig(declared, keys)
 	if len(conf.Workspaces) == 0 {
-		return &settingError{"keys", c.String("keys"), "a file with the key of at least one member of the configuration"}
+		return validator.Wrong("keys", c.String("keys"), "a file with the key of at least one member of the configuration")
 	}
 	for _, m := range declared.Models {
 		for _, v := range m.Versions {
@@ -182,7 +183,7 @@
 func readKeys(path string) (map[string]string, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, &settingError{"keys", path, "a readable file with lines WORKSPACE/MEMBER KEY"}
+		return nil, validator.Wrong("keys", path, "a readable file with lines WORKSPACE/MEMBER KEY")
 	}
 	defer f.Close()
 	keys := make(map[string]string)
@@ -198,7 +199,7 @@
 func readLedger(path string, a *loader.Audit) error {
 	f, err := os.Open(path)
 	if err != nil {
-		return &settingError{"ledger", path, "a readable file or named pipe with the exported ledger"}
+		return validator.Wrong("ledger", path, "a readable file or named pipe with the exported ledger")
 	}
 	defer f.Close()
 	records, err := loader.ReadLedger(f)
@@ -225,7 +226,7 @@
 	const parts = 4
 	var out []loader.TimedFault
 	for _, s := range values {
-		bad := &settingError{"fault", s, `AT NAME ADDRESS JSON, for example 10s leave 127.0.0.1:9001 {"kind":"leave"}`}
+		bad := validator.Wrong("fault", s, `AT NAME ADDRESS JSON, for example 10s leave 127.0.0.1:9001 {"kind":"leave"}`)
 		f := strings.SplitN(s, " ", parts)
 		if len(f) != parts {
 			return nil, bad
--- a/cmd/foxtailwall/operator.go
+++ b/cmd/foxtailwall/operator.go
@@ -13,6 +13,7 @@
 
 	"foxtailwall/messenger"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const (
@@ -52,12 +53,12 @@
 	for _, text := range c.StringSlice(flagControl) {
 		addr, err := netip.ParseAddrPort(strings.TrimSpace(text))
 		if err != nil {
-			return nil, &settingError{flagControl, text, "an IP address and a port, such as 127.0.0.1:7000"}
+			return nil, validator.Wrong(flagControl, text, "an IP address and a port, such as 127.0.0.1:7000")
 		}
 		out.Peers = append(out.Peers, messenger.NewPeer(addr, conf))
 	}
 	if len(out.Peers) == 0 {
-		return nil, &settingError{flagControl, "", "the address of at least one control host"}
+		return nil, validator.Wrong(flagControl, "", "the address of at least one control host")
 	}
 	return out, nil
 }
@@ -68,15 +69,15 @@
 	}
 	cert, err := tls.LoadX509KeyPair(c.String(flagCert), c.String(flagKey))
 	if err != nil {
-		return nil, errors.Wrapf(&settingError{flagCert, c.String(flagCert), "a PEM file that fits --" + flagKey + ", or --" + flagInsecure}, "%v", err)
+		return nil, errors.Wrapf(validator.Wrong(flagCert, c.String(flagCert), "a PEM file that fits --"+flagKey+", or --"+flagInsecure), "%v", err)
 	}
 	text, err := os.ReadFile(c.String(flagCA))
 	if err != nil {
-		return nil, &settingError{flagCA, c.String(flagCA), "a readable PEM file"}
+		return nil, validator.Wrong(flagCA, c.String(flagCA), "a readable PEM file")
 	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(text) {
-		return nil, &settingError{flagCA, c.String(flagCA), "a PEM file with at least one certificate"}
+		return nil, validator.Wrong(flagCA, c.String(flagCA), "a PEM file with at least one certificate")
 	}
 	return &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: roots, MinVersion: tls.VersionTLS13}, nil
 }
--- a/cmd/foxtailwall/report.go
+++ b/cmd/foxtailwall/report.go
@@ -11,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"foxtailwall/reporter"
+	"foxtailwall/validator"
 )
 
 const reportUsage = `Reports from the counters that hosts have recorded how fast each workspace burns
@@ -63,13 +64,13 @@
 	at := series.End()
 	if s := c.String("at"); s != "" {
 		if at, err = time.Parse(time.RFC3339, s); err != nil {
-			return &settingError{"at", s, "a time as 2006-01-02T15:04:05Z"}
+			return validator.Wrong("at", s, "a time as 2006-01-02T15:04:05Z")
 		}
 	}
 	rep := reporter.Make(series, objectives, at)
 	write := map[string]func(io.Writer) error{"text": rep.Print, "json": rep.JSON, "html": rep.Page}[c.String("format")]
 	if write == nil {
-		return &settingError{"format", c.String("format"), "text, json, html"}
+		return validator.Wrong("format", c.String("format"), "text, json, html")
 	}
 	path := c.String("out")
 	if path == "" {
@@ -93,7 +94,7 @@
 	for i, name := range []string{"answered", "first-token", "tokens", "quality"} {
 		target := c.Float(name)
 		if target < 0 || target >= 1 {
-			return nil, &settingError{name, fmt.Sprint(target), "a share from 0 to below 1"}
+			return nil, validator.Wrong(name, fmt.Sprint(target), "a share from 0 to below 1")
 		}
 		if target > 0 {
 			objectives[i].Target = target
@@ -105,7 +106,7 @@
 
 func reportSeries(paths []string) (*reporter.Series, error) {
 	if len(paths) == 0 {
-		return nil, &settingError{"FILE", "", "at least one file with recorded counters"}
+		return nil, validator.Wrong("FILE", "", "at least one file with recorded counters")
 	}
 	s := &reporter.Series{}
 	for _, p := range paths {
--- a/cmd/foxtailwall/serve.go
+++ b/cmd/foxtailwall/serve.go
@@ -15,6 +15,7 @@
 
 	"foxtailwall/hoster"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const usageServe = `Serve runs one host until it receives SIGINT or SIGTERM, and then drains: it
@@ -138,7 +139,7 @@
 	}
 	addr, err := netip.ParseAddrPort(text)
 	if err != nil {
-		return &hoster.SettingError{Setting: name, Value: text, Allowed: "an IP address and a port, such as 127.0.0.1:7000"}
+		return &validator.SettingError{Setting: name, Value: text, Allowed: "an IP address and a port, such as 127.0.0.1:7000"}
 	}
 	*target = addr
 	return nil
@@ -152,7 +153,7 @@
 	for i, l := range lines {
 		key, err := hex.DecodeString(l)
 		if err != nil {
-			return &hoster.SettingError{Setting: "session-keys", Value: "line " + strconv.Itoa(i+1), Allowed: "keys in hexadecimal, one on each line"}
+			return &validator.SettingError{Setting: "session-keys", Value: "line " + strconv.Itoa(i+1), Allowed: "keys in hexadecimal, one on each line"}
 		}
 		s.SessionKeys = append(s.SessionKeys, key)
 	}
@@ -169,7 +170,7 @@
 	}
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &hoster.SettingError{Setting: flag, Value: path, Allowed: "a readable file"}
+		return nil, &validator.SettingError{Setting: flag, Value: path, Allowed: "a readable file"}
 	}
 	var lines []string
 	for scan := bufio.NewScanner(bytes.NewReader(b)); scan.Scan(); {
--- a/cmd/foxtailwall/setting.go
+++ b/cmd/foxtailwall/setting.go
@@ -2,28 +2,17 @@
 
 import (
 	"crypto/x509"
-	"fmt"
 	"net/netip"
 	"os"
-)
-
-// settingError names a setting whose value is not allowed.
-type settingError struct {
-	setting string
-	value   string
-	allowed string
-}
 
-// Error implements error.
-func (e *settingError) Error() string {
-	return fmt.Sprintf("setting %s is %q; allowed: %s", e.setting, e.value, e.allowed)
-}
+	"foxtailwall/validator"
+)
 
 // addressSetting parses an address of the form IP:PORT.
 func addressSetting(name, value string) (netip.AddrPort, error) {
 	a, err := netip.ParseAddrPort(value)
 	if err != nil {
-		return a, &settingError{name, value, "IP:PORT, for example 127.0.0.1:9000"}
+		return a, validator.Wrong(name, value, "IP:PORT, for example 127.0.0.1:9000")
 	}
 	return a, nil
 }
@@ -31,7 +20,7 @@
 // addressSettings parses addresses of the form IP:PORT; it takes at least one.
 func addressSettings(name string, values []string) ([]netip.AddrPort, error) {
 	if len(values) == 0 {
-		return nil, &settingError{name, "", "at least one IP:PORT"}
+		return nil, validator.Wrong(name, "", "at least one IP:PORT")
 	}
 	out := make([]netip.AddrPort, len(values))
 	for i, s := range values {
@@ -49,7 +38,7 @@
 	b, err := os.ReadFile(path)
 	pool := x509.NewCertPool()
 	if err != nil || !pool.AppendCertsFromPEM(b) {
-		return nil, &settingError{name, path, "a readable file with PEM certificates"}
+		return nil, validator.Wrong(name, path, "a readable file with PEM certificates")
 	}
 	return pool, nil
 }
--- a/cmd/foxtailwall/standin.go
+++ b/cmd/foxtailwall/standin.go
@@ -15,6 +15,7 @@
 
 	"foxtailwall/emulator"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const standinUsage = `Serves one stand-in for a system around the router, on one address:
@@ -124,7 +125,7 @@
 		}
 		h = p
 	default:
-		return nil, nil, &settingError{"kind", kind, "engine, service, rater, weights, platform"}
+		return nil, nil, validator.Wrong("kind", kind, "engine, service, rater, weights, platform")
 	}
 	return h, stop, nil
 }
@@ -161,7 +162,7 @@
 		model, version, ok := strings.Cut(ref, "/")
 		q, err := strconv.ParseFloat(quality, 64)
 		if !ok || err != nil || q < 0 || q > 1 {
-			return nil, &settingError{name, s, "MODEL/VERSION=QUALITY with a quality from 0 to 1"}
+			return nil, validator.Wrong(name, s, "MODEL/VERSION=QUALITY with a quality from 0 to 1")
 		}
 		out = append(out, emulator.Version{Model: model, Version: version, Quality: q})
 	}
--- a/demonstrator/demonstrator.go
+++ b/demonstrator/demonstrator.go
@@ -35,6 +35,7 @@
 	"foxtailwall/loader"
 	"foxtailwall/messenger"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const (
@@ -79,9 +80,6 @@
 		Failed []string `json:"failed,omitempty"`
 	}
 
-	// SettingError says which setting of a run has a wrong value.
-	SettingError struct{ Setting, Value, Allowed string }
-
 	// demo is a run under way.
 	demo struct {
 		conf    Config
@@ -98,11 +96,6 @@
 	}
 )
 
-// Error implements error.
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("setting %s is %q; allowed is %s", e.Setting, e.Value, e.Allowed)
-}
-
 // Run runs the demo. Its error means that the run could not be carried out;
 // broken promises are in the result.
 func Run(ctx context.Context, conf Config) (*Result, error) {
@@ -134,7 +127,7 @@
 		c.Duration = DefaultDuration
 	}
 	if c.Duration < MinDuration {
-		return &SettingError{"duration", c.Duration.String(), "at least " + MinDuration.String()}
+		return validator.Wrong("duration", c.Duration.String(), "at least "+MinDuration.String())
 	}
 	if c.Rate <= 0 {
 		c.Rate = defaultRate
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -27,6 +27,7 @@
 	"foxtailwall/messenger"
 	"foxtailwall/server"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const (
@@ -84,7 +85,7 @@
 )
 
 // New returns a host that has read its data folder and listens on no port
-// yet. Errors are a *SettingError, a damaged data folder or a TLS file that
+// yet. Errors are a *validator.SettingError, a damaged data folder or a TLS file that
 // cannot be read.
 func New(s Settings, o Options) (*Host, error) {
 	if err := s.Validate(); err != nil {
@@ -223,7 +224,7 @@
 	}
 	l, err := open(addr)
 	if err != nil {
-		return nil, &SettingError{Setting: setting, Value: addr.String(), Allowed: "a free address of this host: " + err.Error()}
+		return nil, validator.Wrong(setting, addr.String(), "a free address of this host: "+err.Error())
 	}
 	return l, nil
 }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"foxtailwall/validator"
 )
 
 const (
@@ -71,21 +73,12 @@
 		Cert, Key, CA string
 		Insecure      bool
 	}
-
-	// SettingError says which setting has which wrong value and what is
-	// allowed.
-	SettingError struct{ Setting, Value, Allowed string }
 )
 
-// Error implements error.
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("setting %s is %q; allowed is %s", e.Setting, e.Value, e.Allowed)
-}
-
 // ParseSpec reads a host in the form "name@zone=ip:port", with "+disk" at the
-// end for a host with a data folder. It returns a *SettingError.
+// end for a host with a data folder. It returns a *validator.SettingError.
 func ParseSpec(text string) (Spec, error) {
-	fail := &SettingError{Setting: "hosts", Value: text, Allowed: "name@zone=ip:port, followed by +disk for a host with a data folder"}
+	fail := validator.Wrong("hosts", text, "name@zone=ip:port, followed by +disk for a host with a data folder")
 	rest, disk := strings.CutSuffix(text, "+disk")
 	id, addr, ok := strings.Cut(rest, "=")
 	if !ok {
@@ -126,7 +119,7 @@
 }
 
 // Validate checks the settings against each other and returns the first fault
-// as a *SettingError.
+// as a *validator.SettingError.
 func (s *Settings) Validate() error {
 	for _, check := range []func() error{s.validateNames, s.validateControl, s.validateListen, s.validateTLS, s.validateKeys} {
 		if err := check(); err != nil {
@@ -140,10 +133,10 @@
 		s.Grace = DefaultGrace
 	}
 	if s.Drain < 0 {
-		return &SettingError{"drain", s.Drain.String(), "a time above zero, such as 60s"}
+		return validator.Wrong("drain", s.Drain.String(), "a time above zero, such as 60s")
 	}
 	if s.Grace < 0 || s.Grace >= s.Drain {
-		return &SettingError{"grace", s.Grace.String(), "a time above zero and below drain, which is " + s.Drain.String()}
+		return validator.Wrong("grace", s.Grace.String(), "a time above zero and below drain, which is "+s.Drain.String())
 	}
 	return nil
 }
@@ -152,34 +145,34 @@
 	seen := map[string]bool{}
 	for _, h := range s.Hosts {
 		if seen[h.Name] {
-			return &SettingError{"hosts", h.Name, "each host once"}
+			return validator.Wrong("hosts", h.Name, "each host once")
 		}
 		seen[h.Name] = true
 	}
 	own, ok := s.Spec(s.Name)
 	if !ok {
-		return &SettingError{"name", s.Name, "a name that stands in hosts"}
+		return validator.Wrong("name", s.Name, "a name that stands in hosts")
 	}
 	if own.Zone != s.Zone {
-		return &SettingError{"zone", s.Zone, fmt.Sprintf("the zone %q that hosts names for %s", own.Zone, s.Name)}
+		return validator.Wrong("zone", s.Zone, fmt.Sprintf("the zone %q that hosts names for %s", own.Zone, s.Name))
 	}
 	return nil
 }
 
 func (s *Settings) validateControl() error {
 	if len(s.Control)%2 == 0 {
-		return &SettingError{"control", strings.Join(s.Control, ","), "an odd number of hosts, 3 for three zones"}
+		return validator.Wrong("control", strings.Join(s.Control, ","), "an odd number of hosts, 3 for three zones")
 	}
 	for _, name := range s.Control {
 		if _, ok := s.Spec(name); !ok {
-			return &SettingError{"control", name, "names that stand in hosts"}
+			return validator.Wrong("control", name, "names that stand in hosts")
 		}
 	}
 	if s.IsControl() && s.DataFolder == "" {
-		return &SettingError{"data-folder", "", "a folder on a disk, since this host is a member of the control group"}
+		return validator.Wrong("data-folder", "", "a folder on a disk, since this host is a member of the control group")
 	}
 	if !s.IsControl() && !s.Entry {
-		return &SettingError{"entry", "false", "true on a host that is not a member of the control group"}
+		return validator.Wrong("entry", "false", "true on a host that is not a member of the control group")
 	}
 	return nil
 }
@@ -191,7 +184,7 @@
 	}
 	for _, name := range []string{"peers", "callers", "operators"} {
 		if a, ok := addrs[name]; ok && !a.IsValid() {
-			return &SettingError{name, "", "an IP address and a port to listen on, such as 127.0.0.1:7000"}
+			return validator.Wrong(name, "", "an IP address and a port to listen on, such as 127.0.0.1:7000")
 		}
 	}
 	return nil
@@ -216,10 +209,8 @@
 				continue
 			}
 			if _, err := os.Stat(path); err != nil {
-				return &SettingError{
-					side.name + "-" + part, path,
-					fmt.Sprintf("a readable PEM file, or --%s-insecure to go without TLS", side.name),
-				}
+				return validator.Wrong(side.name+"-"+part, path,
+					fmt.Sprintf("a readable PEM file, or --%s-insecure to go without TLS", side.name))
 			}
 		}
 	}
@@ -231,15 +222,15 @@
 		return nil
 	}
 	if len(s.SessionKeys) == 0 {
-		return &SettingError{"session-keys", "", "a file with one key of at least 32 bytes in hexadecimal on each line, the same on all hosts"}
+		return validator.Wrong("session-keys", "", "a file with one key of at least 32 bytes in hexadecimal on each line, the same on all hosts")
 	}
 	for _, k := range s.SessionKeys {
 		if len(k) < minSessionKey {
-			return &SettingError{"session-keys", fmt.Sprintf("%d bytes", len(k)), "keys of at least 32 bytes in hexadecimal"}
+			return validator.Wrong("session-keys", fmt.Sprintf("%d bytes", len(k)), "keys of at least 32 bytes in hexadecimal")
 		}
 	}
 	if len(s.OperatorKeys) == 0 {
-		return &SettingError{"operator-keys", "", "a file with one operator key on each line"}
+		return validator.Wrong("operator-keys", "", "a file with one operator key on each line")
 	}
 	return nil
 }
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"foxtailwall/hoster"
+	"foxtailwall/validator"
 )
 
 func TestHoster(t *testing.T) {
@@ -44,7 +45,7 @@
 	DescribeTable("names the setting that is wrong", func(change func(*hoster.Settings), setting string) {
 		s := settings()
 		change(&s)
-		var wrong *hoster.SettingError
+		var wrong *validator.SettingError
 		Expect(errors.As(s.Validate(), &wrong)).To(BeTrue())
 		Expect(wrong.Setting).To(Equal(setting))
 		Expect(wrong.Allowed).NotTo(BeEmpty())
--- a/server/limits_test.go
+++ b/server/limits_test.go
@@ -26,6 +26,7 @@
 	"foxtailwall/router"
 	"foxtailwall/server"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 // drainClock shows real time, since the deadlines of connections need it, but
@@ -321,7 +322,7 @@
 
 	It("refuses a digest that is none", func() {
 		_, err := server.New(server.Options{OperatorDigest: "x"})
-		Expect(err).To(BeAssignableToTypeOf(&server.SettingError{}))
+		Expect(err).To(BeAssignableToTypeOf(&validator.SettingError{}))
 	})
 })
 
--- a/server/server.go
+++ b/server/server.go
@@ -26,7 +26,6 @@
 	"context"
 	"crypto/tls"
 	"encoding/hex"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -43,6 +42,7 @@
 	"foxtailwall/declarer"
 	"foxtailwall/router"
 	"foxtailwall/timekeeper"
+	"foxtailwall/validator"
 )
 
 const (
@@ -124,30 +124,22 @@
 		operators []*http.Server
 		stopped   bool
 	}
-
-	// SettingError says that a setting has a value that is not allowed.
-	SettingError struct{ Setting, Value, Allowed string }
 )
 
-// New returns a server. It returns a *SettingError if the digest is none.
+// New returns a server. It returns a *validator.SettingError if the digest is none.
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
 	s := &Server{o: o, slots: make(chan struct{}, o.MaxConcurrent)}
 	if o.OperatorDigest != "" {
 		d, err := hex.DecodeString(o.OperatorDigest)
 		if err != nil || len(d) != 32 {
-			return nil, &SettingError{Setting: "OperatorDigest", Value: o.OperatorDigest, Allowed: "64 hexadecimal digits"}
+			return nil, validator.Wrong("OperatorDigest", o.OperatorDigest, "64 hexadecimal digits")
 		}
 		s.operator = d
 	}
 	return s, nil
 }
 
-// Error implements error.
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("setting %s is %q; allowed: %s", e.Setting, e.Value, e.Allowed)
-}
-
 // ServeCallers answers callers on l until Drain. With a nil TLS configuration
 // it speaks clear text.
 func (s *Server) ServeCallers(l net.Listener, conf *tls.Config) error {
--- a/starter/control.go
+++ b/starter/control.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"foxtailwall/coordinator"
+	"foxtailwall/validator"
 )
 
 // RunControl runs a control host until ctx ends.
@@ -48,9 +49,9 @@
 func (s *Settings) checkControl() error {
 	switch {
 	case !s.Operators.IsValid():
-		return &SettingError{"operators", s.Operators.String(), "an IP address and a port"}
+		return validator.Wrong("operators", s.Operators.String(), "an IP address and a port")
 	case s.DataFolder == "":
-		return &SettingError{"dataFolder", s.DataFolder, "a folder on a disk"}
+		return validator.Wrong("dataFolder", s.DataFolder, "a folder on a disk")
 	}
 	return s.checkCommon()
 }
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -20,6 +20,7 @@
 	"foxtailwall/syncer"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
+	"foxtailwall/validator"
 )
 
 const (
@@ -106,11 +107,11 @@
 func (s *Settings) checkEntry() error {
 	switch {
 	case !s.Callers.IsValid():
-		return &SettingError{"callers", s.Callers.String(), "an IP address and a port"}
+		return validator.Wrong("callers", s.Callers.String(), "an IP address and a port")
 	case !s.Ready.IsValid():
-		return &SettingError{"ready", s.Ready.String(), "an IP address and a port"}
+		return validator.Wrong("ready", s.Ready.String(), "an IP address and a port")
 	case s.Retries.Window <= 0:
-		return &SettingError{"retries.window", s.Retries.Window.String(), "above 0"}
+		return validator.Wrong("retries.window", s.Retries.Window.String(), "above 0")
 	}
 	return s.checkCommon()
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -13,7 +13,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -30,6 +29,7 @@
 	"foxtailwall/server"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
+	"foxtailwall/validator"
 )
 
 const (
@@ -107,27 +107,19 @@
 		// metrics are served under /metrics; 0 serves none.
 		MetricsPort uint16
 	}
-
-	// SettingError names a setting that cannot be used.
-	SettingError struct{ Setting, Value, Allowed string }
 )
 
-// Error implements error.
-func (e *SettingError) Error() string {
-	return fmt.Sprintf("setting %s is %q; it must be %s", e.Setting, e.Value, e.Allowed)
-}
-
 // checkCommon finds faults in the settings that both programs need.
 func (s *Settings) checkCommon() error {
 	switch {
 	case s.Name == "":
-		return &SettingError{"name", s.Name, "the name of this host"}
+		return validator.Wrong("name", s.Name, "the name of this host")
 	case !s.Peers.IsValid():
-		return &SettingError{"peers", s.Peers.String(), "an IP address and a port"}
+		return validator.Wrong("peers", s.Peers.String(), "an IP address and a port")
 	case len(s.Seeds) == 0:
-		return &SettingError{"seeds", "", "the addresses of one control host or more"}
+		return validator.Wrong("seeds", "", "the addresses of one control host or more")
 	case s.Grace <= 0:
-		return &SettingError{"grace", s.Grace.String(), "above 0"}
+		return validator.Wrong("grace", s.Grace.String(), "above 0")
 	}
 	return nil
 }
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -25,6 +25,7 @@
 	"foxtailwall/starter"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
+	"foxtailwall/validator"
 )
 
 func TestStarter(t *testing.T) {
@@ -219,7 +220,7 @@
 		}
 		change(&s)
 		err := starter.RunEntry(context.Background(), s, starter.Options{Clock: timekeeper.System{}})
-		var se *starter.SettingError
+		var se *validator.SettingError
 		Expect(errors.As(err, &se)).To(BeTrue())
 		Expect(se.Setting).To(Equal(setting))
 	},
