Keep the sessions of a trial added up at the leader

Cause: the hub worked out the sessions of all hosts anew for each call, so that the work grew with the square of the hosts, and Hub.Hosts and Client.Heard were used by specs only.

The hub now counts the hosts that keep a session as reports come in. The spec of the counts looks at the number of hosts that calls are told.

--- a/syncer/client.go
+++ b/syncer/client.go
@@ -43,7 +43,6 @@
 		peers map[netip.AddrPort]*messenger.Peer
 
 		mu     sync.Mutex
-		heard  time.Time
 		leader netip.AddrPort
 		others []netip.AddrPort
 	}
@@ -58,11 +57,11 @@
 	return c
 }
 
-// Heard returns when the leader last answered; the zero time is never.
-func (c *Client) Heard() time.Time {
+// Leader returns the address of the leader, invalid if none is known.
+func (c *Client) Leader() netip.AddrPort {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heard
+	return c.leader
 }
 
 // Run calls until ctx ends.
@@ -133,7 +132,7 @@
 	if c.leader != to {
 		c.set.Log.Info().Stringer("leader", to).Msg("connected to the leader of the control group")
 	}
-	c.leader, c.heard = to, c.set.Clock.Now()
+	c.leader = to
 	return true
 }
 
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -48,8 +47,12 @@
 		readAt  time.Time
 		news    chan struct{}
 		reports map[hostKey]reported
+		// kept counts, for each rollout's trial, the hosts that keep a session.
+		kept map[trial]map[uint64]int
 	}
 
+	trial struct{ service, target string }
+
 	hostKey struct {
 		host    string
 		started int64
@@ -65,7 +68,9 @@
 
 // NewHub returns a hub without a list.
 func NewHub(s HubSettings) *Hub {
-	return &Hub{set: s, news: make(chan struct{}), reports: make(map[hostKey]reported)}
+	return &Hub{
+		set: s, news: make(chan struct{}), reports: make(map[hostKey]reported), kept: make(map[trial]map[uint64]int),
+	}
 }
 
 // Put takes over a list of upstreams that has just been read. The name must
@@ -127,7 +132,28 @@
 func (h *Hub) take(r *Report) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.reports[hostKey{r.Host, r.Started}] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running, kept: r.Kept}
+	k := hostKey{r.Host, r.Started}
+	h.keep(h.reports[k].kept, -1)
+	h.keep(r.Kept, 1)
+	h.reports[k] = reported{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running, kept: r.Kept}
+}
+
+// keep adds so many hosts to each of the sessions.
+func (h *Hub) keep(kept []Kept, hosts int) {
+	for _, k := range kept {
+		t := trial{k.Service, k.Target}
+		if h.kept[t] == nil {
+			h.kept[t] = make(map[uint64]int)
+		}
+		for _, s := range k.Sessions {
+			if h.kept[t][s] += hosts; h.kept[t][s] == 0 {
+				delete(h.kept[t], s)
+			}
+		}
+		if len(h.kept[t]) == 0 {
+			delete(h.kept, t)
+		}
+	}
 }
 
 func (h *Hub) update(r *Report) *Update {
@@ -137,7 +163,7 @@
 	u := &Update{
 		Leads: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: len(h.live()), ListAge: -1,
 	}
-	u.Kept = h.allKept(r)
+	u.Kept = h.otherKept(r)
 	if !h.readAt.IsZero() {
 		u.ListAge = h.set.Clock.Since(h.readAt)
 	}
@@ -208,27 +234,24 @@
 	return true
 }
 
-// allKept returns the kept sessions of all hosts for the rollouts that the host
-// of the report knows.
-func (h *Hub) allKept(r *Report) []Kept {
+// otherKept returns the sessions that other hosts keep, and the host of the
+// report does not, for the rollouts that it knows.
+func (h *Hub) otherKept(r *Report) []Kept {
 	var out []Kept
 	for _, k := range r.Kept {
-		sessions := make(map[uint64]bool)
-		for _, o := range h.reports {
-			for _, ok := range o.kept {
-				if ok.Service != k.Service || ok.Target != k.Target {
-					continue
-				}
-				for _, s := range ok.Sessions {
-					sessions[s] = true
-				}
-			}
-		}
+		all := h.kept[trial{k.Service, k.Target}]
+		own := make(map[uint64]bool, len(k.Sessions))
 		for _, s := range k.Sessions {
-			delete(sessions, s)
+			own[s] = true
 		}
-		if len(sessions) > 0 {
-			out = append(out, Kept{Service: k.Service, Target: k.Target, Sessions: slices.Collect(maps.Keys(sessions))})
+		other := Kept{Service: k.Service, Target: k.Target}
+		for s := range all {
+			if !own[s] {
+				other.Sessions = append(other.Sessions, s)
+			}
+		}
+		if len(other.Sessions) > 0 {
+			out = append(out, other)
 		}
 	}
 	return out
@@ -240,14 +263,3 @@
 	defer h.mu.Unlock()
 	return h.list.Upstreams
 }
-
-// Hosts returns the names of the hosts that live.
-func (h *Hub) Hosts() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []string
-	for name := range maps.Keys(h.live()) {
-		out = append(out, name)
-	}
-	return out
-}
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -102,12 +102,33 @@
 		report("a", 2, 1)
 		report("b", 1, 2)
 		Expect(hub.Counts()[l].All).To(Equal(uint64(10)))
-		Expect(hub.Hosts()).To(ConsistOf("a", "b"))
+		Expect((<-watch(syncer.Report{Host: "b", Started: 1})).Hosts).To(Equal(2))
+		report("b", 1, 2)
 		clock.Advance(10 * time.Second)
-		Expect(hub.Hosts()).To(BeEmpty())
+		Expect((<-watch(syncer.Report{Host: "c"})).Hosts).To(Equal(1))
 		Expect(hub.Counts()[l].All).To(Equal(uint64(10)))
 	})
 
+	// Guards against sessions of a trial that a host is not told, is told
+	// although it keeps them itself, or is told after nobody keeps them.
+	It("tells the sessions that other hosts keep", func() {
+		src.put(1)
+		keep := func(host string, sessions ...uint64) []uint64 {
+			u := <-watch(syncer.Report{Host: host, Kept: []syncer.Kept{{Service: "s", Target: "v2", Sessions: sessions}}})
+			if len(u.Kept) == 0 {
+				return nil
+			}
+			Expect(u.Kept).To(HaveLen(1))
+			return u.Kept[0].Sessions
+		}
+		Expect(keep("a", 1, 2)).To(BeEmpty())
+		Expect(keep("b", 2, 3)).To(ConsistOf(uint64(1)))
+		Expect(keep("a", 2)).To(ConsistOf(uint64(3)))
+		Expect(keep("b")).To(ConsistOf(uint64(2)))
+		Expect(keep("a")).To(BeEmpty())
+		Expect((<-watch(syncer.Report{Host: "c"})).Kept).To(BeEmpty())
+	})
+
 	// Guards against a rollout that is completed while requests are under way
 	// on a host that has not told of them.
 	It("knows the running requests only when all hosts have told", func() {
@@ -146,7 +167,7 @@
 		for range 3 {
 			Expect(<-heard).To(Equal(b))
 		}
-		Expect(c.Heard()).NotTo(BeZero())
+		Expect(c.Leader()).To(Equal(b))
 		mu.Lock()
 		leader = a
 		mu.Unlock()
