Tell hosts each other's loads, and weigh reading prompts again

Cause: on the grown deployments each host of a zone knew a 24th of what the engines had before them.

Hosts now send their loads to the leader of the control group 20 times a second, as datagrams, and get the sums of all others (package sharer). What was read again was too cheap in placement, above all for small models, because it was weighed by the model. Each token now counts six times its reading, whatever the model, and long shared parts have one home in all zones.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -30,6 +30,7 @@
 	"foxtailwall/journaler"
 	"foxtailwall/messenger"
 	"foxtailwall/replicator"
+	"foxtailwall/sharer"
 	"foxtailwall/syncer"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -78,6 +79,7 @@
 		set     Settings
 		fs      journaler.FS
 		hub     *syncer.Hub
+		loads   *sharer.Hub
 		current atomic.Pointer[member]
 		inv     tracker.Inventory
 		lists   int
@@ -119,6 +121,7 @@
 	}
 	c := &Coordinator{set: s, fs: fs, peers: make(map[netip.AddrPort]*messenger.Peer)}
 	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Clock: s.Clock})
+	c.loads = sharer.NewHub(sharer.HubSettings{Leading: c.Leading, Clock: s.Clock})
 	return c, nil
 }
 
@@ -142,6 +145,7 @@
 	wg.Go(func() { c.runMember(ctx, transport) })
 	wg.Go(func() { c.runList(ctx) })
 	wg.Go(func() { c.runRollouts(ctx) })
+	wg.Go(func() { c.runLoads(ctx) })
 	wg.Go(func() {
 		<-ctx.Done()
 		srv.Close()
@@ -187,6 +191,18 @@
 	return m.group.Run(ctx)
 }
 
+// runLoads answers the hosts' reports of their loads. Without it, hosts place
+// requests by what they know themselves, so that a failure ends nothing else.
+func (c *Coordinator) runLoads(ctx context.Context) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.set.Peers))
+	if err == nil {
+		err = sharer.Serve(ctx, conn, c.loads, sharer.ServeOptions{Scope: c.set.Scope, Log: c.set.Log})
+	}
+	if err != nil {
+		c.set.Log.Error().Err(err).Msg("hosts are not told each other's loads")
+	}
+}
+
 // Receive implements messenger.GroupReceiver.
 func (c *Coordinator) Receive(ms ...*replicator.Message) {
 	if m := c.current.Load(); m != nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -251,7 +251,7 @@
 	req := placer.Request{Service: c.service.Name, Versions: c.versions(), Tried: c.tried}
 	if c.service.Engine != nil {
 		req.Group = c.group()
-		req.Work, req.Shared = c.work()
+		req.Work, req.Shared, req.SharedTokens = c.work()
 	}
 	t, ok := c.f.set.Placer.Pick(req)
 	if !ok && len(c.tried) > 0 {
@@ -273,19 +273,19 @@
 }
 
 // work returns the tokens of the prompt that no other request shares and those
-// that others do, in tokens of the largest model. What a model costs stands
-// for the time that it takes.
-func (c *call) work() (own, shared float64) {
+// that others do, in tokens of the largest model, and the latter as they are.
+// What a model costs stands for the time that it takes.
+func (c *call) work() (own, shared, tokens float64) {
 	for _, p := range c.env.Parts {
-		shared += float64(p.Tokens)
+		tokens += float64(p.Tokens)
 	}
 	own = float64(c.env.Input)
 	if n := len(c.env.Parts); n > 0 {
 		own = float64(c.env.Parts[n-1].Tokens)
-		shared -= own
+		tokens -= own
 	}
 	w := c.weight()
-	return w*own + workPerRequest, w * shared
+	return w*own + workPerRequest, w * tokens, tokens
 }
 
 // weight is the cost of the chosen model as a part of that of the dearest.
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -29,10 +29,14 @@
 	if len(near)+len(far) == 0 {
 		return soonest(out)
 	}
+	others := p.others
+	if now.Sub(p.othersAt) > othersLife {
+		others = nil
+	}
 	if r.Work > 0 {
-		return pl.lightest(near, far, r)
+		return pl.lightest(near, far, others, r)
 	}
-	return shortest(near, far)
+	return shortest(near, far, others)
 }
 
 // lightest returns the upstream that begins to answer first: the one with the
@@ -43,17 +47,18 @@
 // requests stay where their prompts are cached until the wait there is longer
 // than reading the parts elsewhere, and then overflow to the next in rank, on
 // which all hosts agree.
-func (pl *pool) lightest(near, far []*upstream, r Request) *upstream {
+func (pl *pool) lightest(near, far []*upstream, others map[uint32]Load, r Request) *upstream {
 	home := ranked(near, r.Group)
-	if home == nil {
-		home = ranked(far, r.Group)
+	if home == nil || r.SharedTokens > farWork {
+		home = ranked(slices.Concat(near, far), r.Group)
 	}
 	var best *upstream
 	var least float64
 	var rank uint64
 	weigh := func(u *upstream, work float64) {
+		work += u.work + float64(others[u.id()].Work)
 		if u != home && !pl.caches(u, r.Group) {
-			work += missCost * r.Shared
+			work += readCost * r.SharedTokens
 		}
 		h := mix(u.hash ^ r.Group)
 		if r.Group == 0 {
@@ -64,10 +69,14 @@
 		}
 	}
 	for _, u := range near {
-		weigh(u, u.work)
+		weigh(u, 0)
 	}
 	for _, u := range far {
-		weigh(u, u.work+farWork)
+		if u == home {
+			weigh(u, 0)
+		} else {
+			weigh(u, farWork)
+		}
 	}
 	return best
 }
@@ -106,7 +115,7 @@
 }
 
 // shortest returns the upstream with the shortest expected wait.
-func shortest(near, far []*upstream) *upstream {
+func shortest(near, far []*upstream, others map[uint32]Load) *upstream {
 	var best *upstream
 	var least float64
 	weigh := func(u *upstream, factor float64) {
@@ -114,7 +123,8 @@
 		if first == 0 {
 			first = unknownLatency
 		}
-		wait := factor * float64(u.running+1) * float64(first)
+		running := u.running + int(others[u.id()].Running)
+		wait := factor * float64(running+1) * float64(first)
 		if best == nil || wait < least || wait == least && u.outcomes < best.outcomes {
 			best, least = u, wait
 		}
@@ -149,6 +159,9 @@
 	return !now.Before(u.ejected) && (!u.trial || u.running == 0)
 }
 
+// id names the upstream among hosts.
+func (u *upstream) id() uint32 { return uint32(u.hash) }
+
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
 
 // mix is the finalizer of splitmix64.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -1,7 +1,8 @@
 // Package placer chooses the upstream for each attempt of a request.
 //
-// It knows what this host itself has under way and how attempts have ended;
-// no upstream is asked for its health. Upstreams of the host's own zone come
+// It knows what this host itself has under way and how attempts have ended, and
+// is told what the other hosts have under way; no upstream is asked for its
+// health. Upstreams of the host's own zone come
 // first. Requests that share the beginning of a prompt are kept together on
 // the same engines by rendezvous hashing with bounded load, so that all hosts
 // agree without messages; requests to plain services go where the expected
@@ -76,10 +77,10 @@
 	slowRatio = 3.0
 	slowLeast = 150 * time.Millisecond
 
-	// missCost is what reading shared parts counts for where they are not known
-	// to be cached, as a multiple of their work: other hosts may have sent them
-	// there.
-	missCost = 0.5
+	// readCost is what a token of shared parts counts for where they are not
+	// known to be cached, whatever the model: reading it again is paid for,
+	// delays what comes after, and drops other parts from the cache.
+	readCost = 6.0
 	// generating is the work of a request that has begun to answer, in tokens:
 	// it runs in a batch and hardly delays the others.
 	generating = 60
@@ -91,6 +92,9 @@
 	// farWait is how much longer than elsewhere, as a factor, the wait at a
 	// plain service of the own zone may be.
 	farWait = 1.3
+	// othersLife is how long the loads of other hosts count after they were
+	// told.
+	othersLife = 500 * time.Millisecond
 	// unknownLatency stands for the latency of an upstream not used yet.
 	unknownLatency = 20 * time.Millisecond
 )
@@ -126,10 +130,23 @@
 		// Shared is what has to be read besides where the parts of the group
 		// are not cached.
 		Shared float64
+		// SharedTokens is the same without regard to the model.
+		SharedTokens float64
 		// Tried lists the upstreams that the request was sent to.
 		Tried []tracker.Key
 	}
 
+	// Load is what a host has under way at an upstream.
+	Load struct {
+		// Upstream is the hash of the upstream's ID.
+		Upstream uint32
+		// Running is the number of requests.
+		Running uint32
+		// Work is the work before the first byte of their answers, in tokens of
+		// the largest model.
+		Work uint32
+	}
+
 	// Placer chooses upstreams. Make it with New. It is safe for use by
 	// several goroutines.
 	Placer struct {
@@ -137,6 +154,9 @@
 
 		mu    sync.Mutex
 		pools map[string]*pool
+		// others are the sums of the other hosts' loads, told at othersAt.
+		others   map[uint32]Load
+		othersAt time.Time
 	}
 
 	// pool is the upstreams of a service.
@@ -233,6 +253,32 @@
 	return t, true
 }
 
+// Loads returns what this host has under way.
+func (p *Placer) Loads() []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Load
+	for _, pl := range p.pools {
+		for _, u := range pl.ups {
+			if u.running > 0 {
+				out = append(out, Load{Upstream: u.id(), Running: uint32(u.running), Work: uint32(max(u.work, 0))})
+			}
+		}
+	}
+	return out
+}
+
+// SetOthers takes over the sums of what the other hosts have under way.
+func (p *Placer) SetOthers(loads []Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.others = make(map[uint32]Load, len(loads))
+	for _, l := range loads {
+		p.others[l.Upstream] = l
+	}
+	p.othersAt = p.set.Clock.Now()
+}
+
 // Running returns the number of requests of this host at upstreams of the
 // service that have another version.
 func (p *Placer) Running(service, not string) int {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -75,7 +75,7 @@
 		p.Update(fleet(6, 64))
 		load := make(map[string]int)
 		for range 60 {
-			load[pick(placer.Request{Group: 7, Work: 3000, Shared: 6000}).Upstream().ID]++
+			load[pick(placer.Request{Group: 7, Work: 3000, Shared: 6000, SharedTokens: 6000}).Upstream().ID]++
 		}
 		Expect(len(load)).To(BeNumerically(">=", 5))
 		for id, n := range load {
@@ -97,6 +97,65 @@
 		Expect(pick(placer.Request{Group: 3, Work: 10}).Upstream().Zone).To(Equal("a"))
 	})
 
+	// Guards against a host that sends requests to an engine on which others
+	// have put more work than it knows of, and against news that is too old.
+	It("counts what other hosts have under way, while that is new", func() {
+		p.Update(fleet(2, 64))
+		r := placer.Request{Group: 3, Work: 1000, Shared: 100, SharedTokens: 100}
+		home := pick(r)
+		loads := p.Loads()
+		Expect(loads).To(ConsistOf(placer.Load{Upstream: loads[0].Upstream, Running: 1, Work: 1100}))
+		home.Done(placer.Good, time.Millisecond)
+		loads[0].Work = 5000
+		p.SetOthers(loads)
+		Expect(pick(r).Upstream().ID).NotTo(Equal(home.Upstream().ID))
+		clock.Advance(time.Second)
+		Expect(pick(r).Upstream().ID).To(Equal(home.Upstream().ID))
+	})
+
+	// Guards against plain services whose upstreams others have filled.
+	It("counts the requests of other hosts at plain services", func() {
+		p.Update(fleet(2, 6))
+		t := pick(placer.Request{})
+		loads := p.Loads()
+		t.Done(placer.Good, 50*time.Millisecond)
+		loads[0].Running = 5
+		p.SetOthers(loads)
+		for range 3 {
+			Expect(pick(placer.Request{}).Upstream().ID).NotTo(Equal(t.Upstream().ID))
+		}
+	})
+
+	// Guards against short waits that make requests leave the engine which
+	// caches their prompt, so that it is read and paid for again.
+	It("reads a long prompt again only if the wait is long", func() {
+		p.Update(fleet(3, 64))
+		r := placer.Request{Group: 5, Work: 100, Shared: 600, SharedTokens: 6000}
+		home := pick(r)
+		loads := p.Loads()
+		loads[0].Work = 20_000
+		p.SetOthers(loads)
+		Expect(pick(r).Upstream().ID).To(Equal(home.Upstream().ID))
+		loads[0].Work = 60_000
+		p.SetOthers(loads)
+		Expect(pick(r).Upstream().ID).NotTo(Equal(home.Upstream().ID))
+	})
+
+	// Guards against a long prompt that each zone reads for itself.
+	It("keeps the groups of long prompts together across zones", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "b"})
+		p.Update(fleet(4, 64))
+		other.Update(fleet(4, 64))
+		for g := range uint64(20) {
+			r := placer.Request{Service: "s", Group: g + 1, Work: 100, Shared: 6000, SharedTokens: 6000}
+			a := pick(r)
+			b, _ := other.Pick(r)
+			Expect(a.Upstream().ID).To(Equal(b.Upstream().ID))
+			a.Done(placer.Good, time.Millisecond)
+			b.Done(placer.Good, time.Millisecond)
+		}
+	})
+
 	// Guards against a recovering upstream that is flooded at once.
 	It("tries one request after an ejection", func() {
 		p.Update(fleet(1, 64))
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,151 @@
+package sharer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/counter"
+	"foxtailwall/placer"
+	"foxtailwall/timekeeper"
+)
+
+func TestSharer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "sharer")
+}
+
+var _ = Describe("Hub", func() {
+	var (
+		clock   *timekeeper.Fake
+		hub     *Hub
+		leading bool
+	)
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(100, 0))
+		leading = true
+		hub = NewHub(HubSettings{Leading: func() bool { return leading }, Clock: clock})
+	})
+	take := func(host string, count uint64, loads ...load) []placer.Load {
+		out, ok := hub.take(&report{Host: host, Started: 1, Count: count, Loads: loads})
+		Expect(ok).To(BeTrue())
+		return out
+	}
+
+	// Guards against hosts that count their own requests twice.
+	It("tells a host the loads of all others", func() {
+		Expect(take("a", 1, load{Upstream: 1, Running: 2, Work: 100})).To(BeEmpty())
+		Expect(take("b", 1, load{Upstream: 1, Running: 1, Work: 30}, load{Upstream: 2, Running: 1, Work: 5})).
+			To(ConsistOf(placer.Load{Upstream: 1, Running: 2, Work: 100}))
+		Expect(take("a", 2, load{Upstream: 1, Running: 1, Work: 50})).
+			To(ConsistOf(placer.Load{Upstream: 1, Running: 1, Work: 30}, placer.Load{Upstream: 2, Running: 1, Work: 5}))
+		Expect(take("c", 1)).
+			To(ConsistOf(placer.Load{Upstream: 1, Running: 2, Work: 80}, placer.Load{Upstream: 2, Running: 1, Work: 5}))
+	})
+
+	// Guards against datagrams that are overtaken or arrive twice, and against
+	// the loads of an earlier start that stay.
+	It("takes the newest report of a host only", func() {
+		take("a", 2, load{Upstream: 1, Running: 1, Work: 10})
+		for _, count := range []uint64{1, 2} {
+			_, ok := hub.take(&report{Host: "a", Started: 1, Count: count, Loads: []load{{Upstream: 1, Running: 9, Work: 9}}})
+			Expect(ok).To(BeFalse())
+		}
+		Expect(take("b", 1)).To(ConsistOf(placer.Load{Upstream: 1, Running: 1, Work: 10}))
+		_, ok := hub.take(&report{Host: "a", Started: 2, Count: 1})
+		Expect(ok).To(BeTrue())
+		Expect(take("b", 2)).To(BeEmpty())
+	})
+
+	// Guards against the requests of a host that has ended, which would keep
+	// others away from its upstreams for good.
+	It("forgets hosts that are silent", func() {
+		take("a", 1, load{Upstream: 1, Running: 1, Work: 10})
+		clock.Advance(hostLife)
+		Expect(take("b", 1)).To(HaveLen(1))
+		clock.Advance(sweepEvery)
+		Expect(take("b", 2)).To(BeEmpty())
+	})
+
+	// Guards against a former leader that tells old loads beside the new one.
+	It("answers only while this host leads", func() {
+		take("a", 1, load{Upstream: 1, Running: 1, Work: 10})
+		leading = false
+		_, ok := hub.take(&report{Host: "b", Started: 1, Count: 1})
+		Expect(ok).To(BeFalse())
+		leading = true
+		Expect(take("b", 2)).To(BeEmpty())
+	})
+})
+
+var _ = Describe("toWire", func() {
+	// Guards against datagrams that grow with the deployment.
+	It("keeps the heaviest loads", func() {
+		loads := make([]placer.Load, 1500)
+		for i := range loads {
+			loads[i] = placer.Load{Upstream: uint32(i), Running: 40, Work: uint32(i)}
+		}
+		wire := toWire(loads)
+		Expect(wire).To(HaveLen(maxLoads))
+		Expect(wire[0].Work).To(Equal(uint32(1499)))
+		Expect(len(encode(answer{Count: 1 << 40, Loads: wire}))).To(BeNumerically("<", 1400))
+	})
+})
+
+var _ = Describe("Client", func() {
+	// Guards against loads that do not reach the other hosts, and against
+	// bytes of others that end the exchange.
+	It("exchanges loads through the leader", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 3)
+		DeferCleanup(func() {
+			cancel()
+			for range cap(ended) {
+				Expect(<-ended).To(Succeed())
+			}
+		})
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		Expect(err).NotTo(HaveOccurred())
+		leader := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+		hub := NewHub(HubSettings{Leading: func() bool { return true }, Clock: timekeeper.System{}})
+		go func() { ended <- Serve(ctx, conn, hub, ServeOptions{Scope: counter.Scope{}}) }()
+		stranger, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(leader))
+		Expect(err).NotTo(HaveOccurred())
+		defer stranger.Close()
+		_, err = stranger.Write([]byte("no report"))
+		Expect(err).NotTo(HaveOccurred())
+
+		heard := make(map[string]chan []placer.Load)
+		for i, name := range []string{"a", "b"} {
+			got := make(chan []placer.Load, 1000)
+			heard[name] = got
+			c := NewClient(ClientSettings{
+				Host: name, From: leader.Addr(), Leader: func() netip.AddrPort { return leader }, Hosts: func() int { return 2 },
+				Loads: func() []placer.Load { return []placer.Load{{Upstream: uint32(i), Running: 1, Work: 7}} },
+				Apply: func(l []placer.Load) {
+					select {
+					case got <- l:
+					default:
+					}
+				},
+				Clock: timekeeper.System{},
+			})
+			go func() { ended <- c.Run(ctx) }()
+		}
+		Eventually(heard["a"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 1, Running: 1, Work: 7})))
+		Eventually(heard["b"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 0, Running: 1, Work: 7})))
+	})
+
+	// Guards against a leader that is asked by many hosts at once.
+	It("reports less often the more hosts there are", func() {
+		for hosts, pause := range map[int]time.Duration{0: 50 * time.Millisecond, 60: 50 * time.Millisecond, 400: 300 * time.Millisecond} {
+			c := NewClient(ClientSettings{Hosts: func() int { return hosts }, Clock: timekeeper.System{}})
+			Expect(c.pause()).To(Equal(pause))
+		}
+	})
+})
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -17,6 +17,7 @@
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
+	"foxtailwall/sharer"
 	"foxtailwall/syncer"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -60,8 +61,11 @@
 	budget  *budgeter.Budget
 	forward *forwarder.Forwarder
 	client  *syncer.Client
+	loads   *sharer.Client
 	started time.Time
 	leaving atomic.Bool
+	// hosts is the number of live hosts that serve callers.
+	hosts atomic.Int64
 
 	// mu guards what the leader or the platform has told.
 	mu        sync.Mutex
@@ -100,6 +104,10 @@
 	e.client = syncer.NewClient(syncer.ClientSettings{
 		Seeds: e.seeds, Report: e.report, Apply: e.apply, Clock: o.Clock, Log: o.Log,
 	})
+	e.loads = sharer.NewClient(sharer.ClientSettings{
+		Host: s.Name, From: s.Peers.Addr(), Leader: e.client.Leader, Hosts: func() int { return int(e.hosts.Load()) },
+		Loads: e.placer.Loads, Apply: e.placer.SetOthers, Clock: o.Clock, Log: o.Log,
+	})
 	o.Log.Info().Str("zone", s.Zone).Msg("entry started")
 	return e.run(ctx)
 }
@@ -127,6 +135,7 @@
 	p.Go(func() error { defer cancel(); return serve(duties, "callers", set.Callers, callers) })
 	p.Go(func() error { defer cancel(); return serve(duties, "readiness", set.Ready, ready) })
 	p.Go(func() error { e.client.Run(duties); return nil })
+	p.Go(func() error { return e.loads.Run(duties) })
 	p.Go(func() error { e.readLists(duties); return nil })
 	p.Go(func() error { serveMetrics(duties, set, &e.opts); return nil })
 	p.Go(func() error { reload(duties, &e.opts, &e.set); return nil })
@@ -211,6 +220,7 @@
 // again.
 func (e *entry) apply(u *syncer.Update) {
 	e.budget.SetHosts(u.Hosts)
+	e.hosts.Store(int64(u.Hosts))
 	for _, k := range u.Kept {
 		e.forward.Keep(k.Service, k.Target, k.Sessions)
 	}
