Hold connections below an upstream's limit and divide the list's rate

Cause: the configuration's limit of connections and of header bytes were decoded and obeyed nowhere, and entries without a leader each read the list of upstreams every 1.2 s: with 67 hosts some 110 calls a second where the platform takes 40.

An upstream at which the requests of all hosts reach four fifths of its connections is passed over, unused connections are bounded by the host's part, headers beyond the bound are refused with 431, and entries pause between readings by their number. matcher.Route.Sticky and two times that nothing obeys are gone; the adapter still refuses values of another type.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -75,6 +75,13 @@
 	b.hosts = max(n, 1)
 }
 
+// Hosts returns the number of live hosts, 1 or more.
+func (b *Budget) Hosts() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.hosts
+}
+
 // Request counts a request to the service.
 func (b *Budget) Request(service string) {
 	b.mu.Lock()
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -190,12 +190,16 @@
 	return c
 }
 
-// put takes back a connection whose answer was read to the end.
-func (d *Dialer) put(c *conn) {
+// put takes back a connection whose answer was read to the end. At most so many
+// are kept unused; zero is no bound beside Options.MaxIdle.
+func (d *Dialer) put(c *conn, most int) {
+	if most <= 0 {
+		most = d.o.MaxIdle
+	}
 	c.since = d.o.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.closed || len(d.idle[c.addr]) >= d.o.MaxIdle {
+	if d.closed || len(d.idle[c.addr]) >= min(most, d.o.MaxIdle) {
 		c.Close()
 		return
 	}
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -230,7 +230,7 @@
 		x.c.Close()
 		return
 	}
-	x.d.put(x.c)
+	x.d.put(x.c, 0)
 }
 
 // giveBack ends an exchange of which nothing was sent.
@@ -239,7 +239,7 @@
 		x.c.Close()
 		return
 	}
-	x.d.put(x.c)
+	x.d.put(x.c, 0)
 }
 
 // fail closes the connection and returns the error that says what became of
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -43,7 +43,10 @@
 		// ID and IDField are what the answer has to repeat.
 		ID, IDField string
 		// Fresh demands a new connection.
-		Fresh    bool
+		Fresh bool
+		// MaxIdle bounds the unused connections that are kept for the upstream
+		// when this request ends, beside Options.MaxIdle; zero is no bound.
+		MaxIdle  int
 		Deadline time.Time
 		// FirstByte bounds the time to the header of the answer; zero means
 		// the deadline only.
@@ -132,7 +135,7 @@
 	if keep, ok := keepAlive(a.Header); ok {
 		a.c.keep = max(keep-keepMargin, time.Millisecond)
 	}
-	a.d.put(a.c)
+	a.d.put(a.c, a.f.MaxIdle)
 }
 
 // Abort ends an answer before its end, which cancels the request at the
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -35,6 +35,9 @@
 	// a second model, and for a token of the answer.
 	promptTime = 1500 * time.Millisecond
 	outputTime = 15 * time.Millisecond
+	// idleParts is the number of parts of an upstream's connections of which
+	// one may be unused.
+	idleParts = 2
 	// workPerRequest is the work of a request beside that of its tokens, in
 	// tokens.
 	workPerRequest = 100
@@ -110,6 +113,9 @@
 	if c.env.ID == "" {
 		return refuse(http.StatusBadRequest, refuser.BadRequest, 0)
 	}
+	if most := c.table.Limits().HeaderBytes; most > 0 && headerBytes(c.r) > most {
+		return refuse(http.StatusRequestHeaderFieldsTooLarge, refuser.HeaderTooLarge, 0)
+	}
 	wait := route.Timeout
 	if c.env.Wait > 0 {
 		wait = min(wait, c.env.Wait)
@@ -152,6 +158,17 @@
 	return nil
 }
 
+// headerBytes is the least size of the request's header on the wire.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 func (c *call) readBody() *refusal {
 	most := c.table.Limits().BodyBytes
 	if most <= 0 {
@@ -248,7 +265,9 @@
 	case c.tries >= maxTries, c.arrivals >= max(c.route.MaxAttempts, 1):
 		return nil, refuse(http.StatusBadGateway, refuser.UpstreamFailed, busyWait)
 	}
-	req := placer.Request{Service: c.service.Name, Versions: c.versions(), Tried: c.tried}
+	req := placer.Request{
+		Service: c.service.Name, Versions: c.versions(), MaxConns: c.service.MaxConns, Tried: c.tried,
+	}
 	if c.service.Engine != nil {
 		req.Group = c.group()
 		req.Work, req.Shared, req.SharedTokens = c.work()
@@ -328,6 +347,7 @@
 		}),
 		Body: c.body, ID: c.env.ID, IDField: c.f.set.Codec.IDField(),
 		Fresh: c.route.Kind == matcher.NonIdempotent && c.tries > 1, Deadline: c.until,
+		MaxIdle:   c.maxIdle(),
 		FirstByte: g.first(), More: g.more,
 	}
 	ans, err := c.f.set.Upstreams.Forward(c.r.Context(), fw)
@@ -338,6 +358,15 @@
 	return c.answered(t, ans, g, sent)
 }
 
+// maxIdle is the number of unused connections that this host may keep at an
+// upstream, zero for no bound: its part of those that no request needs.
+func (c *call) maxIdle() int {
+	if c.service.MaxConns <= 0 {
+		return 0
+	}
+	return max(1, c.service.MaxConns/c.f.set.Budget.Hosts()/idleParts)
+}
+
 // engineUrgency is the urgency that engines are told, below 0 for plain
 // services.
 func (c *call) engineUrgency() int {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -67,6 +68,12 @@
 	placer *placer.Placer
 	front  *httptest.Server
 	list   []tracker.Upstream
+	// limits and conns, the connections that an upstream accepts, are put in
+	// force with the next route.
+	limits matcher.Limits
+	conns  int
+	// open counts the connections to all upstreams.
+	open atomic.Int64
 
 	mu  sync.Mutex
 	ran []string
@@ -89,7 +96,7 @@
 // first.
 func (b *bench) upstream(h http.HandlerFunc) {
 	id := fmt.Sprintf("u%d", len(b.list))
-	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		b.mu.Lock()
 		b.ran = append(b.ran, id)
 		b.mu.Unlock()
@@ -97,6 +104,15 @@
 		w.Header().Set("X-Sign", id)
 		h(w, r)
 	}))
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			b.open.Add(1)
+		case http.StateClosed:
+			b.open.Add(-1)
+		}
+	}
+	srv.Start()
 	DeferCleanup(srv.Close)
 	b.list = append(b.list, tracker.Upstream{
 		ID: id, Service: "s", Zone: []string{"a", "b", "c"}[min(len(b.list), 2)], Version: "v1", Slots: 8,
@@ -122,7 +138,7 @@
 		r.Target = 5 * time.Second
 	}
 	conf := matcher.Config{
-		Version: 1, Routes: []matcher.Route{r}, Services: []matcher.Service{{Name: "s"}},
+		Version: 1, Limits: b.limits, Routes: []matcher.Route{r}, Services: []matcher.Service{{Name: "s", MaxConns: b.conns}},
 		Workspaces: []matcher.Workspace{{Name: "w", Keys: []string{"k"}}},
 	}
 	if r.Kind == matcher.Stream {
@@ -205,6 +221,40 @@
 		Expect(b.runs()).To(BeEmpty())
 	})
 
+	// Guards against headers beyond the operator's bound that reach upstreams.
+	It("refuses headers that are too large", func() {
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		b.limits = matcher.Limits{HeaderBytes: 2000}
+		b.route(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		Expect(b.do("GET", "/p/", "", "X-Long", strings.Repeat("x", 1000)).status).To(Equal(200))
+		Expect(b.do("GET", "/p/", "", "X-Long", strings.Repeat("x", 2000)).status).To(Equal(431))
+		Expect(b.runs()).To(HaveLen(1))
+	})
+
+	// Guards against unused connections that take those of other hosts.
+	It("keeps few unused connections to an upstream that accepts few", func() {
+		const callers = 4
+		b.conns = 2 * 2 // Two of them may be unused.
+		all := make(chan struct{}, callers)
+		release := make(chan struct{})
+		b.upstream(func(w http.ResponseWriter, _ *http.Request) {
+			all <- struct{}{}
+			<-release
+			fmt.Fprint(w, "done")
+		})
+		b.route(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 1})
+		done := make(chan int, callers)
+		for range 3 {
+			go func() { done <- b.do("GET", "/p/", "").status }()
+			<-all
+		}
+		close(release)
+		for range 3 {
+			Expect(<-done).To(Equal(200))
+		}
+		Eventually(b.open.Load, time.Minute).Should(Equal(int64(2)))
+	})
+
 	// Guards against a refusal without a promise when nothing has run.
 	It("tells callers to come back when there is no upstream", func() {
 		b.route(matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 1})
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -70,8 +70,6 @@
 		MaxAttempts int
 		// Open routes need no key.
 		Open bool
-		// Sticky routes keep the requests of a session together.
-		Sticky bool
 		// Resumable streams may be continued at another upstream.
 		Resumable bool
 		// Sizes lists the models that may answer, the smallest first. It is
@@ -112,10 +110,8 @@
 
 	// Limits bound what a caller may send. Zero means no bound of its own.
 	Limits struct {
-		HeaderBytes   int
-		BodyBytes     int64
-		HeaderTimeout time.Duration
-		IdleTimeout   time.Duration
+		HeaderBytes int
+		BodyBytes   int64
 	}
 
 	// Workspace is a customer with its keys.
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -14,10 +14,17 @@
 // first unless others are much less busy; those that are passed over come last.
 func (p *Placer) choose(pl *pool, r Request) *upstream {
 	now := p.set.Clock.Now()
+	others := p.others
+	if now.Sub(p.othersAt) > othersLife {
+		others = nil
+	}
 	var near, far, out []*upstream
 	for _, u := range pl.ups {
 		switch {
 		case u.Leaving || !r.Versions.allow(u.Version) || slices.Contains(r.Tried, u.Key()):
+		case r.MaxConns > 0 && float64(u.running+int(others[u.id()].Running)) >= connShare*float64(r.MaxConns):
+			// A further connection would be reset, after which nobody knows
+			// whether the request has run.
 		case !u.usable(now):
 			out = append(out, u)
 		case u.Zone == p.set.Zone:
@@ -29,10 +36,6 @@
 	if len(near)+len(far) == 0 {
 		return soonest(out)
 	}
-	others := p.others
-	if now.Sub(p.othersAt) > othersLife {
-		others = nil
-	}
 	if r.Work > 0 {
 		return pl.lightest(near, far, others, r)
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -89,6 +89,9 @@
 	// farWork is the work, in tokens, that is waited for in the own zone
 	// before a request goes to another, for the bytes between zones.
 	farWork = 1500
+	// connShare is the part of the connections of an upstream that may carry
+	// requests, since unused ones and those that are being closed count as well.
+	connShare = 0.8
 	// farWait is how much longer than elsewhere, as a factor, the wait at a
 	// plain service of the own zone may be.
 	farWait = 1.3
@@ -132,6 +135,9 @@
 		Shared float64
 		// SharedTokens is the same without regard to the model.
 		SharedTokens float64
+		// MaxConns is the number of connections that an upstream accepts from
+		// all hosts together, zero for no bound.
+		MaxConns int
 		// Tried lists the upstreams that the request was sent to.
 		Tried []tracker.Key
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -214,6 +214,24 @@
 		}
 	})
 
+	// Guards against connections beyond those that an upstream accepts, which
+	// it resets.
+	It("keeps below the connections of an upstream", func() {
+		p.Update(fleet(1, 64)[:1])
+		r := placer.Request{Service: "s", MaxConns: 10}
+		for range 3 {
+			pick(r)
+		}
+		loads := p.Loads()
+		loads[0].Running = 5
+		p.SetOthers(loads)
+		_, ok := p.Pick(r)
+		Expect(ok).To(BeFalse())
+		loads[0].Running = 4
+		p.SetOthers(loads)
+		pick(r)
+	})
+
 	// Guards against a plain service whose nearest upstream is overrun.
 	It("spreads requests to plain services over the zones under load", func() {
 		p.Update(fleet(1, 6))
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -38,6 +38,7 @@
 const (
 	BadRequest         Code = "badRequest"
 	BodyTooLarge       Code = "bodyTooLarge"
+	HeaderTooLarge     Code = "headerTooLarge"
 	Unauthorized       Code = "unauthorized"
 	UnknownModel       Code = "unknownModel"
 	UnknownService     Code = "unknownService"
@@ -87,6 +88,7 @@
 var statuses = map[Code]int{
 	BadRequest:         http.StatusBadRequest,
 	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	Unauthorized:       http.StatusUnauthorized,
 	UnknownModel:       http.StatusNotFound,
 	UnknownService:     http.StatusNotFound,
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -38,9 +38,14 @@
 	// leaderSilence is how long the leader may be silent, or its list old,
 	// before an entry reads the list of upstreams itself.
 	leaderSilence = 2500 * time.Millisecond
-	// listPause is the pause between such readings, and how long an entry that
-	// has just started waits for the leader's.
+	// listPause is the shortest pause between such readings, and how long an
+	// entry that has just started waits for the leader's.
 	listPause = 1200 * time.Millisecond
+	// listCalls is the number of calls that a reading takes, one for each page
+	// of the list, and listShare the part of the platform's rate that entries
+	// use; the rest is the leader's.
+	listCalls = 2
+	listShare = 0.8
 
 	// leaveShare is the part of the grace period in which all requests are
 	// still taken: the platform takes two seconds to stop sending new ones.
@@ -284,7 +289,7 @@
 // readLists reads the list of upstreams from the platform while the leader
 // cannot tell it.
 func (e *entry) readLists(ctx context.Context) {
-	for timekeeper.Sleep(ctx, e.opts.Clock, listPause) == nil {
+	for timekeeper.Sleep(ctx, e.opts.Clock, listPauseOf(e.hosts.Load(), e.set.Load().ListRate)) == nil {
 		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
 			continue
 		}
@@ -300,6 +305,17 @@
 	}
 }
 
+// listPauseOf is the pause between two readings of the list by one of so many
+// hosts. All of them may have lost the leader, so that they divide the
+// platform's rate.
+func listPauseOf(hosts int64, rate float64) time.Duration {
+	if rate <= 0 {
+		return listPause
+	}
+	every := float64(hosts) * listCalls / (listShare * rate)
+	return max(listPause, time.Duration(every*float64(time.Second)))
+}
+
 // listHeard returns when the list of upstreams was last known to be new.
 func (e *entry) listHeard() time.Time {
 	e.mu.Lock()
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -58,6 +58,9 @@
 		Seeds []netip.AddrPort
 		// Platform is the address of the platform's calls.
 		Platform netip.AddrPort
+		// ListRate is the number of calls in a second for the list of upstreams
+		// that the platform takes from all hosts together; zero is no bound.
+		ListRate float64
 		// Bootstrap says that the whole deployment starts for the first time.
 		Bootstrap  bool
 		DataFolder string
