Ask larger models under less pressure, and with less of the budget left

Under load it was the other way round: a larger model takes ten times an engine's time, which made the answers of others late, while the gauge of its first byte saw this only when it was already common.

The bounds of pressure are 0.25 and 0.8 of the target, the budget is ample down to 0.15.

--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -37,13 +37,13 @@
 	// easyPressure is the part of the target that the first byte takes up to
 	// which engines count as idle, and hardPressure the part at which no
 	// larger model is asked any more.
-	easyPressure = 0.35
-	hardPressure = 1.0
+	easyPressure = 0.25
+	hardPressure = 0.8
 
 	// amplePart is the part of the budget of repeats from which it does not
 	// matter. Below it the confidence from which an answer is kept falls, so
 	// that the worst answers are asked for again and failures can be repeated.
-	amplePart = 0.3
+	amplePart = 0.15
 
 	// decay is the weight of the newest time in the mean.
 	decay = 0.08
