Tell hosts the changes of the list, encode it once, pace its pages

Each change of the list, which during a rollout comes with each reading, was encoded and sent whole to each of 270 entries, and the leader asked for 60 pages at once where the platform takes 40 calls a second, so that most readings failed.

The number of live hosts is no longer counted for each call.

--- a/cmd/foxtailwall/host.go
+++ b/cmd/foxtailwall/host.go
@@ -93,7 +93,7 @@
 		Protocol: starter.Protocol{
 			Codec:     translator.Headers{},
 			Config:    translator.DecodeConfig,
-			List:      translator.NewLister(set.Platform).List,
+			List:      translator.NewLister(set.Platform, set.ListRate).List,
 			Operators: func(c *coordinator.Coordinator) http.Handler { return translator.NewOperators(c, log) },
 			ReadyPath: translator.ReadyPath,
 			Settings:  read,
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -40,7 +40,10 @@
 		return
 	}
 	c.lists++
-	c.hub.Put(fmt.Sprintf("%s/%d/%d", c.set.Name, c.set.Clock.Now().UnixNano(), c.lists), c.inv.List())
+	if err := c.hub.Put(fmt.Sprintf("%s/%d/%d", c.set.Name, c.set.Clock.Now().UnixNano(), c.lists), c.inv.List()); err != nil {
+		c.set.Log.Error().Err(err).Msg("the list of upstreams cannot be told")
+		return
+	}
 	c.set.Log.Info().Int("upstreams", len(list)).Msg("the list of upstreams has changed")
 }
 
--- a/sharer/client.go
+++ b/sharer/client.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
 
 	"foxtailwall/placer"
+	"foxtailwall/serializer"
 	"foxtailwall/timekeeper"
 )
 
@@ -106,7 +106,7 @@
 		}
 		var a answer
 		if err == nil {
-			err = cbor.Unmarshal(buf[:n], &a)
+			err = serializer.Unmarshal(buf[:n], &a)
 		}
 		if err != nil {
 			c.lines.Info().AnErr("cause", err).Stringer("from", from).Msg("the loads of other hosts cannot be read")
--- a/sharer/serve.go
+++ b/sharer/serve.go
@@ -5,10 +5,10 @@
 	"net"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"foxtailwall/counter"
+	"foxtailwall/serializer"
 )
 
 // ServeOptions are what Serve tells of its work.
@@ -38,7 +38,7 @@
 			continue
 		}
 		var r report
-		if err := cbor.Unmarshal(buf[:n], &r); err != nil {
+		if err := serializer.Unmarshal(buf[:n], &r); err != nil {
 			o.Scope.Counter("sharer.unreadable").Inc(1)
 			lines.Info().AnErr("cause", err).Stringer("from", from).Msg("a report of loads cannot be read")
 			continue
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -23,9 +23,8 @@
 	"cmp"
 	"slices"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"foxtailwall/placer"
+	"foxtailwall/serializer"
 )
 
 const (
@@ -89,7 +88,7 @@
 
 // encode cannot fail for the types of this package.
 func encode(v any) []byte {
-	b, err := cbor.Marshal(v)
+	b, err := serializer.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -41,10 +41,10 @@
 	// listPause is the shortest pause between such readings, and how long an
 	// entry that has just started waits for the leader's.
 	listPause = 1200 * time.Millisecond
-	// listCalls is the number of calls that a reading takes, one for each page
-	// of the list, and listShare the part of the platform's rate that entries
-	// use; the rest is the leader's.
-	listCalls = 2
+	// listPage is the number of upstreams on a page of the list; a reading
+	// takes a call for each. listShare is the part of the platform's rate that
+	// entries use; the rest is the leader's.
+	listPage  = 50
 	listShare = 0.8
 
 	// leaveShare is the part of the grace period in which all requests are
@@ -289,7 +289,7 @@
 // readLists reads the list of upstreams from the platform while the leader
 // cannot tell it.
 func (e *entry) readLists(ctx context.Context) {
-	for timekeeper.Sleep(ctx, e.opts.Clock, listPauseOf(e.hosts.Load(), e.set.Load().ListRate)) == nil {
+	for timekeeper.Sleep(ctx, e.opts.Clock, e.listPause()) == nil {
 		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
 			continue
 		}
@@ -305,14 +305,22 @@
 	}
 }
 
+func (e *entry) listPause() time.Duration {
+	e.mu.Lock()
+	upstreams := len(e.inv.List())
+	e.mu.Unlock()
+	return listPauseOf(e.hosts.Load(), upstreams, e.set.Load().ListRate)
+}
+
 // listPauseOf is the pause between two readings of the list by one of so many
 // hosts. All of them may have lost the leader, so that they divide the
 // platform's rate.
-func listPauseOf(hosts int64, rate float64) time.Duration {
+func listPauseOf(hosts int64, upstreams int, rate float64) time.Duration {
 	if rate <= 0 {
 		return listPause
 	}
-	every := float64(hosts) * listCalls / (listShare * rate)
+	calls := float64(upstreams/listPage + 1)
+	every := float64(hosts) * calls / (listShare * rate)
 	return max(listPause, time.Duration(every*float64(time.Second)))
 }
 
--- a/syncer/client.go
+++ b/syncer/client.go
@@ -41,6 +41,8 @@
 	Client struct {
 		set   ClientSettings
 		peers map[netip.AddrPort]*messenger.Peer
+		// list is the newest list that the leader told.
+		list List
 
 		mu     sync.Mutex
 		leader netip.AddrPort
@@ -101,6 +103,10 @@
 // ask makes one call and reports whether to went well.
 func (c *Client) ask(ctx context.Context, to netip.AddrPort) bool {
 	r := c.set.Report()
+	if r.List != c.list.Name {
+		// No change can be applied; the whole list is asked for.
+		r.List = ""
+	}
 	if r.Wait == 0 {
 		r.Wait = DefaultWait
 	}
@@ -116,6 +122,7 @@
 
 func (c *Client) take(to netip.AddrPort, u *Update) bool {
 	if u.Leads {
+		c.takeList(u)
 		c.set.Apply(u)
 	}
 	c.mu.Lock()
@@ -136,6 +143,24 @@
 	return true
 }
 
+// takeList keeps the list that the leader told, and puts the whole list into the
+// update where the leader told a change.
+func (c *Client) takeList(u *Update) {
+	switch {
+	case u.Upstreams != nil:
+		c.list = *u.Upstreams
+	case u.Change != nil && u.Change.From == c.list.Name:
+		c.list = u.Change.apply(c.list)
+	case u.Change != nil:
+		c.set.Log.Error().Str("from", u.Change.From).Str("list", c.list.Name).Msg("the leader told a change of another list")
+		return
+	default:
+		return
+	}
+	// Apply may reorder and change the list.
+	u.Upstreams = &List{Name: c.list.Name, Upstreams: slices.Clone(c.list.Upstreams)}
+}
+
 // lost forgets the leader if the call went to it.
 func (c *Client) lost(to netip.AddrPort, err error) {
 	c.mu.Lock()
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -13,8 +13,13 @@
 	"foxtailwall/tracker"
 )
 
-// maxWait bounds the time that a call may wait, in place of what the host asks.
-const maxWait = 5 * time.Second
+const (
+	// maxWait bounds the time that a call may wait, in place of what the host
+	// asks.
+	maxWait = 5 * time.Second
+	// countEvery is how often live hosts are counted anew.
+	countEvery = 200 * time.Millisecond
+)
 
 type (
 	// Source is the state of the control group on this host.
@@ -42,11 +47,18 @@
 	Hub struct {
 		set HubSettings
 
-		mu      sync.Mutex
-		list    List
-		readAt  time.Time
+		mu     sync.Mutex
+		list   List
+		readAt time.Time
+		// changes lead to the newest list, each from the one before.
+		changes []Change
 		news    chan struct{}
 		reports map[hostKey]reported
+		// hosts is the number of live hosts at the time counted, when there were
+		// so many reports.
+		hosts   int
+		counted time.Time
+		reportN int
 		// kept counts, for each rollout's trial, the hosts that keep a session.
 		kept map[trial]map[uint64]int
 	}
@@ -75,13 +87,22 @@
 
 // Put takes over a list of upstreams that has just been read. The name must
 // differ from that of every other list of any host.
-func (h *Hub) Put(name string, ups []tracker.Upstream) {
+func (h *Hub) Put(name string, ups []tracker.Upstream) error {
+	list, err := newList(name, ups)
+	if err != nil {
+		return err
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.list = List{Name: name, Upstreams: ups}
+	if h.list.Name != "" {
+		h.changes = append(h.changes, changeOf(h.list, list))
+		h.changes = h.changes[max(0, len(h.changes)-maxChanges):]
+	}
+	h.list = list
 	h.readAt = h.set.Clock.Now()
 	close(h.news)
 	h.news = make(chan struct{})
+	return nil
 }
 
 // Reread notes that the list was read again without a change.
@@ -95,7 +116,7 @@
 func (h *Hub) Forget() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.list, h.readAt = List{}, time.Time{}
+	h.list, h.changes, h.readAt = List{}, nil, time.Time{}
 }
 
 // Watch answers a host as soon as there is something that it does not have.
@@ -109,7 +130,7 @@
 			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
 		}
 		u := h.update(r)
-		if u.Published != nil || u.Upstreams != nil {
+		if u.Published != nil || u.Upstreams != nil || u.Change != nil {
 			return u
 		}
 		select {
@@ -161,7 +182,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	u := &Update{
-		Leads: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: len(h.live()), ListAge: -1,
+		Leads: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: h.liveHosts(), ListAge: -1,
 	}
 	u.Kept = h.otherKept(r)
 	if !h.readAt.IsZero() {
@@ -171,12 +192,38 @@
 		u.Published = &p
 	}
 	if h.list.Name != "" && h.list.Name != r.List {
-		l := h.list
-		u.Upstreams = &l
+		if c, ok := h.changeSince(r.List); ok {
+			u.Change = &c
+		} else {
+			l := h.list
+			u.Upstreams = &l
+		}
 	}
 	return u
 }
 
+// changeSince returns what leads from the list of that name to the newest one.
+func (h *Hub) changeSince(name string) (Change, bool) {
+	first := slices.IndexFunc(h.changes, func(c Change) bool { return c.From == name })
+	if first < 0 {
+		return Change{}, false
+	}
+	out := h.changes[first]
+	for _, c := range h.changes[first+1:] {
+		out = out.then(c)
+	}
+	return out, true
+}
+
+// liveHosts returns the number of live hosts, as it was lately.
+func (h *Hub) liveHosts() int {
+	now := h.set.Clock.Now()
+	if h.reportN != len(h.reports) || now.Sub(h.counted) > countEvery {
+		h.hosts, h.counted, h.reportN = len(h.live()), now, len(h.reports)
+	}
+	return h.hosts
+}
+
 // live returns the hosts that reported lately.
 func (h *Hub) live() map[string]reported {
 	out := make(map[string]reported)
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -23,7 +23,6 @@
 	"foxtailwall/controller"
 	"foxtailwall/messenger"
 	"foxtailwall/stager"
-	"foxtailwall/tracker"
 )
 
 const (
@@ -80,19 +79,15 @@
 		// Hosts is the number of live hosts that serve callers.
 		Hosts     int                   `cbor:"hosts"`
 		Published *controller.Published `cbor:"published,omitempty"`
-		Upstreams *List                 `cbor:"upstreams,omitempty"`
+		// Upstreams is the list, where the host has none that Change leads from.
+		Upstreams *List   `cbor:"upstreams,omitempty"`
+		Change    *Change `cbor:"change,omitempty"`
 		// ListAge is how long ago the leader has read the list of upstreams,
 		// below 0 if it never has.
 		ListAge time.Duration `cbor:"listAge"`
 		// Kept are those of all hosts.
 		Kept []Kept `cbor:"kept,omitempty"`
 	}
-
-	// List is a list of upstreams. Its name differs from that of every other.
-	List struct {
-		Name      string             `cbor:"name"`
-		Upstreams []tracker.Upstream `cbor:"upstreams"`
-	}
 )
 
 // Handle registers the procedure by which hosts reach the hub.
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -81,6 +81,40 @@
 		Expect((<-waiting).Upstreams.Name).To(Equal("l1"))
 	})
 
+	// Guards against lists that are sent whole to every host at each change, and
+	// against changes that lead to another list than the leader's.
+	It("tells hosts that have a list what has changed", func() {
+		src.put(1)
+		up := func(id, zone string) tracker.Upstream { return tracker.Upstream{ID: id, Zone: zone} }
+		lists := [][]tracker.Upstream{
+			{up("a", "x"), up("b", "x")},
+			{up("a", "x"), up("b", "y"), up("c", "x")},
+			{up("b", "y"), up("c", "x")},
+			{up("a", "z"), up("c", "x")},
+		}
+		var told *syncer.Update
+		c := syncer.NewClient(syncer.ClientSettings{
+			Seeds: func() []netip.AddrPort { return nil }, Clock: clock, Report: func() syncer.Report { return syncer.Report{} },
+		})
+		names := []string{"l0", "l1", "l2", "l3"}
+		for i, l := range lists {
+			Expect(hub.Put(names[i], l)).To(Succeed())
+			if i == 2 {
+				continue // This one is not asked for; its change is part of the next.
+			}
+			u := <-watch(syncer.Report{Host: "a", Published: 1, List: c.ListName()})
+			Expect(u.Upstreams == nil).To(Equal(i > 0), "list %d", i)
+			c.TakeList(u)
+			told = u
+			Expect(told.Upstreams.Name).To(Equal(names[i]))
+			Expect(told.Upstreams.Upstreams).To(ConsistOf(l))
+		}
+		Expect(told.Change.Gone).To(HaveLen(1))
+		u := <-watch(syncer.Report{Host: "b", Published: 1, List: "of a former leader"})
+		Expect(u.Change).To(BeNil())
+		Expect(u.Upstreams.Upstreams).To(ConsistOf(lists[3]))
+	})
+
 	// Guards against a host that follows a control host which no longer leads.
 	It("names the leader when it does not lead", func() {
 		src.leading, src.leader = false, netip.MustParseAddrPort("127.0.0.1:1")
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -43,9 +43,9 @@
 
 	// Key identifies an incarnation.
 	Key struct {
-		ID      string
-		Born    int64
-		Address netip.AddrPort
+		ID      string         `cbor:"id"`
+		Born    int64          `cbor:"born,omitempty"`
+		Address netip.AddrPort `cbor:"address"`
 	}
 
 	// Inventory is the newest list. Its zero value is empty. It is not safe
