Pass over a zone whose upstreams have gone silent

Cause: when a zone is cut off, each of its engines had to be found silent by a request of its own, which takes 1 to 1.9 s; a host of the grown deployments sends fewer requests than there are engines in the zone. Long prompts have homes in all zones, so that two thirds of them are hit.

Two upstreams of another zone that go silent, with none heard in between, count as a cut path; one request every 0.75 s tries it again. The path within the own zone never counts as cut.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -409,7 +409,9 @@
 		return placer.Refused
 	case router.FailStalled:
 		return placer.Silent
-	case router.FailSilent, router.FailCancelled, router.FailDeadline:
+	case router.FailSilent:
+		return placer.Stale
+	case router.FailCancelled, router.FailDeadline:
 		return placer.Abandoned
 	case router.FailReset, router.FailCut, router.FailMismatch, router.FailMalformed:
 		if o == refuser.NotRun {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -25,7 +25,7 @@
 		case r.MaxConns > 0 && float64(u.running+int(others[u.id()].Running)) >= connShare*float64(r.MaxConns):
 			// A further connection would be reset, after which nobody knows
 			// whether the request has run.
-		case !u.usable(now):
+		case !u.usable(now) || !p.path(u.Zone).usable(now):
 			out = append(out, u)
 		case u.Zone == p.set.Zone:
 			near = append(near, u)
--- a/placer/health.go
+++ b/placer/health.go
@@ -26,7 +26,7 @@
 		u.trial = false
 	case Misdirected:
 		u.eject(now, ejectGone)
-	case Abandoned:
+	case Stale, Abandoned:
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -40,6 +40,9 @@
 	Refused
 	// Silent means that the upstream sent nothing for too long.
 	Silent
+	// Stale means that a connection that had worked before carried nothing
+	// more, of which a new one may know nothing.
+	Stale
 	// Busy means that the upstream refused the request because it is full.
 	Busy
 	// Misdirected means that another upstream has the address.
@@ -163,6 +166,8 @@
 		// others are the sums of the other hosts' loads, told at othersAt.
 		others   map[uint32]Load
 		othersAt time.Time
+		// paths are those to the zones.
+		paths map[string]*path
 	}
 
 	// pool is the upstreams of a service.
@@ -203,7 +208,7 @@
 
 // New returns a placer without upstreams.
 func New(s Settings) *Placer {
-	return &Placer{set: s, pools: make(map[string]*pool)}
+	return &Placer{set: s, pools: make(map[string]*pool), paths: make(map[string]*path)}
 }
 
 // Update takes over a list of upstreams. What is known of those that stay is
@@ -256,9 +261,18 @@
 	}
 	u.running++
 	u.work += t.work
+	p.path(u.Zone).sent(p.set.Clock.Now())
 	return t, true
 }
 
+// path returns the path to a zone.
+func (p *Placer) path(zone string) *path {
+	if p.paths[zone] == nil {
+		p.paths[zone] = &path{}
+	}
+	return p.paths[zone]
+}
+
 // Loads returns what this host has under way.
 func (p *Placer) Loads() []Load {
 	p.mu.Lock()
@@ -310,6 +324,7 @@
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	t.up.heard = t.p.set.Clock.Now()
+	t.p.path(t.up.Zone).heard()
 	if t.work > generating && !t.done {
 		t.up.work -= t.work - generating
 		t.work = generating
@@ -343,7 +358,19 @@
 	u := t.up
 	u.running--
 	u.work -= t.work
-	u.note(o, first, t.p.set.Clock.Now())
+	now := t.p.set.Clock.Now()
+	u.note(o, first, now)
+	switch o {
+	case Good, Failed, Busy, Misdirected:
+		t.p.path(u.Zone).heard()
+	case Silent, Stale:
+		// The path within the own zone never counts as cut.
+		if u.Zone != t.p.set.Zone {
+			t.p.path(u.Zone).silent(u.hash, now)
+		}
+	case Broken, Refused, Abandoned:
+		// A reset may come from either side of a cut.
+	}
 	if o == Good || o == Failed || o == Broken {
 		t.p.judge(u)
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -156,6 +156,61 @@
 		}
 	})
 
+	// Replays a zone that is cut off. Guards against requests that find each
+	// upstream of the zone silent for themselves, and against a zone that is
+	// not used again once it is back.
+	It("passes over a zone whose upstreams have gone silent", func() {
+		p.Update(fleet(8, 64)[8:16]) // Zone b only, then a as well.
+		one, other := pick(placer.Request{Work: 1000}), pick(placer.Request{Work: 1000})
+		one.Done(placer.Stale, 0)
+		other.Done(placer.Silent, 0)
+		p.Update(fleet(8, 64)[:16])
+		group := func(g uint64) placer.Request {
+			return placer.Request{Group: g + 1, Work: 100, Shared: 6000, SharedTokens: 6000}
+		}
+		zones := func() map[string]int {
+			out := make(map[string]int)
+			for g := range uint64(60) {
+				t := pick(group(g))
+				out[t.Upstream().Zone]++
+				t.Done(placer.Abandoned, 0)
+			}
+			return out
+		}
+		Expect(zones()).To(Equal(map[string]int{"a": 60}))
+		clock.Advance(time.Second)
+		Expect(zones()["b"]).To(Equal(1), "one request tries the zone")
+		clock.Advance(time.Second)
+		for zones()["b"] == 0 {
+			clock.Advance(time.Second)
+		}
+		clock.Advance(time.Second)
+		for g := uint64(0); ; g++ {
+			if t := pick(group(g)); t.Upstream().Zone == "b" {
+				t.Heard()
+				break
+			}
+		}
+		Expect(zones()["b"]).To(BeNumerically(">", 10))
+	})
+
+	// Guards against a zone that is given up because one engine in it is gone.
+	It("keeps a zone of which other upstreams are heard", func() {
+		p.Update(fleet(8, 64)[8:16])
+		for range 6 {
+			pick(placer.Request{Work: 1000}).Done(placer.Silent, 0)
+			pick(placer.Request{Work: 1000}).Done(placer.Good, time.Millisecond)
+		}
+		p.Update(fleet(8, 64)[:16])
+		used := 0
+		for g := range uint64(60) {
+			if pick(placer.Request{Group: g + 1, Shared: 6000, SharedTokens: 6000, Work: 1}).Upstream().Zone == "b" {
+				used++
+			}
+		}
+		Expect(used).To(BeNumerically(">", 0))
+	})
+
 	// Guards against a recovering upstream that is flooded at once.
 	It("tries one request after an ejection", func() {
 		p.Update(fleet(1, 64))
