Leave the platform's rate for the list to the leader

Cause: an entry that had lost the leader, or had just started, read the list of upstreams itself every 1.2 s. After all hosts start at once these readings use up the rate that the leader needs for the list without which no entry can serve.

An entry without a configuration no longer reads the list. Hosts that lose the leader together begin their readings spread over the pause that the number of hosts gives.

--- a/starter/entry.go
+++ b/starter/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -38,8 +39,7 @@
 	// leaderSilence is how long the leader may be silent, or its list old,
 	// before an entry reads the list of upstreams itself.
 	leaderSilence = 2500 * time.Millisecond
-	// listPause is the shortest pause between such readings, and how long an
-	// entry that has just started waits for the leader's.
+	// listPause is the shortest pause between such readings.
 	listPause = 1200 * time.Millisecond
 	// listPage is the number of upstreams on a page of the list; a reading
 	// takes a call for each. listShare is the part of the platform's rate that
@@ -84,6 +84,18 @@
 	next forwarder.InForce
 }
 
+// listTurn is when this host may read the list of upstreams.
+type listTurn struct{ next time.Time }
+
+// listNeed is what decides about it.
+type listNeed struct {
+	// heard is when the list was last known to be new.
+	heard      time.Time
+	configured bool
+	// pause is that between two readings of the same host.
+	pause time.Duration
+}
+
 // RunEntry runs an entry until ctx ends, and then lets running requests end
 // within the grace period.
 func RunEntry(ctx context.Context, s Settings, o Options) error {
@@ -289,8 +301,9 @@
 // readLists reads the list of upstreams from the platform while the leader
 // cannot tell it.
 func (e *entry) readLists(ctx context.Context) {
-	for timekeeper.Sleep(ctx, e.opts.Clock, e.listPause()) == nil {
-		if e.opts.Clock.Since(e.listHeard()) < leaderSilence {
+	var turn listTurn
+	for timekeeper.Sleep(ctx, e.opts.Clock, listPause) == nil {
+		if !turn.due(e.opts.Clock.Now(), e.listNeed(), rand.Float64()) {
 			continue
 		}
 		list, err := e.opts.Protocol.List(ctx)
@@ -305,11 +318,33 @@
 	}
 }
 
-func (e *entry) listPause() time.Duration {
+// listNeed says what this host knows of the list.
+func (e *entry) listNeed() listNeed {
 	e.mu.Lock()
-	upstreams := len(e.inv.List())
-	e.mu.Unlock()
-	return listPauseOf(e.hosts.Load(), upstreams, e.set.Load().ListRate)
+	defer e.mu.Unlock()
+	return listNeed{
+		heard: e.listAt, configured: e.next.Table != nil,
+		pause: listPauseOf(e.hosts.Load(), len(e.inv.List()), e.set.Load().ListRate),
+	}
+}
+
+// due reports whether this host reads the list now. The luck, from 0 to 1,
+// spreads the first readings of hosts that lose the leader together.
+func (t *listTurn) due(now time.Time, n listNeed, luck float64) bool {
+	if now.Sub(n.heard) < leaderSilence || !n.configured {
+		// Without a configuration no request can be served, and the rate is
+		// left to the leader that will tell one.
+		t.next = time.Time{}
+		return false
+	}
+	if t.next.IsZero() {
+		t.next = now.Add(time.Duration(luck * float64(n.pause-listPause)))
+	}
+	if now.Before(t.next) {
+		return false
+	}
+	t.next = now.Add(n.pause)
+	return true
 }
 
 // listPauseOf is the pause between two readings of the list by one of so many
@@ -323,10 +358,3 @@
 	every := float64(hosts) * calls / (listShare * rate)
 	return max(listPause, time.Duration(every*float64(time.Second)))
 }
-
-// listHeard returns when the list of upstreams was last known to be new.
-func (e *entry) listHeard() time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.listAt
-}
