Rank the loads of many upstreams once for all answers

Cause: where more upstreams are loaded than a datagram tells, the leader sorted all of them for each of up to 1,333 answers a second. Its processor use at 300 hosts was 35 to 47% of a core, near its share of 48.

The heaviest are now looked for 20 times a second.

--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -1,6 +1,9 @@
 package sharer
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +16,9 @@
 	hostLife = 500 * time.Millisecond
 	// sweepEvery is how often hosts that are silent are looked for.
 	sweepEvery = 100 * time.Millisecond
+	// rankEvery is how often the heaviest sums are looked for where not all of
+	// them can be told.
+	rankEvery = 50 * time.Millisecond
 )
 
 type (
@@ -33,6 +39,9 @@
 		hosts map[string]*told
 		sums  map[uint32]placer.Load
 		swept time.Time
+		// heavy are the upstreams with the most work, as of ranked.
+		heavy  []uint32
+		ranked time.Time
 	}
 
 	// told is the newest report of a host.
@@ -78,17 +87,40 @@
 		s := h.sums[l.Upstream]
 		h.sums[l.Upstream] = placer.Load{Upstream: l.Upstream, Running: s.Running + l.Running, Work: s.Work + l.Work}
 	}
-	out := make([]placer.Load, 0, len(h.sums))
-	for id, s := range h.sums {
-		s.Running -= own[id].Running
-		s.Work -= own[id].Work
+	out := make([]placer.Load, 0, min(len(h.sums), maxLoads))
+	add := func(s placer.Load) {
+		s.Running -= own[s.Upstream].Running
+		s.Work -= own[s.Upstream].Work
 		if s.Running > 0 || s.Work > 0 {
 			out = append(out, s)
 		}
 	}
+	if len(h.sums) <= maxLoads {
+		for _, s := range h.sums {
+			add(s)
+		}
+		return out, true
+	}
+	for _, id := range h.heaviest(now) {
+		if s, ok := h.sums[id]; ok {
+			add(s)
+		}
+	}
 	return out, true
 }
 
+// heaviest returns the upstreams with the most work, as many as can be told.
+func (h *Hub) heaviest(now time.Time) []uint32 {
+	if h.heavy != nil && now.Sub(h.ranked) < rankEvery {
+		return h.heavy
+	}
+	h.ranked = now
+	ids := slices.Collect(maps.Keys(h.sums))
+	slices.SortFunc(ids, func(a, b uint32) int { return cmp.Compare(h.sums[b].Work, h.sums[a].Work) })
+	h.heavy = ids[:min(len(ids), maxLoads)]
+	return h.heavy
+}
+
 // sweep forgets the loads of hosts that are silent.
 func (h *Hub) sweep(now time.Time) {
 	if now.Sub(h.swept) < sweepEvery {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -72,6 +72,23 @@
 		Expect(take("b", 2)).To(BeEmpty())
 	})
 
+	// Guards against answers for which a leader of many hosts sorts all
+	// upstreams each time, and against the busiest ones being left out.
+	It("tells the heaviest of many upstreams", func() {
+		var loads []load
+		for i := range uint32(5 * maxLoads) {
+			loads = append(loads, load{Upstream: i, Running: 1, Work: i})
+		}
+		take("a", 1, loads...)
+		out := take("b", 1)
+		Expect(out).To(HaveLen(maxLoads))
+		for _, l := range out {
+			Expect(l.Upstream).To(BeNumerically(">=", 4*maxLoads))
+		}
+		take("a", 2, load{Upstream: 0, Running: 1, Work: 9000})
+		Expect(take("b", 2)).To(ConsistOf(placer.Load{Upstream: 0, Running: 1, Work: 9000}))
+	})
+
 	// Guards against a former leader that tells old loads beside the new one.
 	It("answers only while this host leads", func() {
 		take("a", 1, load{Upstream: 1, Running: 1, Work: 10})
