--- a/placer/placer.go
+++ b/placer/placer.go
@@ -2,11 +2,11 @@
 //
 // It knows what this host itself has under way and how attempts have ended, and
 // is told what the other hosts have under way; no upstream is asked for its
-// health. Upstreams of the host's own zone come
-// first. Requests that share the beginning of a prompt are kept together on
-// the same engines by rendezvous hashing with bounded load, so that all hosts
-// agree without messages; requests to plain services go where the expected
-// wait is shortest.
+// health. Upstreams of the host's own zone come first, but for requests that
+// share the beginning of a long prompt: those are kept together on the same
+// engine by rendezvous hashing over all zones, until the wait there is longer
+// than reading the prompt elsewhere. All hosts agree on that engine without
+// messages. Requests to plain services go where the expected wait is shortest.
 //
 // # Usage
 //
