Do not end a silent stream when the budget allows no other attempt

Ruled out: the route's time (1.7 of 25 s) and its attempts (two of three).

Silence no longer ends an attempt while the budget is exhausted, and an attempt that reached no upstream gives its repeat back. Both specs fail without the change.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -103,6 +103,27 @@
 	return true
 }
 
+// Has reports whether a request to the service may be sent once more.
+func (b *Budget) Has(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.left(b.window(service)) >= 1
+}
+
+// Return takes back the newest repeat that Allow has counted, because no
+// upstream has received anything of it.
+func (b *Budget) Return(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	for back := range int64(buckets) {
+		if n := &w.repeats[(w.at-back+buckets+1)%(buckets+1)]; *n > 0 {
+			*n--
+			return
+		}
+	}
+}
+
 // Left returns the part of the budget of the service that is not used, from 0
 // to 1.
 func (b *Budget) Left(service string) float64 {
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -61,6 +61,22 @@
 		}
 	})
 
+	// Guards against repeats that count although nobody received them, and
+	// against a budget that grows by returning more than was taken.
+	It("takes back what was not used", func() {
+		clock := timekeeper.NewFake(time.Unix(0, 0))
+		b := budgeter.New(budgeter.Settings{Ratio: 0, Window: window, Slack: 1.2, Clock: clock})
+		b.Return("s")
+		Expect(b.Has("s")).To(BeTrue())
+		Expect(b.Allow("s")).To(BeTrue())
+		Expect(b.Has("s")).To(BeFalse())
+		Expect(b.Allow("s")).To(BeFalse())
+		clock.Advance(window / 4)
+		b.Return("s")
+		Expect(b.Allow("s")).To(BeTrue())
+		Expect(b.Allow("s")).To(BeFalse())
+	})
+
 	// Guards against a budget that stays used up after a quiet time.
 	It("gives the budget back", func() {
 		clock := timekeeper.NewFake(time.Unix(0, 0))
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -68,7 +68,9 @@
 		// arrivals counts the ended attempts of which an upstream has received
 		// something, ran those that may have run.
 		arrivals, ran int
-		tried         []tracker.Key
+		// repeats says that the newest attempt draws on the budget.
+		repeats bool
+		tried   []tracker.Key
 		// upstream is that of the newest attempt.
 		upstream tracker.Upstream
 		// last is a failure that an upstream answered, for when no other
@@ -281,7 +283,8 @@
 	if !ok {
 		return nil, refuse(http.StatusServiceUnavailable, refuser.NoUpstream, startWait)
 	}
-	if c.arrivals > 0 && !c.f.set.Budget.Allow(c.service.Name) {
+	c.repeats = c.arrivals > 0
+	if c.repeats && !c.f.set.Budget.Allow(c.service.Name) {
 		t.Done(placer.Abandoned, 0)
 		return nil, refuse(http.StatusBadGateway, refuser.RetryBudget, busyWait)
 	}
@@ -382,8 +385,12 @@
 	if !errors.As(err, &ae) {
 		ae = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Err: err}
 	}
-	if ae.Outcome != refuser.NotRun {
+	switch {
+	case ae.Outcome != refuser.NotRun:
 		c.spend(true)
+	case c.repeats:
+		// No upstream has received anything.
+		c.f.set.Budget.Return(c.service.Name)
 	}
 	t.Done(placement(ae.Kind, ae.Outcome), 0)
 	c.logAttempt(t.Upstream(), string(ae.Kind), ae.Outcome, ae.Err)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -68,6 +68,9 @@
 	placer *placer.Placer
 	front  *httptest.Server
 	list   []tracker.Upstream
+	budget budgeter.Settings
+	// servers are those of list.
+	servers []*httptest.Server
 	// limits and conns, the connections that an upstream accepts, are put in
 	// force with the next route.
 	limits matcher.Limits
@@ -80,12 +83,16 @@
 }
 
 func newBench() *bench {
-	b := &bench{placer: placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})}
+	return newBenchWith(budgeter.Settings{Ratio: 1, Window: 10 * time.Second, Slack: 50, Clock: timekeeper.System{}})
+}
+
+func newBenchWith(budget budgeter.Settings) *bench {
+	b := &bench{budget: budget, placer: placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})}
 	d := dialer.New(dialer.Options{})
 	DeferCleanup(d.Close)
 	b.fwd = forwarder.New(forwarder.Settings{
 		Codec: codec{}, Upstreams: d, Placer: b.placer, Clock: timekeeper.System{},
-		Budget: budgeter.New(budgeter.Settings{Ratio: 1, Window: 10 * time.Second, Slack: 50, Clock: timekeeper.System{}}),
+		Budget: budgeter.New(budget),
 	})
 	b.front = httptest.NewServer(b.fwd)
 	DeferCleanup(b.front.Close)
@@ -113,6 +120,7 @@
 		}
 	}
 	srv.Start()
+	b.servers = append(b.servers, srv)
 	DeferCleanup(srv.Close)
 	b.list = append(b.list, tracker.Upstream{
 		ID: id, Service: "s", Zone: []string{"a", "b", "c"}[min(len(b.list), 2)], Version: "v1", Slots: 8,
@@ -454,6 +462,51 @@
 			Expect(b.do("POST", "/p/", "x").body).To(Equal("id: 1\ndata: e1\n\n"))
 		})
 
+		// Guards against a stream that is given up as silent when the budget
+		// allows no other attempt, and so ends without an answer.
+		It("waits for a silent upstream when the budget is exhausted", func() {
+			b.budget.Ratio, b.budget.Slack = 0, 0
+			b = newBenchWith(b.budget)
+			release := make(chan struct{})
+			DeferCleanup(func() { close(release) })
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
+				event(w, 1)
+				select {
+				case <-time.After(300 * time.Millisecond):
+				case <-release:
+				}
+				event(w, 2)
+			})
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) { event(w, 2) })
+			b.route(matcher.Route{Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, MaxPause: 50 * time.Millisecond})
+			a := b.do("POST", "/p/", "x")
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(a.body).To(Equal("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"))
+			Expect(b.runs()).To(Equal([]string{"u0"}))
+		})
+
+		// Guards against a budget that is used up by attempts which reached
+		// no upstream, as when many engines crash at once.
+		It("does not count attempts that reach nobody against the budget", func() {
+			b.budget.Ratio, b.budget.Slack = 0, 1.2 // One repeat.
+			b = newBenchWith(b.budget)
+			b.upstream(func(w http.ResponseWriter, r *http.Request) {
+				event(w, 1)
+				cut(w, r)
+			})
+			for range 3 {
+				b.upstream(func(http.ResponseWriter, *http.Request) {})
+			}
+			b.upstream(func(w http.ResponseWriter, _ *http.Request) { event(w, 2) })
+			for _, s := range b.servers[1:4] {
+				s.Close()
+			}
+			b.route(stream)
+			a := b.do("POST", "/p/", "x")
+			Expect(a.err).NotTo(HaveOccurred())
+			Expect(b.runs()).To(Equal([]string{"u0", "u4"}))
+		})
+
 		// Guards against a stream that looks complete although it is not.
 		It("breaks the answer off when it cannot go on", func() {
 			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -41,7 +41,8 @@
 	c *call
 	t *placer.Ticket
 	// last says that no further attempt may follow. Silence is then no reason
-	// to end the attempt; the caller decides how long it waits.
+	// to end the attempt; the caller decides how long it waits. The same goes
+	// for an exhausted budget of repeats.
 	last bool
 	// since is when the attempt was sent, or when its last event came. It and
 	// begun are read by the dialer's watch.
@@ -79,7 +80,7 @@
 // more returns the time to add when a bound is missed. It is called by the
 // dialer's watch.
 func (g *guard) more() time.Duration {
-	if !g.c.route.Repeatable() || g.last {
+	if !g.c.route.Repeatable() || g.last || !g.c.f.set.Budget.Has(g.c.service.Name) {
 		return extraWait
 	}
 	since, begun := *g.since.Load(), g.begun.Load()
