--- a/placer/choose.go
+++ b/placer/choose.go
@@ -52,6 +52,7 @@
 // which all hosts agree.
 func (pl *pool) lightest(near, far []*upstream, others map[uint32]Load, r Request) *upstream {
 	home := ranked(near, r.Group)
+	// Reading long parts once in each zone costs more than the way to one home.
 	if home == nil || r.SharedTokens > farWork {
 		home = ranked(slices.Concat(near, far), r.Group)
 	}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -129,7 +129,7 @@
 	p.Go(func() error { defer cancel(); return serve(duties, "callers", set.Callers, callers) })
 	p.Go(func() error { defer cancel(); return serve(duties, "readiness", set.Ready, ready) })
 	p.Go(func() error { e.client.Run(duties); return nil })
-	p.Go(func() error { return e.loads.Run(duties) })
+	p.Go(func() error { e.shareLoads(duties); return nil })
 	p.Go(func() error { e.readLists(duties); return nil })
 	p.Go(func() error { serveMetrics(duties, set, &e.opts); return nil })
 	p.Go(func() error { reload(duties, &e.opts, &e.set); return nil })
@@ -295,6 +295,14 @@
 	}
 }
 
+// shareLoads tells and learns loads. Without it, requests are placed by what this
+// host knows itself, so that a failure ends nothing else.
+func (e *entry) shareLoads(ctx context.Context) {
+	if err := e.loads.Run(ctx); err != nil {
+		e.opts.Log.Error().Err(err).Msg("this host is not told the loads of others")
+	}
+}
+
 // listNeed says what this host knows of the list.
 func (e *entry) listNeed() listNeed {
 	e.mu.Lock()
