Open, end and begin both kinds of exchange in one place

The exchange of chat requests and the forwarded one each took a connection, set its watch and gave it back in lines of their own, and wrote the same request line. hold.open, hold.end and appendStart now serve both. The behaviour is the same; the specs of dialer, forwarder, router and hoster pass unchanged.

--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -44,18 +44,15 @@
 			Kind: router.FailMalformed, Outcome: refuser.NotRun, Err: errors.New("the path has bytes that would end it"),
 		}
 	}
-	c, err := d.get(ctx, a.Upstream, a.Fresh, a.Deadline)
+	h, err := d.open(ctx, a.Upstream, a.Fresh, a.Deadline, nil)
 	if err != nil {
-		return nil, cancelled(ctx, err)
+		return nil, err
 	}
-	x := &exchange{hold: hold{d: d, c: c}, a: a, ctx: ctx, begun: d.o.Clock.Now()}
-	c.raw.sent.Store(0)
-	x.w = d.watcher.add(func() { c.Close() })
-	x.w.until(a.Deadline)
-	x.unhook = context.AfterFunc(ctx, func() { c.Close() })
+	x := &exchange{hold: h, a: a, ctx: ctx, begun: d.o.Clock.Now()}
 	if a.Check != nil {
 		if err := a.Check(); err != nil {
-			x.giveBack()
+			// Nothing was sent.
+			x.end(true, 0)
 			return nil, &router.AttemptError{Kind: router.FailChecked, Outcome: refuser.NotRun, Err: err}
 		}
 	}
@@ -93,15 +90,7 @@
 
 func (x *exchange) appendHead(b []byte) []byte {
 	a := x.a
-	b = append(b, a.Method...)
-	b = append(b, ' ')
-	b = append(b, a.Path...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = a.Upstream.Address.AppendTo(b)
-	b = append(b, "\r\n"...)
-	if len(a.Body) > 0 || a.Method != http.MethodGet && a.Method != http.MethodHead {
-		b = appendField(b, "Content-Length", strconv.Itoa(len(a.Body)))
-	}
+	b = appendStart(b, a.Method, a.Path, a.Upstream.Address.String(), len(a.Body))
 	if a.ID != "" {
 		b = appendField(b, requestHeader, a.ID)
 	}
@@ -123,6 +112,21 @@
 	return append(b, "\r\n"...)
 }
 
+// appendStart writes the request line, the host and the length of the body, for
+// methods that usually have one also if it is empty.
+func appendStart(b []byte, method, target, host string, body int) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	b = append(b, "\r\n"...)
+	if body > 0 || method != http.MethodGet && method != http.MethodHead {
+		b = appendField(b, "Content-Length", strconv.Itoa(body))
+	}
+	return b
+}
+
 // appendField leaves out fields whose bytes could end the line, so that a
 // value from a caller cannot add fields or a request of its own.
 func appendField(b []byte, name, value string) []byte {
@@ -226,20 +230,7 @@
 	if !reusable && !x.resp.Close {
 		x.d.o.Scope.Counter("dialer.unread").Inc(1)
 	}
-	if !x.release() || !reusable {
-		x.c.Close()
-		return
-	}
-	x.d.put(x.c, 0)
-}
-
-// giveBack ends an exchange of which nothing was sent.
-func (x *exchange) giveBack() {
-	if !x.release() {
-		x.c.Close()
-		return
-	}
-	x.d.put(x.c, 0)
+	x.end(reusable, 0)
 }
 
 // fail closes the connection and returns the error that says what became of
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -88,18 +88,14 @@
 			Kind: router.FailMalformed, Outcome: refuser.NotRun, Err: errors.New("the path or host has bytes that would end it"),
 		}
 	}
-	c, err := d.get(ctx, &declarer.Upstream{Address: f.Upstream}, f.Fresh, f.Deadline)
+	h, err := d.open(ctx, &declarer.Upstream{Address: f.Upstream}, f.Fresh, f.Deadline, f.More)
 	if err != nil {
-		return nil, cancelled(ctx, err)
+		return nil, err
 	}
-	a := &Forwarded{hold: hold{d: d, c: c}, f: f}
-	c.raw.sent.Store(0)
-	a.w = d.watcher.addWith(func() { c.Close() }, f.More)
-	a.w.until(f.Deadline)
+	a := &Forwarded{hold: h, f: f}
 	if f.FirstByte > 0 {
 		a.w.within(f.FirstByte)
 	}
-	a.unhook = context.AfterFunc(ctx, func() { c.Close() })
 	if err := a.send(); err != nil {
 		return nil, a.fail(router.FailReset, err)
 	}
@@ -128,14 +124,10 @@
 		return
 	}
 	reusable := a.Framed && !a.stray && !a.resp.Close && a.c.br.Buffered() == 0 && a.sent()
-	if !a.release() || !reusable {
-		a.c.Close()
-		return
-	}
-	if keep, ok := keepAlive(a.Header); ok {
+	if keep, ok := keepAlive(a.Header); ok && reusable {
 		a.c.keep = max(keep-keepMargin, time.Millisecond)
 	}
-	a.d.put(a.c, a.f.MaxIdle)
+	a.end(reusable, a.f.MaxIdle)
 }
 
 // Abort ends an answer before its end, which cancels the request at the
@@ -177,15 +169,7 @@
 }
 
 func (a *Forwarded) appendHead(b []byte) []byte {
-	b = append(b, a.f.Method...)
-	b = append(b, ' ')
-	b = append(b, a.f.Target...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, a.f.Host...)
-	b = append(b, "\r\n"...)
-	if len(a.f.Body) > 0 || a.f.Method != http.MethodGet && a.f.Method != http.MethodHead {
-		b = appendField(b, "Content-Length", strconv.Itoa(len(a.f.Body)))
-	}
+	b = appendStart(b, a.f.Method, a.f.Target, a.f.Host, len(a.f.Body))
 	for _, f := range a.f.Fields {
 		b = appendField(b, f.Name, f.Value)
 	}
--- a/dialer/hold.go
+++ b/dialer/hold.go
@@ -1,8 +1,12 @@
 package dialer
 
 import (
+	"context"
+	"time"
+
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/declarer"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
 )
@@ -17,6 +21,30 @@
 	settled bool
 }
 
+// open takes a connection to u for one request and watches it until the
+// deadline. more is asked when a bound on progress is missed; nil gives up.
+func (d *Dialer) open(ctx context.Context, u *declarer.Upstream, fresh bool, deadline time.Time, more func() time.Duration) (hold, error) {
+	c, err := d.get(ctx, u, fresh, deadline)
+	if err != nil {
+		return hold{}, cancelled(ctx, err)
+	}
+	c.raw.sent.Store(0)
+	h := hold{d: d, c: c, w: d.watcher.addWith(func() { c.Close() }, more)}
+	h.w.until(deadline)
+	h.unhook = context.AfterFunc(ctx, func() { c.Close() })
+	return h, nil
+}
+
+// end ends the use and keeps the connection if it can carry another request.
+// At most so many are kept unused; zero is no bound of the request's own.
+func (h *hold) end(reusable bool, maxIdle int) {
+	if !h.release() || !reusable {
+		h.c.Close()
+		return
+	}
+	h.d.put(h.c, maxIdle)
+}
+
 // release ends the watch and reports whether the connection is still open.
 func (h *hold) release() bool {
 	h.settled = true
