Look a group's engines up once for each placement

The upstreams that cache a group's parts were looked up for every upstream of the service, on the path of each attempt. The choice is the same; the specs pass unchanged.

--- a/placer/choose.go
+++ b/placer/choose.go
@@ -56,12 +56,13 @@
 	if home == nil || r.SharedTokens > farWork {
 		home = ranked(slices.Concat(near, far), r.Group)
 	}
+	copies := pl.copies(r.Group)
 	var best *upstream
 	var least float64
 	var rank uint64
 	weigh := func(u *upstream, work float64) {
 		work += u.work + float64(others[u.id()].Work)
-		if u != home && !pl.caches(u, r.Group) {
+		if u != home && !slices.Contains(copies, u.hash) {
 			work += readCost * r.SharedTokens
 		}
 		h := mix(u.hash ^ r.Group)
@@ -100,10 +101,11 @@
 	return best
 }
 
-// caches reports whether the upstream was sent a request of the group.
-func (pl *pool) caches(u *upstream, group uint64) bool {
-	hashes, ok := pl.cached.Get(group)
-	return ok && slices.Contains(hashes, u.hash)
+// copies returns the hashes of the upstreams that were sent requests of the
+// group.
+func (pl *pool) copies(group uint64) []uint64 {
+	hashes, _ := pl.cached.Get(group) // Absent means none.
+	return hashes
 }
 
 // remember notes that the upstream reads the parts of the group.
@@ -111,7 +113,7 @@
 	if group == 0 {
 		return
 	}
-	hashes, _ := pl.cached.Get(group) // Absent means none.
+	hashes := pl.copies(group)
 	if len(hashes) >= maxCopies {
 		hashes = hashes[1:]
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,6 +20,7 @@
 package placer
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -255,7 +256,7 @@
 		return nil, false
 	}
 	t = &Ticket{p: p, up: u, work: r.Work}
-	if r.Work > 0 && !pl.caches(u, r.Group) {
+	if r.Work > 0 && !slices.Contains(pl.copies(r.Group), u.hash) {
 		t.work += r.Shared
 		pl.remember(u, r.Group)
 	}
