Hold the attempts left in place of two flags, and look for rollouts apart

The guard kept 'last' and 'last but one' as two flags of the same number and worked out one limit twice. The restriction of versions also changed the request; followRollout now says so. Two specs share the upstream that pauses. Behaviour and assertions are the same.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -267,6 +267,7 @@
 	case c.tries >= maxTries, c.arrivals >= max(c.route.MaxAttempts, 1):
 		return nil, refuse(http.StatusBadGateway, refuser.UpstreamFailed, busyWait)
 	}
+	c.followRollout()
 	req := placer.Request{
 		Service: c.service.Name, Versions: c.versions(), MaxConns: c.service.MaxConns, Tried: c.tried,
 	}
@@ -325,14 +326,19 @@
 	return own / most
 }
 
-// versions restricts the upstreams to those of the request's version. A request
-// that began before a rollout was ordered stays off its target.
-func (c *call) versions() placer.Versions {
-	if c.rollout == nil {
-		if r, ok := c.f.InForce().Rollouts[c.service.Name]; ok && r.State != controller.RolloutCompleted {
-			c.rollout = &r
-		}
+// followRollout keeps a request that began before a rollout was ordered off its
+// target.
+func (c *call) followRollout() {
+	if c.rollout != nil {
+		return
 	}
+	if r, ok := c.f.InForce().Rollouts[c.service.Name]; ok && r.State != controller.RolloutCompleted {
+		c.rollout = &r
+	}
+}
+
+// versions restricts the upstreams to those of the request's version.
+func (c *call) versions() placer.Versions {
 	switch {
 	case c.rollout == nil:
 		return placer.Versions{}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -187,6 +187,21 @@
 	w.(http.Flusher).Flush()
 }
 
+// pausing answers a stream of two events with 300 ms between them, or less at the
+// end of the spec.
+func pausing() http.HandlerFunc {
+	release := make(chan struct{})
+	DeferCleanup(func() { close(release) })
+	return func(w http.ResponseWriter, _ *http.Request) {
+		event(w, 1)
+		select {
+		case <-time.After(300 * time.Millisecond):
+		case <-release:
+		}
+		event(w, 2)
+	}
+}
+
 // cut breaks the connection of the answer.
 func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
@@ -467,16 +482,7 @@
 		It("waits for a silent upstream when the budget is exhausted", func() {
 			b.budget.Ratio, b.budget.Slack = 0, 0
 			b = newBenchWith(b.budget)
-			release := make(chan struct{})
-			DeferCleanup(func() { close(release) })
-			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
-				event(w, 1)
-				select {
-				case <-time.After(300 * time.Millisecond):
-				case <-release:
-				}
-				event(w, 2)
-			})
+			b.upstream(pausing())
 			b.upstream(func(w http.ResponseWriter, _ *http.Request) { event(w, 2) })
 			b.route(matcher.Route{Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, MaxPause: 50 * time.Millisecond})
 			a := b.do("POST", "/p/", "x")
@@ -488,16 +494,7 @@
 		// Guards against a stream that is lost because its last attempt fails,
 		// while the upstream that it was taken from was only slow.
 		It("waits longer for a silent upstream when one attempt is left", func() {
-			release := make(chan struct{})
-			DeferCleanup(func() { close(release) })
-			b.upstream(func(w http.ResponseWriter, _ *http.Request) {
-				event(w, 1)
-				select {
-				case <-time.After(300 * time.Millisecond):
-				case <-release:
-				}
-				event(w, 2)
-			})
+			b.upstream(pausing())
 			b.upstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 			b.route(matcher.Route{Kind: matcher.Stream, MaxAttempts: 2, Resumable: true, MaxPause: 200 * time.Millisecond})
 			a := b.do("POST", "/p/", "x")
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -40,13 +40,10 @@
 type guard struct {
 	c *call
 	t *placer.Ticket
-	// last says that no further attempt may follow. Silence is then no reason
-	// to end the attempt; the caller decides how long it waits. The same goes
-	// for an exhausted budget of repeats.
-	last bool
-	// lastButOne says that one further attempt may follow. If that fails, a
-	// stream that has begun is lost, so that it is given up later.
-	lastButOne bool
+	// left is the number of attempts that may follow. Without one, silence is
+	// no reason to end the attempt; the caller decides how long it waits. The
+	// same goes for an exhausted budget of repeats.
+	left int
 	// since is when the attempt was sent, or when its last event came. It and
 	// begun are read by the dialer's watch.
 	since atomic.Pointer[time.Time]
@@ -54,8 +51,7 @@
 }
 
 func newGuard(c *call, t *placer.Ticket, sent time.Time) *guard {
-	left := c.route.MaxAttempts - c.arrivals - 1
-	g := &guard{c: c, t: t, last: left <= 0, lastButOne: left == 1}
+	g := &guard{c: c, t: t, left: c.route.MaxAttempts - c.arrivals - 1}
 	g.since.Store(&sent)
 	return g
 }
@@ -63,7 +59,7 @@
 // first returns the bound on the time to the header of the answer, zero if the
 // request may not be sent again and so has to wait.
 func (g *guard) first() time.Duration {
-	if !g.c.route.Repeatable() || g.last {
+	if !g.c.route.Repeatable() || g.left <= 0 {
 		return 0
 	}
 	return silentBase + time.Duration(g.c.env.Input)*silentPerToken
@@ -84,14 +80,11 @@
 // more returns the time to add when a bound is missed. It is called by the
 // dialer's watch.
 func (g *guard) more() time.Duration {
-	if !g.c.route.Repeatable() || g.last || !g.c.f.set.Budget.Has(g.c.service.Name) {
+	if !g.c.route.Repeatable() || g.left <= 0 || !g.c.f.set.Budget.Has(g.c.service.Name) {
 		return extraWait
 	}
 	since, begun := *g.since.Load(), g.begun.Load()
 	waited := g.c.f.set.Clock.Since(since)
-	if limit := time.Duration(pausePatience * float64(g.longest())); begun && g.lastButOne && waited < limit {
-		return extraWait
-	}
 	limit := time.Duration(patience * float64(g.c.route.Target))
 	if begun {
 		limit = time.Duration(pausePatience * float64(g.longest()))
@@ -99,7 +92,9 @@
 	if alone := g.first() + silentAlone - waited; !begun && alone > 0 && g.t.Running() <= 1 {
 		return alone
 	}
-	if g.c.route.Kind == matcher.Stream && waited < limit && g.t.HeardSince(since) {
+	// A stream that has begun is lost if its last attempt fails, so that the one
+	// before is given up later.
+	if g.c.route.Kind == matcher.Stream && waited < limit && (begun && g.left == 1 || g.t.HeardSince(since)) {
 		return extraWait
 	}
 	return 0
