Drop a copy of the list's fields and a rollout made for its name

plainList is the list's own type without its method, and sessions are kept by the trial's key. Behaviour is the same.

--- a/stager/assigner.go
+++ b/stager/assigner.go
@@ -59,8 +59,8 @@
 func (a *Assigner) Target(r controller.OrderedRollout, session uint64, now time.Time) bool {
 	target := a.target(r, session, now)
 	if r.State == controller.RolloutRunning && !target && drawn(r, session) {
-		a.own = put(a.own, r, session)
-		a.kept = put(a.kept, r, session)
+		a.own = put(a.own, trialOf(r), session)
+		a.kept = put(a.kept, trialOf(r), session)
 	}
 	a.Note(r.Service, session, target, now)
 	return target
@@ -103,17 +103,16 @@
 	}
 	for k, s := range a.seen.All() {
 		if k.service == r.Service && !s.target && now.Sub(s.at) < a.session() && drawn(r, k.session) {
-			a.own = put(a.own, r, k.session)
-			a.kept = put(a.kept, r, k.session)
+			a.own = put(a.own, trialOf(r), k.session)
+			a.kept = put(a.kept, trialOf(r), k.session)
 		}
 	}
 }
 
 // Keep takes over the sessions that other hosts have seen on another version.
 func (a *Assigner) Keep(service, target string, sessions []uint64) {
-	r := controller.OrderedRollout{RolloutOrder: controller.RolloutOrder{Service: service, Target: target}}
 	for _, s := range sessions {
-		a.kept = put(a.kept, r, s)
+		a.kept = put(a.kept, trial{service, target}, s)
 	}
 }
 
@@ -127,11 +126,10 @@
 	maps.DeleteFunc(a.scanned, func(t trial, _ bool) bool { return gone(t, nil) })
 }
 
-func put(m map[trial]map[uint64]bool, r controller.OrderedRollout, session uint64) map[trial]map[uint64]bool {
+func put(m map[trial]map[uint64]bool, t trial, session uint64) map[trial]map[uint64]bool {
 	if m == nil {
 		m = make(map[trial]map[uint64]bool)
 	}
-	t := trialOf(r)
 	if m[t] == nil {
 		m[t] = make(map[uint64]bool)
 	}
--- a/syncer/change.go
+++ b/syncer/change.go
@@ -36,16 +36,15 @@
 	}
 
 	// plainList is a List that is encoded field by field.
-	plainList struct {
-		Name      string             `cbor:"name"`
-		Upstreams []tracker.Upstream `cbor:"upstreams"`
-	}
+	plainList List
 )
 
 // newList returns a list that is encoded already.
 func newList(name string, ups []tracker.Upstream) (List, error) {
-	b, err := serializer.Marshal(plainList{name, ups})
-	return List{Name: name, Upstreams: ups, encoded: b}, err
+	l := List{Name: name, Upstreams: ups}
+	var err error
+	l.encoded, err = serializer.Marshal(plainList(l))
+	return l, err
 }
 
 // MarshalCBOR implements cbor.Marshaler.
@@ -53,7 +52,7 @@
 	if l.encoded != nil {
 		return l.encoded, nil
 	}
-	return serializer.Marshal(plainList{l.Name, l.Upstreams})
+	return serializer.Marshal(plainList(*l))
 }
 
 // changeOf returns what leads from one list to another.
