--- a/messenger/claims.go
+++ b/messenger/claims.go
@@ -14,6 +14,7 @@
 	"foxtailwall/pinner"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
+	"foxtailwall/timekeeper"
 )
 
 // maxEndedRequests is the number of request IDs that endedRequests keeps.
@@ -39,16 +40,16 @@
 
 // Claim implements router.Claims. While the outcome of an attempt is unknown,
 // it retries with the same request ID, for which the claim table returns the
-// same result. If the outcome stays unknown, it abandons the claim: the
-// request does not run and a release is sent in the background, so that the
-// refusal notRun is accurate. Later claims with the same request ID are
-// refused.
+// same result. If the outcome is still unknown when ctx ends, it abandons the
+// claim: the request does not run and a release is sent in the background, so
+// that the refusal notRun is accurate. Later claims with the same request ID
+// are refused.
 func (c *ControlClient) Claim(ctx context.Context, r claimer.Request) (claimer.Result, error) {
 	if c.ended.has(r.RequestID) {
 		return claimer.Result{}, refuser.New(refuser.NoQuorum, refuser.NotRun,
 			"the claim of request %s was abandoned or released; send the call again", r.RequestID)
 	}
-	a, err := c.Do(ctx, controller.Item{Claim: &r})
+	a, err := c.submitClaim(ctx, r)
 	var unknown *UncertainError
 	switch {
 	case errors.As(err, &unknown):
@@ -63,6 +64,25 @@
 	return *a.Claim, nil
 }
 
+// submitClaim submits a claim. After an attempt of unknown outcome it submits
+// the claim again until its outcome is known or ctx ends; the error is then an
+// *UncertainError, since the first attempt may still take effect.
+func (c *ControlClient) submitClaim(ctx context.Context, r claimer.Request) (controller.Answer, error) {
+	var uncertain *UncertainError
+	for {
+		a, err := c.Do(ctx, controller.Item{Claim: &r})
+		refusal, refused := refuser.As(err)
+		switch {
+		case errors.As(err, &uncertain):
+		case uncertain == nil, err == nil, refused && refusal.Code != refuser.NoQuorum:
+			return a, err
+		}
+		if timekeeper.Sleep(ctx, c.opts.Clock, roundPause) != nil {
+			return controller.Answer{}, uncertain
+		}
+	}
+}
+
 // Finish implements router.Claims. If the outcome is unknown or no leader can
 // be reached, it returns an *UncertainError and the response is delivered in
 // the background.
--- a/messenger/control_test.go
+++ b/messenger/control_test.go
@@ -50,6 +50,9 @@
 		// maxCommandBytes, if set, is the size above which a command is
 		// refused.
 		maxCommandBytes int
+		// stallBytes, if set, is the size above which a command waits for gate
+		// instead of all commands.
+		stallBytes int
 	}
 
 	// fakeMember is one control host with a fakeLog.
@@ -69,6 +72,9 @@
 	l.mu.Lock()
 	l.proposals++
 	gate := l.gate
+	if len(cmd) <= l.stallBytes {
+		gate = nil
+	}
 	l.mu.Unlock()
 	if gate != nil {
 		<-gate
@@ -366,6 +372,26 @@
 		}).Should(Equal(claimer.Granted))
 	})
 
+	// Guards against a claim that is given up, with all its retries, because one
+	// search for the leader ended without an answer: the caller is refused
+	// although the control group answers again long before its deadline.
+	It("retries a claim of unknown outcome until its context ends", func(ctx context.Context) {
+		l, _ := startControlGroup(1, timekeeper.System{})
+		gate := make(chan struct{})
+		l.gate = gate
+		c := startControlClient(l, timekeeper.System{}, 100*time.Millisecond)
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			defer GinkgoRecover()
+			res, err := c.Claim(ctx, claimer.Request{Key: newKey(), RequestID: "a"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(res.State).To(Equal(claimer.Granted))
+		})
+		Eventually(func() int { n, _ := l.counts(); return n }).WithTimeout(10 * time.Second).Should(BeNumerically(">=", 2))
+		close(gate)
+		wg.Wait()
+	}, NodeTimeout(time.Minute))
+
 	// Guards against a response that is not stored when the call of Finish is
 	// interrupted, so that a resend gets the error that the outcome is unknown.
 	It("stores a response in the background when Finish is interrupted", func(ctx context.Context) {
--- a/messenger/controlclient.go
+++ b/messenger/controlclient.go
@@ -265,23 +265,27 @@
 }
 
 // runBackground submits the background items, whose callers no longer wait. It
-// retries each batch until the control group accepts or rejects it or ctx
-// ends.
+// retries each item until the control group accepts or rejects it or ctx ends.
+// After a call of unknown outcome the next calls are smaller: a call that takes
+// longer than the control group is given would otherwise be repeated for ever.
 func (c *ControlClient) runBackground(ctx context.Context) error {
+	maxItems := maxBatchItems
 	for {
 		first, err := c.background.Take(ctx)
 		if err != nil {
 			return err
 		}
-		req := &submitRequest{Items: c.collectBackgroundBatch(first)}
-		for {
-			_, err := callLeader[submitRequest, submitResponse](ctx, c.newLeaderCaller(), procSubmit, req)
+		for pending := c.collectBackgroundBatch(first); len(pending) > 0; {
+			batch := pending[:min(maxItems, len(pending))]
+			err := c.submitBackground(ctx, batch)
 			if err == nil {
-				break
+				pending = pending[len(batch):]
+				maxItems = min(2*maxItems, maxBatchItems)
+				continue
 			}
-			if r, ok := refuser.As(err); ok && r.Code != refuser.NoQuorum {
-				c.opts.Scope.Counter("control.dropped").Inc(int64(len(req.Items)))
-				break
+			var unknown *UncertainError
+			if errors.As(err, &unknown) {
+				maxItems = max(len(batch)/2, 1)
 			}
 			if err := timekeeper.Sleep(ctx, c.opts.Clock, backgroundRetryInterval); err != nil {
 				return err
@@ -290,6 +294,17 @@
 	}
 }
 
+// submitBackground submits background items in one call. It returns nil if the
+// control group has accepted or rejected them.
+func (c *ControlClient) submitBackground(ctx context.Context, items []controller.Item) error {
+	_, err := callLeader[submitRequest, submitResponse](ctx, c.newLeaderCaller(), procSubmit, &submitRequest{Items: items})
+	if r, ok := refuser.As(err); ok && r.Code != refuser.NoQuorum {
+		c.opts.Scope.Counter("control.dropped").Inc(int64(len(items)))
+		return nil
+	}
+	return err
+}
+
 // collectBackgroundBatch returns first and the background items queued behind
 // it, up to the limits of a call. Without a limit on bytes the control group
 // would refuse the call as too large.
