--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -67,11 +67,18 @@
 }
 
 func (h *hosts) start(i int, bootstrap bool) {
-	c, err := coordinator.New(coordinator.Settings{
-		Name: fmt.Sprintf("c%d", i), Peers: h.addrs[i], DataFolder: h.folders[i], Bootstrap: bootstrap, LostDisks: 1,
+	h.startWith(i, func(s *coordinator.Settings) { s.Bootstrap = bootstrap })
+}
+
+// startWith starts host i with settings that change adapts.
+func (h *hosts) startWith(i int, change func(*coordinator.Settings)) {
+	s := coordinator.Settings{
+		Name: fmt.Sprintf("c%d", i), Peers: h.addrs[i], DataFolder: h.folders[i], LostDisks: 1,
 		Seeds: func() []netip.AddrPort { return h.addrs[:3] }, Clock: timekeeper.System{},
 		List: func(context.Context) ([]tracker.Upstream, error) { return nil, nil },
-	})
+	}
+	change(&s)
+	c, err := coordinator.New(s)
 	Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	h.running[i], h.stops[i], h.done[i] = c, cancel, make(chan struct{})
@@ -142,4 +149,39 @@
 		Expect(err).To(HaveOccurred())
 		Expect(h.running[0].Members()).To(BeEmpty())
 	})
+
+	// Guards against operators who are refused because the host that they call
+	// has not yet heard from the leader that its group is just electing. A host
+	// that has known no leader for longer than an election takes refuses at once.
+	It("lets calls wait for an election, unless it is cut off", func(ctx context.Context) {
+		clock := timekeeper.NewFake(time.Unix(0, 0))
+		h := newHosts(3)
+		h.startWith(0, func(s *coordinator.Settings) {
+			s.Bootstrap, s.LostDisks, s.Clock = true, 0, clock
+			s.Seeds = func() []netip.AddrPort { return h.addrs[:1] }
+		})
+		h.startWith(1, func(s *coordinator.Settings) { s.Clock = clock })
+		read := func(i int) chan error {
+			result := make(chan error, 1)
+			go func() {
+				_, err := h.running[i].CurrentDocument(ctx)
+				result <- err
+			}()
+			return result
+		}
+		settled := func(result chan error) error {
+			var err error
+			Eventually(func() chan error { clock.Advance(10 * time.Millisecond); return result }, eventTimeout, time.Millisecond).Should(Receive(&err))
+			return err
+		}
+		Eventually(func() error {
+			_, err := h.running[0].CurrentDocument(ctx)
+			return err
+		}, eventTimeout, time.Millisecond).Should(Or(Succeed(), Not(MatchError(ContainSubstring("not open")))))
+		Expect(settled(read(0))).To(Succeed())
+
+		clock.Advance(3 * time.Second)
+		// No timer of the cut-off host's call may be left to wait for.
+		Eventually(read(1), eventTimeout).Should(Receive(MatchError(ContainSubstring("no leader"))))
+	})
 })
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -10,6 +10,7 @@
 	"foxtailwall/controller"
 	"foxtailwall/messenger"
 	"foxtailwall/replicator"
+	"foxtailwall/timekeeper"
 )
 
 const (
@@ -18,6 +19,12 @@
 	// callTimeout bounds an operator's call. Operators try another host after
 	// one second without an answer.
 	callTimeout = 900 * time.Millisecond
+	// maxLeaderless is the time without a leader during which an election may
+	// still be in progress, so that a call waits for its result. A host that has
+	// known no leader for longer is cut off and refuses calls at once.
+	maxLeaderless = 2 * time.Second
+	// leaderPollInterval is how often a waiting call looks for the leader.
+	leaderPollInterval = 20 * time.Millisecond
 )
 
 type (
@@ -87,6 +94,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	a, err := c.proposeLocally(ctx, item)
+	for c.awaitLeader(ctx, err) {
+		a, err = c.proposeLocally(ctx, item)
+	}
 	leader, ok := otherLeader(err, c.set.Peers)
 	if !ok {
 		return a, wrapUnavailable(err)
@@ -139,6 +149,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	p, err := c.readLocally(ctx)
+	for c.awaitLeader(ctx, err) {
+		p, err = c.readLocally(ctx)
+	}
 	leader, ok := otherLeader(err, c.set.Peers)
 	if !ok {
 		return p, wrapUnavailable(err)
@@ -176,6 +189,18 @@
 	})
 }
 
+// awaitLeader pauses a call that failed with err because no leader is known, and
+// reports whether to try again. The follower of a group that has just elected
+// its leader knows it only after the first heartbeat.
+func (c *Coordinator) awaitLeader(ctx context.Context, err error) bool {
+	var notLeader *replicator.NotLeaderError
+	m := c.openMember.Load()
+	if m == nil || !errors.As(err, &notLeader) || notLeader.Leader.Addr.IsValid() || m.group.LeaderlessFor() > maxLeaderless {
+		return false
+	}
+	return timekeeper.Sleep(ctx, c.set.Clock, leaderPollInterval) == nil
+}
+
 // peer returns the client for another control host.
 func (c *Coordinator) peer(addr netip.AddrPort) *messenger.Peer {
 	c.mu.Lock()
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -144,8 +144,11 @@
 		term    uint64
 		leading bool
 		// caughtUp says that all entries of earlier terms are applied.
-		caughtUp        bool
-		leader          Member
+		caughtUp bool
+		leader   Member
+		// leaderLostAt is the time since the member started at which it last
+		// ceased to know a leader. It is not used while leader is set.
+		leaderLostAt    time.Duration
 		members         []Member
 		membershipIndex uint64
 	}
@@ -300,6 +303,17 @@
 	return p.leader, p.leader.ID != ""
 }
 
+// LeaderlessFor returns how long this member has known no leader, zero while it
+// knows one. A leader that fails is replaced within 2 s, so a member that has
+// known none for longer is probably cut off.
+func (g *Group) LeaderlessFor() time.Duration {
+	p := g.status.Load()
+	if p.leader.ID != "" {
+		return 0
+	}
+	return g.opts.Clock.Since(g.start) - p.leaderLostAt
+}
+
 // Leading returns the current term, and whether this member leads and has
 // applied all entries of earlier terms.
 func (g *Group) Leading() (term uint64, ok bool) {
--- a/replicator/run.go
+++ b/replicator/run.go
@@ -300,6 +300,12 @@
 	if old != nil && old.equal(next) {
 		return
 	}
+	if old != nil && lead.ID == "" {
+		next.leaderLostAt = old.leaderLostAt
+		if old.leader.ID != "" {
+			next.leaderLostAt = c.now
+		}
+	}
 	g.status.Store(next)
 	if old == nil || old.leader.ID != lead.ID {
 		g.opts.Scope.Counter("replicator.leaderChanges").Inc(1)
