--- a/dialer/checkout.go
+++ b/dialer/checkout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -64,6 +65,11 @@
 	open := co.unwatch()
 	co.conn.Close()
 	reason := co.watch.reason()
+	if reason == notStopped && open && errors.Is(err, syscall.ETIMEDOUT) {
+		// The kernel has closed the connection because the peer's host no longer
+		// answers.
+		reason = noProgress
+	}
 	if co.conn.reused && !responseStarted && (reason == noProgress || reason == pastDeadline && deadlineIsSilence) {
 		co.dialer.opts.Scope.Counter("dialer.silent").Inc(1)
 		co.dialer.closeIdle(co.conn.addr)
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -28,6 +28,9 @@
 	readBufferBytes = 4 << 10
 	// maxInformationalResponses limits the 1xx responses before the final one.
 	maxInformationalResponses = 8
+	// keepAliveProbes is the number of unanswered probes after which an idle
+	// connection is closed.
+	keepAliveProbes = 3
 )
 
 type (
@@ -83,10 +86,13 @@
 	return n, err
 }
 
-func newNetDialer(userTimeout time.Duration) net.Dialer {
+// newNetDialer returns a dialer of connections that the kernel closes when sent
+// bytes stay unacknowledged for userTimeout, or when the peer answers no probe
+// after the connection was idle for keepAliveIdle.
+func newNetDialer(userTimeout, keepAliveIdle time.Duration) net.Dialer {
 	return net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3,
+			Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveProbes,
 		},
 		Control: func(_, _ string, rc syscall.RawConn) error {
 			var err error
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -68,6 +68,7 @@
 	defaultMaxBodyBytes  = 16 << 20
 	defaultMaxEventBytes = 1 << 20
 	defaultUserTimeout   = 4 * time.Second
+	defaultKeepAliveIdle = 5 * time.Second
 )
 
 type (
@@ -107,6 +108,10 @@
 		// TCPUserTimeout is the TCP_USER_TIMEOUT: the time after which a
 		// connection with unacknowledged data is closed.
 		TCPUserTimeout time.Duration
+		// KeepAliveIdle is the time without data after which a connection is
+		// probed, so that a request whose upstream's host has stopped does not
+		// wait for its deadline.
+		KeepAliveIdle time.Duration
 	}
 
 	// Dialer sends attempts over a pool of connections. It implements
@@ -137,7 +142,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Dialer{
-		opts: o, net: newNetDialer(o.TCPUserTimeout), cancel: cancel,
+		opts: o, net: newNetDialer(o.TCPUserTimeout, o.KeepAliveIdle), cancel: cancel,
 		idle: make(map[netip.AddrPort][]*conn),
 	}
 	if d.opts.Dial == nil {
@@ -263,6 +268,7 @@
 	o.MaxBody = orDefault(o.MaxBody, defaultMaxBodyBytes)
 	o.MaxEvent = orDefault(o.MaxEvent, defaultMaxEventBytes)
 	o.TCPUserTimeout = orDefault(o.TCPUserTimeout, defaultUserTimeout)
+	o.KeepAliveIdle = orDefault(o.KeepAliveIdle, defaultKeepAliveIdle)
 	return o
 }
 
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,6 +38,14 @@
 	accepted atomic.Int64
 }
 
+// timedOutConn fails each read as the kernel does once the peer's host answers
+// no probes.
+type timedOutConn struct{ net.Conn }
+
+func (c *timedOutConn) Read([]byte) (int, error) {
+	return 0, os.NewSyscallError("read", syscall.ETIMEDOUT)
+}
+
 func startUpstream(script func(c net.Conn, r *bufio.Reader)) *scriptedUpstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -294,6 +304,20 @@
 		Expect(<-ended).To(HaveOccurred())
 	})
 
+	// Guards against an upstream whose host has stopped being taken for one that
+	// resets connections, so that it is used on.
+	It("counts a connection that the kernel gave up as silent", func(ctx context.Context) {
+		u := startUpstream(func(_ net.Conn, r *bufio.Reader) { readAttemptID(r) })
+		d := newDialer(dialer.Options{Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			var nd net.Dialer
+			c, err := nd.DialContext(ctx, network, address)
+			return &timedOutConn{Conn: c}, err
+		}})
+		_, err := d.Do(ctx, u.newAttempt("a"))
+		Expect(expectAttemptError(err).Kind).To(Equal(router.FailStalled))
+		Expect(expectAttemptError(err).Outcome).To(Equal(refuser.Unknown))
+	})
+
 	// Guards against a dead connection that blocks requests forever or is
 	// reported as a dead upstream, and against a late response on it being
 	// returned for a later request.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -462,6 +462,25 @@
 			Expect(b.ranUpstreams()).To(Equal([]string{"u0", "u1"}))
 		})
 
+		// Guards against a request that is moved, and its prompt processed again, only
+		// because its engine is busy with the requests of other hosts: a host of many
+		// has no other request there that would show it.
+		It("waits for an upstream that sends data to other hosts", func() {
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				for range 15 {
+					<-time.After(100 * time.Millisecond)
+					loads := b.placer.Loads()
+					loads[0].SinceReceived = 0
+					b.placer.SetRemoteLoads(loads)
+				}
+				writeEvent(w, 1)
+			})
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 1) })
+			b.setRoute(streamRoute)
+			Expect(b.send("POST", "/p/", "x").body).To(Equal("id: 1\ndata: e1\n\n"))
+			Expect(b.ranUpstreams()).To(Equal([]string{"u0"}))
+		})
+
 		// Guards against ending the last attempt only because its upstream is silent.
 		It("does not end the last attempt for silence", func() {
 			release := make(chan struct{})
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -14,8 +14,7 @@
 	baseFirstByteTimeout     = 500 * time.Millisecond
 	firstByteTimeoutPerToken = 60 * time.Microsecond
 	// soleRequestExtension is added if the host has no other request at the
-	// upstream, so that nothing else shows whether it is alive. A lost upstream is
-	// detected earlier by unacknowledged TCP data.
+	// upstream, so that only other hosts know whether it is alive.
 	soleRequestExtension = 450 * time.Millisecond
 	// eventTimeoutFraction is the timeout for the next event as a fraction of the
 	// route's longest pause.
@@ -35,9 +34,10 @@
 // progressGuard decides how long an attempt may go without progress.
 //
 // It handles upstreams that go silent without closing their connections. An
-// upstream that sends data to other requests is only slow, and a retry would
-// cost more than waiting. One that sends nothing at all is abandoned well
-// before the caller's deadline.
+// upstream that sends data to other requests, of this host or another, is only
+// slow, and a retry would cost more than waiting. One that sends nothing at all
+// is abandoned well before the caller's deadline. The connection to a host that
+// has stopped is closed earlier, by unacknowledged data or keep-alive probes.
 type progressGuard struct {
 	call   *call
 	ticket *placer.Ticket
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,7 @@
 package placer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -55,6 +56,10 @@
 	Abandoned
 )
 
+// NeverReceived is the Load.SinceReceived of an upstream from which no data has
+// arrived.
+const NeverReceived time.Duration = math.MaxInt64
+
 const (
 	// baseEjection is how long an upstream is ejected after its first failure; it
 	// doubles with each further one, up to maxEjection.
@@ -158,6 +163,9 @@
 		// Work is the work until the first bytes of their responses, in tokens of the
 		// largest model.
 		Work uint32
+		// SinceReceived is the time since data last arrived from the upstream, or
+		// NeverReceived.
+		SinceReceived time.Duration
 	}
 
 	// Placer chooses upstreams. Create it with New. It is safe for concurrent use.
@@ -197,8 +205,10 @@
 		ejectedUntil time.Time
 		ejections    int
 		// probing lets only one request through at a time after an ejection.
-		probing      bool
-		lastReceived time.Time
+		probing bool
+		// lastReceived is when this host last received data from the upstream, and
+		// lastReceivedElsewhere when another host did.
+		lastReceived, lastReceivedElsewhere time.Time
 	}
 
 	// Ticket is an attempt in progress. It must be ended with Done.
@@ -281,11 +291,18 @@
 func (p *Placer) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
 	var out []Load
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			if u.running > 0 {
-				out = append(out, Load{Upstream: u.loadID(), Running: uint32(u.running), Work: uint32(max(u.work, 0))})
+				since := NeverReceived
+				if !u.lastReceived.IsZero() {
+					since = now.Sub(u.lastReceived)
+				}
+				out = append(out, Load{
+					Upstream: u.loadID(), Running: uint32(u.running), Work: uint32(max(u.work, 0)), SinceReceived: since,
+				})
 			}
 		}
 	}
@@ -301,6 +318,14 @@
 		p.remoteLoads[l.Upstream] = l
 	}
 	p.remoteLoadsAt = p.settings.Clock.Now()
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			l, ok := p.remoteLoads[u.loadID()]
+			if at := p.remoteLoadsAt.Add(-l.SinceReceived); ok && at.After(u.lastReceivedElsewhere) {
+				u.lastReceivedElsewhere = at
+			}
+		}
+	}
 }
 
 // RunningOtherVersions returns the number of this host's requests in progress
@@ -335,12 +360,12 @@
 	}
 }
 
-// ReceivedSince reports whether any request of this host has received data from
-// the upstream since the given time.
+// ReceivedSince reports whether any request, of this host or another, has
+// received data from the upstream since the given time.
 func (t *Ticket) ReceivedSince(since time.Time) bool {
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
-	return t.up.lastReceived.After(since)
+	return t.up.lastReceived.After(since) || t.up.lastReceivedElsewhere.After(since)
 }
 
 // Running returns the number of this host's requests in progress at the
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -104,7 +104,7 @@
 		r := placer.Request{Group: 3, Work: 1000, SharedWork: 100, SharedTokens: 100}
 		home := pick(r)
 		loads := p.Loads()
-		Expect(loads).To(ConsistOf(placer.Load{Upstream: loads[0].Upstream, Running: 1, Work: 1100}))
+		Expect(loads).To(ConsistOf(placer.Load{Upstream: loads[0].Upstream, Running: 1, Work: 1100, SinceReceived: placer.NeverReceived}))
 		home.Done(placer.Succeeded, time.Millisecond)
 		loads[0].Work = 5000
 		p.SetRemoteLoads(loads)
@@ -113,6 +113,30 @@
 		Expect(pick(r).Upstream().ID).To(Equal(home.Upstream().ID))
 	})
 
+	// Guards against a host that takes an upstream for silent because its own
+	// request there still waits, while other hosts receive data from it.
+	It("knows when other hosts received data from an upstream", func() {
+		p.Update(fleet(1, 64))
+		t := pick(placer.Request{Work: 1000})
+		sentAt := clock.Now()
+		loads := p.Loads()
+		p.SetRemoteLoads(loads)
+		Expect(t.ReceivedSince(sentAt)).To(BeFalse())
+		clock.Advance(time.Second)
+		loads[0].SinceReceived = 1100 * time.Millisecond
+		p.SetRemoteLoads(loads)
+		Expect(t.ReceivedSince(sentAt)).To(BeFalse())
+		loads[0].SinceReceived = 300 * time.Millisecond
+		p.SetRemoteLoads(loads)
+		Expect(t.ReceivedSince(sentAt)).To(BeTrue())
+		Expect(t.ReceivedSince(clock.Now())).To(BeFalse())
+		p.SetRemoteLoads(nil)
+		Expect(t.ReceivedSince(sentAt)).To(BeTrue())
+		t.RecordReceived()
+		clock.Advance(200 * time.Millisecond)
+		Expect(p.Loads()[0].SinceReceived).To(Equal(200 * time.Millisecond))
+	})
+
 	// Guards against sending requests to plain upstreams that other hosts have
 	// filled.
 	It("counts the requests of other hosts at plain services", func() {
--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -39,7 +39,9 @@
 		mu    sync.Mutex
 		hosts map[string]*hostLoads
 		// sums has the loads of all hosts, by Load.Upstream.
-		sums      map[uint32]placer.Load
+		sums map[uint32]placer.Load
+		// receivedAt is when any host last received data, by Load.Upstream.
+		receivedAt   map[uint32]time.Time
 		expiredAt time.Time
 		// busiest are the keys of the sums with the most work, as of rankedAt.
 		busiest  []uint32
@@ -57,7 +59,7 @@
 
 // NewHub returns a hub without any reports.
 func NewHub(s HubSettings) *Hub {
-	return &Hub{set: s, hosts: make(map[string]*hostLoads), sums: make(map[uint32]placer.Load)}
+	return &Hub{set: s, hosts: make(map[string]*hostLoads), sums: make(map[uint32]placer.Load), receivedAt: make(map[uint32]time.Time)}
 }
 
 // record stores a report and returns the sums of the other hosts' loads, or
@@ -68,6 +70,7 @@
 	if !h.set.Leading() {
 		clear(h.hosts)
 		clear(h.sums)
+		clear(h.receivedAt)
 		return nil, false
 	}
 	now := h.set.Clock.Now()
@@ -88,12 +91,16 @@
 		own[l.Upstream] = l
 		s := h.sums[l.Upstream]
 		h.sums[l.Upstream] = placer.Load{Upstream: l.Upstream, Running: s.Running + l.Running, Work: s.Work + l.Work}
+		if at := now.Add(-l.SinceReceived); at.After(h.receivedAt[l.Upstream]) {
+			h.receivedAt[l.Upstream] = at
+		}
 	}
 	out := make([]placer.Load, 0, min(len(h.sums), maxLoads))
 	addOthers := func(s placer.Load) {
 		s.Running -= own[s.Upstream].Running
 		s.Work -= own[s.Upstream].Work
 		if s.Running > 0 || s.Work > 0 {
+			s.SinceReceived = now.Sub(h.receivedAt[s.Upstream])
 			out = append(out, s)
 		}
 	}
@@ -147,6 +154,7 @@
 		s.Work -= l.Work
 		if s.Running == 0 && s.Work == 0 {
 			delete(h.sums, l.Upstream)
+			delete(h.receivedAt, l.Upstream)
 		} else {
 			h.sums[l.Upstream] = s
 		}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -6,7 +6,10 @@
 // second, and the leader answers with the sum over all other hosts. An engine
 // processes a prompt within some hundred milliseconds, so older figures would
 // mislead. Each datagram is complete, so the next one makes up for a lost one.
-// Loads only guide placement.
+// Loads also say when data last arrived from an upstream, so that a host with a
+// single request there can tell a busy upstream from a silent one. Loads only
+// guide placement and patience: between hosts of different versions that cannot
+// read each other's datagrams, each goes by its own requests.
 //
 // # Usage
 //
@@ -22,6 +25,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"foxtailwall/placer"
 	"foxtailwall/serializer"
@@ -33,6 +37,10 @@
 	maxLoads = 100
 	// maxDatagram is the size in bytes of the receive buffers.
 	maxDatagram = 4 << 10
+	// receivedUnit is the unit of load.SinceReceived, and maxSinceReceived the largest number that
+	// takes a single byte.
+	receivedUnit = 100 * time.Millisecond
+	maxSinceReceived  = 23
 )
 
 type (
@@ -61,6 +69,9 @@
 		Upstream uint32
 		Running  uint32
 		Work     uint32
+		// SinceReceived is the time since data last arrived from the upstream, in units of
+		// receivedUnit and at most maxSinceReceived.
+		SinceReceived uint8
 	}
 )
 
@@ -73,7 +84,8 @@
 	}
 	out := make([]load, len(loads))
 	for i, l := range loads {
-		out[i] = load{Upstream: l.Upstream, Running: l.Running, Work: l.Work}
+		since := uint8(min(max(l.SinceReceived, 0)/receivedUnit, maxSinceReceived))
+		out[i] = load{Upstream: l.Upstream, Running: l.Running, Work: l.Work, SinceReceived: since}
 	}
 	return out
 }
@@ -81,7 +93,9 @@
 func fromWire(loads []load) []placer.Load {
 	out := make([]placer.Load, len(loads))
 	for i, l := range loads {
-		out[i] = placer.Load{Upstream: l.Upstream, Running: l.Running, Work: l.Work}
+		out[i] = placer.Load{
+			Upstream: l.Upstream, Running: l.Running, Work: l.Work, SinceReceived: time.Duration(l.SinceReceived) * receivedUnit,
+		}
 	}
 	return out
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -48,6 +48,19 @@
 			To(ConsistOf(placer.Load{Upstream: 1, Running: 2, Work: 80}, placer.Load{Upstream: 2, Running: 1, Work: 5}))
 	})
 
+	// Guards against a host with a single request at an upstream that takes it
+	// for silent although it sends data to other hosts.
+	It("tells when any host last received data from an upstream", func() {
+		record("a", 1, load{Upstream: 1, Running: 1, SinceReceived: 3}, load{Upstream: 2, Running: 1, SinceReceived: maxSinceReceived})
+		clock.Advance(50 * time.Millisecond)
+		record("b", 1, load{Upstream: 1, Running: 1, SinceReceived: 9})
+		clock.Advance(50 * time.Millisecond)
+		Expect(record("c", 1)).To(ConsistOf(
+			placer.Load{Upstream: 1, Running: 2, SinceReceived: 400 * time.Millisecond},
+			placer.Load{Upstream: 2, Running: 1, SinceReceived: 2400 * time.Millisecond},
+		))
+	})
+
 	// Guards against datagrams that arrive out of order or twice, and against
 	// loads of an earlier run of a host that stay in the sums.
 	It("uses only the newest report of a host", func() {
@@ -105,7 +118,7 @@
 	It("selects the loads with the most work", func() {
 		loads := make([]placer.Load, 1500)
 		for i := range loads {
-			loads[i] = placer.Load{Upstream: uint32(i), Running: 40, Work: uint32(i)}
+			loads[i] = placer.Load{Upstream: uint32(i), Running: 40, Work: uint32(i), SinceReceived: time.Hour}
 		}
 		wire := toWire(loads)
 		Expect(wire).To(HaveLen(maxLoads))
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -32,6 +32,10 @@
 	// tcpUserTimeout is how long bytes sent to an upstream may stay
 	// unacknowledged.
 	tcpUserTimeout = 700 * time.Millisecond
+	// upstreamKeepAliveIdle is how long an upstream may send nothing before its
+	// host is probed. The kernel closes the connection a second after a probe
+	// that is not answered.
+	upstreamKeepAliveIdle = time.Second
 	// upstreamIdleTimeout is how long an unused connection to an upstream is
 	// kept.
 	upstreamIdleTimeout = 4 * time.Second
@@ -95,6 +99,7 @@
 	})
 	upstreams := dialer.New(dialer.Options{
 		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
+		KeepAliveIdle: upstreamKeepAliveIdle,
 		IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
 	defer upstreams.Close()
