--- a/placer/choose.go
+++ b/placer/choose.go
@@ -1,14 +1,19 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxPrefixCaches bounds the upstreams that are remembered for a group.
-const maxPrefixCaches = 6
+const (
+	// maxPrefixCaches bounds the upstreams that are remembered for a group.
+	maxPrefixCaches = 6
+	// maxFirstHomes is the number of upstreams that may be a group's first home.
+	maxFirstHomes = 4
+)
 
 // chooseUpstream returns the upstream for r, nil if there is none. Upstreams of
 // the own zone are preferred unless others are much less loaded. Ejected or
@@ -49,24 +54,26 @@
 //
 // It handles loads in which a few groups get much of the traffic: their
 // requests stay where their prefix is cached until the wait there is longer
-// than processing it elsewhere, and then overflow to the next in rank, on which
-// all hosts agree.
+// than processing it elsewhere. Hosts tell each other where that was. A group
+// that is cached nowhere goes to the least loaded of its highest ranked
+// upstreams, so that hosts that meet it at the same time mostly agree, and the
+// groups' homes do not pile up on a few engines.
 func (pl *pool) leastWork(local, remote []*upstream, loads map[uint32]Load, r Request) *upstream {
-	preferred := highestRanked(local, r.Group)
-	// Processing a long prefix once in each zone costs more than sending its
-	// requests to another zone.
-	if preferred == nil || r.SharedTokens > crossZoneWork {
-		preferred = highestRanked(slices.Concat(local, remote), r.Group)
-	}
-	prefixCaches := pl.prefixCachesOf(r.Group)
+	homes := pl.homes(local, remote, r)
 	var best *upstream
 	var bestWork float64
 	var bestRank uint64
-	consider := func(u *upstream, work float64) {
-		work += u.work + float64(loads[u.loadID()].Work)
-		if u != preferred && !slices.Contains(prefixCaches, u.hash) {
+	consider := func(u *upstream, zoneWork float64) {
+		work := u.work + float64(loads[u.loadID()].Work)
+		home := slices.Contains(homes, u)
+		if !home {
 			work += uncachedTokenCost * r.SharedTokens
 		}
+		// Processing a long prefix once in each zone costs more than sending its
+		// requests to another zone.
+		if !home || r.SharedTokens <= crossZoneWork {
+			work += zoneWork
+		}
 		rank := mix64(u.hash ^ r.Group)
 		if r.Group == 0 {
 			rank = 0
@@ -79,48 +86,55 @@
 		consider(u, 0)
 	}
 	for _, u := range remote {
-		if u == preferred {
-			consider(u, 0)
-		} else {
-			consider(u, crossZoneWork)
-		}
+		consider(u, crossZoneWork)
 	}
 	return best
 }
 
-// highestRanked returns the upstream with the highest rendezvous rank for the
-// group, nil if group is zero.
-func highestRanked(ups []*upstream, group uint64) *upstream {
-	if group == 0 {
+// homes returns the upstreams at which the group's prefix costs nothing extra:
+// those that have it cached or, if none has, maxFirstHomes that may be the
+// first.
+func (pl *pool) homes(local, remote []*upstream, r Request) []*upstream {
+	if r.Group == 0 {
 		return nil
 	}
-	var best *upstream
-	for _, u := range ups {
-		if best == nil || mix64(u.hash^group) > mix64(best.hash^group) {
-			best = u
+	candidates := slices.Concat(local, remote)
+	caches := pl.prefixCachesOf(r.Group)
+	var homes []*upstream
+	for _, u := range candidates {
+		if slices.Contains(caches, u.loadID()) {
+			homes = append(homes, u)
 		}
 	}
-	return best
+	if len(homes) > 0 {
+		return homes
+	}
+	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
+		candidates = slices.Clone(local)
+	}
+	slices.SortFunc(candidates, func(a, b *upstream) int {
+		return cmp.Compare(mix64(b.hash^r.Group), mix64(a.hash^r.Group))
+	})
+	return candidates[:min(len(candidates), maxFirstHomes)]
 }
 
 // prefixCachesOf returns the hashes of the upstreams that were sent requests of
 // the group.
-func (pl *pool) prefixCachesOf(group uint64) []uint64 {
+func (pl *pool) prefixCachesOf(group uint64) []uint32 { return pl.cachesOf(groupID(group)) }
+
+func (pl *pool) cachesOf(group uint32) []uint32 {
 	hashes, _ := pl.prefixCaches.Get(group) // Absent means none.
 	return hashes
 }
 
 // addPrefixCache records that the upstream has the group's prefix cached.
 // Beyond maxPrefixCaches, the oldest entry is dropped.
-func (pl *pool) addPrefixCache(u *upstream, group uint64) {
-	if group == 0 {
-		return
-	}
-	hashes := pl.prefixCachesOf(group)
+func (pl *pool) addPrefixCache(group, upstream uint32) {
+	hashes := pl.cachesOf(group)
 	if len(hashes) >= maxPrefixCaches {
 		hashes = hashes[1:]
 	}
-	pl.prefixCaches.Put(group, append(slices.Clip(hashes), u.hash))
+	pl.prefixCaches.Put(group, append(slices.Clip(hashes), upstream))
 }
 
 // shortestWait returns the upstream with the shortest expected wait.
@@ -171,6 +185,9 @@
 // loadID identifies the upstream in the loads that hosts share.
 func (u *upstream) loadID() uint32 { return uint32(u.hash) }
 
+// groupID identifies a group in the placements that hosts share.
+func groupID(group uint64) uint32 { return uint32(group ^ group>>32) }
+
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
 
 // mix64 is the finalizer of splitmix64.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -97,6 +97,9 @@
 	generationWork = 60
 	// maxGroups bounds the groups per service whose engines are remembered.
 	maxGroups = 4096
+	// maxPlacements bounds the placements that wait until other hosts are told;
+	// further ones are not told.
+	maxPlacements = 256
 	// crossZoneWork is the work, in tokens, that a request to another zone adds,
 	// to save traffic between zones. Groups with a longer shared prefix may prefer
 	// an engine in any zone.
@@ -168,6 +171,14 @@
 		SinceReceived time.Duration
 	}
 
+	// Placement says that an upstream was sent a group's prefix, and so has it
+	// cached.
+	Placement struct {
+		_ struct{} `cbor:",toarray"`
+		// Group is the hash of the group, and Upstream that of the upstream's ID.
+		Group, Upstream uint32
+	}
+
 	// Placer chooses upstreams. Create it with New. It is safe for concurrent use.
 	Placer struct {
 		settings Settings
@@ -179,14 +190,17 @@
 		remoteLoads   map[uint32]Load
 		remoteLoadsAt time.Time
 		zonePaths     map[string]*zonePath
+		// placements are those that other hosts were not told yet, at most
+		// maxPlacements.
+		placements []Placement
 	}
 
 	// pool holds the upstreams of a service.
 	pool struct {
 		upstreams []*upstream
-		// prefixCaches maps each group to the hashes of the upstreams that were sent
-		// its requests, and so should have its prefix cached.
-		prefixCaches *buffer.LRU[uint64, []uint64]
+		// prefixCaches maps the hash of each group to those of the upstreams that were
+		// sent its requests by any host, and so should have its prefix cached.
+		prefixCaches *buffer.LRU[uint32, []uint32]
 	}
 
 	// upstream adds this host's requests, statistics and ejections to an upstream.
@@ -246,7 +260,7 @@
 		u.Upstream = listed
 		pl := p.pools[listed.Service]
 		if pl == nil {
-			pl = &pool{prefixCaches: buffer.NewLRU[uint64, []uint64](maxGroups)}
+			pl = &pool{prefixCaches: buffer.NewLRU[uint32, []uint32](maxGroups)}
 			if oldPool := oldPools[listed.Service]; oldPool != nil {
 				pl.prefixCaches = oldPool.prefixCaches
 			}
@@ -269,9 +283,9 @@
 		return nil, false
 	}
 	t = &Ticket{p: p, up: u, work: r.Work}
-	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.hash) {
+	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.loadID()) {
 		t.work += r.SharedWork
-		pl.addPrefixCache(u, r.Group)
+		p.recordPlacement(pl, r.Group, u)
 	}
 	u.running++
 	u.work += t.work
@@ -328,6 +342,50 @@
 	}
 }
 
+// recordPlacement records that the upstream was sent the group's prefix, and
+// that other hosts are to be told.
+func (p *Placer) recordPlacement(pl *pool, group uint64, u *upstream) {
+	if group == 0 {
+		return
+	}
+	pl.addPrefixCache(groupID(group), u.loadID())
+	if len(p.placements) < maxPlacements {
+		p.placements = append(p.placements, Placement{Group: groupID(group), Upstream: u.loadID()})
+	}
+}
+
+// TakePlacements returns at most limit of this host's placements since the last
+// call.
+func (p *Placer) TakePlacements(limit int) []Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(limit, len(p.placements))
+	out := slices.Clone(p.placements[:n])
+	p.placements = slices.Delete(p.placements, 0, n)
+	return out
+}
+
+// AddPlacements adds the placements of other hosts.
+func (p *Placer) AddPlacements(placements []Placement) {
+	if len(placements) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pools := make(map[uint32]*pool)
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			pools[u.loadID()] = pl
+		}
+	}
+	for _, pm := range placements {
+		// An upstream that is not listed here may have left.
+		if pl := pools[pm.Upstream]; pl != nil && !slices.Contains(pl.cachesOf(pm.Group), pm.Upstream) {
+			pl.addPrefixCache(pm.Group, pm.Upstream)
+		}
+	}
+}
+
 // RunningOtherVersions returns the number of this host's requests in progress
 // at upstreams of the service that do not have the version.
 func (p *Placer) RunningOtherVersions(service, version string) int {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -83,6 +83,44 @@
 		}
 	})
 
+	// Guards against a prompt that is processed again at one engine after another,
+	// because each host only knows where it sent the group itself.
+	It("sends a group where other hosts have its prefix cached", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+		p.Update(fleet(6, 64))
+		other.Update(fleet(6, 64))
+		r := placer.Request{Service: "s", Group: 7, Work: 3000, SharedWork: 6000, SharedTokens: 6000}
+		used := make(map[string]bool)
+		for range 30 {
+			used[pick(r).Upstream().ID] = true
+		}
+		placements := p.TakePlacements(100)
+		Expect(placements).To(HaveLen(len(used)))
+		Expect(p.TakePlacements(100)).To(BeEmpty())
+		other.AddPlacements(placements)
+		other.AddPlacements([]placer.Placement{{Group: 1, Upstream: 1}}) // Not listed.
+		for range 3 * len(used) {
+			t, _ := other.Pick(r)
+			Expect(used).To(HaveKey(t.Upstream().ID))
+		}
+		Expect(other.TakePlacements(100)).To(BeEmpty())
+	})
+
+	// Guards against queues at a few engines while others are idle: the homes of
+	// groups that are chosen by a hash alone pile up.
+	It("spreads the homes of many groups evenly", func() {
+		const engines, groupsPerEngine = 60, 20
+		p.Update(fleet(engines/3, 64))
+		homes := make(map[string]int)
+		for g := range uint64(engines * groupsPerEngine) {
+			homes[pick(placer.Request{Group: 1 + g, Work: 500, SharedWork: 9000, SharedTokens: 9000}).Upstream().ID]++
+		}
+		Expect(homes).To(HaveLen(engines))
+		for id, n := range homes {
+			Expect(n).To(BeNumerically("~", groupsPerEngine, groupsPerEngine/4), id)
+		}
+	})
+
 	// Guards against requests that are refused or wait after a zone has lost its
 	// engines, while other zones have capacity.
 	It("uses other zones when its own has no healthy upstream", func() {
@@ -192,10 +230,13 @@
 		group := func(g uint64) placer.Request {
 			return placer.Request{Group: g + 1, Work: 100, SharedWork: 6000, SharedTokens: 6000}
 		}
+		// Groups stay where their prefix is cached, so each call asks with new ones.
+		groups := uint64(0)
 		zones := func() map[string]int {
 			out := make(map[string]int)
-			for g := range uint64(60) {
-				t := pick(group(g))
+			for range 60 {
+				groups++
+				t := pick(group(groups))
 				out[t.Upstream().Zone]++
 				t.Done(placer.Abandoned, 0)
 			}
@@ -209,8 +250,8 @@
 			clock.Advance(time.Second)
 		}
 		clock.Advance(time.Second)
-		for g := uint64(0); ; g++ {
-			if t := pick(group(g)); t.Upstream().Zone == "b" {
+		for ; ; groups++ {
+			if t := pick(group(groups)); t.Upstream().Zone == "b" {
 				t.RecordReceived()
 				break
 			}
--- a/sharer/client.go
+++ b/sharer/client.go
@@ -43,8 +43,12 @@
 		Loads func() []placer.Load
 		// Apply receives, for each upstream, the sum of the other hosts' loads.
 		Apply func([]placer.Load)
-		Clock timekeeper.Clock
-		Log   zerolog.Logger
+		// Placements takes at most limit of this host's new placements, and
+		// ApplyPlacements receives those of all hosts.
+		Placements      func(limit int) []placer.Placement
+		ApplyPlacements func([]placer.Placement)
+		Clock           timekeeper.Clock
+		Log             zerolog.Logger
 	}
 
 	// Client exchanges loads with the leader. Make it with NewClient.
@@ -54,6 +58,8 @@
 		packetLog zerolog.Logger
 		// lastSent is the sequence number of the newest report.
 		lastSent atomic.Uint64
+		// known is the answer.Known of the newest answer.
+		known atomic.Uint64
 	}
 )
 
@@ -88,9 +94,13 @@
 	if !to.IsValid() {
 		return
 	}
-	r := report{Host: c.set.Host, Started: c.started, Count: c.lastSent.Add(1), Loads: toWire(c.set.Loads())}
+	r := report{
+		Host: c.set.Host, Started: c.started, Count: c.lastSent.Add(1), Loads: toWire(c.set.Loads()),
+		Placements: c.set.Placements(maxPlacements), Known: c.known.Load(),
+	}
 	if _, err := conn.WriteToUDPAddrPort(encode(r), to); err != nil {
-		// No retry: the next report carries all loads again.
+		// No retry: the next report carries all loads again, and lost placements
+		// cost other hosts little.
 		c.packetLog.Info().AnErr("cause", err).Stringer("leader", to).Msg("the loads were not reported")
 	}
 }
@@ -117,6 +127,8 @@
 		}
 		lastApplied = a.Count
 		c.set.Apply(fromWire(a.Loads))
+		c.set.ApplyPlacements(a.Placements)
+		c.known.Store(a.Known)
 	}
 }
 
--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -41,11 +41,12 @@
 		// sums has the loads of all hosts, by Load.Upstream.
 		sums map[uint32]placer.Load
 		// receivedAt is when any host last received data, by Load.Upstream.
-		receivedAt   map[uint32]time.Time
-		expiredAt time.Time
+		receivedAt map[uint32]time.Time
+		expiredAt  time.Time
 		// busiest are the keys of the sums with the most work, as of rankedAt.
 		busiest  []uint32
 		rankedAt time.Time
+		placed   placementLog
 	}
 
 	// hostLoads is the newest report of a host.
@@ -62,15 +63,16 @@
 	return &Hub{set: s, hosts: make(map[string]*hostLoads), sums: make(map[uint32]placer.Load), receivedAt: make(map[uint32]time.Time)}
 }
 
-// record stores a report and returns the sums of the other hosts' loads, or
-// false if this host does not lead or the report is outdated.
-func (h *Hub) record(r *report) ([]placer.Load, bool) {
+// record stores a report and returns the answer to it, with the sums of the other
+// hosts' loads, or false if this host does not lead or the report is outdated.
+func (h *Hub) record(r *report) (*answer, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.set.Leading() {
 		clear(h.hosts)
 		clear(h.sums)
 		clear(h.receivedAt)
+		h.placed = placementLog{}
 		return nil, false
 	}
 	now := h.set.Clock.Now()
@@ -84,6 +86,7 @@
 		// Datagrams may arrive out of order or twice.
 		return nil, false
 	}
+	h.placed.add(r.Placements, now)
 	h.subtract(host)
 	host.started, host.count, host.at, host.loads = r.Started, r.Count, now, fromWire(r.Loads)
 	own := make(map[uint32]placer.Load, len(host.loads))
@@ -95,6 +98,14 @@
 			h.receivedAt[l.Upstream] = at
 		}
 	}
+	a := &answer{Count: r.Count, Loads: toWire(h.othersLoads(own, now))}
+	a.Placements, a.Known = h.placed.since(r.Known)
+	return a, true
+}
+
+// othersLoads returns the sums without the loads of one host, own by
+// Load.Upstream.
+func (h *Hub) othersLoads(own map[uint32]placer.Load, now time.Time) []placer.Load {
 	out := make([]placer.Load, 0, min(len(h.sums), maxLoads))
 	addOthers := func(s placer.Load) {
 		s.Running -= own[s.Upstream].Running
@@ -108,14 +119,14 @@
 		for _, s := range h.sums {
 			addOthers(s)
 		}
-		return out, true
+		return out
 	}
 	for _, id := range h.busiestUpstreams(now) {
 		if s, ok := h.sums[id]; ok {
 			addOthers(s)
 		}
 	}
-	return out, true
+	return out
 }
 
 // busiestUpstreams returns the keys of the maxLoads sums with the most work, as
--- a/sharer/serve.go
+++ b/sharer/serve.go
@@ -44,11 +44,11 @@
 			packetLog.Info().AnErr("cause", err).Stringer("from", from).Msg("a report of loads cannot be read")
 			continue
 		}
-		loads, ok := h.record(&r)
+		a, ok := h.record(&r)
 		if !ok {
 			continue
 		}
-		if _, err := conn.WriteToUDPAddrPort(encode(answer{Count: r.Count, Loads: toWire(loads)}), from); err != nil {
+		if _, err := conn.WriteToUDPAddrPort(encode(a), from); err != nil {
 			// No retry: the host's next report gets a new answer.
 			packetLog.Info().AnErr("cause", err).Stringer("to", from).Msg("cannot send the loads of other hosts")
 		}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -7,8 +7,9 @@
 // processes a prompt within some hundred milliseconds, so older figures would
 // mislead. Each datagram is complete, so the next one makes up for a lost one.
 // Loads also say when data last arrived from an upstream, so that a host with a
-// single request there can tell a busy upstream from a silent one. Loads only
-// guide placement and patience: between hosts of different versions that cannot
+// single request there can tell a busy upstream from a silent one, and hosts
+// tell each other which upstreams were sent which prompt prefixes. All of it
+// only guides placement and patience: between hosts of different versions that cannot
 // read each other's datagrams, each goes by its own requests.
 //
 // # Usage
@@ -35,12 +36,14 @@
 	// maxLoads bounds the loads in a datagram, so that it fits into one packet
 	// of a common network. The loads with the most work are sent.
 	maxLoads = 100
+	// maxPlacements bounds the placements in a datagram.
+	maxPlacements = 100
 	// maxDatagram is the size in bytes of the receive buffers.
 	maxDatagram = 4 << 10
 	// receivedUnit is the unit of load.SinceReceived, and maxSinceReceived the largest number that
 	// takes a single byte.
-	receivedUnit = 100 * time.Millisecond
-	maxSinceReceived  = 23
+	receivedUnit     = 100 * time.Millisecond
+	maxSinceReceived = 23
 )
 
 type (
@@ -53,6 +56,10 @@
 		// Count is the sequence number of the report within the run, from 1.
 		Count uint64
 		Loads []load
+		// Placements are the host's own since its last report. Known is the
+		// answer.Known of the newest answer received.
+		Placements []placer.Placement
+		Known      uint64
 	}
 
 	// answer is the datagram from the leader to a host.
@@ -61,6 +68,10 @@
 		// Count is the sequence number of the report that is answered.
 		Count uint64
 		Loads []load
+		// Placements are those of all hosts since report.Known, and Known the
+		// position of the last one.
+		Placements []placer.Placement
+		Known      uint64
 	}
 
 	// load is the encoding of a placer.Load.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -34,7 +34,7 @@
 	record := func(host string, count uint64, loads ...load) []placer.Load {
 		out, ok := hub.record(&report{Host: host, Started: 1, Count: count, Loads: loads})
 		Expect(ok).To(BeTrue())
-		return out
+		return fromWire(out.Loads)
 	}
 
 	// Guards against hosts that count their own requests twice.
@@ -57,10 +57,49 @@
 		clock.Advance(50 * time.Millisecond)
 		Expect(record("c", 1)).To(ConsistOf(
 			placer.Load{Upstream: 1, Running: 2, SinceReceived: 400 * time.Millisecond},
-			placer.Load{Upstream: 2, Running: 1, SinceReceived: 2400 * time.Millisecond},
+			placer.Load{Upstream: 2, Running: 1, SinceReceived: maxSinceReceived * receivedUnit},
 		))
 	})
 
+	// Guards against hosts that miss placements after they or the leader
+	// restarted, and against datagrams that grow with the number of placements.
+	It("tells each host the placements that it does not know yet", func() {
+		some := func(n int) []placer.Placement {
+			out := make([]placer.Placement, n)
+			for i := range out {
+				out[i] = placer.Placement{Group: uint32(i), Upstream: 1}
+			}
+			return out
+		}
+		report := func(host string, count, known uint64, placed ...placer.Placement) *answer {
+			out, ok := hub.record(&report{Host: host, Started: 1, Count: count, Known: known, Placements: placed})
+			Expect(ok).To(BeTrue())
+			return out
+		}
+		report("a", 1, 0, some(30)...)
+		first := report("b", 1, 0)
+		Expect(first.Placements).To(Equal(some(30)))
+		Expect(report("b", 2, first.Known).Placements).To(BeEmpty())
+		report("a", 2, 0, some(maxPlacements)...)
+		second := report("b", 3, first.Known)
+		Expect(second.Placements).To(Equal(some(maxPlacements)))
+		Expect(report("b", 4, second.Known).Placements).To(BeEmpty())
+
+		By("a restart of the host, and of the leader")
+		Expect(report("c", 1, 0).Placements).To(HaveLen(maxPlacements))
+		clock.Advance(time.Second)
+		hub = NewHub(HubSettings{Leading: func() bool { return true }, Clock: clock})
+		report("a", 3, second.Known, some(5)...)
+		Expect(report("b", 5, second.Known).Placements).To(Equal(some(5)))
+
+		By("more placements than the log holds")
+		for i := range uint64(maxLoggedPlacements) {
+			report("a", 4+i, 0, some(2)...)
+		}
+		Expect(hub.placed.entries).To(HaveLen(maxLoggedPlacements))
+		Expect(report("b", 6, first.Known).Placements).To(HaveLen(maxPlacements))
+	})
+
 	// Guards against datagrams that arrive out of order or twice, and against
 	// loads of an earlier run of a host that stay in the sums.
 	It("uses only the newest report of a host", func() {
@@ -151,6 +190,7 @@
 		Expect(err).NotTo(HaveOccurred())
 
 		received := make(map[string]chan []placer.Load)
+		placed := make(chan []placer.Placement, 1000)
 		for i, name := range []string{"a", "b"} {
 			got := make(chan []placer.Load, 1000)
 			received[name] = got
@@ -163,11 +203,21 @@
 					default:
 					}
 				},
+				Placements: func(int) []placer.Placement { return []placer.Placement{{Group: uint32(i), Upstream: 3}} },
+				ApplyPlacements: func(p []placer.Placement) {
+					if name == "a" && len(p) > 0 {
+						select {
+						case placed <- p:
+						default:
+						}
+					}
+				},
 				Clock: timekeeper.System{},
 			})
 			go func() { ended <- c.Run(ctx) }()
 		}
 		Eventually(received["a"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 1, Running: 1, Work: 7})))
+		Eventually(placed, time.Minute).Should(Receive(ContainElement(placer.Placement{Group: 1, Upstream: 3})))
 		Eventually(received["b"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 0, Running: 1, Work: 7})))
 	})
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -100,7 +100,7 @@
 	upstreams := dialer.New(dialer.Options{
 		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
 		KeepAliveIdle: upstreamKeepAliveIdle,
-		IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
+		IdleTimeout:   upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
 	defer upstreams.Close()
 	e.forwarder = forwarder.New(forwarder.Settings{
@@ -112,7 +112,8 @@
 	})
 	e.loadClient = sharer.NewClient(sharer.ClientSettings{
 		Host: s.Name, From: s.Peers.Addr(), Leader: e.syncClient.Leader, Hosts: func() int { return int(e.liveHosts.Load()) },
-		Loads: e.placer.Loads, Apply: e.placer.SetRemoteLoads, Clock: o.Clock, Log: o.Log,
+		Loads: e.placer.Loads, Apply: e.placer.SetRemoteLoads,
+		Placements: e.placer.TakePlacements, ApplyPlacements: e.placer.AddPlacements, Clock: o.Clock, Log: o.Log,
 	})
 	o.Log.Info().Str("zone", s.Zone).Msg("entry started")
 	return e.run(ctx)
