--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -94,6 +94,8 @@
 	}
 )
 
+var errResponseTooLong = errors.Newf("the response exceeds %d bytes", maxResponseBytes)
+
 // admit finds the route and workspace, reads the body and assigns the service.
 func (c *call) admit() *refusal {
 	config := c.f.waitForConfig(c.r.Context())
@@ -526,6 +528,7 @@
 func (c *call) forwardWhole(t *placer.Ticket, resp *dialer.ForwardResponse, firstByte time.Duration) bool {
 	body, err := readResponse(resp)
 	if err != nil {
+		resp.Abort()
 		return c.handleFailure(t, err)
 	}
 	resp.Finish()
@@ -550,7 +553,7 @@
 // readResponse reads the body of a response, at most maxResponseBytes.
 func readResponse(resp *dialer.ForwardResponse) ([]byte, error) {
 	if resp.Length > maxResponseBytes {
-		return nil, errors.Newf("the response exceeds %d bytes", maxResponseBytes)
+		return nil, errResponseTooLong
 	}
 	if resp.Length >= 0 {
 		body := make([]byte, resp.Length)
@@ -565,7 +568,11 @@
 		}
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(resp, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
+	if len(body) > maxResponseBytes {
+		return nil, errResponseTooLong
+	}
+	return body, err
 }
 
 // hostOnly returns the host without its port.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -311,6 +311,25 @@
 		Expect(b.ranUpstreams()).To(Equal([]string{"u0", "u1"}))
 	})
 
+	// Guards against a response of unknown length that is cut at the limit of the
+	// router and forwarded as complete, and against an upstream that sends without
+	// end.
+	It("does not forward a response that is too long", func() {
+		ended := make(chan struct{})
+		b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+			defer close(ended)
+			for part := make([]byte, 1<<20); r.Context().Err() == nil; {
+				if _, err := w.Write(part); err != nil {
+					return
+				}
+			}
+		})
+		b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		Expect(b.send("GET", "/p/", "").body).To(Equal("done"))
+		Eventually(ended, time.Minute).Should(BeClosed())
+	})
+
 	// Guards against more attempts than the route allows.
 	It("makes no more attempts than the route allows", func() {
 		for range 3 {
@@ -481,6 +500,33 @@
 			Expect(b.ranUpstreams()).To(Equal([]string{"u0"}))
 		})
 
+		// Guards against a stream that waits for its deadline because its upstream
+		// sends a byte or a comment now and then, but no event.
+		It("resumes elsewhere when an upstream sends no whole events", func() {
+			for _, filler := range []string{"d", ": comment\n\n"} {
+				b = newTestbed()
+				b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+					writeEvent(w, 1)
+					for r.Context().Err() == nil {
+						fmt.Fprint(w, filler)
+						w.(http.Flusher).Flush()
+						<-time.After(20 * time.Millisecond)
+					}
+				})
+				b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+					writeEvent(w, 2)
+					writeEvent(w, 3)
+				})
+				route := streamRoute
+				route.MaxPause = 200 * time.Millisecond
+				b.setRoute(route)
+				a := b.send("POST", "/p/", "x")
+				Expect(a.err).NotTo(HaveOccurred())
+				Expect(strings.ReplaceAll(a.body, ": comment\n\n", "")).To(Equal(threeEvents))
+				Expect(b.ranUpstreams()).To(Equal([]string{"u0", "u1"}))
+			}
+		})
+
 		// Guards against ending the last attempt only because its upstream is silent.
 		It("does not end the last attempt for silence", func() {
 			release := make(chan struct{})
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"foxtailwall/dialer"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
 )
@@ -45,8 +46,8 @@
 	// retry budget is exhausted, silence does not end the attempt: only the
 	// deadline does.
 	attemptsLeft int
-	// lastProgress is the time at which the attempt was sent or last received
-	// data. It and streaming are also read by the dialer's watcher.
+	// lastProgress is the time at which the attempt was sent, or received its
+	// header or its last event. It and streaming are also read by the dialer's watcher.
 	lastProgress atomic.Pointer[time.Time]
 	streaming    atomic.Bool
 }
@@ -57,6 +58,13 @@
 	return g
 }
 
+// recordProgress starts the wait for the next event.
+func (g *progressGuard) recordProgress(resp *dialer.ForwardResponse) {
+	now := g.call.f.settings.Clock.Now()
+	g.lastProgress.Store(&now)
+	resp.ExpectWithin(g.eventTimeout())
+}
+
 // firstByteTimeout returns the timeout for the response header, zero for none
 // if the request cannot be retried.
 func (g *progressGuard) firstByteTimeout() time.Duration {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -30,11 +30,9 @@
 // resumes after the last complete event.
 func (c *call) forwardStream(t *placer.Ticket, resp *dialer.ForwardResponse, g *progressGuard, firstByte time.Duration) bool {
 	g.streaming.Store(true)
+	g.recordProgress(resp)
 	buf := make([]byte, 0, eventBufferSize)
 	for {
-		now := c.f.settings.Clock.Now()
-		g.lastProgress.Store(&now)
-		resp.ExpectWithin(g.eventTimeout())
 		if cap(buf)-len(buf) < eventBufferSize/2 {
 			buf = append(buf, make([]byte, eventBufferSize)...)[:len(buf)]
 		}
@@ -51,6 +49,11 @@
 				c.logEnd(statusNone, "callerLeft")
 				return true
 			}
+			// An upstream that sends parts of an event or comments is not making
+			// progress.
+			if containsEvent(buf[:end]) {
+				g.recordProgress(resp)
+			}
 			buf = append(buf[:0], buf[end:]...)
 		}
 		switch {
@@ -130,6 +133,17 @@
 	return lf + 2
 }
 
+// containsEvent reports whether b, a sequence of complete events, has a line
+// that is not a comment.
+func containsEvent(b []byte) bool {
+	for line := range bytes.Lines(b) {
+		if line = bytes.TrimSpace(line); len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // parseLastEventID returns the ID of the last event in b that has one.
 func parseLastEventID(b []byte) string {
 	id := ""
