--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,8 +22,9 @@
 
 const (
 	// attemptLimit bounds the attempts of a request, including those that reached
-	// no upstream.
-	attemptLimit = 6
+	// no upstream: a refused connection costs about a millisecond, and many
+	// upstreams may stop at once.
+	attemptLimit = 24
 	// maxResponseBytes bounds the body of a response that is not a stream.
 	maxResponseBytes = 16 << 20
 	// defaultMaxBodyBytes bounds a request's body if the configuration does not.
@@ -67,6 +69,9 @@
 		// delivered counts the finished attempts that reached an upstream, mayHaveRun
 		// those of them that may have run.
 		delivered, mayHaveRun int
+		// misdirected counts the finished attempts that reached another upstream than
+		// the one chosen.
+		misdirected int
 		// isRetry reports whether the current attempt uses the retry budget.
 		isRetry bool
 		tried   []tracker.Key
@@ -292,7 +297,7 @@
 	if !ok {
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, startupRetryAfter)
 	}
-	c.isRetry = c.delivered > 0
+	c.isRetry = c.delivered+c.misdirected > 0
 	if c.isRetry && !c.f.settings.Budget.Allow(c.service.Name) {
 		t.Done(placer.Abandoned, 0)
 		return nil, newRefusal(http.StatusBadGateway, refuser.RetryBudget, busyRetryAfter)
@@ -416,7 +421,7 @@
 		// The retry reached no upstream, so it is not charged.
 		c.f.settings.Budget.ReturnRetry(c.service.Name)
 	}
-	t.Done(placerOutcome(attemptErr.Kind, attemptErr.Outcome), 0)
+	t.Done(placerOutcome(attemptErr), 0)
 	c.logAttempt(t.Upstream(), string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
 	if c.r.Context().Err() != nil {
 		c.logEnd(0, "callerLeft")
@@ -434,9 +439,12 @@
 }
 
 // placerOutcome maps the failure of an attempt to an outcome for the placer.
-func placerOutcome(kind router.FailKind, outcome refuser.Outcome) placer.Outcome {
-	switch kind {
+func placerOutcome(err *router.AttemptError) placer.Outcome {
+	switch err.Kind {
 	case router.FailRefused:
+		if errors.Is(err.Err, syscall.ECONNREFUSED) {
+			return placer.NotListening
+		}
 		return placer.Refused
 	case router.FailStalled:
 		return placer.Silent
@@ -445,7 +453,7 @@
 	case router.FailCancelled, router.FailDeadline:
 		return placer.Abandoned
 	case router.FailReset, router.FailCut, router.FailMismatch, router.FailMalformed:
-		if outcome == refuser.NotRun {
+		if err.Outcome == refuser.NotRun {
 			return placer.Abandoned
 		}
 		return placer.Broken
@@ -504,6 +512,7 @@
 	if status == http.StatusMisdirectedRequest {
 		// The request reached only an upstream that cannot run it.
 		outcome = placer.Misdirected
+		c.misdirected++
 	} else {
 		c.countDelivered(false)
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -330,6 +330,36 @@
 		Eventually(ended, time.Minute).Should(BeClosed())
 	})
 
+	// Guards against a refusal while an upstream is free, because many others have
+	// just crashed: a refused connection is not an attempt at an upstream.
+	It("goes on until an upstream is listening", func() {
+		for range 11 {
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		}
+		for _, s := range b.servers[:10] {
+			s.Close()
+		}
+		b.setRoute(matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 1})
+		Expect(b.send("POST", "/p/", "x").body).To(Equal("done"))
+		Expect(b.placer.TakeUnreachable(100)).NotTo(BeEmpty())
+	})
+
+	// Guards against arrivals beyond the retry budget when many addresses have been
+	// given to other upstreams, which refuse the requests sent to them.
+	It("charges misdirected attempts to the retry budget", func() {
+		b.budget.Ratio, b.budget.Slack = 0, 4/0.9
+		b = newTestbedWithBudget(b.budget)
+		for range 12 {
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Not-Run", "1")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})
+		}
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		Expect(b.send("GET", "/p/", "").status).To(Equal(503))
+		Expect(b.ranUpstreams()).To(HaveLen(1 + 4))
+	})
+
 	// Guards against more attempts than the route allows.
 	It("makes no more attempts than the route allows", func() {
 		for range 3 {
@@ -646,6 +676,31 @@
 			Expect(models).To(Equal([]string{"small", "large"}))
 		})
 
+		// Guards against a rollout that is not rolled back because the responses of
+		// larger models on the other versions count as late, which hides the bad ones
+		// of the target.
+		It("compares the time to the first byte within a model", func() {
+			b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Model") == "large" {
+					<-time.After(300 * time.Millisecond)
+				}
+				w.Header().Set("X-Sure", "10")
+				writeEvent(w, 1)
+			})
+			route := streamRoute
+			route.Sizes = []string{"small", "large"}
+			b.setRoute(route)
+			for i := range 3 {
+				Expect(b.send("POST", "/p/", "x", "X-Model", "*", "X-Id", fmt.Sprint(i)).status).To(Equal(200))
+			}
+			var counted uint64
+			for _, n := range b.fwd.Counts() {
+				counted += n.All
+				Expect(n.Bad).To(BeZero())
+			}
+			Expect(counted).To(Equal(uint64(6)))
+		})
+
 		// Guards against the cost of a larger model that is not needed.
 		It("does not escalate when the model has high confidence", func() {
 			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// slowFactor is the multiple of the route's mean time to the first byte above
+	// slowFactor is the multiple of the mean time to the first byte of the route and
+	// model above
 	// which a response counts as bad, and minSlowLatency the least time to the
 	// first byte that does.
 	slowFactor     = 4.0
@@ -34,7 +35,9 @@
 		meanFirstByte map[routeKey]time.Duration
 	}
 
-	routeKey struct{ service, route string }
+	// routeKey identifies the responses of one model on a route; larger models
+	// respond later.
+	routeKey struct{ service, route, model string }
 )
 
 // sampledLogger limits the volume of request log lines.
@@ -58,7 +61,7 @@
 	f := c.f
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	key := routeKey{service: c.service.Name, route: c.route.Name}
+	key := routeKey{service: c.service.Name, route: c.route.Name, model: c.model}
 	mean := f.stats.meanFirstByte[key]
 	slow := mean > 0 && firstByte > minSlowLatency && float64(firstByte) > slowFactor*float64(mean)
 	if mean == 0 {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -110,12 +110,24 @@
 		return homes
 	}
 	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
-		candidates = slices.Clone(local)
+		candidates = local
 	}
-	slices.SortFunc(candidates, func(a, b *upstream) int {
-		return cmp.Compare(mix64(b.hash^r.Group), mix64(a.hash^r.Group))
-	})
-	return candidates[:min(len(candidates), maxFirstHomes)]
+	return highestRanked(candidates, r.Group, maxFirstHomes)
+}
+
+// highestRanked returns the n upstreams with the highest rendezvous rank for the
+// group, highest first, or all if there are fewer.
+func highestRanked(ups []*upstream, group uint64, n int) []*upstream {
+	top := make([]*upstream, 0, n+1)
+	for _, u := range ups {
+		i, _ := slices.BinarySearchFunc(top, u, func(a, b *upstream) int {
+			return cmp.Compare(mix64(b.hash^group), mix64(a.hash^group))
+		})
+		if i < n {
+			top = slices.Insert(top, i, u)[:min(len(top)+1, n)]
+		}
+	}
+	return top
 }
 
 // prefixCachesOf returns the hashes of the upstreams that were sent requests of
@@ -137,6 +149,15 @@
 	pl.prefixCaches.Put(group, append(slices.Clip(hashes), upstream))
 }
 
+// removePrefixCache records that the upstream does not have the group's prefix
+// cached.
+func (pl *pool) removePrefixCache(group, upstream uint32) {
+	hashes := pl.cachesOf(group)
+	if i := slices.Index(hashes, upstream); i >= 0 {
+		pl.prefixCaches.Put(group, slices.Concat(hashes[:i], hashes[i+1:]))
+	}
+}
+
 // shortestWait returns the upstream with the shortest expected wait.
 func shortestWait(local, remote []*upstream, loads map[uint32]Load) *upstream {
 	var best *upstream
--- a/placer/health.go
+++ b/placer/health.go
@@ -18,7 +18,7 @@
 		u.lastReceived = now
 	case Broken:
 		u.updateFailureRate(1)
-	case Refused, Silent:
+	case Refused, NotListening, Silent:
 		u.updateFailureRate(1)
 		u.eject(now, min(baseEjection<<u.ejections, maxEjection))
 		u.ejections = min(u.ejections+1, 3)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -42,6 +42,9 @@
 	Broken
 	// Refused means that no connection could be opened.
 	Refused
+	// NotListening means that the upstream's host refused the connection, since no
+	// process listens there.
+	NotListening
 	// Silent means that the upstream sent nothing within the timeout.
 	Silent
 	// Stale means that a connection that had worked before carried no more data,
@@ -179,6 +182,15 @@
 		Group, Upstream uint32
 	}
 
+	// Unreachable says that no process listens at an upstream's address or, if
+	// Misdirected is set, that the address belongs to another upstream.
+	Unreachable struct {
+		_ struct{} `cbor:",toarray"`
+		// Upstream is the hash of the upstream's ID.
+		Upstream    uint32
+		Misdirected bool
+	}
+
 	// Placer chooses upstreams. Create it with New. It is safe for concurrent use.
 	Placer struct {
 		settings Settings
@@ -193,6 +205,9 @@
 		// placements are those that other hosts were not told yet, at most
 		// maxPlacements.
 		placements []Placement
+		// unreachable are the upstreams that this host could not reach and other
+		// hosts were not told yet.
+		unreachable []Unreachable
 	}
 
 	// pool holds the upstreams of a service.
@@ -231,6 +246,10 @@
 		up   *upstream
 		work float64
 		done bool
+		// placement is what this attempt has added to the caches of pool; its zero
+		// value means nothing.
+		placement Placement
+		pool      *pool
 	}
 )
 
@@ -285,7 +304,7 @@
 	t = &Ticket{p: p, up: u, work: r.Work}
 	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.loadID()) {
 		t.work += r.SharedWork
-		p.recordPlacement(pl, r.Group, u)
+		t.pool, t.placement = pl, p.recordPlacement(pl, r.Group, u)
 	}
 	u.running++
 	u.work += t.work
@@ -343,15 +362,27 @@
 }
 
 // recordPlacement records that the upstream was sent the group's prefix, and
-// that other hosts are to be told.
-func (p *Placer) recordPlacement(pl *pool, group uint64, u *upstream) {
+// that other hosts are to be told, and returns the placement.
+func (p *Placer) recordPlacement(pl *pool, group uint64, u *upstream) Placement {
 	if group == 0 {
-		return
+		return Placement{}
 	}
-	pl.addPrefixCache(groupID(group), u.loadID())
+	pm := Placement{Group: groupID(group), Upstream: u.loadID()}
+	pl.addPrefixCache(pm.Group, pm.Upstream)
 	if len(p.placements) < maxPlacements {
-		p.placements = append(p.placements, Placement{Group: groupID(group), Upstream: u.loadID()})
+		p.placements = append(p.placements, pm)
+	}
+	return pm
+}
+
+// removePlacement takes back what the attempt has recorded, since the upstream
+// did not process its prompt. Hosts that were told keep it.
+func (t *Ticket) removePlacement() {
+	if t.placement == (Placement{}) {
+		return
 	}
+	t.pool.removePrefixCache(t.placement.Group, t.placement.Upstream)
+	t.p.placements = slices.DeleteFunc(t.p.placements, func(pm Placement) bool { return pm == t.placement })
 }
 
 // TakePlacements returns at most limit of this host's placements since the last
@@ -386,6 +417,54 @@
 	}
 }
 
+// recordUnreachable records that other hosts are to be told of an upstream.
+func (p *Placer) recordUnreachable(un Unreachable) {
+	if !slices.Contains(p.unreachable, un) {
+		p.unreachable = append(p.unreachable, un)
+	}
+}
+
+// TakeUnreachable returns at most limit of the upstreams that this host could not
+// reach since the last call.
+func (p *Placer) TakeUnreachable(limit int) []Unreachable {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(limit, len(p.unreachable))
+	out := slices.Clone(p.unreachable[:n])
+	p.unreachable = slices.Delete(p.unreachable, 0, n)
+	return out
+}
+
+// AvoidUnreachable ejects upstreams that other hosts could not reach, unless this
+// host has just received data from them.
+//
+// It handles upstreams that crash while others are busy: with no work left they
+// look the least loaded, and each request of each host would try several of
+// them in turn.
+func (p *Placer) AvoidUnreachable(list []Unreachable) {
+	if len(list) == 0 {
+		return
+	}
+	ejections := make(map[uint32]time.Duration)
+	for _, un := range list {
+		d := baseEjection
+		if un.Misdirected {
+			d = misdirectedEjection
+		}
+		ejections[un.Upstream] = max(d, ejections[un.Upstream])
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if d, ok := ejections[u.loadID()]; ok && now.Sub(u.lastReceived) > baseEjection {
+				u.eject(now, d)
+			}
+		}
+	}
+}
+
 // RunningOtherVersions returns the number of this host's requests in progress
 // at upstreams of the service that do not have the version.
 func (p *Placer) RunningOtherVersions(service, version string) int {
@@ -449,13 +528,23 @@
 	now := t.p.settings.Clock.Now()
 	u.recordOutcome(outcome, firstByte, now)
 	switch outcome {
-	case Succeeded, Failed, Busy, Misdirected:
+	case Refused, NotListening, Misdirected, Busy:
+		t.removePlacement()
+	case Succeeded, Failed, Broken, Silent, Stale, Abandoned:
+	}
+	switch outcome {
+	case Misdirected:
+		t.p.zonePath(u.Zone).recordReceived()
+		t.p.recordUnreachable(Unreachable{Upstream: u.loadID(), Misdirected: true})
+	case Succeeded, Failed, Busy:
 		t.p.zonePath(u.Zone).recordReceived()
 	case Silent, Stale:
 		// The path within the own zone is never considered unreachable.
 		if u.Zone != t.p.settings.Zone {
 			t.p.zonePath(u.Zone).recordSilent(u.hash, now)
 		}
+	case NotListening:
+		t.p.recordUnreachable(Unreachable{Upstream: u.loadID()})
 	case Broken, Refused, Abandoned:
 		// A reset may come from either side of a partition, so it proves nothing.
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -106,6 +106,65 @@
 		Expect(other.TakePlacements(100)).To(BeEmpty())
 	})
 
+	// Guards against requests that try several crashed engines in turn, because
+	// those look the least loaded and each host finds out for itself.
+	It("avoids upstreams that other hosts could not reach", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+		p.Update(fleet(3, 64))
+		other.Update(fleet(3, 64))
+		down := pick(placer.Request{Group: 7, Work: 1000})
+		down.Done(placer.NotListening, 0)
+		list := p.TakeUnreachable(10)
+		Expect(list).To(HaveLen(1))
+		Expect(p.TakeUnreachable(10)).To(BeEmpty())
+		other.AvoidUnreachable(append(list, placer.Unreachable{Upstream: 1}))
+		for range 20 {
+			t, ok := other.Pick(placer.Request{Service: "s", Group: 7, Work: 1000})
+			Expect(ok).To(BeTrue())
+			Expect(t.Upstream().ID).NotTo(Equal(down.Upstream().ID))
+			t.Done(placer.Succeeded, time.Millisecond)
+		}
+		clock.Advance(time.Second)
+		back, _ := other.Pick(placer.Request{Service: "s", Group: 8, Work: 1000})
+		back.RecordReceived()
+		loads := other.Loads()
+		Expect(loads).To(HaveLen(1))
+		back.Done(placer.Succeeded, time.Millisecond)
+		other.AvoidUnreachable([]placer.Unreachable{{Upstream: loads[0].Upstream}})
+		again, _ := other.Pick(placer.Request{Service: "s", Group: 8, Work: 1000})
+		Expect(again.Upstream().ID).To(Equal(back.Upstream().ID), "an upstream that has just responded is reachable")
+
+		pick(placer.Request{Group: 7, Work: 1000}).Done(placer.Misdirected, 0)
+		moved := p.TakeUnreachable(10)
+		Expect(moved).To(HaveLen(1))
+		clock.Advance(time.Second)
+		other.AvoidUnreachable(moved)
+		clock.Advance(5 * time.Second)
+		for range 20 {
+			t, _ := other.Pick(placer.Request{Service: "s", Group: 7, Work: 1000})
+			Expect(other.Loads()).NotTo(ContainElement(HaveField("Upstream", moved[0].Upstream)))
+			t.Done(placer.Succeeded, time.Millisecond)
+		}
+	})
+
+	// Guards against hosts that take a crashed or full engine for the home of every
+	// group that was sent there.
+	It("tells no placement at an upstream that did not take the request", func() {
+		p.Update(fleet(3, 64))
+		for i, outcome := range []placer.Outcome{placer.Refused, placer.NotListening, placer.Misdirected, placer.Busy, placer.Silent} {
+			r := placer.Request{Group: 50 + uint64(i), Work: 1000, SharedWork: 6000, SharedTokens: 6000}
+			pick(r).Done(outcome, 0)
+			told := p.TakePlacements(10)
+			if outcome == placer.Silent {
+				Expect(told).To(HaveLen(1), "the upstream may have processed the prompt")
+				continue
+			}
+			Expect(told).To(BeEmpty())
+			pick(r)
+			Expect(p.TakePlacements(10)).To(HaveLen(1))
+		}
+	})
+
 	// Guards against queues at a few engines while others are idle: the homes of
 	// groups that are chosen by a hash alone pile up.
 	It("spreads the homes of many groups evenly", func() {
--- a/sharer/client.go
+++ b/sharer/client.go
@@ -47,8 +47,12 @@
 		// ApplyPlacements receives those of all hosts.
 		Placements      func(limit int) []placer.Placement
 		ApplyPlacements func([]placer.Placement)
-		Clock           timekeeper.Clock
-		Log             zerolog.Logger
+		// Unreachable takes at most limit upstreams that this host could not reach,
+		// and ApplyUnreachable receives those of all hosts.
+		Unreachable      func(limit int) []placer.Unreachable
+		ApplyUnreachable func([]placer.Unreachable)
+		Clock            timekeeper.Clock
+		Log              zerolog.Logger
 	}
 
 	// Client exchanges loads with the leader. Make it with NewClient.
@@ -97,6 +101,7 @@
 	r := report{
 		Host: c.set.Host, Started: c.started, Count: c.lastSent.Add(1), Loads: toWire(c.set.Loads()),
 		Placements: c.set.Placements(maxPlacements), Known: c.known.Load(),
+		Unreachable: c.set.Unreachable(maxUnreachable),
 	}
 	if _, err := conn.WriteToUDPAddrPort(encode(r), to); err != nil {
 		// No retry: the next report carries all loads again, and lost placements
@@ -128,6 +133,7 @@
 		lastApplied = a.Count
 		c.set.Apply(fromWire(a.Loads))
 		c.set.ApplyPlacements(a.Placements)
+		c.set.ApplyUnreachable(a.Unreachable)
 		c.known.Store(a.Known)
 	}
 }
--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -20,6 +20,9 @@
 	// rankInterval is the shortest interval between two rankings of more than
 	// maxLoads upstreams by work.
 	rankInterval = 50 * time.Millisecond
+	// unreachableTTL is how long hosts are told that an upstream could not be
+	// reached. The host that probes it next reports it again or uses it.
+	unreachableTTL = 300 * time.Millisecond
 )
 
 type (
@@ -47,6 +50,9 @@
 		busiest  []uint32
 		rankedAt time.Time
 		placed   placementLog
+		// unreachableAt is when a host last reported that an upstream could not be
+		// reached.
+		unreachableAt map[placer.Unreachable]time.Time
 	}
 
 	// hostLoads is the newest report of a host.
@@ -60,7 +66,7 @@
 
 // NewHub returns a hub without any reports.
 func NewHub(s HubSettings) *Hub {
-	return &Hub{set: s, hosts: make(map[string]*hostLoads), sums: make(map[uint32]placer.Load), receivedAt: make(map[uint32]time.Time)}
+	return &Hub{set: s, hosts: make(map[string]*hostLoads), sums: make(map[uint32]placer.Load), receivedAt: make(map[uint32]time.Time), unreachableAt: make(map[placer.Unreachable]time.Time)}
 }
 
 // record stores a report and returns the answer to it, with the sums of the other
@@ -73,6 +79,7 @@
 		clear(h.sums)
 		clear(h.receivedAt)
 		h.placed = placementLog{}
+		clear(h.unreachableAt)
 		return nil, false
 	}
 	now := h.set.Clock.Now()
@@ -87,6 +94,9 @@
 		return nil, false
 	}
 	h.placed.add(r.Placements, now)
+	for _, un := range r.Unreachable {
+		h.unreachableAt[un] = now
+	}
 	h.subtract(host)
 	host.started, host.count, host.at, host.loads = r.Started, r.Count, now, fromWire(r.Loads)
 	own := make(map[uint32]placer.Load, len(host.loads))
@@ -100,6 +110,7 @@
 	}
 	a := &answer{Count: r.Count, Loads: toWire(h.othersLoads(own, now))}
 	a.Placements, a.Known = h.placed.since(r.Known)
+	a.Unreachable = h.unreachable(now)
 	return a, true
 }
 
@@ -129,6 +140,14 @@
 	return out
 }
 
+// unreachable returns the upstreams reported within unreachableTTL, at most
+// maxUnreachable, and forgets the others.
+func (h *Hub) unreachable(now time.Time) []placer.Unreachable {
+	maps.DeleteFunc(h.unreachableAt, func(_ placer.Unreachable, at time.Time) bool { return now.Sub(at) > unreachableTTL })
+	out := slices.Collect(maps.Keys(h.unreachableAt))
+	return out[:min(len(out), maxUnreachable)]
+}
+
 // busiestUpstreams returns the keys of the maxLoads sums with the most work, as
 // of at most rankInterval ago.
 func (h *Hub) busiestUpstreams(now time.Time) []uint32 {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -8,8 +8,8 @@
 // mislead. Each datagram is complete, so the next one makes up for a lost one.
 // Loads also say when data last arrived from an upstream, so that a host with a
 // single request there can tell a busy upstream from a silent one, and hosts
-// tell each other which upstreams were sent which prompt prefixes. All of it
-// only guides placement and patience: between hosts of different versions that cannot
+// tell each other which upstreams were sent which prompt prefixes and which could
+// not be reached. All of it only guides placement and patience: between hosts of different versions that cannot
 // read each other's datagrams, each goes by its own requests.
 //
 // # Usage
@@ -38,6 +38,8 @@
 	maxLoads = 100
 	// maxPlacements bounds the placements in a datagram.
 	maxPlacements = 100
+	// maxUnreachable bounds the unreachable upstreams in a datagram.
+	maxUnreachable = 64
 	// maxDatagram is the size in bytes of the receive buffers.
 	maxDatagram = 4 << 10
 	// receivedUnit is the unit of load.SinceReceived, and maxSinceReceived the largest number that
@@ -60,6 +62,9 @@
 		// answer.Known of the newest answer received.
 		Placements []placer.Placement
 		Known      uint64
+		// Unreachable are the upstreams that the host could not reach since its last
+		// report.
+		Unreachable []placer.Unreachable
 	}
 
 	// answer is the datagram from the leader to a host.
@@ -72,6 +77,9 @@
 		// position of the last one.
 		Placements []placer.Placement
 		Known      uint64
+		// Unreachable are the upstreams that any host could not reach within
+		// unreachableTTL.
+		Unreachable []placer.Unreachable
 	}
 
 	// load is the encoding of a placer.Load.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -100,6 +100,25 @@
 		Expect(report("b", 6, first.Known).Placements).To(HaveLen(maxPlacements))
 	})
 
+	// Guards against hosts that each find out for themselves that an upstream has
+	// crashed, and against avoiding it after it is back.
+	It("tells for a short time which upstreams could not be reached", func() {
+		one, two := placer.Unreachable{Upstream: 1}, placer.Unreachable{Upstream: 2, Misdirected: true}
+		report := func(host string, count uint64, list ...placer.Unreachable) []placer.Unreachable {
+			out, ok := hub.record(&report{Host: host, Started: 1, Count: count, Unreachable: list})
+			Expect(ok).To(BeTrue())
+			return out.Unreachable
+		}
+		report("a", 1, one, two)
+		Expect(report("b", 1)).To(ConsistOf(one, two))
+		clock.Advance(200 * time.Millisecond)
+		report("a", 2, two)
+		clock.Advance(200 * time.Millisecond)
+		Expect(report("b", 2)).To(ConsistOf(two))
+		clock.Advance(200 * time.Millisecond)
+		Expect(report("b", 3)).To(BeEmpty())
+	})
+
 	// Guards against datagrams that arrive out of order or twice, and against
 	// loads of an earlier run of a host that stay in the sums.
 	It("uses only the newest report of a host", func() {
@@ -212,7 +231,9 @@
 						}
 					}
 				},
-				Clock: timekeeper.System{},
+				Unreachable:      func(int) []placer.Unreachable { return nil },
+				ApplyUnreachable: func([]placer.Unreachable) {},
+				Clock:            timekeeper.System{},
 			})
 			go func() { ended <- c.Run(ctx) }()
 		}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -113,7 +113,8 @@
 	e.loadClient = sharer.NewClient(sharer.ClientSettings{
 		Host: s.Name, From: s.Peers.Addr(), Leader: e.syncClient.Leader, Hosts: func() int { return int(e.liveHosts.Load()) },
 		Loads: e.placer.Loads, Apply: e.placer.SetRemoteLoads,
-		Placements: e.placer.TakePlacements, ApplyPlacements: e.placer.AddPlacements, Clock: o.Clock, Log: o.Log,
+		Placements: e.placer.TakePlacements, ApplyPlacements: e.placer.AddPlacements,
+		Unreachable: e.placer.TakeUnreachable, ApplyUnreachable: e.placer.AvoidUnreachable, Clock: o.Clock, Log: o.Log,
 	})
 	o.Log.Info().Str("zone", s.Zone).Msg("entry started")
 	return e.run(ctx)
