--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -202,9 +202,14 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			break
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes+1))
+		if err != nil {
 			return r.fail(router.FailReset, err)
 		}
+		if n > maxStrayBytes {
+			// The rest of the body must not be read as a response.
+			break
+		}
 	}
 	return r.fail(router.FailMismatch, errors.New("the response carries the ID of another request"))
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -29,6 +30,9 @@
 	maxResponseBytes = 16 << 20
 	// defaultMaxBodyBytes bounds a request's body if the configuration does not.
 	defaultMaxBodyBytes = 16 << 20
+	// maxPreallocatedBody is the announced length up to which the memory for a
+	// request's body is reserved at once.
+	maxPreallocatedBody = 64 << 10
 	// minAttemptTime is the least remaining time with which an attempt is started.
 	minAttemptTime = 20 * time.Millisecond
 	// maxPromptTime is an upper bound on the time an engine takes for a prompt,
@@ -181,6 +185,9 @@
 	return n
 }
 
+// readBody reads the body until the request's deadline, so that a caller cannot
+// hold a request for ever. Memory grows with what has arrived, not with the
+// announced length.
 func (c *call) readBody() *refusal {
 	maxBytes := c.table.Limits().BodyBytes
 	if maxBytes <= 0 {
@@ -192,24 +199,36 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	if n := c.r.ContentLength; n > 0 {
+	c.setReadDeadline(c.deadline)
+	var err error
+	if n := c.r.ContentLength; n > 0 && n <= maxPreallocatedBody {
 		c.body = make([]byte, n)
-		if _, err := io.ReadFull(c.r.Body, c.body); err != nil {
-			return newRefusal(http.StatusBadRequest, refuser.BadRequest, 0)
-		}
-		return nil
+		_, err = io.ReadFull(c.r.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, maxBytes+1))
 	}
-	b, err := io.ReadAll(io.LimitReader(c.r.Body, maxBytes+1))
-	if err != nil {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.w.Header().Set("Connection", "close")
+		return newRefusal(http.StatusRequestTimeout, refuser.DeadlineExceeded, 0)
+	case err != nil:
 		return newRefusal(http.StatusBadRequest, refuser.BadRequest, 0)
-	}
-	if int64(len(b)) > maxBytes {
+	case int64(len(c.body)) > maxBytes:
 		return newRefusal(http.StatusRequestEntityTooLarge, refuser.BodyTooLarge, 0)
 	}
-	c.body = b
+	c.setReadDeadline(time.Time{})
 	return nil
 }
 
+// setReadDeadline limits the reading from the caller's connection; the zero time
+// removes the limit.
+func (c *call) setReadDeadline(t time.Time) {
+	err := http.NewResponseController(c.w).SetReadDeadline(t)
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		c.f.requestLog.Info().Str("request", c.envelope.ID).AnErr("cause", err).Msg("cannot limit the time to read the body")
+	}
+}
+
 // assignService picks one of the route's services by the hash of the request ID
 // and decides whether the request runs on the target version of a rollout.
 func (c *call) assignService(config ActiveConfig) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -360,6 +361,27 @@
 		Expect(b.ranUpstreams()).To(HaveLen(1 + 4))
 	})
 
+	// Guards against callers that hold a request for ever by sending its body a byte
+	// at a time or not at all.
+	It("refuses a request whose body does not arrive in time", func(context.Context) {
+		b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2, Timeout: 300 * time.Millisecond})
+		for _, framing := range []string{"Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n64\r\n"} {
+			conn, err := net.Dial("tcp", b.frontend.Listener.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.SetDeadline(time.Now().Add(time.Minute))).To(Succeed())
+			fmt.Fprintf(conn, "POST /p/ HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: id1\r\nX-Key: k\r\n%sx", framing)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.StatusCode).To(Equal(http.StatusRequestTimeout))
+			Expect(resp.Close).To(BeTrue())
+			conn.Close()
+		}
+		Expect(b.ranUpstreams()).To(BeEmpty())
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		Expect(b.send("POST", "/p/", "x").body).To(Equal("done"), "the next request of a connection has its own time")
+	}, NodeTimeout(2*time.Minute))
+
 	// Guards against more attempts than the route allows.
 	It("makes no more attempts than the route allows", func() {
 		for range 3 {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -185,6 +187,28 @@
 	})
 })
 
+var _ = Describe("datagrams", func() {
+	// Guards against datagrams that a receiver cuts off and cannot read.
+	It("fit into the receive buffers", func() {
+		a := answer{Count: math.MaxUint64, Known: math.MaxUint64}
+		for range maxLoads {
+			a.Loads = append(a.Loads, load{Upstream: math.MaxUint32, Running: math.MaxUint16, Work: math.MaxUint32, SinceReceived: maxSinceReceived})
+		}
+		for range maxPlacements {
+			a.Placements = append(a.Placements, placer.Placement{Group: math.MaxUint32, Upstream: math.MaxUint32})
+		}
+		for range maxUnreachable {
+			a.Unreachable = append(a.Unreachable, placer.Unreachable{Upstream: math.MaxUint32, Misdirected: true})
+		}
+		Expect(len(encode(a))).To(BeNumerically("<", maxDatagram))
+		r := report{
+			Host: strings.Repeat("h", 255), Started: math.MaxInt64, Count: a.Count, Known: a.Known,
+			Loads: a.Loads, Placements: a.Placements, Unreachable: a.Unreachable,
+		}
+		Expect(len(encode(r))).To(BeNumerically("<", maxDatagram))
+	})
+})
+
 var _ = Describe("Client", func() {
 	// Guards against loads that do not reach the other hosts, and against
 	// invalid datagrams that end the exchange.
