--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -214,6 +214,87 @@
 	})
 })
 
+// Guards against requests that are cut off without an answer because they were
+// accepted just before or during a planned stop under load, on kept and on new
+// connections, or because their caller reads slowly.
+var _ = Describe("a planned stop under load", func() {
+	It("answers every request that was accepted", func() {
+		const callers = 12
+		d := startDeployment(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			<-time.After(20 * time.Millisecond)
+			fmt.Fprint(w, strings.Repeat("x", 1<<10))
+		})
+		conf := config(1, "/a/")
+		conf.Routes[0].Timeout = time.Second
+		d.putConfig(conf)
+		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+
+		slow, err := net.Dial("tcp", d.entry.Callers.String())
+		Expect(err).NotTo(HaveOccurred())
+		defer slow.Close()
+		fmt.Fprintf(slow, "GET /a/slow HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: slow\r\n\r\n")
+
+		stopSending := make(chan struct{})
+		results := make(chan map[string]int, callers)
+		for i := range callers {
+			go func() {
+				defer GinkgoRecover()
+				counts := make(map[string]int)
+				defer func() { results <- counts }()
+				client := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 0}}
+				for n := 0; ; n++ {
+					select {
+					case <-stopSending:
+						return
+					default:
+					}
+					req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+"/a/x", strings.NewReader("body"))
+					Expect(err).NotTo(HaveOccurred())
+					req.GetBody = nil // The client must not send it again by itself.
+					req.Header.Set("X-Id", fmt.Sprintf("%d-%d", i, n))
+					resp, err := client.Do(req)
+					if err != nil {
+						counts[err.Error()]++
+						continue
+					}
+					body, err := io.ReadAll(resp.Body)
+					resp.Body.Close()
+					switch {
+					case err != nil:
+						counts[err.Error()]++
+					case resp.StatusCode == http.StatusOK && len(body) != 1<<10:
+						counts["cut body"]++
+					default:
+						counts[resp.Status]++
+					}
+				}
+			}()
+		}
+		<-time.After(200 * time.Millisecond)
+		d.stopEntry()
+		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(503))
+		<-time.After(500 * time.Millisecond)
+		close(stopSending)
+		total := make(map[string]int)
+		for range callers {
+			for what, n := range <-results {
+				total[what] += n
+			}
+		}
+		ok := total["200 OK"]
+		delete(total, "200 OK")
+		delete(total, "503 Service Unavailable") // Refused as not run, with Retry-After.
+		Expect(total).To(BeEmpty())
+		Expect(ok).To(BeNumerically(">", callers))
+		answer, err := io.ReadAll(slow)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(HavePrefix("HTTP/1.1 200 OK"))
+		Expect(string(answer)).To(HaveSuffix(strings.Repeat("x", 1<<10)))
+		Expect(<-d.ended).To(Succeed())
+	})
+})
+
 // Guards against a host that starts with unusable settings.
 var _ = DescribeTable("invalid settings are rejected",
 	func(change func(*starter.Settings), setting string) {
