--- a/placer/choose.go
+++ b/placer/choose.go
@@ -43,7 +43,11 @@
 		return firstReinstated(unusable)
 	}
 	if r.Work > 0 {
-		return pl.leastWork(local, remote, loads, r)
+		firstHomes := 1
+		if loads != nil && p.remoteLoadsInterval <= maxCoordinationInterval {
+			firstHomes = maxFirstHomes
+		}
+		return pl.leastWork(local, remote, loads, firstHomes, r)
 	}
 	return shortestWait(local, remote, loads)
 }
@@ -55,11 +59,11 @@
 // It handles loads in which a few groups get much of the traffic: their
 // requests stay where their prefix is cached until the wait there is longer
 // than processing it elsewhere. Hosts tell each other where that was. A group
-// that is cached nowhere goes to the least loaded of its highest ranked
-// upstreams, so that hosts that meet it at the same time mostly agree, and the
-// groups' homes do not pile up on a few engines.
-func (pl *pool) leastWork(local, remote []*upstream, loads map[uint32]Load, r Request) *upstream {
-	homes := pl.homes(local, remote, r)
+// that is cached nowhere goes to the least loaded of its firstHomes highest
+// ranked upstreams, so that hosts that meet it at the same time mostly agree, and
+// the groups' homes do not pile up on a few engines.
+func (pl *pool) leastWork(local, remote []*upstream, loads map[uint32]Load, firstHomes int, r Request) *upstream {
+	homes := pl.homes(local, remote, firstHomes, r)
 	var best *upstream
 	var bestWork float64
 	var bestRank uint64
@@ -92,13 +96,15 @@
 }
 
 // homes returns the upstreams at which the group's prefix costs nothing extra:
-// those that have it cached or, if none has, maxFirstHomes that may be the
-// first.
-func (pl *pool) homes(local, remote []*upstream, r Request) []*upstream {
+// those that have it cached or, if none has, those that may be the first. A short prefix has homes in each zone.
+func (pl *pool) homes(local, remote []*upstream, firstHomes int, r Request) []*upstream {
 	if r.Group == 0 {
 		return nil
 	}
 	candidates := slices.Concat(local, remote)
+	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
+		candidates = local
+	}
 	caches := pl.prefixCachesOf(r.Group)
 	var homes []*upstream
 	for _, u := range candidates {
@@ -109,10 +115,7 @@
 	if len(homes) > 0 {
 		return homes
 	}
-	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
-		candidates = local
-	}
-	return highestRanked(candidates, r.Group, maxFirstHomes)
+	return highestRanked(candidates, r.Group, firstHomes)
 }
 
 // highestRanked returns the n upstreams with the highest rendezvous rank for the
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -116,6 +116,10 @@
 	// remoteLoadsTTL is how long the loads of other hosts are used after they were
 	// received.
 	remoteLoadsTTL = 500 * time.Millisecond
+	// maxCoordinationInterval is the longest time between loads with which hosts
+	// choose a group's first home by load. With older loads they would choose
+	// different ones at the same time, and each would process the prefix.
+	maxCoordinationInterval = 100 * time.Millisecond
 	// defaultFirstByte is the assumed time to the first byte of an unused
 	// upstream.
 	defaultFirstByte = 20 * time.Millisecond
@@ -201,7 +205,9 @@
 		// remoteLoadsAt.
 		remoteLoads   map[uint32]Load
 		remoteLoadsAt time.Time
-		zonePaths     map[string]*zonePath
+		// remoteLoadsInterval is the time between the last two loads received.
+		remoteLoadsInterval time.Duration
+		zonePaths           map[string]*zonePath
 		// placements are those that other hosts were not told yet, at most
 		// maxPlacements.
 		placements []Placement
@@ -350,7 +356,8 @@
 	for _, l := range loads {
 		p.remoteLoads[l.Upstream] = l
 	}
-	p.remoteLoadsAt = p.settings.Clock.Now()
+	now := p.settings.Clock.Now()
+	p.remoteLoadsInterval, p.remoteLoadsAt = now.Sub(p.remoteLoadsAt), now
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			l, ok := p.remoteLoads[u.loadID()]
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -170,6 +170,9 @@
 	It("spreads the homes of many groups evenly", func() {
 		const engines, groupsPerEngine = 60, 20
 		p.Update(fleet(engines/3, 64))
+		p.SetRemoteLoads(nil)
+		clock.Advance(50 * time.Millisecond)
+		p.SetRemoteLoads(nil)
 		homes := make(map[string]int)
 		for g := range uint64(engines * groupsPerEngine) {
 			homes[pick(placer.Request{Group: 1 + g, Work: 500, SharedWork: 9000, SharedTokens: 9000}).Upstream().ID]++
@@ -180,6 +183,30 @@
 		}
 	})
 
+	// Guards against hosts that know of each other late and process a prefix at
+	// several engines, because each takes another one for the least loaded.
+	It("chooses first homes by rank while loads are exchanged slowly", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+		p.Update(fleet(6, 64))
+		other.Update(fleet(6, 64))
+		for _, interval := range []time.Duration{0, 250 * time.Millisecond} {
+			if interval > 0 {
+				for range 2 {
+					clock.Advance(interval)
+					p.SetRemoteLoads(nil)
+					other.SetRemoteLoads(nil)
+				}
+			}
+			for g := range uint64(4) {
+				r := placer.Request{Service: "s", Group: uint64(interval) + g + 1, Work: 500, SharedWork: 9000, SharedTokens: 9000}
+				a := pick(r)
+				b, _ := other.Pick(r)
+				Expect(a.Upstream().ID).To(Equal(b.Upstream().ID))
+				b.Done(placer.Succeeded, time.Millisecond) // The hosts have different loads.
+			}
+		}
+	})
+
 	// Guards against requests that are refused or wait after a zone has lost its
 	// engines, while other zones have capacity.
 	It("uses other zones when its own has no healthy upstream", func() {
@@ -278,6 +305,25 @@
 		}
 	})
 
+	// Guards against sending the requests of all zones to one engine, which saves
+	// little if their prefix is short: the engine is busier, and each request
+	// crosses zones.
+	It("gives the groups of short prompts a home in each zone", func() {
+		other := placer.New(placer.Settings{Clock: clock, Zone: "b"})
+		p.Update(fleet(4, 64))
+		other.Update(fleet(4, 64))
+		for g := range uint64(20) {
+			r := placer.Request{Service: "s", Group: g + 1, Work: 1800, SharedWork: 568, SharedTokens: 568}
+			a := pick(r)
+			Expect(a.Upstream().Zone).To(Equal("a"))
+			a.Done(placer.Succeeded, time.Millisecond)
+			other.AddPlacements(p.TakePlacements(10))
+			b, _ := other.Pick(r)
+			Expect(b.Upstream().Zone).To(Equal("b"))
+			b.Done(placer.Succeeded, time.Millisecond)
+		}
+	})
+
 	// Guards against requests that time out at one upstream after another of a
 	// partitioned zone, and against a recovered zone that stays unused.
 	It("skips a zone whose upstreams have gone silent", func() {
