--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -125,7 +125,7 @@
 		return nil, err
 	}
 	c := &Coordinator{set: s, fs: fs, peers: make(map[netip.AddrPort]*messenger.Peer)}
-	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Clock: s.Clock})
+	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Clock: s.Clock, Log: s.Log})
 	c.loadHub = sharer.NewHub(sharer.HubSettings{Leading: c.Leading, Clock: s.Clock})
 	return c, nil
 }
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -186,7 +186,8 @@
 	messenger.Handle(mux, readProcedure, func(ctx context.Context, _ *readRequest) (*readResponse, error) {
 		p, err := c.readLocally(ctx)
 		return &readResponse{Published: p}, err
-	})
+		// Compressing the whole document would take the leader longer than sending it.
+	}, messenger.WithoutCompression())
 }
 
 // awaitLeader pauses a call that failed with err because no leader is known, and
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -79,6 +79,9 @@
 	// DialFunc opens a connection, as net.Dialer.DialContext does.
 	DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// HandleOption changes how a procedure is served.
+	HandleOption = connect.HandlerOption
+
 	// PeerOption changes the HTTP transport of a Peer.
 	PeerOption func(*http.Transport)
 
@@ -106,8 +109,12 @@
 // ServeHTTP implements http.Handler.
 func (m *Mux) ServeHTTP(w http.ResponseWriter, r *http.Request) { m.mux.ServeHTTP(w, r) }
 
+// WithoutCompression sends the responses of a procedure uncompressed, whatever
+// its callers accept.
+func WithoutCompression() HandleOption { return connect.WithCompression("gzip", nil, nil) }
+
 // Handle registers a procedure that answers a request with one response.
-func Handle[Req, Res any](m *Mux, name string, fn func(context.Context, *Req) (*Res, error)) {
+func Handle[Req, Res any](m *Mux, name string, fn func(context.Context, *Req) (*Res, error), opts ...HandleOption) {
 	h := connect.NewUnaryHandler(pathPrefix+name,
 		func(ctx context.Context, r *connect.Request[Req]) (*connect.Response[Res], error) {
 			res, err := fn(ctx, r.Msg)
@@ -115,7 +122,7 @@
 				return nil, toConnectError(err)
 			}
 			return connect.NewResponse(res), nil
-		}, handlerOptions()...)
+		}, append(handlerOptions(), opts...)...)
 	m.mux.Handle(pathPrefix+name, h)
 }
 
--- a/syncer/client.go
+++ b/syncer/client.go
@@ -45,6 +45,12 @@
 		peers map[netip.AddrPort]*messenger.Peer
 		// list is the newest list that the leader sent.
 		list List
+		// document is the version of the newest document that the leader sent.
+		document uint64
+		incoming transfer
+		// partBytes is the size of the parts to request. It is halved after a call
+		// that failed within a transfer, since the link may be too slow for the size.
+		partBytes int
 
 		mu      sync.Mutex
 		leader  netip.AddrPort
@@ -54,7 +60,7 @@
 
 // NewClient returns a client that does not know the leader yet.
 func NewClient(s ClientSettings) *Client {
-	c := &Client{set: s, peers: make(map[netip.AddrPort]*messenger.Peer)}
+	c := &Client{set: s, peers: make(map[netip.AddrPort]*messenger.Peer), partBytes: maxPartBytes}
 	if c.set.Call == nil {
 		c.set.Call = c.call
 	}
@@ -112,10 +118,14 @@
 	if r.Wait == 0 {
 		r.Wait = DefaultWait
 	}
+	r.PartBytes, r.Document, r.Partial = c.partBytes, c.document, c.incoming.partial()
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+callSlack)
 	defer cancel()
 	u, err := c.set.Call(ctx, to, &r)
 	if err != nil {
+		if r.Partial != nil {
+			c.partBytes = max(c.partBytes/2, minPartBytes)
+		}
 		c.forgetLeader(to, err)
 		return false
 	}
@@ -126,6 +136,7 @@
 // pause.
 func (c *Client) handleUpdate(to netip.AddrPort, u *Update) bool {
 	if u.FromLeader {
+		c.addPart(u)
 		c.updateList(u)
 		c.set.Apply(u)
 	}
@@ -147,6 +158,37 @@
 	return true
 }
 
+// addPart adds the part in an update to the transfer. Once the transfer is
+// complete, it sets the body of Published.Document, or Upstreams.
+func (c *Client) addPart(u *Update) {
+	switch {
+	case u.Part != nil:
+		c.partBytes = min(c.partBytes*2, maxPartBytes)
+		if !c.incoming.add(u.Part) {
+			u.Published = nil
+			return
+		}
+		var err error
+		if u.Published != nil {
+			err = c.incoming.decode(&u.Published.Document)
+		} else {
+			u.Upstreams = new(List)
+			err = c.incoming.decode(u.Upstreams)
+		}
+		c.incoming = transfer{}
+		if err != nil {
+			u.Published, u.Upstreams = nil, nil
+			c.set.Log.Error().Err(err).Msg("cannot decode what the leader sent; it is requested again")
+		}
+	case u.Published != nil && u.Published.Document.Version > c.document && u.Published.Document.Body == nil:
+		c.set.Log.Error().Uint64("version", u.Published.Document.Version).Msg("the leader left out a configuration that this host does not have")
+		u.Published = nil
+	}
+	if u.Published != nil {
+		c.document = max(c.document, u.Published.Document.Version)
+	}
+}
+
 // updateList stores the list from an update. It applies a change and sets
 // Upstreams to the resulting list.
 func (c *Client) updateList(u *Update) {
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"foxtailwall/controller"
 	"foxtailwall/stager"
 	"foxtailwall/timekeeper"
@@ -18,6 +20,9 @@
 	maxWait = 5 * time.Second
 	// liveHostsMaxAge is how long a count of the live hosts is reused.
 	liveHostsMaxAge = 200 * time.Millisecond
+	// maxDocuments is the number of documents that a hub retains, so that a host
+	// receives one to its end although newer ones are published.
+	maxDocuments = 4
 )
 
 type (
@@ -39,6 +44,7 @@
 	HubSettings struct {
 		Source Source
 		Clock  timekeeper.Clock
+		Log    zerolog.Logger
 	}
 
 	// Hub answers the calls of hosts and collects their reports. Make it with
@@ -52,7 +58,11 @@
 		// changes has the newest changes of the list, oldest first.
 		changes     []Change
 		listChanged chan struct{}
-		reports     map[hostKey]hostReport
+		// listBlob is the encoding of list, nil until a host needs it.
+		listBlob *blob
+		// documents has the newest documents, oldest first.
+		documents []*encodedDocument
+		reports   map[hostKey]hostReport
 		// liveHosts is the number of live hosts among countedReports reports, as
 		// counted at countedAt.
 		liveHosts      int
@@ -62,6 +72,13 @@
 		excluded map[trial]map[uint64]int
 	}
 
+	// encodedDocument is a document that is sent in parts.
+	encodedDocument struct {
+		// published is the newest state with this document, without its body.
+		published controller.Published
+		blob      *blob
+	}
+
 	// trial identifies the trial of a version by a rollout of a service.
 	trial struct{ service, target string }
 
@@ -100,7 +117,7 @@
 		h.changes = append(h.changes, diffLists(h.list, list))
 		h.changes = h.changes[max(0, len(h.changes)-maxChanges):]
 	}
-	h.list = list
+	h.list, h.listBlob = list, nil
 	h.readAt = h.set.Clock.Now()
 	close(h.listChanged)
 	h.listChanged = make(chan struct{})
@@ -118,7 +135,7 @@
 func (h *Hub) ClearList() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.list, h.changes, h.readAt = List{}, nil, time.Time{}
+	h.list, h.listBlob, h.changes, h.readAt = List{}, nil, nil, time.Time{}
 }
 
 // Watch records the report and waits until there is state that the reporting
@@ -133,7 +150,7 @@
 			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
 		}
 		u := h.newUpdate(r)
-		if u.Published != nil || u.Upstreams != nil || u.Change != nil {
+		if u.Published != nil || u.Part != nil || u.Upstreams != nil || u.Change != nil {
 			return u
 		}
 		select {
@@ -192,6 +209,10 @@
 	if !h.readAt.IsZero() {
 		u.ListAge = h.set.Clock.Since(h.readAt)
 	}
+	if r.PartBytes > 0 {
+		h.addParts(u, r, p)
+		return u
+	}
 	if p.Version > r.Published {
 		u.Published = &p
 	}
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -3,7 +3,9 @@
 // callers, and collects their statistics.
 //
 // Each host long-polls the leader, one call at a time; a control host that does
-// not lead returns the leader's address. Package relayer does the same for the
+// not lead returns the leader's address. Documents and lists are encoded once for
+// all hosts and sent in parts, each by a call of its own, so that a slow link
+// delays but never prevents them and their size does not hold up other calls. Package relayer does the same for the
 // hosts of package hoster, through relays in each zone; package sharer
 // exchanges upstream loads over UDP.
 //
@@ -56,6 +58,15 @@
 		Running map[string]int `cbor:"running,omitempty"`
 		// Excluded has one element for each running rollout.
 		Excluded []ExcludedSessions `cbor:"kept,omitempty"`
+
+		// PartBytes is the largest part that the host accepts. Zero, from hosts of
+		// an earlier release, requests whole documents and lists. Client sets it and
+		// the fields below.
+		PartBytes int `cbor:"partBytes,omitempty"`
+		// Document is the version of the document that the host has.
+		Document uint64 `cbor:"document,omitempty"`
+		// Partial is what the host has received of a document or a list.
+		Partial *Partial `cbor:"partial,omitempty"`
 	}
 
 	// ExcludedSessions are hashes of the sessions that were selected for the
@@ -80,8 +91,12 @@
 		Leader     netip.AddrPort   `cbor:"leader"`
 		Members    []netip.AddrPort `cbor:"members,omitempty"`
 		// Hosts is the number of live hosts that serve callers.
-		Hosts     int                   `cbor:"hosts"`
+		Hosts int `cbor:"hosts"`
+		// Published lacks the document's body if the host has it, or receives its
+		// last part with this answer.
 		Published *controller.Published `cbor:"published,omitempty"`
+		// Part is the next part of a document or a list.
+		Part *Part `cbor:"part,omitempty"`
 		// Upstreams is the whole list, for hosts without a list that Change
 		// applies to.
 		Upstreams *List   `cbor:"upstreams,omitempty"`
@@ -96,7 +111,8 @@
 
 // Handle registers the procedure that Client calls.
 func Handle(m *messenger.Mux, h *Hub) {
+	// Parts are compressed once for all hosts.
 	messenger.Handle(m, procedure, func(ctx context.Context, r *Report) (*Update, error) {
 		return h.Watch(ctx, r), nil
-	})
+	}, messenger.WithoutCompression())
 }
