--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -82,9 +83,23 @@
 // logAttempt logs an attempt that did not answer the request.
 func (c *call) logAttempt(upstream tracker.Upstream, kind string, outcome refuser.Outcome, err error) {
 	c.f.settings.Scope.Counter("forwarder.attemptsFailed", "kind", kind).Inc(1)
-	c.f.requestLog.Info().Str("request", c.envelope.ID).Str("route", c.route.Name).Str("upstream", upstream.ID).
+	e := c.f.requestLog.Info().Str("request", c.envelope.ID).Str("route", c.route.Name).Str("upstream", upstream.ID).
 		Str("version", upstream.Version).Str("kind", kind).Str("outcome", string(outcome)).Int("try", c.attempts).
-		Int("events", c.events).Uint64("config", c.table.Version()).AnErr("cause", err).Msg("attempt failed")
+		Int("events", c.events).Uint64("config", c.table.Version())
+	if outcome != refuser.NotRun && len(c.envelope.Parts) > 0 {
+		e = e.Array("parts", partIDs(c.envelope.Parts))
+	}
+	e.AnErr("cause", err).Msg("attempt failed")
+}
+
+// partIDs logs the IDs of prompt parts, in hexadecimal.
+type partIDs []Part
+
+// MarshalZerologArray implements zerolog.LogArrayMarshaler.
+func (ids partIDs) MarshalZerologArray(a *zerolog.Array) {
+	for _, p := range ids {
+		a.Str(strconv.FormatUint(p.ID, 16))
+	}
 }
 
 // logEnd logs the end of a request; a status of 0 means that the connection was
