--- /dev/null
+++ b/starter/isolation_test.go
@@ -0,0 +1,113 @@
+package starter_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/matcher"
+)
+
+const (
+	// crashingPart is the part of a prompt that crashes the engines of the specs.
+	crashingPart = 666
+	// isolatedCode is the text of the refusal of requests with such a part.
+	isolatedCode = "promptIsolated"
+)
+
+// crashingEngines are engines that close the connection as soon as they begin to
+// answer a request with the crashing part.
+type crashingEngines struct {
+	mu sync.Mutex
+	// crashes counts the requests with the crashing part that arrived.
+	crashes int
+}
+
+func (e *crashingEngines) handler() http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		w.WriteHeader(http.StatusOK)
+		if slices.Contains(strings.Fields(r.Header.Get("X-Parts")), fmt.Sprint(crashingPart)) {
+			e.mu.Lock()
+			e.crashes++
+			e.mu.Unlock()
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprint(w, "id: 1\ndata: a\n\n")
+	}
+}
+
+func (e *crashingEngines) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.crashes
+}
+
+// engineConfig returns a configuration with one route to engines.
+func engineConfig(version uint64) matcher.Config {
+	c := config(version, "/a/")
+	c.Services[0].Engine = &matcher.Engine{Slots: 8, MemoryTokens: 1000}
+	r := &c.Routes[0]
+	r.Kind, r.Resumable, r.MaxAttempts, r.Timeout = matcher.Stream, true, 3, 2*time.Second
+	return c
+}
+
+// ask sends a request with these prompt parts and returns the status and body,
+// or 0 if the answer broke off.
+func (d *deployment) ask(id string, parts ...int) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+"/a/x", nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Parts", strings.Trim(fmt.Sprint(parts), "[]"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, strings.TrimSpace(string(body))
+}
+
+var _ = Describe("Requests with a prompt part that crashes engines", func() {
+	// Guards against requests that crash one engine after the other, and against
+	// refusing the sound requests that share their other parts.
+	It("are refused once the part is known, and no others", func() {
+		engines := &crashingEngines{}
+		d := startDeployment(engines.handler(), engines.handler(), engines.handler(), engines.handler(), engines.handler())
+		d.putConfig(engineConfig(1))
+		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+		next := 0
+		crashing := func() string {
+			next++
+			_, body := d.ask(fmt.Sprint("c", next), next%2+1, 10+next%3, crashingPart, 1000+next)
+			return body
+		}
+		sound := func() int {
+			next++
+			status, _ := d.ask(fmt.Sprint("s", next), next%2+1, 10+next%3, 1000+next)
+			return status
+		}
+		Eventually(crashing, eventTimeout).Should(Equal(isolatedCode))
+
+		crashes := engines.count()
+		for range 50 {
+			Expect(crashing()).To(Equal(isolatedCode))
+		}
+		Expect(engines.count()).To(Equal(crashes), "requests that reached engines")
+		Eventually(sound, eventTimeout).Should(Equal(http.StatusOK)) // Engines are ejected for a while after a crash.
+		for range 50 {
+			Expect(sound()).To(Equal(http.StatusOK))
+		}
+	})
+})
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -36,15 +37,26 @@
 // eventTimeout bounds the waits for events of real hosts.
 const eventTimeout = time.Minute
 
-// codec is a minimal forwarder.Codec whose only header is X-Id.
+// codec is a minimal forwarder.Codec whose headers are X-Id and, with the IDs of
+// the prompt's parts separated by spaces, X-Parts.
 type codec struct{}
 
 func (codec) IDField() string { return "X-Id" }
 
-func (codec) Request(h http.Header) forwarder.Envelope { return forwarder.Envelope{ID: h.Get("X-Id")} }
+func (codec) Request(h http.Header) forwarder.Envelope {
+	envelope := forwarder.Envelope{ID: h.Get("X-Id")}
+	for _, text := range strings.Fields(h.Get("X-Parts")) {
+		id, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			panic(err)
+		}
+		envelope.Parts = append(envelope.Parts, forwarder.Part{ID: id, Tokens: 1})
+	}
+	return envelope
+}
 
 func (codec) Fields(h http.Header, _ forwarder.Dispatch) []dialer.Field {
-	return []dialer.Field{{Name: "X-Id", Value: h.Get("X-Id")}}
+	return []dialer.Field{{Name: "X-Id", Value: h.Get("X-Id")}, {Name: "X-Parts", Value: h.Get("X-Parts")}}
 }
 
 func (codec) Reply(h http.Header) forwarder.Reply {
@@ -58,7 +70,7 @@
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// deployment is one control host, one entry and one upstream.
+// deployment is one control host, one entry and its upstreams.
 type deployment struct {
 	control, entry starter.Settings
 	opts           starter.Options
@@ -66,11 +78,16 @@
 	ended          chan error
 }
 
-// startDeployment runs a deployment with the given upstream until the spec ends.
-func startDeployment(upstream http.HandlerFunc) *deployment {
-	srv := httptest.NewServer(upstream)
-	DeferCleanup(srv.Close)
-	up := tracker.Upstream{ID: "u", Service: "s", Zone: "a", Version: "v1", Address: netip.MustParseAddrPort(srv.Listener.Addr().String())}
+// startDeployment runs a deployment with the given upstreams until the spec ends.
+func startDeployment(upstreams ...http.HandlerFunc) *deployment {
+	var ups []tracker.Upstream
+	for i, handler := range upstreams {
+		srv := httptest.NewServer(handler)
+		DeferCleanup(srv.Close)
+		ups = append(ups, tracker.Upstream{
+			ID: fmt.Sprint("u", i), Service: "s", Zone: "a", Version: "v1", Address: netip.MustParseAddrPort(srv.Listener.Addr().String()),
+		})
+	}
 	d := &deployment{ended: make(chan error, 1)}
 	d.opts = starter.Options{Clock: timekeeper.System{}, Protocol: starter.Protocol{
 		Codec: codec{},
@@ -78,7 +95,7 @@
 			err = json.Unmarshal(b, &c)
 			return c, err
 		},
-		List:      func(context.Context) ([]tracker.Upstream, error) { return []tracker.Upstream{up}, nil },
+		List:      func(context.Context) ([]tracker.Upstream, error) { return ups, nil },
 		Operators: operatorsHandler, ReadyPath: "/ready",
 		Settings: func() (starter.Settings, error) { return d.entry, nil },
 	}}
