--- a/controller/controller.go
+++ b/controller/controller.go
@@ -66,6 +66,7 @@
 		Put        *Document        `cbor:"put,omitempty"`
 		Order      *RolloutOrder    `cbor:"order,omitempty"`
 		Step       *RolloutStep     `cbor:"step,omitempty"`
+		Isolation  *IsolationStep   `cbor:"isolation,omitempty"`
 	}
 
 	// Result is what Machine.Apply returns for a Command.
@@ -82,8 +83,8 @@
 		Apply *ApplyResult    `cbor:"apply,omitempty"`
 		Claim *claimer.Result `cbor:"claim,omitempty"`
 		// OK says for Finish and Release whether the claim is now finished
-		// or released, for Step whether it had an effect; it is true for
-		// Prune.
+		// or released, for Step and Isolation whether it had an effect; it is
+		// true for Prune.
 		OK         bool                   `cbor:"done,omitempty"`
 		Pin        *pinner.Pin            `cbor:"pin,omitempty"`
 		Refused    []biller.RefusedRecord `cbor:"refused,omitempty"`
--- /dev/null
+++ b/controller/isolation.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+const (
+	// firstIsolation is how long a prompt part is isolated for the first time. The
+	// time doubles with each further one, up to maxIsolation.
+	firstIsolation = 10 * time.Minute
+	maxIsolation   = 24 * time.Hour
+	// isolationMemory is how long an isolation that has ended is remembered.
+	isolationMemory = 24 * time.Hour
+	// maxIsolations bounds the isolations, including those that have ended.
+	maxIsolations = 256
+)
+
+type (
+	// PromptPart identifies a cacheable part of the prompts to the engines of a
+	// service.
+	PromptPart struct {
+		Service string `cbor:"service"`
+		ID      uint64 `cbor:"id"`
+	}
+
+	// IsolationStep starts the isolation of a prompt part, or ends it.
+	IsolationStep struct {
+		Part PromptPart `cbor:"part"`
+		End  bool       `cbor:"end,omitempty"`
+	}
+
+	// Isolation says that requests with a prompt part crashed engines.
+	Isolation struct {
+		Part PromptPart `cbor:"part"`
+		// Active means that requests with the part are refused.
+		Active bool `cbor:"active"`
+		// Times is how often the part was isolated.
+		Times int `cbor:"times"`
+		// Until is the leader's time at which the isolation should end or, once it
+		// has ended, at which it is forgotten.
+		Until time.Time `cbor:"until"`
+	}
+)
+
+// String returns the service and, in hexadecimal, the ID of the part.
+func (p PromptPart) String() string { return p.Service + "/" + strconv.FormatUint(p.ID, 16) }
+
+// stepIsolation starts or ends an isolation and reports whether that had an
+// effect.
+func (m *Machine) stepIsolation(at time.Time, st *IsolationStep) bool {
+	// Readers may still use the old list.
+	next := slices.DeleteFunc(slices.Clone(m.isolations), func(i Isolation) bool { return !i.Active && i.Until.Before(at) })
+	index := slices.IndexFunc(next, func(i Isolation) bool { return i.Part == st.Part })
+	switch {
+	case st.End && (index < 0 || !next[index].Active):
+		return false
+	case st.End:
+		next[index].Active, next[index].Until = false, at.Add(isolationMemory)
+	case index >= 0 && next[index].Active:
+		return false
+	case index >= 0:
+		next[index] = isolate(next[index], at)
+	default:
+		if len(next) >= maxIsolations {
+			next = dropIsolation(next)
+		}
+		next = append(next, isolate(Isolation{Part: st.Part}, at))
+	}
+	m.isolations = next
+	m.viewDirty = true
+	return true
+}
+
+// isolate returns i as it is while isolated from the given time.
+func isolate(i Isolation, at time.Time) Isolation {
+	duration := firstIsolation
+	for range i.Times {
+		duration = min(2*duration, maxIsolation)
+	}
+	i.Active, i.Times, i.Until = true, i.Times+1, at.Add(duration)
+	return i
+}
+
+// dropIsolation removes the isolation that ends or is forgotten first, if
+// possible one that has ended.
+func dropIsolation(list []Isolation) []Isolation {
+	first := slices.MinFunc(list, func(a, b Isolation) int {
+		if a.Active != b.Active {
+			if b.Active {
+				return -1
+			}
+			return 1
+		}
+		return a.Until.Compare(b.Until)
+	})
+	return slices.DeleteFunc(list, func(i Isolation) bool { return i.Part == first.Part })
+}
--- /dev/null
+++ b/controller/isolation_test.go
@@ -0,0 +1,73 @@
+package controller_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+)
+
+var _ = Describe("Isolations of prompt parts", func() {
+	part := func(id uint64) controller.PromptPart { return controller.PromptPart{Service: "s", ID: id} }
+	step := func(b *loggedMachine, id uint64, end bool) bool {
+		return b.applyEntry(controller.Item{Isolation: &controller.IsolationStep{Part: part(id), End: end}})[0].OK
+	}
+
+	// Guards against a part that is isolated for ever, or tried again as often and
+	// as soon after each relapse.
+	It("last longer each time and are forgotten in the end", func() {
+		b := newLoggedMachine(nil)
+		Expect(step(b, 7, true)).To(BeFalse(), "end without a start")
+		var last time.Duration
+		for times := 1; times <= 10; times++ {
+			Expect(step(b, 7, false)).To(BeTrue())
+			Expect(step(b, 7, false)).To(BeFalse(), "second start")
+			got := b.Published().Isolations[0]
+			Expect(got.Active).To(BeTrue())
+			Expect(got.Times).To(Equal(times))
+			duration := got.Until.Sub(b.at)
+			Expect(duration).To(BeNumerically(">=", min(2*last, 24*time.Hour)))
+			last = duration
+			Expect(step(b, 7, true)).To(BeTrue())
+			Expect(b.Published().Isolations[0].Active).To(BeFalse())
+		}
+		Expect(last).To(Equal(24 * time.Hour))
+		b.at = b.at.Add(25 * time.Hour)
+		Expect(step(b, 8, false)).To(BeTrue())
+		Expect(b.Published().Isolations).To(HaveLen(1))
+		Expect(b.Published().Isolations[0].Part).To(Equal(part(8)))
+	})
+
+	// Guards against state that grows without bound, and against dropping an
+	// isolation in force while there are others.
+	It("are bounded, and those that have ended are dropped first", func() {
+		b := newLoggedMachine(nil)
+		for id := range uint64(256) {
+			step(b, id, false)
+			b.at = b.at.Add(time.Second)
+		}
+		step(b, 100, true)
+		step(b, 1000, false)
+		list := b.Published().Isolations
+		Expect(list).To(HaveLen(256))
+		for _, i := range list {
+			Expect(i.Active).To(BeTrue())
+		}
+		step(b, 1001, false)
+		Expect(b.Published().Isolations).To(HaveLen(256))
+		Expect(b.Published().Isolations[0].Part).To(Equal(part(1)), "the oldest is dropped")
+	})
+
+	// Guards against an isolation that is lost when control hosts restart.
+	It("are restored from a snapshot", func() {
+		b := newLoggedMachine(nil)
+		step(b, 7, false)
+		data, err := b.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		c := newLoggedMachine(nil)
+		Expect(c.Restore(data)).To(Succeed())
+		Expect(c.Published()).To(Equal(b.Published()))
+	})
+})
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -59,6 +59,7 @@
 
 		document        Document
 		orderedRollouts []OrderedRollout
+		isolations      []Isolation
 	}
 
 	// entryMeta is the log index of a command and the leader's time in it.
@@ -171,6 +172,8 @@
 		return Answer{Ordered: m.orderRollout(e, it.Order)}
 	case it.Step != nil:
 		return Answer{OK: m.stepOrderedRollout(it.Step)}
+	case it.Isolation != nil:
+		return Answer{OK: m.stepIsolation(e.at, it.Isolation)}
 	case it.Prune != nil:
 		m.pruneOwners(e.at)
 		return Answer{OK: true}
--- a/controller/ordered_rollout.go
+++ b/controller/ordered_rollout.go
@@ -66,21 +66,24 @@
 		Rollout OrderedRollout `cbor:"rollout"`
 	}
 
-	// Published is the current document and the ordered rollouts.
+	// Published is the current document, the ordered rollouts and the isolated
+	// prompt parts.
 	Published struct {
 		// Version increases with every change of the state that hosts use.
 		Version  uint64           `cbor:"version"`
 		Document Document         `cbor:"document"`
 		Rollouts []OrderedRollout `cbor:"rollouts,omitempty"`
+		// Isolations includes those that have ended and are remembered.
+		Isolations []Isolation `cbor:"isolations,omitempty"`
 	}
 )
 
-// Published returns the current document and the ordered rollouts. The caller
-// must not change its slices.
+// Published returns what the state machine publishes to hosts. The caller must
+// not change its slices.
 func (m *Machine) Published() Published {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Published{Version: m.view.Version, Document: m.document, Rollouts: m.orderedRollouts}
+	return Published{Version: m.view.Version, Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations}
 }
 
 // putDocument stores the document if its version is higher than the current one
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -31,9 +31,10 @@
 		Ledger        biller.Export         `cbor:"ledger"`
 		Pins          []savedPin            `cbor:"pins,omitempty"`
 		// Owners has string keys, which the codec sorts.
-		Owners   map[string]engineOwner `cbor:"owners,omitempty"`
-		Document Document               `cbor:"document"`
-		Rollouts []OrderedRollout       `cbor:"rollouts,omitempty"`
+		Owners     map[string]engineOwner `cbor:"owners,omitempty"`
+		Document   Document               `cbor:"document"`
+		Rollouts   []OrderedRollout       `cbor:"rollouts,omitempty"`
+		Isolations []Isolation            `cbor:"isolations,omitempty"`
 	}
 
 	savedAnswer struct {
@@ -59,7 +60,7 @@
 		// affect the elements up to this length.
 		History:  m.history[:len(m.history):len(m.history)],
 		Owners:   make(map[string]engineOwner, len(m.owners)),
-		Document: m.document, Rollouts: m.orderedRollouts,
+		Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations,
 	}
 	for _, k := range m.answers.order {
 		s.Answers = append(s.Answers, savedAnswer{Key: k, Answer: m.answers.byID[k]})
@@ -129,6 +130,10 @@
 	for i := range m.orderedRollouts {
 		m.orderedRollouts[i].StartedAt = m.orderedRollouts[i].StartedAt.UTC()
 	}
+	m.isolations = s.Isolations
+	for i := range m.isolations {
+		m.isolations[i].Until = m.isolations[i].Until.UTC()
+	}
 	m.view.Progress, m.view.Quarantined = s.Progress, s.Quarantined
 	for i := range m.view.Progress {
 		m.view.Progress[i].Since = m.view.Progress[i].Since.UTC()
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 
 	"foxtailwall/controller"
 	"foxtailwall/counter"
+	"foxtailwall/isolator"
 	"foxtailwall/journaler"
 	"foxtailwall/messenger"
 	"foxtailwall/replicator"
@@ -51,6 +52,9 @@
 	// listInterval is how often the leader reads the list of upstreams. Changes
 	// must be in force within 3 s of their publication, but every call costs.
 	listInterval = 1200 * time.Millisecond
+	// isolationInterval is how often the leader weighs the evidence about prompt
+	// parts that crash engines.
+	isolationInterval = 100 * time.Millisecond
 	// leaderCheckInterval is how often a host checks whether it leads.
 	leaderCheckInterval = 100 * time.Millisecond
 )
@@ -83,6 +87,7 @@
 		fs      journaler.FS
 		hub     *syncer.Hub
 		loadHub *sharer.Hub
+		judge   *isolator.Judge
 		// openMember is nil while no member is open.
 		openMember atomic.Pointer[member]
 		inventory  tracker.Inventory
@@ -124,8 +129,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Coordinator{set: s, fs: fs, peers: make(map[netip.AddrPort]*messenger.Peer)}
-	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Clock: s.Clock, Log: s.Log})
+	c := &Coordinator{set: s, fs: fs, judge: isolator.NewJudge(s.Clock), peers: make(map[netip.AddrPort]*messenger.Peer)}
+	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Judge: c.judge, Clock: s.Clock, Log: s.Log})
 	c.loadHub = sharer.NewHub(sharer.HubSettings{Leading: c.Leading, Clock: s.Clock})
 	return c, nil
 }
@@ -151,6 +156,7 @@
 	wg.Go(func() { c.runMember(ctx, transport) })
 	wg.Go(func() { c.runListReader(ctx) })
 	wg.Go(func() { c.runRollouts(ctx) })
+	wg.Go(func() { c.runIsolations(ctx) })
 	wg.Go(func() { c.serveLoads(ctx) })
 	wg.Go(func() {
 		<-ctx.Done()
--- /dev/null
+++ b/coordinator/isolate.go
@@ -0,0 +1,43 @@
+package coordinator
+
+import (
+	"context"
+
+	"foxtailwall/controller"
+	"foxtailwall/timekeeper"
+)
+
+// runIsolations starts and ends the isolation of prompt parts while this host
+// leads.
+func (c *Coordinator) runIsolations(ctx context.Context) {
+	for timekeeper.Sleep(ctx, c.set.Clock, isolationInterval) == nil {
+		if !c.Leading() {
+			c.judge.Reset()
+			continue
+		}
+		isolations := c.Published().Isolations
+		c.judge.SetIsolations(isolations)
+		if part, ok := c.judge.Next(); ok {
+			c.stepIsolation(ctx, controller.IsolationStep{Part: part})
+		}
+		now := c.set.Clock.Now()
+		for _, i := range isolations {
+			if i.Active && i.Until.Before(now) {
+				c.stepIsolation(ctx, controller.IsolationStep{Part: i.Part, End: true})
+			}
+		}
+	}
+}
+
+// stepIsolation proposes the start or end of an isolation. A failure is only
+// logged: the next turn proposes it again.
+func (c *Coordinator) stepIsolation(ctx context.Context, st controller.IsolationStep) {
+	a, err := c.propose(ctx, controller.Item{Isolation: &st})
+	if err != nil {
+		c.set.Log.Info().Stringer("part", st.Part).AnErr("cause", err).
+			Msg("cannot propose the isolation of a prompt part")
+		return
+	}
+	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("changed", a.OK).
+		Msg("isolation of a prompt part that crashes engines")
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -245,6 +245,9 @@
 	case c.attempts >= attemptLimit, c.delivered >= max(c.route.MaxAttempts, 1):
 		return nil, newRefusal(http.StatusBadGateway, refuser.UpstreamFailed, busyRetryAfter)
 	}
+	if ref := c.refuseIsolated(); ref != nil {
+		return nil, ref
+	}
 	c.excludeNewRollout()
 	req := placer.Request{
 		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
@@ -387,6 +390,7 @@
 		c.f.settings.Budget.ReturnRetry(c.service.Name)
 	}
 	t.Done(placerOutcome(attemptErr), 0)
+	c.recordBroken(attemptErr)
 	c.logAttempt(t.Upstream(), string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
 	if c.r.Context().Err() != nil {
 		c.logEnd(0, "callerLeft")
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -34,6 +34,7 @@
 	"foxtailwall/controller"
 	"foxtailwall/counter"
 	"foxtailwall/dialer"
+	"foxtailwall/isolator"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
 	"foxtailwall/sizer"
@@ -129,6 +130,8 @@
 		Table *matcher.Table
 		// Rollouts maps services to their ordered rollouts.
 		Rollouts map[string]controller.OrderedRollout
+		// Isolated has the prompt parts that crash engines.
+		Isolated map[controller.PromptPart]bool
 	}
 
 	// Forwarder proxies requests. Create it with New.
@@ -143,6 +146,9 @@
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
+		// isolation collects evidence about prompt parts that crash engines.
+		isolation *isolator.Recorder
+
 		// requestLog is a sampled logger for lines about single requests.
 		requestLog zerolog.Logger
 
@@ -156,7 +162,9 @@
 // New returns a forwarder that refuses all requests until it has a
 // configuration.
 func New(s Settings) *Forwarder {
-	f := &Forwarder{settings: s, started: s.Clock.Now(), configured: make(chan struct{})}
+	f := &Forwarder{
+		settings: s, started: s.Clock.Now(), configured: make(chan struct{}), isolation: isolator.NewRecorder(s.Clock),
+	}
 	f.requestLog = sampledLogger(s.Log)
 	f.assigner.SessionTimeout = s.SessionTimeout
 	f.stats.counts = make(map[stager.CountKey]stager.Count)
--- /dev/null
+++ b/forwarder/isolation.go
@@ -0,0 +1,61 @@
+package forwarder
+
+import (
+	"net/http"
+
+	"foxtailwall/controller"
+	"foxtailwall/isolator"
+	"foxtailwall/refuser"
+	"foxtailwall/router"
+)
+
+// Evidence returns this host's evidence about prompt parts that crash engines.
+func (f *Forwarder) Evidence() isolator.Evidence { return f.isolation.Evidence() }
+
+// SetSuspects sets the prompt parts of which Evidence reports the last success.
+func (f *Forwarder) SetSuspects(suspects []controller.PromptPart) { f.isolation.SetSuspects(suspects) }
+
+// refuseIsolated refuses the request if its prompt has an isolated part.
+func (c *call) refuseIsolated() *refusal {
+	isolated := c.f.ActiveConfig().Isolated
+	if len(isolated) == 0 {
+		return nil
+	}
+	for _, id := range c.sharedParts() {
+		if isolated[controller.PromptPart{Service: c.service.Name, ID: id}] {
+			c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
+			return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, isolatedRetryAfter)
+		}
+	}
+	return nil
+}
+
+// sharedParts returns the IDs of the prompt's parts that other requests may share,
+// which are all but the last; none for plain services.
+func (c *call) sharedParts() []uint64 {
+	if c.service.Engine == nil || len(c.envelope.Parts) < 2 {
+		return nil
+	}
+	var ids []uint64
+	for _, p := range c.envelope.Parts[:len(c.envelope.Parts)-1] {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// recordBroken records an attempt whose connection the upstream ended.
+func (c *call) recordBroken(err *router.AttemptError) {
+	if c.r.Context().Err() != nil || err.Outcome == refuser.NotRun || (err.Kind != router.FailReset && err.Kind != router.FailCut) {
+		return
+	}
+	if parts := c.sharedParts(); len(parts) > 0 {
+		c.f.isolation.RecordBroken(c.service.Name, c.upstream.Key(), c.envelope.ID, parts)
+	}
+}
+
+// recordUnbroken records that the request got its whole response.
+func (c *call) recordUnbroken() {
+	if parts := c.sharedParts(); len(parts) > 0 {
+		c.f.isolation.RecordSuccess(c.service.Name, parts)
+	}
+}
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -19,6 +19,9 @@
 	shutdownRetryAfter = 30 * time.Millisecond
 	// busyRetryAfter is the Retry-After when no further attempt is allowed.
 	busyRetryAfter = 150 * time.Millisecond
+	// isolatedRetryAfter is the Retry-After of requests with an isolated prompt
+	// part, which no host will serve for minutes.
+	isolatedRetryAfter = time.Minute
 	// statusNone is the logged status of a request that ended without a complete
 	// response.
 	statusNone = 0
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -106,6 +106,7 @@
 		c.w.WriteHeader(http.StatusOK)
 	}
 	c.recordSession()
+	c.recordUnbroken()
 	c.logEnd(http.StatusOK, "answered")
 	return true
 }
--- /dev/null
+++ b/isolator/isolator.go
@@ -0,0 +1,83 @@
+// Package isolator finds prompt parts that crash engines, so that requests with
+// them are refused.
+//
+// An engine that crashes breaks all requests that it serves, and all their prompt
+// parts are suspects. Two things tell the cause from the rest: it is there at
+// every crash, and no request with it succeeds afterwards. Hosts report the parts
+// of their broken requests to the leader of the control group; the leader
+// announces those that were there at several crashes, and hosts answer when a
+// request with them last succeeded, which clears them of the crashes before. The
+// part that remains with the most crashes is isolated, and the crashes that it
+// explains no longer count against other parts.
+//
+// Package monitor and package placer judge upstreams, package governor judges
+// versions; this package judges requests.
+//
+// # Usage
+//
+//	// At hosts that serve callers:
+//	r := isolator.NewRecorder(clock)
+//	r.RecordBroken(service, upstream, requestID, parts)
+//	r.RecordSuccess(service, parts)
+//	r.SetSuspects(suspects) // from the leader
+//	evidence := r.Evidence() // to the leader
+//
+//	// At the leader:
+//	j := isolator.NewJudge(clock)
+//	j.SetIsolations(isolations)
+//	j.Add(evidence)
+//	suspects := j.Suspects()
+//	if part, ok := j.Next(); ok {
+//		// Isolate the part.
+//	}
+package isolator
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailwall/controller"
+	"foxtailwall/tracker"
+)
+
+type (
+	// Crash says that a request with a prompt part was broken off by the end of an
+	// upstream's connection.
+	Crash struct {
+		Part controller.PromptPart `cbor:"part"`
+		// Depth is the number of parts after it in the prompt.
+		Depth int `cbor:"depth"`
+		// Upstream is the hash of the upstream's incarnation, and Request that of the
+		// request's ID.
+		Upstream uint64 `cbor:"upstream"`
+		Request  uint64 `cbor:"request"`
+		// Age is the time since the crash.
+		Age time.Duration `cbor:"age"`
+	}
+
+	// Success says that a request with a prompt part got its whole response.
+	Success struct {
+		Part controller.PromptPart `cbor:"part"`
+		// Age is the time since then.
+		Age time.Duration `cbor:"age"`
+	}
+
+	// Evidence is what a host reports to the leader.
+	Evidence struct {
+		// Crashes are those of the last seconds, whether reported before or not.
+		Crashes []Crash `cbor:"crashes,omitempty"`
+		// Successes are the last ones with each suspect.
+		Successes []Success `cbor:"successes,omitempty"`
+	}
+)
+
+// hashUpstream returns the hash of an upstream's incarnation.
+func hashUpstream(k tracker.Key) uint64 {
+	d := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = d.WriteString(k.ID)
+	_, _ = d.WriteString(k.Address.String())
+	_, _ = d.WriteString(time.UnixMilli(k.StartedAt).UTC().String())
+	return d.Sum64()
+}
--- /dev/null
+++ b/isolator/judge.go
@@ -0,0 +1,299 @@
+package isolator
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"foxtailwall/controller"
+	"foxtailwall/timekeeper"
+)
+
+const (
+	// announcedCrashes is the number of crashes from which a part is announced,
+	// minCrashes that from which it is isolated if no other part was there at as
+	// many, and decisiveCrashes that from which it is isolated in any case.
+	announcedCrashes = 2
+	minCrashes       = 4
+	decisiveCrashes  = 5
+	// maxOtherCrashes is the number of crashes without the part for each one with
+	// it, from its first one on, up to which it is isolated. It allows for several
+	// such parts at once, and for engines that end for other reasons.
+	maxOtherCrashes = 3
+	// clearTime is the time after the announcement in which hosts may clear a
+	// suspect: each has two reports.
+	clearTime = 800 * time.Millisecond
+	// suspectTTL is how long after its last crash a part is a suspect.
+	suspectTTL = 30 * time.Second
+	// explainedTTL is how long a crash that an isolated part explains is
+	// remembered, longer than hosts report it.
+	explainedTTL = 10 * time.Second
+	// maxSuspects bounds the parts with evidence, maxCrashes the crashes for each
+	// of them, and maxAnnounced the suspects that are announced.
+	maxSuspects  = 4096
+	maxCrashes   = 16
+	maxAnnounced = 64
+	// announcementInterval is how long the list of announced suspects is reused.
+	announcementInterval = 50 * time.Millisecond
+)
+
+type (
+	// Judge weighs the evidence of all hosts. Make it with NewJudge. It is safe for
+	// use by several goroutines.
+	Judge struct {
+		clock timekeeper.Clock
+
+		mu       sync.Mutex
+		suspects map[controller.PromptPart]*suspect
+		// crashed is when each upstream crashed, without those in explained.
+		crashed map[uint64]time.Time
+		// explained is when an isolated part was last reported at the crash of an
+		// upstream.
+		explained map[uint64]time.Time
+		// isolated has the isolations by part; the value says whether it is active.
+		isolated map[controller.PromptPart]bool
+		// announcement is what Suspects returned at announcedAt.
+		announcement []controller.PromptPart
+		announcedAt  time.Time
+	}
+
+	// suspect is the evidence for and against a part.
+	suspect struct {
+		depth int
+		// crashes has the crashes since the part last succeeded, by upstream.
+		crashes map[uint64]*crash
+		// count is the number of crashes under different requests.
+		count int
+		// succeeded is when a request with the part last succeeded, as far as known.
+		succeeded time.Time
+		// reported is when its newest crash was reported.
+		reported time.Time
+		// announced is when it became a suspect, zero if it is none.
+		announced time.Time
+	}
+
+	// crash is the crash of an upstream that was sent requests with a part.
+	crash struct {
+		requests map[uint64]bool
+		at       time.Time
+	}
+)
+
+// NewJudge returns a judge without evidence.
+func NewJudge(clock timekeeper.Clock) *Judge {
+	j := &Judge{clock: clock}
+	j.Reset()
+	return j
+}
+
+// Reset drops all evidence.
+func (j *Judge) Reset() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.suspects = make(map[controller.PromptPart]*suspect)
+	j.crashed = make(map[uint64]time.Time)
+	j.explained = make(map[uint64]time.Time)
+	j.isolated = make(map[controller.PromptPart]bool)
+	j.announcement, j.announcedAt = nil, time.Time{}
+}
+
+// SetIsolations replaces the known isolations. Crashes at which a part was there
+// that is isolated now no longer count against other parts.
+func (j *Judge) SetIsolations(list []controller.Isolation) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	isolated := make(map[controller.PromptPart]bool, len(list))
+	for _, i := range list {
+		isolated[i.Part] = i.Active
+		if s := j.suspects[i.Part]; s != nil && i.Active {
+			for upstream := range s.crashes {
+				j.explain(upstream)
+			}
+			delete(j.suspects, i.Part)
+		}
+	}
+	j.isolated = isolated
+}
+
+// explain drops the crash of an upstream from the evidence.
+func (j *Judge) explain(upstream uint64) {
+	j.explained[upstream] = j.clock.Now()
+	delete(j.crashed, upstream)
+	for part, s := range j.suspects {
+		if _, ok := s.crashes[upstream]; ok {
+			delete(s.crashes, upstream)
+			j.update(part, s)
+		}
+	}
+}
+
+// Add adds the evidence of a host.
+func (j *Judge) Add(e Evidence) {
+	if len(e.Crashes) == 0 && len(e.Successes) == 0 {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock.Now()
+	for _, c := range e.Crashes {
+		if _, ok := j.explained[c.Upstream]; !ok && j.isolated[c.Part] {
+			j.explain(c.Upstream)
+		}
+	}
+	for _, c := range e.Crashes {
+		if _, ok := j.explained[c.Upstream]; ok {
+			continue
+		}
+		if _, ok := j.crashed[c.Upstream]; !ok {
+			j.crashed[c.Upstream] = now.Add(-c.Age)
+		}
+		j.addCrash(c, now)
+	}
+	for _, ok := range e.Successes {
+		if s := j.suspects[ok.Part]; s != nil {
+			j.addSuccess(ok.Part, s, now.Add(-ok.Age))
+		}
+	}
+}
+
+func (j *Judge) addCrash(c Crash, now time.Time) {
+	s := j.suspects[c.Part]
+	if s == nil {
+		if len(j.suspects) >= maxSuspects {
+			return
+		}
+		s = &suspect{crashes: make(map[uint64]*crash)}
+		j.suspects[c.Part] = s
+	}
+	at := now.Add(-c.Age)
+	known := s.crashes[c.Upstream]
+	switch {
+	case !at.After(s.succeeded):
+		return
+	case known == nil && len(s.crashes) >= maxCrashes:
+		return
+	case known == nil:
+		known = &crash{requests: make(map[uint64]bool), at: at}
+		s.crashes[c.Upstream] = known
+	case known.requests[c.Request] || len(known.requests) >= maxCrashes:
+		return
+	}
+	known.requests[c.Request] = true
+	s.depth, s.reported = c.Depth, now
+	j.update(c.Part, s)
+}
+
+// addSuccess clears a part of the crashes before a success.
+func (j *Judge) addSuccess(part controller.PromptPart, s *suspect, at time.Time) {
+	if !at.After(s.succeeded) {
+		return
+	}
+	s.succeeded = at
+	maps.DeleteFunc(s.crashes, func(_ uint64, c *crash) bool { return !c.at.After(at) })
+	j.update(part, s)
+}
+
+// update counts the crashes of a part after a change, and decides whether it is a
+// suspect. Neither one request that is sent to several engines which crash under
+// others counts more than once, nor one engine that crashes under several.
+func (j *Judge) update(part controller.PromptPart, s *suspect) {
+	requests := make(map[uint64]bool)
+	for _, c := range s.crashes {
+		maps.Copy(requests, c.requests)
+	}
+	s.count = min(len(requests), len(s.crashes))
+	_, before := j.isolated[part]
+	switch {
+	case s.count < announcedCrashes && !(before && s.count > 0):
+		s.announced = time.Time{}
+	case s.announced.IsZero():
+		s.announced = j.clock.Now()
+	}
+}
+
+// Suspects returns the parts of which hosts should report the last success, those
+// with the most crashes first.
+func (j *Judge) Suspects() []controller.PromptPart {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := j.clock.Now()
+	if now.Sub(j.announcedAt) < announcementInterval {
+		return j.announcement
+	}
+	j.expire()
+	ranked := j.ranked()
+	j.announcement, j.announcedAt = ranked[:min(len(ranked), maxAnnounced)], now
+	return j.announcement
+}
+
+// Next returns the part to isolate next, if the evidence suffices.
+func (j *Judge) Next() (controller.PromptPart, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.expire()
+	now := j.clock.Now()
+	ranked := j.ranked()
+	for i, part := range ranked {
+		s := j.suspects[part]
+		if now.Sub(s.announced) < clearTime {
+			continue
+		}
+		if _, before := j.isolated[part]; before {
+			// It has crashed engines before, so one more crash suffices.
+			return part, true
+		}
+		if !j.isFrequent(s) {
+			continue
+		}
+		alone := i == 0 && (len(ranked) == 1 || j.suspects[ranked[1]].count < s.count)
+		if i == 0 && s.count >= decisiveCrashes || alone && s.count >= minCrashes {
+			return part, true
+		}
+	}
+	return controller.PromptPart{}, false
+}
+
+// isFrequent reports whether the part was there at a large enough share of the
+// crashes from its first one on.
+func (j *Judge) isFrequent(s *suspect) bool {
+	first := j.clock.Now()
+	for _, c := range s.crashes {
+		if c.at.Before(first) {
+			first = c.at
+		}
+	}
+	all := 0
+	for _, at := range j.crashed {
+		if !at.Before(first) {
+			all++
+		}
+	}
+	return all <= s.count*(1+maxOtherCrashes)
+}
+
+// ranked returns the suspects, those with the most crashes first. Of those with
+// equally many, the one that comes last in prompts is first: fewer requests share
+// it.
+func (j *Judge) ranked() []controller.PromptPart {
+	var parts []controller.PromptPart
+	for part, s := range j.suspects {
+		if !s.announced.IsZero() {
+			parts = append(parts, part)
+		}
+	}
+	slices.SortFunc(parts, func(a, b controller.PromptPart) int {
+		x, y := j.suspects[a], j.suspects[b]
+		return cmp.Or(cmp.Compare(y.count, x.count), cmp.Compare(x.depth, y.depth), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+	})
+	return parts
+}
+
+// expire drops evidence that is too old.
+func (j *Judge) expire() {
+	now := j.clock.Now()
+	maps.DeleteFunc(j.suspects, func(_ controller.PromptPart, s *suspect) bool { return now.Sub(s.reported) > suspectTTL })
+	maps.DeleteFunc(j.crashed, func(_ uint64, at time.Time) bool { return now.Sub(at) > suspectTTL })
+	maps.DeleteFunc(j.explained, func(_ uint64, at time.Time) bool { return now.Sub(at) > explainedTTL })
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -57,6 +57,7 @@
 	DeadlineExceeded   Code = "deadlineExceeded"
 	RetryBudget        Code = "retryBudgetSpent"
 	UpstreamFailed     Code = "upstreamFailed"
+	PromptIsolated     Code = "promptIsolated"
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
@@ -108,6 +109,7 @@
 	DeadlineExceeded:   http.StatusGatewayTimeout,
 	RetryBudget:        http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
+	PromptIsolated:     http.StatusServiceUnavailable,
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -207,7 +207,9 @@
 // newReport returns the report of this host for the leader.
 func (e *entry) newReport() syncer.Report {
 	settings := e.settings.Load()
-	report := syncer.Report{Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano()}
+	report := syncer.Report{
+		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Evidence: e.forwarder.Evidence(),
+	}
 	for line, count := range e.forwarder.Counts() {
 		report.Counts = append(report.Counts, syncer.AnswerCount{Line: line, Count: count})
 	}
@@ -229,6 +231,7 @@
 func (e *entry) applyUpdate(u *syncer.Update) {
 	e.retryBudget.SetHosts(u.Hosts)
 	e.liveHosts.Store(int64(u.Hosts))
+	e.forwarder.SetSuspects(u.Suspects)
 	for _, excluded := range u.Excluded {
 		e.forwarder.AddExcludedSessions(excluded.Service, excluded.Target, excluded.Sessions)
 	}
@@ -254,6 +257,12 @@
 		next.Rollouts[r.Service] = r
 	}
 	e.rollouts = p.Rollouts
+	next.Isolated = make(map[controller.PromptPart]bool, len(p.Isolations))
+	for _, i := range p.Isolations {
+		if i.Active {
+			next.Isolated[i.Part] = true
+		}
+	}
 	if p.Document.Version > e.documentVersion {
 		conf, err := e.opts.Protocol.Config(p.Document.Body)
 		if err != nil {
@@ -267,6 +276,7 @@
 	e.newest = next
 	e.activateNewest()
 	e.opts.Log.Info().Uint64("config", e.documentVersion).Uint64("published", p.Version).Int("rollouts", len(p.Rollouts)).
+		Int("isolated", len(next.Isolated)).
 		Msg("configuration in force")
 }
 
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"foxtailwall/controller"
+	"foxtailwall/isolator"
 	"foxtailwall/stager"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -43,8 +44,10 @@
 	// HubSettings configures a Hub.
 	HubSettings struct {
 		Source Source
-		Clock  timekeeper.Clock
-		Log    zerolog.Logger
+		// Judge receives the evidence about prompt parts; nil ignores it.
+		Judge *isolator.Judge
+		Clock timekeeper.Clock
+		Log   zerolog.Logger
 	}
 
 	// Hub answers the calls of hosts and collects their reports. Make it with
@@ -142,6 +145,9 @@
 // host does not have, for at most r.Wait and only while this host leads.
 func (h *Hub) Watch(ctx context.Context, r *Report) *Update {
 	h.recordReport(r)
+	if h.set.Judge != nil {
+		h.set.Judge.Add(r.Evidence)
+	}
 	timer := h.set.Clock.NewTimer(min(max(r.Wait, 0), maxWait))
 	defer timer.Stop()
 	for {
@@ -206,6 +212,9 @@
 		FromLeader: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: h.countLiveHosts(), ListAge: -1,
 	}
 	u.Excluded = h.excludedByOthers(r)
+	if h.set.Judge != nil {
+		u.Suspects = h.set.Judge.Suspects()
+	}
 	if !h.readAt.IsZero() {
 		u.ListAge = h.set.Clock.Since(h.readAt)
 	}
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"foxtailwall/controller"
+	"foxtailwall/isolator"
 	"foxtailwall/messenger"
 	"foxtailwall/stager"
 )
@@ -59,6 +60,9 @@
 		// Excluded has one element for each running rollout.
 		Excluded []ExcludedSessions `cbor:"kept,omitempty"`
 
+		// Evidence is about prompt parts that may crash engines.
+		Evidence isolator.Evidence `cbor:"evidence,omitempty"`
+
 		// PartBytes is the largest part that the host accepts. Zero, from hosts of
 		// an earlier release, requests whole documents and lists. Client sets it and
 		// the fields below.
@@ -104,6 +108,9 @@
 		// ListAge is the time since the leader last read the list of upstreams,
 		// negative if it never has.
 		ListAge time.Duration `cbor:"listAge"`
+		// Suspects are the prompt parts of which the host should report the last
+		// success.
+		Suspects []controller.PromptPart `cbor:"suspects,omitempty"`
 		// Excluded are the sessions that only other hosts have reported.
 		Excluded []ExcludedSessions `cbor:"kept,omitempty"`
 	}
