--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
 	"testing"
@@ -14,6 +13,7 @@
 
 	"foxtailwall/controller"
 	"foxtailwall/coordinator"
+	"foxtailwall/reserver"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
 )
@@ -33,32 +33,18 @@
 	running []*coordinator.Coordinator
 	stops   []context.CancelFunc
 	done    []chan struct{}
+	// ctx ends when a host fails, so that the spec does not wait for it.
+	ctx  context.Context
+	fail context.CancelCauseFunc
 }
 
-// freePort returns a port that is free on the first n addresses of the loopback
-// network, from 127.0.0.1.
-func freePort(n int) uint16 {
-	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		port := uint16(l.Addr().(*net.TCPAddr).Port)
-		free := true
-		for i := 1; i < n && free; i++ {
-			o, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", i+1, port))
-			if free = err == nil; free {
-				o.Close()
-			}
-		}
-		l.Close()
-		if free {
-			return port
-		}
-	}
-}
+var ports reserver.Ports
 
 func newHosts(n int) *hosts {
 	h := &hosts{running: make([]*coordinator.Coordinator, n), stops: make([]context.CancelFunc, n), done: make([]chan struct{}, n)}
-	port := freePort(n)
+	h.ctx, h.fail = context.WithCancelCause(context.Background())
+	port, err := ports.Next()
+	Expect(err).NotTo(HaveOccurred())
 	for i := range n {
 		h.addrs = append(h.addrs, netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}), port))
 		h.folders = append(h.folders, GinkgoT().TempDir())
@@ -85,7 +71,11 @@
 	go func() {
 		defer GinkgoRecover()
 		defer close(h.done[i])
-		Expect(c.Run(ctx)).To(Succeed())
+		err := c.Run(ctx)
+		if err != nil {
+			h.fail(err)
+		}
+		Expect(err).NotTo(HaveOccurred())
 	}()
 	DeferCleanup(func() { h.stop(i) })
 }
@@ -101,7 +91,7 @@
 	Eventually(func() error {
 		_, err := h.running[i].PutDocument(context.Background(), controller.Document{Version: version, Body: []byte(fmt.Sprint(version))})
 		return err
-	}, eventTimeout).Should(Succeed())
+	}, eventTimeout).WithContext(h.ctx).Should(Succeed())
 }
 
 // version returns a function that reads the version in force through host i
@@ -132,9 +122,9 @@
 			h.stop(i)
 			Expect(os.RemoveAll(h.folders[i])).To(Succeed())
 			h.start(i, false)
-			Eventually(h.version(i), eventTimeout).Should(Equal(uint64(12 + i)))
+			Eventually(h.version(i), eventTimeout).WithContext(h.ctx).Should(Equal(uint64(12 + i)))
 			// All three must vote again before the next disk is lost.
-			Eventually(func() []netip.AddrPort { return h.running[i].Members() }, eventTimeout).Should(HaveLen(3))
+			Eventually(func() []netip.AddrPort { return h.running[i].Members() }, eventTimeout).WithContext(h.ctx).Should(HaveLen(3))
 			h.putVersion(i, uint64(13+i))
 		}
 	})
@@ -171,17 +161,17 @@
 		}
 		settled := func(result chan error) error {
 			var err error
-			Eventually(func() chan error { clock.Advance(10 * time.Millisecond); return result }, eventTimeout, time.Millisecond).Should(Receive(&err))
+			Eventually(func() chan error { clock.Advance(10 * time.Millisecond); return result }, eventTimeout, time.Millisecond).WithContext(h.ctx).Should(Receive(&err))
 			return err
 		}
 		Eventually(func() error {
 			_, err := h.running[0].CurrentDocument(ctx)
 			return err
-		}, eventTimeout, time.Millisecond).Should(Or(Succeed(), Not(MatchError(ContainSubstring("not open")))))
+		}, eventTimeout, time.Millisecond).WithContext(h.ctx).Should(Or(Succeed(), Not(MatchError(ContainSubstring("not open")))))
 		Expect(settled(read(0))).To(Succeed())
 
 		clock.Advance(3 * time.Second)
 		// No timer of the cut-off host's call may be left to wait for.
-		Eventually(read(1), eventTimeout).Should(Receive(MatchError(ContainSubstring("no leader"))))
+		Eventually(read(1), eventTimeout).WithContext(h.ctx).Should(Receive(MatchError(ContainSubstring("no leader"))))
 	})
 })
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -28,6 +28,7 @@
 	"foxtailwall/emulator"
 	"foxtailwall/hoster"
 	"foxtailwall/messenger"
+	"foxtailwall/reserver"
 	"foxtailwall/timekeeper"
 )
 
@@ -227,8 +228,10 @@
 	// Guards against a zone that is cut off before the leader starts, never
 	// confirms a version and is therefore missing from the status.
 	It("lists a cut-off zone in the status", func(ctx context.Context) {
-		l, a := listen()
-		Expect(l.Close()).To(Succeed())
+		var ports reserver.Ports
+		port, err := ports.Next()
+		Expect(err).NotTo(HaveOccurred())
+		a := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 		d := startDeployment(emulator.EngineConfig{Name: "e", Seed: 1}, hoster.TLSFiles{Insecure: true}, nil, hoster.Spec{Name: "far", Zone: "far zone", Addr: a})
 		operator := messenger.OperatorClient{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(d.settings.Peers, nil)}}
 		change, err := controller.NewApply("office", "", 0, d.config("v1"))
--- a/messenger/control_test.go
+++ b/messenger/control_test.go
@@ -313,10 +313,9 @@
 		clock.Advance(messenger.DefaultLeaderTimeout)
 		wg.Wait()
 
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := ports.Next()
 		Expect(err).NotTo(HaveOccurred())
-		ln.Close()
-		unreachable := &fakeLog{addrs: []netip.AddrPort{netip.MustParseAddrPort(ln.Addr().String())}}
+		unreachable := &fakeLog{addrs: []netip.AddrPort{netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)}}
 		c = startControlClient(unreachable, clock, messenger.DefaultLeaderTimeout)
 		done := make(chan struct{})
 		wg.Go(func() {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -13,6 +13,7 @@
 
 	"foxtailwall/messenger"
 	"foxtailwall/refuser"
+	"foxtailwall/reserver"
 )
 
 type (
@@ -24,6 +25,9 @@
 	}
 )
 
+// ports are numbers at which nothing listens.
+var ports reserver.Ports
+
 func TestMessenger(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "messenger")
@@ -68,10 +72,9 @@
 	// Guards against a refused connection that counts as a call that may have
 	// run.
 	It("reports that nothing was sent when no connection can be opened", func(ctx context.Context) {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		port, err := ports.Next()
 		Expect(err).NotTo(HaveOccurred())
-		addr := netip.MustParseAddrPort(l.Addr().String())
-		l.Close()
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
 		p := messenger.NewPeer(addr, nil)
 		_, err = messenger.Call[echoRequest, echoResponse](ctx, p, "test/echo", &echoRequest{})
 		var ce *messenger.CallError
--- a/starter/isolation_test.go
+++ b/starter/isolation_test.go
@@ -86,7 +86,7 @@
 		engines := &crashingEngines{}
 		d := startDeployment(engines.handler(), engines.handler(), engines.handler(), engines.handler(), engines.handler())
 		d.putConfig(engineConfig(1))
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(200))
 		next := 0
 		crashing := func() string {
 			next++
@@ -98,14 +98,14 @@
 			status, _ := d.ask(fmt.Sprint("s", next), next%2+1, 10+next%3, 1000+next)
 			return status
 		}
-		Eventually(crashing, eventTimeout).Should(Equal(isolatedCode))
+		d.eventually(crashing).Should(Equal(isolatedCode))
 
 		crashes := engines.count()
 		for range 50 {
 			Expect(crashing()).To(Equal(isolatedCode))
 		}
 		Expect(engines.count()).To(Equal(crashes), "requests that reached engines")
-		Eventually(sound, eventTimeout).Should(Equal(http.StatusOK)) // Engines are ejected for a while after a crash.
+		d.eventually(sound).Should(Equal(http.StatusOK)) // Engines are ejected for a while after a crash.
 		for range 50 {
 			Expect(sound()).To(Equal(http.StatusOK))
 		}
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -23,6 +23,7 @@
 	"foxtailwall/dialer"
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
+	"foxtailwall/reserver"
 	"foxtailwall/starter"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -63,11 +64,14 @@
 	return forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
 }
 
-func freeAddr() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+var ports reserver.Ports
+
+// reserveAddr returns a loopback address that a host may bind.
+func reserveAddr() netip.AddrPort {
+	ip := netip.MustParseAddr("127.0.0.1")
+	port, err := ports.Next(ip)
 	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return netip.AddrPortFrom(ip, port)
 }
 
 // deployment is one control host, one entry and its upstreams.
@@ -76,6 +80,8 @@
 	opts           starter.Options
 	stopEntry      context.CancelFunc
 	ended          chan error
+	// running ends when a host fails, so that the spec does not wait for it.
+	running context.Context
 }
 
 // startDeployment runs a deployment with the given upstreams until the spec ends.
@@ -89,6 +95,8 @@
 		})
 	}
 	d := &deployment{ended: make(chan error, 1)}
+	var fail context.CancelCauseFunc
+	d.running, fail = context.WithCancelCause(context.Background())
 	d.opts = starter.Options{Clock: timekeeper.System{}, Protocol: starter.Protocol{
 		Codec: codec{},
 		Config: func(b []byte) (c matcher.Config, err error) {
@@ -99,14 +107,14 @@
 		Operators: operatorsHandler, ReadyPath: "/ready",
 		Settings: func() (starter.Settings, error) { return d.entry, nil },
 	}}
-	operatorsAddr := freeAddr()
+	operatorsAddr := reserveAddr()
 	retries := starter.Retries{Ratio: 1, Window: 10 * time.Second, Slack: 10}
 	d.control = starter.Settings{
 		Name: "c", Zone: "a", Operators: operatorsAddr, Seeds: []netip.AddrPort{operatorsAddr}, Bootstrap: true,
-		Peers: freeAddr(), DataFolder: GinkgoT().TempDir(), Grace: time.Second,
+		Peers: reserveAddr(), DataFolder: GinkgoT().TempDir(), Grace: time.Second,
 	}
 	d.entry = starter.Settings{
-		Name: "e", Zone: "a", Callers: freeAddr(), Ready: freeAddr(), Peers: d.control.Peers, Seeds: d.control.Seeds,
+		Name: "e", Zone: "a", Callers: reserveAddr(), Ready: reserveAddr(), Peers: d.control.Peers, Seeds: d.control.Seeds,
 		Grace: 3 * time.Second, Retries: retries,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,14 +123,24 @@
 	go func() {
 		defer GinkgoRecover()
 		defer close(done)
-		Expect(starter.RunControl(ctx, d.control, controlOpts)).To(Succeed())
+		err := starter.RunControl(ctx, d.control, controlOpts)
+		if err != nil {
+			fail(err)
+		}
+		Expect(err).NotTo(HaveOccurred())
 	}()
 	entryCtx, stop := context.WithCancel(context.Background())
 	d.stopEntry = stop
 	entryOpts := d.opts
-	entryOpts.MetricsPort = freeAddr().Port()
+	entryOpts.MetricsPort = reserveAddr().Port()
 	d.opts.MetricsPort = entryOpts.MetricsPort
-	go func() { d.ended <- starter.RunEntry(entryCtx, d.entry, entryOpts) }()
+	go func() {
+		err := starter.RunEntry(entryCtx, d.entry, entryOpts)
+		if err != nil {
+			fail(err)
+		}
+		d.ended <- err
+	}()
 	DeferCleanup(func() {
 		cancel()
 		stop()
@@ -131,6 +149,13 @@
 	return d
 }
 
+// eventually is Eventually, but ends at once if a host has failed.
+func (d *deployment) eventually(actual any) AsyncAssertion {
+	check := func() error { return context.Cause(d.running) }
+	Expect(check()).To(Succeed())
+	return Eventually(actual, eventTimeout).WithContext(d.running)
+}
+
 // operatorsHandler stores request bodies as documents; the version is in the path.
 func operatorsHandler(c *coordinator.Coordinator) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -152,14 +177,14 @@
 func (d *deployment) putConfig(c matcher.Config) {
 	body, err := json.Marshal(c)
 	Expect(err).NotTo(HaveOccurred())
-	Eventually(func() int {
+	d.eventually(func() int {
 		resp, err := http.Post(fmt.Sprintf("http://%s/%d", d.control.Operators, c.Version), "", strings.NewReader(string(body)))
 		if err != nil {
 			return 0
 		}
 		resp.Body.Close()
 		return resp.StatusCode
-	}, eventTimeout).Should(Equal(200))
+	}).Should(Equal(200))
 }
 
 // status returns a function that requests the path and returns the status code,
@@ -193,15 +218,15 @@
 	// the platform that does not reach the request path.
 	It("serves requests by the operator's newest configuration", func() {
 		d := startDeployment(func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", r.Header.Get("X-Id")) })
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(503))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(503))
 		d.putConfig(config(3, "/a/"))
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(200))
 		Expect(status(d.entry.Callers, "/a/x")()).To(Equal(200))
 		metrics := netip.AddrPortFrom(d.entry.Peers.Addr(), d.opts.MetricsPort)
 		Expect(status(metrics, "/metrics")()).To(Equal(200))
 		d.putConfig(config(2, "/old/"))
 		d.putConfig(config(4, "/b/"))
-		Eventually(status(d.entry.Callers, "/b/x"), eventTimeout).Should(Equal(200))
+		d.eventually(status(d.entry.Callers, "/b/x")).Should(Equal(200))
 		Expect(status(d.entry.Callers, "/a/x")()).To(Equal(404))
 		Expect(status(d.entry.Callers, "/old/x")()).To(Equal(404))
 	})
@@ -216,7 +241,7 @@
 			<-release
 		})
 		d.putConfig(config(1, "/a/"))
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(200))
 		got := make(chan int, 1)
 		go func() {
 			defer GinkgoRecover()
@@ -224,7 +249,7 @@
 		}()
 		<-started
 		d.stopEntry()
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(503))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(503))
 		close(release)
 		Expect(<-got).To(Equal(200))
 		Expect(<-d.ended).To(Succeed())
@@ -245,7 +270,7 @@
 		conf := config(1, "/a/")
 		conf.Routes[0].Timeout = time.Second
 		d.putConfig(conf)
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(200))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(200))
 
 		slow, err := net.Dial("tcp", d.entry.Callers.String())
 		Expect(err).NotTo(HaveOccurred())
@@ -290,7 +315,7 @@
 		}
 		<-time.After(200 * time.Millisecond)
 		d.stopEntry()
-		Eventually(status(d.entry.Ready, "/ready"), eventTimeout).Should(Equal(503))
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(503))
 		<-time.After(500 * time.Millisecond)
 		close(stopSending)
 		total := make(map[string]int)
