--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -206,7 +206,7 @@
 	s.count = min(len(requests), len(s.crashes))
 	_, before := j.isolated[part]
 	switch {
-	case s.count < announcedCrashes && !(before && s.count > 0):
+	case s.count == 0, s.count < announcedCrashes && !before:
 		s.announced = time.Time{}
 	case s.announced.IsZero():
 		s.announced = j.clock.Now()
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -18,7 +18,7 @@
 	// report nor a new leader misses it.
 	crashReportTime = 3 * time.Second
 	// maxReportedCrashes bounds the crashes in a report; the oldest are dropped.
-	maxReportedCrashes = 512
+	maxReportedCrashes = 128
 	// maxSuccesses bounds the parts whose last success is remembered.
 	maxSuccesses = 4096
 )
