--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -71,8 +71,10 @@
 		// isRetry reports whether the current attempt uses the retry budget.
 		isRetry bool
 		tried   []tracker.Key
-		// upstream is the upstream of the latest attempt.
+		// upstream is the upstream of the latest attempt, and stats what is known
+		// about its response.
 		upstream tracker.Upstream
+		stats    *attemptStats
 		// lastFailure is the latest error response of an upstream, which is returned
 		// if no further attempt is possible.
 		lastFailure *response
@@ -338,6 +340,8 @@
 	upstream := t.Upstream()
 	sentAt := c.f.settings.Clock.Now()
 	g := newProgressGuard(c, t, sentAt)
+	c.beginAttempt(upstream, sentAt)
+	defer c.endAttempt()
 	forward := &dialer.ForwardRequest{
 		Upstream: upstream.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Fields: c.f.settings.Codec.Fields(c.r.Header, Dispatch{
@@ -512,7 +516,7 @@
 	resp.Finish()
 	c.countDelivered(true)
 	a := &response{status: resp.Status, header: resp.Header, body: body}
-	c.recordResponse(t.Upstream(), resp.Status >= http.StatusInternalServerError, firstByte)
+	c.recordResponse(resp.Status >= http.StatusInternalServerError, firstByte)
 	if resp.Status < http.StatusInternalServerError {
 		t.Done(placer.Succeeded, firstByte)
 		c.writeResponse(a)
--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -36,7 +36,7 @@
 	c.f.requestLog.Info().Str("request", c.envelope.ID).Str("from", c.model).Str("to", c.route.Sizes[next]).
 		Int("confidence", c.confidence).Dur("first", firstByte).Msg("a larger model is asked")
 	t.Done(placer.Succeeded, firstByte)
-	c.recordResponse(t.Upstream(), false, firstByte)
+	c.recordResponse(false, firstByte)
 	c.countDelivered(true)
 	c.sizeIndex, c.model = next, c.route.Sizes[next]
 	// The upstream has not failed and may run the larger model as well.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -167,8 +167,7 @@
 	}
 	f.requestLog = sampledLogger(s.Log)
 	f.assigner.SessionTimeout = s.SessionTimeout
-	f.stats.counts = make(map[stager.CountKey]stager.Count)
-	f.stats.meanFirstByte = make(map[routeKey]time.Duration)
+	f.stats = newResponseStats()
 	return f
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -165,6 +165,15 @@
 	err    error
 }
 
+// badAnswers returns the number of counted responses and of the bad ones.
+func (b *testbed) badAnswers() (n [2]uint64) {
+	for _, c := range b.fwd.Counts() {
+		n[0] += c.All
+		n[1] += c.Bad
+	}
+	return n
+}
+
 func (b *testbed) send(method, target, body string, fields ...string) response {
 	req, err := http.NewRequest(method, b.frontend.URL+target, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
@@ -723,6 +732,61 @@
 			Expect(counted).To(Equal(uint64(6)))
 		})
 
+		// Guards against a rollout that goes on because the responses of a version
+		// that is several times slower are counted last: a stream counts as late
+		// before it ends, and without its first byte.
+		It("counts a response as late while it is still awaited", func() {
+			hold := make(chan struct{})
+			release := sync.OnceFunc(func() { close(hold) })
+			defer release()
+			b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+				if r.Header.Get("X-Id") == "slow" {
+					<-hold
+				}
+				writeEvent(w, 1)
+			})
+			b.setRoute(matcher.Route{Kind: matcher.Stream, Timeout: time.Minute, MaxAttempts: 1})
+			for i := range 3 {
+				Expect(b.send("POST", "/p/", "x", "X-Id", fmt.Sprint(i)).status).To(Equal(200))
+			}
+			ended := make(chan int, 1)
+			go func() { ended <- b.send("POST", "/p/", "x", "X-Id", "slow").status }()
+			Eventually(b.badAnswers, 10*time.Second).Should(Equal([2]uint64{4, 1}))
+			release()
+			Expect(<-ended).To(Equal(200))
+			Expect(b.badAnswers()).To(Equal([2]uint64{4, 1}))
+		})
+
+		// Guards against a rollout of a version that begins its responses in time
+		// and then generates them several times more slowly.
+		It("counts a stream as late whose events come several times more slowly", func() {
+			hold := make(chan struct{})
+			release := sync.OnceFunc(func() { close(hold) })
+			defer release()
+			b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+				slow := r.Header.Get("X-Id") == "slow"
+				for i := range 6 {
+					if slow {
+						<-time.After(100 * time.Millisecond)
+					}
+					writeEvent(w, i+1)
+				}
+				if slow {
+					<-hold
+				}
+			})
+			b.setRoute(matcher.Route{Kind: matcher.Stream, Timeout: time.Minute, MaxAttempts: 1})
+			for i := range 3 {
+				Expect(b.send("POST", "/p/", "x", "X-Id", fmt.Sprint(i)).status).To(Equal(200))
+			}
+			ended := make(chan int, 1)
+			go func() { ended <- b.send("POST", "/p/", "x", "X-Id", "slow").status }()
+			Eventually(b.badAnswers, 10*time.Second).Should(Equal([2]uint64{4, 1}))
+			release()
+			Expect(<-ended).To(Equal(200))
+			Expect(b.badAnswers()).To(Equal([2]uint64{4, 1}))
+		})
+
 		// Guards against the cost of a larger model that is not needed.
 		It("does not escalate when the model has high confidence", func() {
 			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -31,6 +31,7 @@
 func (c *call) forwardStream(t *placer.Ticket, resp *dialer.ForwardResponse, g *progressGuard, firstByte time.Duration) bool {
 	g.streaming.Store(true)
 	g.recordProgress(resp)
+	c.recordResponse(false, firstByte)
 	buf := make([]byte, 0, eventBufferSize)
 	for {
 		if cap(buf)-len(buf) < eventBufferSize/2 {
@@ -53,6 +54,7 @@
 			// progress.
 			if containsEvent(buf[:end]) {
 				g.recordProgress(resp)
+				c.recordEvents(buf[:end])
 			}
 			buf = append(buf[:0], buf[end:]...)
 		}
@@ -99,7 +101,7 @@
 	resp.Finish()
 	c.countDelivered(true)
 	t.Done(placer.Succeeded, firstByte)
-	c.recordResponse(t.Upstream(), false, firstByte)
+	c.recordStreamEnd()
 	if !c.responding {
 		// A stream without events is complete.
 		copyHeader(c.w.Header(), resp.Header)
@@ -114,6 +116,7 @@
 // handleStreamFailure handles a stream that broke off. It reports whether the
 // request is finished.
 func (c *call) handleStreamFailure(t *placer.Ticket, err error) bool {
+	c.discardResponse()
 	done := c.handleFailure(t, err)
 	if !done {
 		c.f.settings.Scope.Counter("forwarder.resumed").Inc(1)
