--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -57,20 +57,28 @@
 func (g *group) exchange() []uint64 {
 	var out []uint64
 	for range 10 {
-		g.clock.Advance(100 * time.Millisecond)
-		for _, h := range g.hosts {
-			g.judge.Add(h.Evidence())
-			h.SetSuspects(g.judge.Suspects())
-		}
-		g.judge.SetIsolations(g.active)
-		if p, ok := g.judge.Next(); ok {
-			out = append(out, p.ID)
-			g.active = append(g.active, controller.Isolation{Part: p, Active: true})
+		before := len(g.active)
+		g.exchangeOnce()
+		for _, i := range g.active[before:] {
+			out = append(out, i.Part.ID)
 		}
 	}
 	return out
 }
 
+// exchangeOnce makes the reports and the judgement of 0.1 s.
+func (g *group) exchangeOnce() {
+	g.clock.Advance(100 * time.Millisecond)
+	for _, h := range g.hosts {
+		g.judge.Add(h.Evidence())
+		h.SetSuspects(g.judge.Suspects())
+	}
+	g.judge.SetIsolations(g.active)
+	if p, ok := g.judge.Next(); ok {
+		g.active = append(g.active, controller.Isolation{Part: p, Active: true})
+	}
+}
+
 var _ = Describe("Judge", func() {
 	// Guards against innocent parts that are isolated because every crash breaks
 	// requests with them too.
@@ -134,6 +142,18 @@
 		Expect(g.exchange()).To(Equal([]uint64{7}))
 	})
 
+	// Guards against a part that is never isolated because many more engines crash
+	// under it, before hosts could clear it, than are counted.
+	It("isolates a part under which many engines crash at once", func() {
+		g := newGroup(20)
+		for range 200 {
+			g.crash([]uint64{1, 666}, []uint64{2})
+		}
+		g.clock.Advance(10 * time.Millisecond)
+		g.hosts[0].RecordSuccess("s", []uint64{1, 2})
+		Expect(g.exchange()).To(Equal([]uint64{666}))
+	})
+
 	// Guards against isolating the part that most requests share when it and a
 	// rarer one were there at the same crashes.
 	It("prefers the part that comes last in prompts", func() {
@@ -272,19 +292,6 @@
 	})
 })
 
-// exchangeOnce makes the reports and the judgement of 0.1 s.
-func (g *group) exchangeOnce() {
-	g.clock.Advance(100 * time.Millisecond)
-	for _, h := range g.hosts {
-		g.judge.Add(h.Evidence())
-		h.SetSuspects(g.judge.Suspects())
-	}
-	g.judge.SetIsolations(g.active)
-	if p, ok := g.judge.Next(); ok {
-		g.active = append(g.active, controller.Isolation{Part: p, Active: true})
-	}
-}
-
 func (g *group) isolated(id uint64) bool {
 	for _, i := range g.active {
 		if i.Part == part(id) {
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -33,7 +33,7 @@
 	// maxSuspects bounds the parts with evidence, maxCrashes the crashes for each
 	// of them, and maxAnnounced the suspects that are announced.
 	maxSuspects  = 4096
-	maxCrashes   = 16
+	maxCrashes   = 512
 	maxAnnounced = 64
 	// announcementInterval is how long the list of announced suspects is reused.
 	announcementInterval = 50 * time.Millisecond
