--- a/syncer/client.go
+++ b/syncer/client.go
@@ -49,7 +49,8 @@
 		document uint64
 		incoming transfer
 		// partBytes is the size of the parts to request. It is halved after a call
-		// that failed within a transfer, since the link may be too slow for the size.
+		// that failed, since the link may be too slow for the size, and doubled after
+		// each part.
 		partBytes int
 
 		mu      sync.Mutex
@@ -123,9 +124,7 @@
 	defer cancel()
 	u, err := c.set.Call(ctx, to, &r)
 	if err != nil {
-		if r.Partial != nil {
-			c.partBytes = max(c.partBytes/2, minPartBytes)
-		}
+		c.partBytes = max(c.partBytes/2, minPartBytes)
 		c.forgetLeader(to, err)
 		return false
 	}
--- a/syncer/distribution_test.go
+++ b/syncer/distribution_test.go
@@ -92,9 +92,8 @@
 
 	// Guards against a configuration that never reaches a host, because its link
 	// carries less than the whole within one call and each call starts over.
-	It("reaches a host whose link carries it in several calls only", func() {
-		const linkBytesPerSecond = 1_250_000 // 10 Mbit/s
-		doc := document(7, 2<<20)
+	DescribeTable("reaches a host whose link", func(linkBytesPerSecond rate.Limit, size int) {
+		doc := document(7, size)
 		publish(controller.Published{Version: 3, Document: doc})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -103,7 +102,7 @@
 		DeferCleanup(srv.Close)
 		leader := netip.MustParseAddrPort(l.Addr().String())
 		src.leader = leader
-		limiter := rate.NewLimiter(linkBytesPerSecond, 16<<10)
+		limiter := rate.NewLimiter(linkBytesPerSecond, 4<<10)
 		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := new(net.Dialer).DialContext(ctx, network, address)
 			return slowConn{c, limiter}, err
@@ -138,7 +137,10 @@
 			return bytes.Equal(got.Document.Body, doc.Body)
 		}
 		Eventually(received, time.Minute).Should(BeTrue())
-	})
+	},
+		Entry("carries it in several calls only", rate.Limit(1_250_000), 2<<20), // 10 Mbit/s
+		Entry("carries less than a part in a call", rate.Limit(60_000), 100<<10),
+	)
 
 	// Guards against a leader that is deposed while it encodes and compresses the
 	// same configuration for each host.
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -5,9 +5,9 @@
 // Each host long-polls the leader, one call at a time; a control host that does
 // not lead returns the leader's address. Documents and lists are encoded once for
 // all hosts and sent in parts, each by a call of its own, so that a slow link
-// delays but never prevents them and their size does not hold up other calls. Package relayer does the same for the
-// hosts of package hoster, through relays in each zone; package sharer
-// exchanges upstream loads over UDP.
+// delays but never prevents them and their size does not hold up other calls.
+// Package relayer does the same for the hosts of package hoster, through relays
+// in each zone; package sharer exchanges upstream loads over UDP.
 //
 // # Usage
 //
