--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -23,6 +23,7 @@
 	"foxtailwall/declarer"
 	"foxtailwall/dialer"
 	"foxtailwall/refuser"
+	"foxtailwall/reserver"
 	"foxtailwall/router"
 	"foxtailwall/timekeeper"
 )
@@ -46,8 +47,11 @@
 	return 0, os.NewSyscallError("read", syscall.ETIMEDOUT)
 }
 
+// ports has the ports of upstreams, one of which stops.
+var ports reserver.Ports
+
 func startUpstream(script func(c net.Conn, r *bufio.Reader)) *scriptedUpstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := ports.Listen()
 	Expect(err).NotTo(HaveOccurred())
 	u := &scriptedUpstream{listener: l}
 	DeferCleanup(func() { l.Close() })
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -26,6 +26,7 @@
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
+	"foxtailwall/reserver"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
 )
@@ -100,6 +101,9 @@
 	return b
 }
 
+// ports has the ports of upstreams, some of which stop.
+var ports reserver.Ports
+
 // addUpstream adds an upstream with the given handler. The placer prefers the
 // first one added.
 func (b *testbed) addUpstream(h http.HandlerFunc) {
@@ -120,6 +124,10 @@
 			b.openConns.Add(-1)
 		}
 	}
+	l, err := ports.Listen()
+	Expect(err).NotTo(HaveOccurred())
+	srv.Listener.Close()
+	srv.Listener = l
 	srv.Start()
 	b.servers = append(b.servers, srv)
 	DeferCleanup(srv.Close)
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -23,6 +23,7 @@
 	"foxtailwall/emulator"
 	"foxtailwall/loader"
 	"foxtailwall/refuser"
+	"foxtailwall/reserver"
 )
 
 func TestLoader(t *testing.T) {
@@ -147,11 +148,14 @@
 	e.ledger = append(e.ledger, rec)
 }
 
+var ports reserver.Ports
+
 // unusedAddr returns an address that refuses connections.
 func unusedAddr() netip.AddrPort {
-	s := httptest.NewServer(nil)
-	defer s.Close()
-	return netip.MustParseAddrPort(s.Listener.Addr().String())
+	ip := netip.MustParseAddr("127.0.0.1")
+	port, err := ports.Next(ip)
+	Expect(err).NotTo(HaveOccurred())
+	return netip.AddrPortFrom(ip, port)
 }
 
 var _ = Describe("Loader", func() {
--- a/messenger/relay_test.go
+++ b/messenger/relay_test.go
@@ -127,7 +127,7 @@
 		ls    []net.Listener
 	)
 	listen := func() netip.AddrPort {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := ports.Listen()
 		if err != nil {
 			tb.Fatal(err)
 		}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -6,7 +6,8 @@
 // this package are below the range from which the system chooses, and are given
 // out once on a machine while the test process runs: each Ports holds a block of
 // numbers by listening on its first one. Tests that can pass a listener on to the
-// code under test need no reservation.
+// code under test need no reservation, unless they close it and rely on refused
+// connections.
 //
 // # Usage
 //
@@ -75,6 +76,18 @@
 	}
 }
 
+// Listen listens over TCP on the next port of the IPv4 loopback address. Once the
+// listener is closed, nothing else gets its number. Errors are an *ExhaustedError
+// or that of net.Listen.
+func (p *Ports) Listen() (net.Listener, error) {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	port, err := p.Next(loopback)
+	if err != nil {
+		return nil, err
+	}
+	return net.Listen("tcp", netip.AddrPortFrom(loopback, port).String())
+}
+
 // holdBlock takes a block that no other Ports on this machine holds.
 func (p *Ports) holdBlock() error {
 	const blocks = (maxPort - minPort) / blockSize
