--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -154,6 +154,26 @@
 		Expect(g.exchange()).To(Equal([]uint64{666}))
 	})
 
+	// Guards against isolating a part that many requests share because some engines
+	// reset connections all the time: there are always crashes after the newest
+	// success that the leader knows of.
+	It("isolates no part with which requests succeed between crashes", func() {
+		g := newGroup(3)
+		for step := range 300 {
+			h := g.hosts[step%3]
+			g.clock.Advance(100 * time.Millisecond)
+			h.RecordSuccess("s", []uint64{1})
+			g.clock.Advance(time.Millisecond)
+			for range 6 {
+				h.RecordBroken("s", tracker.Key{ID: fmt.Sprint("u", g.newID())}, fmt.Sprint("r", g.newID()), []uint64{1})
+			}
+			g.judge.Add(h.Evidence())
+			h.SetSuspects(g.judge.Suspects())
+			_, ok := g.judge.Next()
+			Expect(ok).To(BeFalse(), "after %d steps", step)
+		}
+	})
+
 	// Guards against isolating the part that most requests share when it and a
 	// rarer one were there at the same crashes.
 	It("prefers the part that comes last in prompts", func() {
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -22,8 +22,8 @@
 	// it, from its first one on, up to which it is isolated. It allows for several
 	// such parts at once, and for engines that end for other reasons.
 	maxOtherCrashes = 3
-	// clearTime is the time after the announcement in which hosts may clear a
-	// suspect: each has two reports.
+	// clearTime is the time after the announcement, and after a crash, in which
+	// hosts may report a success: each has two reports.
 	clearTime = 800 * time.Millisecond
 	// suspectTTL is how long after its last crash a part is a suspect.
 	suspectTTL = 30 * time.Second
@@ -64,8 +64,6 @@
 		depth int
 		// crashes has the crashes since the part last succeeded, by upstream.
 		crashes map[uint64]*crash
-		// count is the number of crashes under different requests.
-		count int
 		// succeeded is when a request with the part last succeeded, as far as known.
 		succeeded time.Time
 		// reported is when its newest crash was reported.
@@ -195,18 +193,27 @@
 	j.update(part, s)
 }
 
-// update counts the crashes of a part after a change, and decides whether it is a
-// suspect. Neither one request that is sent to several engines which crash under
-// others counts more than once, nor one engine that crashes under several.
-func (j *Judge) update(part controller.PromptPart, s *suspect) {
+// countUntil counts the crashes until a time. Neither one request that is sent to
+// several engines which crash under others counts more than once, nor one engine
+// that crashes under several.
+func (s *suspect) countUntil(t time.Time) int {
 	requests := make(map[uint64]bool)
+	crashes := 0
 	for _, c := range s.crashes {
-		maps.Copy(requests, c.requests)
+		if !c.at.After(t) {
+			crashes++
+			maps.Copy(requests, c.requests)
+		}
 	}
-	s.count = min(len(requests), len(s.crashes))
+	return min(len(requests), crashes)
+}
+
+// update decides whether a part is a suspect after a change of its crashes.
+func (j *Judge) update(part controller.PromptPart, s *suspect) {
+	count := s.countUntil(j.clock.Now())
 	_, before := j.isolated[part]
 	switch {
-	case s.count == 0, s.count < announcedCrashes && !before:
+	case count == 0, count < announcedCrashes && !before:
 		s.announced = time.Time{}
 	case s.announced.IsZero():
 		s.announced = j.clock.Now()
@@ -223,7 +230,7 @@
 		return j.announcement
 	}
 	j.expire()
-	ranked := j.ranked()
+	ranked := j.ranked(now)
 	j.announcement, j.announcedAt = ranked[:min(len(ranked), maxAnnounced)], now
 	return j.announcement
 }
@@ -234,21 +241,22 @@
 	defer j.mu.Unlock()
 	j.expire()
 	now := j.clock.Now()
-	ranked := j.ranked()
+	ranked := j.ranked(now.Add(-clearTime))
 	for i, part := range ranked {
 		s := j.suspects[part]
-		if now.Sub(s.announced) < clearTime {
+		count := s.countUntil(now.Add(-clearTime))
+		if count == 0 || now.Sub(s.announced) < clearTime {
 			continue
 		}
 		if _, before := j.isolated[part]; before {
 			// It has crashed engines before, so one more crash suffices.
 			return part, true
 		}
-		if !j.isFrequent(s) {
+		if !j.isFrequent(s, now.Add(-clearTime)) {
 			continue
 		}
-		alone := i == 0 && (len(ranked) == 1 || j.suspects[ranked[1]].count < s.count)
-		if i == 0 && s.count >= decisiveCrashes || alone && s.count >= minCrashes {
+		alone := i == 0 && (len(ranked) == 1 || j.suspects[ranked[1]].countUntil(now.Add(-clearTime)) < count)
+		if i == 0 && count >= decisiveCrashes || alone && count >= minCrashes {
 			return part, true
 		}
 	}
@@ -256,9 +264,9 @@
 }
 
 // isFrequent reports whether the part was there at a large enough share of the
-// crashes from its first one on.
-func (j *Judge) isFrequent(s *suspect) bool {
-	first := j.clock.Now()
+// crashes from its first one until a time.
+func (j *Judge) isFrequent(s *suspect, until time.Time) bool {
+	first := until
 	for _, c := range s.crashes {
 		if c.at.Before(first) {
 			first = c.at
@@ -266,26 +274,28 @@
 	}
 	all := 0
 	for _, at := range j.crashed {
-		if !at.Before(first) {
+		if !at.Before(first) && !at.After(until) {
 			all++
 		}
 	}
-	return all <= s.count*(1+maxOtherCrashes)
+	return all <= s.countUntil(until)*(1+maxOtherCrashes)
 }
 
-// ranked returns the suspects, those with the most crashes first. Of those with
-// equally many, the one that comes last in prompts is first: fewer requests share
-// it.
-func (j *Judge) ranked() []controller.PromptPart {
+// ranked returns the suspects, those with the most crashes until a time first. Of
+// those with equally many, the one that comes last in prompts is first: fewer
+// requests share it.
+func (j *Judge) ranked(until time.Time) []controller.PromptPart {
 	var parts []controller.PromptPart
+	counts := make(map[controller.PromptPart]int)
 	for part, s := range j.suspects {
 		if !s.announced.IsZero() {
 			parts = append(parts, part)
+			counts[part] = s.countUntil(until)
 		}
 	}
 	slices.SortFunc(parts, func(a, b controller.PromptPart) int {
 		x, y := j.suspects[a], j.suspects[b]
-		return cmp.Or(cmp.Compare(y.count, x.count), cmp.Compare(x.depth, y.depth), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(x.depth, y.depth), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
 	return parts
 }
