--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -174,6 +174,21 @@
 		}
 	})
 
+	// Guards against isolating a part for engines that reset some of their requests
+	// but go on serving others.
+	It("does not count engines that break requests for long as crashed", func() {
+		g := newGroup(2)
+		for range 10 {
+			for engine := range 8 {
+				g.hosts[engine%2].RecordBroken("s", tracker.Key{ID: fmt.Sprint("u", engine)}, fmt.Sprint("r", g.newID()), []uint64{7})
+			}
+			for range 5 {
+				g.exchangeOnce()
+			}
+		}
+		Expect(g.active).To(BeEmpty())
+	})
+
 	// Guards against isolating the part that most requests share when it and a
 	// rarer one were there at the same crashes.
 	It("prefers the part that comes last in prompts", func() {
