--- a/syncer/distribution_bench_test.go
+++ b/syncer/distribution_bench_test.go
@@ -22,7 +22,7 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	routes := make([]string, 2800)
 	for i := range routes {
-		routes[i] = fmt.Sprintf(`{"name":"r-%x","host":"h%d.example","pathPrefix":"/p%x/","kind":"idempotent","timeoutMs":800,`+
+		routes[i] = fmt.Sprintf(`{"name":"r-%x","host":"h%d.example","urlPrefix":"/p%x/","kind":"idempotent","timeoutMs":800,`+
 			`"targetLatencyMs":150,"priority":2,"service":"s%d","maxAttempts":2,"allowAnonymous":false,"stickySessions":false,"streamResume":false}`,
 			rng.Uint32(), i%24, rng.Uint64(), i%2)
 	}
