Read and log the rate limit that an upstream names

Upstreams may name the requests per second that they accept from all hosts together. The response is decoded, the placer stores the limit of each incarnation, and each change is logged with the request whose response named it. Requests are placed as before.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -439,6 +439,7 @@
 func (c *call) handleResponse(t *placer.Ticket, resp *dialer.ForwardResponse, g *progressGuard, sentAt time.Time) bool {
 	reply := c.f.settings.Codec.Reply(resp.Header)
 	firstByte := c.f.settings.Clock.Since(sentAt)
+	c.recordRateLimit(t, resp, reply, sentAt)
 	switch {
 	case reply.NotRun:
 		return c.handleNotRun(t, resp)
@@ -457,6 +458,23 @@
 	return c.forwardWhole(t, resp, firstByte)
 }
 
+// recordRateLimit records the rate limit that a response names, or that it names
+// none. Another upstream than the one chosen says nothing about that one's limit,
+// and a response that may not be the upstream's own does not end it.
+func (c *call) recordRateLimit(t *placer.Ticket, resp *dialer.ForwardResponse, reply Reply, sentAt time.Time) {
+	authentic := reply.ID == c.envelope.ID && (reply.Signed || reply.NotRun)
+	if resp.Status == http.StatusMisdirectedRequest || reply.RateLimit == nil && !authentic {
+		return
+	}
+	if t.RecordRateLimit(reply.RateLimit, sentAt) {
+		e := c.f.settings.Log.Info().Str("request", c.envelope.ID).Str("upstream", c.upstream.ID).Str("service", c.service.Name)
+		if reply.RateLimit != nil {
+			e = e.Float64("perSecond", *reply.RateLimit)
+		}
+		e.Bool("limited", reply.RateLimit != nil).Msg("rate limit of an upstream")
+	}
+}
+
 // countDelivered counts a finished attempt that reached an upstream.
 func (c *call) countDelivered(mayHaveRun bool) {
 	c.delivered++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -109,6 +109,9 @@
 		// Confidence is the model's confidence in its response, from 0 to 100, or
 		// negative if unknown.
 		Confidence int
+		// RateLimit is the number of requests per second that the upstream accepts
+		// from all hosts together; nil for no limit.
+		RateLimit *float64
 	}
 
 	// Settings configures a Forwarder.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -244,6 +244,8 @@
 		// lastReceived is when this host last received data from the upstream, and
 		// lastReceivedElsewhere when another host did.
 		lastReceived, lastReceivedElsewhere time.Time
+
+		limit rateLimit
 	}
 
 	// Ticket is an attempt in progress. It must be ended with Done.
