--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -53,6 +53,7 @@
 	return []dialer.Field{
 		{Name: "X-Id", Value: h.Get("X-Id")}, {Name: "X-To", Value: d.Upstream}, {Name: "X-Ws", Value: d.Workspace},
 		{Name: "X-Model", Value: d.Model}, {Name: "X-Resume", Value: d.Resume}, {Name: "X-Left", Value: d.TimeLeft.String()},
+		{Name: "X-Stream", Value: h.Get("X-Stream")},
 	}
 }
 
@@ -61,6 +62,9 @@
 	if n, err := strconv.Atoi(h.Get("X-Sure")); err == nil {
 		r.Confidence = n
 	}
+	if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		r.RateLimit = &rate
+	}
 	return r
 }
 
