Share the rate limit that an upstream names among the hosts

Cause: the field was passed on and ignored. Evidence: the rate at both engines is the same before and after they named their limits, and no code knew the field. Ruled out: hosts that obey it each for itself (one host alone exceeded it), and retries beyond it (half of the requests needed one attempt).

Hosts now keep the limit of an incarnation until a response to a later request names none, and tell each other of it. Package throttler divides it into permits at regular intervals; of many hosts, only so many are senders that the bound holds whenever their permits come. Nothing is awaited before a request is sent, so a lost leader or a cut changes no share. Requests without any upstream left are refused at once.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -264,6 +264,9 @@
 		req.Tried = nil
 		t, ok = c.f.settings.Placer.Pick(req)
 	}
+	if !ok && c.f.settings.Placer.RateLimited(c.service.Name) {
+		return nil, newRefusal(http.StatusServiceUnavailable, refuser.RateLimited, limitedRetryAfter)
+	}
 	if !ok {
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, startupRetryAfter)
 	}
--- a/forwarder/limit_test.go
+++ b/forwarder/limit_test.go
@@ -71,4 +71,23 @@
 		Entry("requests that may run once", matcher.NonIdempotent),
 		Entry("streams", matcher.Stream, "X-Stream", "1"),
 	)
+
+	// Guards against requests that wait for their deadline, or exceed the limit,
+	// because no other upstream is left.
+	It("gets no more than it allows if there is no other", func() {
+		b.addUpstream(limited)
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		clock := timekeeper.System{}
+		start := clock.Now()
+		refused := 0
+		for i := range 60 {
+			if a := b.send("GET", "/p/", "", "X-Id", fmt.Sprint("r", i)); a.status != http.StatusOK {
+				refused++
+				Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+				Expect(a.body).To(Equal("rateLimited\n"))
+				Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+			}
+		}
+		Expect(ranAt("u0")).To(And(Equal(60-refused), BeNumerically("<=", allowedRequests(clock.Since(start)))))
+	})
 })
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -22,6 +22,10 @@
 	// isolatedRetryAfter is the Retry-After of requests with an isolated prompt
 	// part, which no host will serve for minutes.
 	isolatedRetryAfter = time.Minute
+	// limitedRetryAfter is the Retry-After while the upstreams that could serve a
+	// request are at their rate limits. The retry reaches another host, whose share
+	// may be free.
+	limitedRetryAfter = 700 * time.Millisecond
 	// statusNone is the logged status of a request that ended without a complete
 	// response.
 	statusNone = 0
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -35,10 +35,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"foxtailwall/controller"
-	"foxtailwall/tracker"
 )
 
 type (
@@ -71,13 +68,3 @@
 		Successes []Success `cbor:"successes,omitempty"`
 	}
 )
-
-// hashUpstream returns the hash of an upstream's incarnation.
-func hashUpstream(k tracker.Key) uint64 {
-	d := xxhash.New()
-	// Writing to a digest does not fail.
-	_, _ = d.WriteString(k.ID)
-	_, _ = d.WriteString(k.Address.String())
-	_, _ = d.WriteString(time.UnixMilli(k.StartedAt).UTC().String())
-	return d.Sum64()
-}
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -56,7 +56,7 @@
 	for i, id := range parts {
 		r.crashes = append(r.crashes, recordedCrash{at: now, Crash: Crash{
 			Part: controller.PromptPart{Service: service, ID: id}, Depth: len(parts) - i,
-			Upstream: hashUpstream(upstream), Request: xxhash.Sum64String(requestID),
+			Upstream: upstream.Hash(), Request: xxhash.Sum64String(requestID),
 		}})
 	}
 	if extra := len(r.crashes) - maxReportedCrashes; extra > 0 {
--- a/placer/limit_test.go
+++ b/placer/limit_test.go
@@ -10,6 +10,7 @@
 
 	"foxtailwall/placer"
 	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
 )
 
 const (
@@ -28,6 +29,8 @@
 		clock *timekeeper.Fake
 		rng   *rand.Rand
 		hosts []*limitedHost
+		// upstreams is the list that hosts use.
+		upstreams []tracker.Upstream
 		// perSecond is the number of requests per second at all hosts.
 		perSecond float64
 		// limits has the rate limits by upstream ID.
@@ -51,22 +54,33 @@
 		clock: timekeeper.NewFake(time.Unix(100, 0)), rng: rand.New(rand.NewPCG(seed, 27)), perSecond: perSecond,
 		limits: make(map[string]float64), arrivals: make(map[string][]time.Time),
 	}
-	list := fleet(upstreams/3, 64)
-	for i := range list {
-		list[i].ID = fmt.Sprint(seed, "-", i)
+	f.upstreams = fleet(upstreams/3, 64)
+	for i := range f.upstreams {
+		f.upstreams[i].ID = fmt.Sprint(seed, "-", i)
 		if i < limited {
-			f.limits[list[i].ID] = rate
+			f.limits[f.upstreams[i].ID] = rate
 		}
 	}
 	for i := range hosts {
-		h := &limitedHost{toldAt: make(map[string]time.Time)}
-		h.Placer = placer.New(placer.Settings{Clock: f.clock, Zone: []string{"a", "b", "c"}[i%3]})
-		h.Update(list)
+		h := &limitedHost{Placer: f.newPlacer(i), toldAt: make(map[string]time.Time)}
+		h.SetHosts(hosts, i)
 		f.hosts = append(f.hosts, h)
 	}
 	return f
 }
 
+// restart replaces a host by one that knows nothing yet.
+func (f *limitedFleet) restart(h *limitedHost, i int) {
+	h.Placer, h.toldAt = f.newPlacer(i), make(map[string]time.Time)
+	h.SetHosts(len(f.hosts), -1)
+}
+
+func (f *limitedFleet) newPlacer(i int) *placer.Placer {
+	p := placer.New(placer.Settings{Clock: f.clock, Zone: []string{"a", "b", "c"}[i%3], Host: fmt.Sprint("h", i)})
+	p.Update(f.upstreams)
+	return p
+}
+
 // run lets requests arrive for a time, each at any host.
 func (f *limitedFleet) run(d time.Duration) {
 	const step = 10 * time.Millisecond
@@ -135,4 +149,117 @@
 		Entry("73 hosts", 73, 72, 830.0),
 		Entry("300 hosts", 300, 126, 1470.0),
 	)
+
+	// Guards against requests that are all refused because each host's share of the
+	// limits is small.
+	DescribeTable("use the limits of all upstreams", func(hosts, upstreams int, perSecond float64) {
+		f := newLimitedFleet(1, hosts, upstreams, upstreams, 2.1, perSecond)
+		f.run(5 * time.Second) // Hosts are told the limits.
+		f.served = 0
+		f.run(20 * time.Second)
+		f.expectWithinLimits("all limited")
+		Expect(float64(f.served)).To(BeNumerically(">=", 0.75*2.1*20*float64(upstreams)))
+		Expect(f.refused).To(BeNumerically(">", 0))
+	},
+		Entry("6 hosts", 6, 18, 140.0),
+		Entry("73 hosts", 73, 72, 830.0),
+		Entry("300 hosts", 300, 126, 1470.0),
+	)
+
+	// Guards against a limit that is exceeded because hosts were restarted, moved or
+	// cut off from the leader.
+	DescribeTable("keep the limit while other hosts come and go", func(hosts, upstreams int, perSecond float64) {
+		for seed := range uint64(5) {
+			f := newLimitedFleet(seed, hosts, upstreams, 2, 2.1, perSecond)
+			f.run(8 * time.Second)
+			for i, h := range f.hosts {
+				switch i % 3 {
+				case 0:
+					// The leader counts only hosts that it reaches.
+					h.SetHosts(hosts, i/3)
+				case 1:
+					// Cut off from the leader; the host keeps its rank.
+				case 2:
+					f.restart(h, i)
+				}
+			}
+			f.run(3 * time.Second)
+			for i, h := range f.hosts {
+				h.SetHosts(hosts, i)
+			}
+			f.run(8 * time.Second)
+			f.expectWithinLimits(fmt.Sprint("seed ", seed))
+			Expect(f.refused).To(BeZero())
+		}
+	},
+		Entry("6 hosts", 6, 18, 140.0),
+		Entry("73 hosts", 73, 72, 830.0),
+		Entry("300 hosts", 300, 126, 1470.0),
+	)
+})
+
+var _ = Describe("Rate limits", func() {
+	var (
+		clock    *timekeeper.Fake
+		p, other *placer.Placer
+		rate     = 2.1
+	)
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(100, 0))
+		p = placer.New(placer.Settings{Clock: clock, Host: "a"})
+		other = placer.New(placer.Settings{Clock: clock, Host: "b"})
+		for _, host := range []*placer.Placer{p, other} {
+			host.Update(fleet(1, 8)[:1])
+			host.SetHosts(2, 0)
+		}
+	})
+	// told returns a ticket for the only upstream, which has named its limit.
+	told := func() *placer.Ticket {
+		t, ok := p.Pick(placer.Request{Service: "s"})
+		Expect(ok).To(BeTrue())
+		Expect(t.RecordRateLimit(&rate, clock.Now())).To(BeTrue())
+		return t
+	}
+
+	// Guards against a limit that is taken for ended because of a response that was
+	// generated before it was named, and against one that never ends.
+	It("end with a response to a later request that names none", func() {
+		sentAt := clock.Now()
+		clock.Advance(time.Second)
+		t := told()
+		Expect(t.RecordRateLimit(nil, sentAt)).To(BeFalse())
+		Expect(p.RateLimited("s")).To(BeTrue())
+		clock.Advance(time.Second)
+		Expect(t.RecordRateLimit(nil, clock.Now())).To(BeTrue())
+		Expect(p.RateLimited("s")).To(BeFalse())
+	})
+
+	// Guards against hosts that go on sending as before until they are told
+	// themselves, and that go on holding back after the limit has ended.
+	It("are obeyed by hosts that only others were told of", func() {
+		t := told()
+		Expect(other.AddRateLimits(p.RateLimits())).To(Equal([]string{"a0"}))
+		Expect(other.RateLimited("s")).To(BeTrue())
+		Expect(other.RateLimits()).To(BeEmpty(), "only the host that was told tells others")
+		Expect(other.AddRateLimits(p.RateLimits())).To(BeEmpty())
+		clock.Advance(time.Second)
+		t.RecordRateLimit(nil, clock.Now())
+		clock.Advance(100 * time.Millisecond)
+		Expect(other.AddRateLimits(p.RateLimits())).To(Equal([]string{"a0"}))
+		Expect(other.RateLimited("s")).To(BeFalse())
+	})
+
+	// Guards against a limit of an earlier incarnation that holds back its successor
+	// with the same ID.
+	It("belong to one incarnation", func() {
+		told()
+		limits := p.RateLimits()
+		next := fleet(1, 8)[:1]
+		next[0].StartedAt = 5
+		p.Update(next)
+		other.Update(next)
+		Expect(p.RateLimited("s")).To(BeFalse())
+		Expect(other.AddRateLimits(limits)).To(BeEmpty())
+		Expect(other.RateLimited("s")).To(BeFalse())
+	})
 })
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -4,7 +4,8 @@
 //
 // The choice is based on this host's requests in progress, the outcomes of its
 // attempts and the loads that other hosts share; upstreams are not
-// health-checked. Upstreams of the host's own zone are preferred, except for
+// health-checked. An upstream that names a rate limit gets no more than that from
+// all hosts together. Upstreams of the host's own zone are preferred, except for
 // requests that share a long prompt prefix: those are kept on the same engine
 // by rendezvous hashing over all zones, until the wait there is longer than
 // processing the prefix elsewhere. All hosts agree on that engine without
@@ -134,6 +135,8 @@
 		Clock timekeeper.Clock
 		// Zone is the availability zone of this host.
 		Zone string
+		// Host is the name of this host.
+		Host string
 	}
 
 	// VersionFilter restricts the versions of a service that may be used.
@@ -214,6 +217,9 @@
 		// unreachable are the upstreams that this host could not reach and other
 		// hosts were not told yet.
 		unreachable []Unreachable
+		// hosts is the number of hosts that share rate limits, and rank this host's
+		// rank among them.
+		hosts, rank int
 	}
 
 	// pool holds the upstreams of a service.
@@ -228,6 +234,8 @@
 	upstream struct {
 		tracker.Upstream
 		hash uint64
+		// incarnation is the hash of Key.
+		incarnation uint32
 		// running is the number of requests in progress, and work their work in
 		// tokens of the largest model.
 		running int
@@ -282,7 +290,7 @@
 	for _, listed := range list {
 		u := known[listed.Key()]
 		if u == nil || u.Service != listed.Service {
-			u = &upstream{hash: hashString(listed.ID)}
+			u = &upstream{hash: hashString(listed.ID), incarnation: uint32(listed.Key().Hash())}
 		}
 		u.Upstream = listed
 		pl := p.pools[listed.Service]
@@ -314,6 +322,9 @@
 		t.work += r.SharedWork
 		t.pool, t.placement = pl, p.recordPlacement(pl, r.Group, u)
 	}
+	if u.limit.named {
+		u.limit.pace.Take()
+	}
 	u.running++
 	u.work += t.work
 	p.zonePath(u.Zone).recordSent(p.settings.Clock.Now())
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -58,6 +58,7 @@
 	RetryBudget        Code = "retryBudgetSpent"
 	UpstreamFailed     Code = "upstreamFailed"
 	PromptIsolated     Code = "promptIsolated"
+	RateLimited        Code = "rateLimited"
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
@@ -110,6 +111,7 @@
 	RetryBudget:        http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
 	PromptIsolated:     http.StatusServiceUnavailable,
+	RateLimited:        http.StatusServiceUnavailable,
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
--- a/sharer/client.go
+++ b/sharer/client.go
@@ -51,8 +51,12 @@
 		// and ApplyUnreachable receives those of all hosts.
 		Unreachable      func(limit int) []placer.Unreachable
 		ApplyUnreachable func([]placer.Unreachable)
-		Clock            timekeeper.Clock
-		Log              zerolog.Logger
+		// Limits returns the rate limits that this host has received from upstreams,
+		// and ApplyLimits receives those of all hosts.
+		Limits      func() []placer.RateLimit
+		ApplyLimits func([]placer.RateLimit)
+		Clock       timekeeper.Clock
+		Log         zerolog.Logger
 	}
 
 	// Client exchanges loads with the leader. Make it with NewClient.
@@ -98,10 +102,11 @@
 	if !to.IsValid() {
 		return
 	}
+	count := c.lastSent.Add(1)
 	r := report{
-		Host: c.set.Host, Started: c.started, Count: c.lastSent.Add(1), Loads: toWire(c.set.Loads()),
+		Host: c.set.Host, Started: c.started, Count: count, Loads: toWire(c.set.Loads()),
 		Placements: c.set.Placements(maxPlacements), Known: c.known.Load(),
-		Unreachable: c.set.Unreachable(maxUnreachable),
+		Unreachable: c.set.Unreachable(maxUnreachable), Limits: limitsToWire(c.set.Limits(), count),
 	}
 	if _, err := conn.WriteToUDPAddrPort(encode(r), to); err != nil {
 		// No retry: the next report carries all loads again, and lost placements
@@ -134,6 +139,7 @@
 		c.set.Apply(fromWire(a.Loads))
 		c.set.ApplyPlacements(a.Placements)
 		c.set.ApplyUnreachable(a.Unreachable)
+		c.set.ApplyLimits(limitsFromWire(a.Limits))
 		c.known.Store(a.Known)
 	}
 }
--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -53,6 +53,7 @@
 		// unreachableAt is when a host last reported that an upstream could not be
 		// reached.
 		unreachableAt map[placer.Unreachable]time.Time
+		limits        limitLog
 	}
 
 	// hostLoads is the newest report of a host.
@@ -80,6 +81,7 @@
 		clear(h.receivedAt)
 		h.placed = placementLog{}
 		clear(h.unreachableAt)
+		h.limits = limitLog{}
 		return nil, false
 	}
 	now := h.set.Clock.Now()
@@ -97,6 +99,7 @@
 	for _, un := range r.Unreachable {
 		h.unreachableAt[un] = now
 	}
+	h.limits.add(r.Limits, now)
 	h.subtract(host)
 	host.started, host.count, host.at, host.loads = r.Started, r.Count, now, fromWire(r.Loads)
 	own := make(map[uint32]placer.Load, len(host.loads))
@@ -111,6 +114,7 @@
 	a := &answer{Count: r.Count, Loads: toWire(h.othersLoads(own, now))}
 	a.Placements, a.Known = h.placed.since(r.Known)
 	a.Unreachable = h.unreachable(now)
+	a.Limits = h.limits.newest(r.Count, now)
 	return a, true
 }
 
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -8,9 +8,10 @@
 // mislead. Each datagram is complete, so the next one makes up for a lost one.
 // Loads also say when data last arrived from an upstream, so that a host with a
 // single request there can tell a busy upstream from a silent one, and hosts
-// tell each other which upstreams were sent which prompt prefixes and which could
-// not be reached. All of it only guides placement and patience: between hosts of different versions that cannot
-// read each other's datagrams, each goes by its own requests.
+// tell each other which upstreams were sent which prompt prefixes, which could
+// not be reached and which have named a rate limit. All of it only guides
+// placement and patience: between hosts of different versions that cannot read
+// each other's datagrams, each goes by its own requests.
 //
 // # Usage
 //
@@ -41,7 +42,7 @@
 	// maxUnreachable bounds the unreachable upstreams in a datagram.
 	maxUnreachable = 64
 	// maxDatagram is the size in bytes of the receive buffers.
-	maxDatagram = 4 << 10
+	maxDatagram = 6 << 10
 	// receivedUnit is the unit of load.SinceReceived, and maxSinceReceived the largest number that
 	// takes a single byte.
 	receivedUnit     = 100 * time.Millisecond
@@ -65,6 +66,8 @@
 		// Unreachable are the upstreams that the host could not reach since its last
 		// report.
 		Unreachable []placer.Unreachable
+		// Limits are the rate limits that the host has received from upstreams.
+		Limits []limit
 	}
 
 	// answer is the datagram from the leader to a host.
@@ -80,6 +83,8 @@
 		// Unreachable are the upstreams that any host could not reach within
 		// unreachableTTL.
 		Unreachable []placer.Unreachable
+		// Limits are the newest rate limits that any host has received.
+		Limits []limit
 	}
 
 	// load is the encoding of a placer.Load.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -63,6 +63,47 @@
 		))
 	})
 
+	// Guards against hosts that learn late, or never, that an upstream has named a
+	// rate limit or ended it, and against an older report that replaces a newer one.
+	It("tells all hosts the newest rate limit of each upstream", func() {
+		count := uint64(0)
+		exchange := func(host string, limits ...limit) []limit {
+			count++
+			out, ok := hub.record(&report{Host: host, Started: 1, Count: count, Limits: limits})
+			Expect(ok).To(BeTrue())
+			return out.Limits
+		}
+		exchange("a", limit{Upstream: 1, PerSecond: 2100, Age: 300})
+		Expect(exchange("b", limit{Upstream: 1, PerSecond: 5000, Age: 900})).To(ConsistOf(limit{Upstream: 1, PerSecond: 2100, Age: 300}))
+		clock.Advance(time.Second)
+		Expect(exchange("c", limit{Upstream: 1, Ended: true, Age: 100})).To(ConsistOf(limit{Upstream: 1, Ended: true, Age: 100}))
+
+		By("a leader that was just elected")
+		hub = NewHub(HubSettings{Leading: func() bool { return true }, Clock: clock})
+		Expect(exchange("b", limit{Upstream: 1, PerSecond: 2100, Age: 400})).To(ConsistOf(limit{Upstream: 1, PerSecond: 2100, Age: 400}))
+
+		By("an upstream that no host reports any longer")
+		clock.Advance(limitTTL + time.Second)
+		Expect(exchange("c")).To(BeEmpty())
+	})
+
+	// Guards against datagrams that grow with the number of limited upstreams, and
+	// against limits that are never sent because of others.
+	It("sends many rate limits in turn", func() {
+		var all []placer.RateLimit
+		for i := range uint32(3*maxLimits - 5) {
+			all = append(all, placer.RateLimit{Upstream: i, PerSecond: 0.3})
+		}
+		sent := make(map[uint32]bool)
+		for count := range uint64(3) {
+			for _, l := range limitsFromWire(limitsToWire(all, count)) {
+				Expect(l.PerSecond).To(BeNumerically("~", 0.3, 0.001))
+				sent[l.Upstream] = true
+			}
+		}
+		Expect(sent).To(HaveLen(len(all)))
+	})
+
 	// Guards against hosts that miss placements after they or the leader
 	// restarted, and against datagrams that grow with the number of placements.
 	It("tells each host the placements that it does not know yet", func() {
@@ -234,6 +275,7 @@
 
 		received := make(map[string]chan []placer.Load)
 		placed := make(chan []placer.Placement, 1000)
+		limited := make(chan []placer.RateLimit, 1)
 		for i, name := range []string{"a", "b"} {
 			got := make(chan []placer.Load, 1000)
 			received[name] = got
@@ -257,12 +299,22 @@
 				},
 				Unreachable:      func(int) []placer.Unreachable { return nil },
 				ApplyUnreachable: func([]placer.Unreachable) {},
-				Clock:            timekeeper.System{},
+				Limits:           func() []placer.RateLimit { return []placer.RateLimit{{Upstream: 4, PerSecond: 2.1}} },
+				ApplyLimits: func(l []placer.RateLimit) {
+					if name == "a" && len(l) > 0 {
+						select {
+						case limited <- l:
+						default:
+						}
+					}
+				},
+				Clock: timekeeper.System{},
 			})
 			go func() { ended <- c.Run(ctx) }()
 		}
 		Eventually(received["a"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 1, Running: 1, Work: 7})))
 		Eventually(placed, time.Minute).Should(Receive(ContainElement(placer.Placement{Group: 1, Upstream: 3})))
+		Eventually(limited, time.Minute).Should(Receive(ConsistOf(And(HaveField("Upstream", uint32(4)), HaveField("PerSecond", 2.1)))))
 		Eventually(received["b"], time.Minute).Should(Receive(ConsistOf(placer.Load{Upstream: 0, Running: 1, Work: 7})))
 	})
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -78,6 +78,7 @@
 	listName   string
 	listReadAt time.Time
 	inventory  tracker.Inventory
+	hosts      hostCount
 	rollouts   []controller.OrderedRollout
 	// newest is the newest configuration, which becomes active once there is a
 	// list of upstreams.
@@ -93,7 +94,7 @@
 	s.limitMemory()
 	e := &entry{opts: o, startedAt: o.Clock.Now()}
 	e.settings.Store(&s)
-	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone})
+	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone, Host: s.Name})
 	e.retryBudget = budgeter.New(budgeter.Settings{
 		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
 	})
@@ -114,7 +115,8 @@
 		Host: s.Name, From: s.Peers.Addr(), Leader: e.syncClient.Leader, Hosts: func() int { return int(e.liveHosts.Load()) },
 		Loads: e.placer.Loads, Apply: e.placer.SetRemoteLoads,
 		Placements: e.placer.TakePlacements, ApplyPlacements: e.placer.AddPlacements,
-		Unreachable: e.placer.TakeUnreachable, ApplyUnreachable: e.placer.AvoidUnreachable, Clock: o.Clock, Log: o.Log,
+		Unreachable: e.placer.TakeUnreachable, ApplyUnreachable: e.placer.AvoidUnreachable,
+		Limits: e.placer.RateLimits, ApplyLimits: e.applyRateLimits, Clock: o.Clock, Log: o.Log,
 	})
 	o.Log.Info().Str("zone", s.Zone).Msg("entry started")
 	return e.run(ctx)
@@ -237,6 +239,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.placer.SetHosts(e.hosts.update(u.Hosts, u.Position, e.opts.Clock.Now()))
 	if u.ListAge >= 0 {
 		e.listReadAt = e.opts.Clock.Now().Add(-u.ListAge)
 	}
@@ -327,6 +330,13 @@
 	}
 }
 
+// applyRateLimits applies the rate limits that other hosts have received.
+func (e *entry) applyRateLimits(limits []placer.RateLimit) {
+	for _, upstream := range e.placer.AddRateLimits(limits) {
+		e.opts.Log.Info().Str("upstream", upstream).Msg("another host was told of a change of the upstream's rate limit")
+	}
+}
+
 // listStatus returns the state from which readSchedule.due decides.
 func (e *entry) listStatus() listStatus {
 	e.mu.Lock()
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -21,6 +22,9 @@
 	maxWait = 5 * time.Second
 	// liveHostsMaxAge is how long a count of the live hosts is reused.
 	liveHostsMaxAge = 200 * time.Millisecond
+	// positionDelay is how long a host leads before it tells hosts their positions:
+	// by then all hosts have reported to it.
+	positionDelay = 3 * DefaultWait
 	// maxDocuments is the number of documents that a hub retains, so that a host
 	// receives one to its end although newer ones are published.
 	maxDocuments = 4
@@ -66,9 +70,12 @@
 		// documents has the newest documents, oldest first.
 		documents []*encodedDocument
 		reports   map[hostKey]hostReport
-		// liveHosts is the number of live hosts among countedReports reports, as
-		// counted at countedAt.
-		liveHosts      int
+		// leadingSince is when this host first answered as the leader, zero if it does
+		// not lead.
+		leadingSince time.Time
+		// liveHosts has the positions of the live hosts among countedReports reports,
+		// from 1 and by name, as counted at countedAt.
+		liveHosts      map[string]int
 		countedAt      time.Time
 		countedReports int
 		// excluded counts the hosts that exclude a session, by trial.
@@ -152,7 +159,7 @@
 	defer timer.Stop()
 	for {
 		published, listChanged := h.set.Source.Changed(), h.listChangedChan()
-		if !h.set.Source.Leading() {
+		if !h.updateLeading() {
 			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
 		}
 		u := h.newUpdate(r)
@@ -170,6 +177,20 @@
 	}
 }
 
+// updateLeading reports whether this host leads, and records since when.
+func (h *Hub) updateLeading() bool {
+	leading := h.set.Source.Leading()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !leading:
+		h.leadingSince = time.Time{}
+	case h.leadingSince.IsZero():
+		h.leadingSince = h.set.Clock.Now()
+	}
+	return leading
+}
+
 func (h *Hub) listChangedChan() <-chan struct{} {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -209,7 +230,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	u := &Update{
-		FromLeader: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), Hosts: h.countLiveHosts(), ListAge: -1,
+		FromLeader: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), ListAge: -1,
+	}
+	positions := h.livePositions()
+	u.Hosts = len(positions)
+	if h.set.Clock.Since(h.leadingSince) >= positionDelay {
+		u.Position = positions[r.Host]
 	}
 	u.Excluded = h.excludedByOthers(r)
 	if h.set.Judge != nil {
@@ -250,12 +276,15 @@
 	return out, true
 }
 
-// countLiveHosts returns the number of live hosts, as of at most
-// liveHostsMaxAge ago.
-func (h *Hub) countLiveHosts() int {
+// livePositions returns the positions of the live hosts by name, from 1, as of at
+// most liveHostsMaxAge ago.
+func (h *Hub) livePositions() map[string]int {
 	now := h.set.Clock.Now()
 	if h.countedReports != len(h.reports) || now.Sub(h.countedAt) > liveHostsMaxAge {
-		h.liveHosts, h.countedAt, h.countedReports = len(h.liveReports()), now, len(h.reports)
+		h.liveHosts, h.countedAt, h.countedReports = make(map[string]int), now, len(h.reports)
+		for i, host := range slices.Sorted(maps.Keys(h.liveReports())) {
+			h.liveHosts[host] = i + 1
+		}
 	}
 	return h.liveHosts
 }
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -96,6 +96,9 @@
 		Members    []netip.AddrPort `cbor:"members,omitempty"`
 		// Hosts is the number of live hosts that serve callers.
 		Hosts int `cbor:"hosts"`
+		// Position is this host's position among them by name, from 1; 0 while the
+		// leader may not know all of them.
+		Position int `cbor:"position,omitempty"`
 		// Published lacks the document's body if the host has it, or receives its
 		// last part with this answer.
 		Published *controller.Published `cbor:"published,omitempty"`
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -142,6 +142,26 @@
 		Expect(hub.Counts()[l].All).To(Equal(uint64(10)))
 	})
 
+	// Guards against hosts that have the same position, because a leader that was just
+	// elected does not know the others yet, and so exceed a limit that they share.
+	It("tells hosts their positions once all have reported", func() {
+		src.publish(1)
+		position := func(host string) int { return (<-watch(syncer.Report{Host: host, Started: 1})).Position }
+		Expect(position("c")).To(BeZero())
+		Expect(position("a")).To(BeZero())
+		Expect(position("b")).To(BeZero())
+		clock.Advance(1200 * time.Millisecond)
+		Expect([]int{position("a"), position("b"), position("c")}).To(Equal([]int{1, 2, 3}))
+
+		By("a new lead")
+		src.leading = false
+		Expect(position("a")).To(BeZero())
+		src.leading = true
+		Expect(position("a")).To(BeZero())
+		clock.Advance(1200 * time.Millisecond)
+		Expect(position("a")).To(Equal(1))
+	})
+
 	// Guards against excluded sessions that are not sent to other hosts, are
 	// sent back to the host that reported them, or are still sent after no host
 	// excludes them.
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,116 @@
+// Package throttler paces the requests of one host to an upstream that accepts a
+// limited number of requests per second from all hosts together.
+//
+// The limit is divided among some of the hosts, its senders, as permits that come
+// at regular intervals. All hosts are senders if they are few. Of many, only as
+// many are that their permits cannot exceed the bound whenever they come; which
+// ones follows from the ranks that the leader of the control group gives to hosts,
+// and differs between upstreams. Unused permits expire after PermitTTL: if they
+// were kept, the senders could send at once after a quiet time.
+//
+// Package limiter admits callers' requests, and package budgeter limits retries;
+// this package protects a single upstream.
+//
+// # Usage
+//
+//	var p throttler.Pace
+//	p.Reset(throttler.Phase(host, upstream), clock.Now())
+//	if p.Allows(throttler.Limit{PerSecond: 2.5, Hosts: 300, Rank: 17}, clock.Now()) {
+//		p.Take()
+//		// Send one request.
+//	}
+package throttler
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// PermitTTL is how long a permit may be used.
+	PermitTTL = 500 * time.Millisecond
+
+	// The hosts together may send burstFactor times the limit and burstExtra
+	// requests within burstWindow.
+	burstWindow = 4 * time.Second
+	burstFactor = 1.5
+	burstExtra  = 5
+	// minPerSecond is the lowest rate that is used. It lets hosts notice that a
+	// limit of zero has ended.
+	minPerSecond = 0.25
+)
+
+type (
+	// Limit is a rate limit that several hosts share.
+	Limit struct {
+		// PerSecond is the number of requests per second from all hosts together.
+		PerSecond float64
+		// Hosts is the number of hosts that share it, at least 1.
+		Hosts int
+		// Rank is this host's position among them, from 0, rotated by a number that
+		// differs between upstreams; negative if unknown.
+		Rank int
+	}
+
+	// Pace counts the permits of one host for one upstream. Its zero value is ready
+	// to use and starts with the phase 0. It is not safe for concurrent use.
+	Pace struct {
+		// permits is the number of permits; its fraction is the progress to the next.
+		permits float64
+		updated time.Time
+	}
+)
+
+// Phase returns a number from 0 to 1 that differs between hosts and upstreams, for
+// Reset.
+func Phase(host, upstream string) float64 {
+	d := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = d.WriteString(host)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(upstream)
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
+// Reset drops all permits. The phase, from 0 to 1, is the part of the interval to
+// the next permit that has passed.
+func (p *Pace) Reset(phase float64, now time.Time) { p.permits, p.updated = phase, now }
+
+// Allows reports whether a request may be sent now.
+func (p *Pace) Allows(l Limit, now time.Time) bool {
+	if p.updated.IsZero() {
+		p.updated = now
+	}
+	perSecond := l.share()
+	p.permits += perSecond * max(now.Sub(p.updated), 0).Seconds()
+	p.updated = now
+	if extra := p.permits - 1 - perSecond*PermitTTL.Seconds(); extra > 0 {
+		p.permits -= math.Ceil(extra)
+	}
+	return p.permits >= 1
+}
+
+// Take uses a permit. Allows must have returned true.
+func (p *Pace) Take() { p.permits-- }
+
+// share returns the number of permits per second of this host, zero if it is not a
+// sender.
+func (l Limit) share() float64 {
+	perSecond, hosts := max(l.PerSecond, minPerSecond), max(l.Hosts, 1)
+	// Each sender may send one request more than its share of a window, because its
+	// permits need not begin with the window and are kept for PermitTTL.
+	bound := burstFactor*perSecond*burstWindow.Seconds() + burstExtra
+	spare := bound - perSecond*(burstWindow+PermitTTL).Seconds()
+	if float64(hosts) <= spare {
+		return perSecond / float64(hosts)
+	}
+	// Half of that is left for hosts that become senders within a window.
+	stride := int(math.Ceil(float64(hosts) / max(1, math.Floor(spare/2))))
+	if l.Rank < 0 || l.Rank%hosts%stride != 0 {
+		return 0
+	}
+	senders := (hosts + stride - 1) / stride
+	return perSecond / float64(senders)
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -18,6 +18,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 type (
@@ -60,6 +62,17 @@
 // Key returns the identity of the incarnation.
 func (u Upstream) Key() Key { return Key{ID: u.ID, StartedAt: u.StartedAt, Address: u.Address} }
 
+// Hash returns a hash of the identity, which differs between incarnations with the
+// same ID.
+func (k Key) Hash() uint64 {
+	d := xxhash.New()
+	// Writing to a digest does not fail.
+	_, _ = d.WriteString(k.ID)
+	_, _ = d.WriteString(k.Address.String())
+	_, _ = d.WriteString(time.UnixMilli(k.StartedAt).UTC().String())
+	return d.Sum64()
+}
+
 // Update replaces the list by a complete new one and reports whether anything
 // but Upstream.ColdLeft has changed. It takes ownership of the slice and sorts
 // it by ID.
