Log which requests are the same if an attempt may have run

They now carry a hash of workspace, method, host, target and body (for prompts without a body, of their parts). No change of behaviour.

--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -30,6 +30,9 @@
 	e := c.f.requestLog.Info().Str("request", c.envelope.ID).Str("route", c.route.Name).Str("upstream", upstream.ID).
 		Str("version", upstream.Version).Str("kind", kind).Str("outcome", string(outcome)).Int("try", c.attempts).
 		Int("events", c.events).Uint64("config", c.table.Version())
+	if outcome != refuser.NotRun {
+		e = e.Str("content", strconv.FormatUint(c.contentID(), 16))
+	}
 	if outcome != refuser.NotRun && len(c.envelope.Parts) > 0 {
 		e = e.Array("parts", partIDs(c.envelope.Parts))
 	}
