Send no requests to upstreams that are known to have been replaced

Sound requests then failed for lack of budget.

Cause: an upstream whose ID is gone from its address was ejected, but an ejected upstream is the last resort, and there was no other. A refusal was also recorded as data received from the upstream, which protected it from what other hosts reported. Class: a retry of what certainly fails.

Such an address now gets one request a second from the hosts together while nothing else is left, and the others are refused at once; the leader reads the list every 0.5 s instead of 1.2 s while hosts report such upstreams; and callers may return after 0.9 s instead of 0.4 s, when the list usually names the new ones. An upstream that has just sent data may have refused a request for another reason and stays in use.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -52,6 +52,9 @@
 	// listInterval is how often the leader reads the list of upstreams. Changes
 	// must be in force within 3 s of their publication, but every call costs.
 	listInterval = 1200 * time.Millisecond
+	// outdatedListInterval is the same while the list names upstreams that have been
+	// replaced.
+	outdatedListInterval = 500 * time.Millisecond
 	// isolationInterval is how often the leader weighs the evidence about prompt
 	// parts that crash engines.
 	isolationInterval = 100 * time.Millisecond
--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -11,7 +11,8 @@
 )
 
 // runListReader reads the list of upstreams every listInterval while this host
-// leads, starting when it becomes leader.
+// leads, starting when it becomes leader. It reads the list sooner while hosts
+// report that a listed upstream has been replaced.
 func (c *Coordinator) runListReader(ctx context.Context) {
 	var lastRead time.Time
 	for timekeeper.Sleep(ctx, c.set.Clock, leaderCheckInterval) == nil {
@@ -21,13 +22,21 @@
 				c.hub.ClearList()
 			}
 			lastRead = time.Time{}
-		case lastRead.IsZero() || c.set.Clock.Since(lastRead) >= listInterval:
+		case lastRead.IsZero() || c.set.Clock.Since(lastRead) >= c.listInterval():
 			lastRead = c.set.Clock.Now()
 			c.readList(ctx)
 		}
 	}
 }
 
+// listInterval returns the time between two reads of the list.
+func (c *Coordinator) listInterval() time.Duration {
+	if c.loadHub.UpstreamsReplaced() {
+		return outdatedListInterval
+	}
+	return listInterval
+}
+
 func (c *Coordinator) readList(ctx context.Context) {
 	list, err := c.set.List(ctx)
 	if err != nil {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -268,7 +268,7 @@
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.RateLimited, limitedRetryAfter)
 	}
 	if !ok {
-		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, startupRetryAfter)
+		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, noUpstreamRetryAfter)
 	}
 	c.isRetry = c.delivered+c.misdirected > 0
 	if c.isRetry && !c.f.settings.Budget.Allow(c.service.Name) {
@@ -360,7 +360,9 @@
 	if err != nil {
 		return c.handleFailure(t, err)
 	}
-	t.RecordReceived()
+	if resp.Status != http.StatusMisdirectedRequest {
+		t.RecordReceived()
+	}
 	return c.handleResponse(t, resp, g, sentAt)
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -382,6 +382,37 @@
 		Expect(b.ranUpstreams()).To(HaveLen(1 + 4))
 	})
 
+	// Guards against a storm of arrivals, which uses up the retry budget, after all
+	// upstreams of a service were replaced: until the list names the new ones, those
+	// at its addresses refuse everything.
+	It("asks an upstream that has been replaced once a second", func() {
+		for range 3 {
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Not-Run", "1")
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})
+		}
+		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
+		clock := timekeeper.System{}
+		start := clock.Now()
+		for i := range 20 {
+			a := b.send("GET", "/p/", "", "X-Id", fmt.Sprint("r", i))
+			Expect(a.status).To(Equal(503))
+			Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		probes := 1 + int(clock.Since(start)/time.Second)
+		before := len(b.ranUpstreams())
+		Expect(before).To(BeNumerically("<=", 3*probes))
+
+		By("the list names their successors")
+		for i := range b.upstreams {
+			b.upstreams[i].ID += "-next"
+		}
+		b.placer.Update(append([]tracker.Upstream(nil), b.upstreams...))
+		b.send("GET", "/p/", "", "X-Id", "next")
+		Expect(len(b.ranUpstreams())).To(BeNumerically(">", before))
+	})
+
 	// Guards against callers that hold a request for ever by sending its body a byte
 	// at a time or not at all.
 	It("refuses a request whose body does not arrive in time", func(context.Context) {
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	// startupRetryAfter is the Retry-After of refusals for lack of a configuration
-	// or an upstream.
+	// startupRetryAfter is the Retry-After of refusals for lack of a configuration.
 	startupRetryAfter = 400 * time.Millisecond
+	// noUpstreamRetryAfter is the Retry-After of refusals for lack of an upstream: the
+	// list names a new one about a second after its start.
+	noUpstreamRetryAfter = 900 * time.Millisecond
 	// shutdownRetryAfter is the Retry-After while this host shuts down; the retry
 	// reaches another host.
 	shutdownRetryAfter = 30 * time.Millisecond
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -31,6 +31,8 @@
 		case r.MaxConns > 0 && float64(u.running+int(loads[u.loadID()].Running)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
+		case now.Sub(u.misdirectedAt) < misdirectedProbeInterval:
+			// The request would certainly be refused.
 		case !u.usable(now) || !p.zonePath(u.Zone).usable(now):
 			unusable = append(unusable, u)
 		case u.Zone == p.settings.Zone:
--- a/placer/health.go
+++ b/placer/health.go
@@ -5,6 +5,9 @@
 // recordOutcome updates the upstream's statistics and ejection by the outcome
 // of an attempt.
 func (u *upstream) recordOutcome(outcome Outcome, firstByte time.Duration, now time.Time) {
+	if outcome == Succeeded || outcome == Failed {
+		u.recordReached()
+	}
 	switch outcome {
 	case Succeeded:
 		u.updateFailureRate(0)
@@ -26,11 +29,29 @@
 		u.eject(now, busyEjection)
 		u.probing = false
 	case Misdirected:
-		u.eject(now, misdirectedEjection)
+		u.recordMisdirected(now)
 	case Stale, Abandoned:
 	}
 }
 
+// recordMisdirected ejects an upstream whose address belongs to another one. An
+// upstream that has just sent data may have refused the request for another reason
+// and remains the last resort.
+func (u *upstream) recordMisdirected(now time.Time) {
+	u.eject(now, misdirectedEjection)
+	if now.Sub(u.lastReceived) > baseEjection {
+		u.misdirectedAt = now
+	}
+}
+
+// recordReached records that the upstream is still at its address, although an
+// earlier request seemed to reach another one there.
+func (u *upstream) recordReached() {
+	if !u.misdirectedAt.IsZero() {
+		u.misdirectedAt, u.ejectedUntil = time.Time{}, time.Time{}
+	}
+}
+
 func (u *upstream) eject(now time.Time, duration time.Duration) {
 	if end := now.Add(duration); end.After(u.ejectedUntil) {
 		u.ejectedUntil = end
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,6 +74,9 @@
 	// misdirectedEjection is how long an address that belongs to another upstream
 	// is ejected; the list will have changed by then.
 	misdirectedEjection = 10 * time.Second
+	// misdirectedProbeInterval is how long no request is sent to such an address
+	// even if there is no other upstream.
+	misdirectedProbeInterval = time.Second
 	// outlierEjection is how long an upstream is ejected that fails more often or
 	// responds later than its peers.
 	outlierEjection = 1500 * time.Millisecond
@@ -247,6 +250,9 @@
 
 		ejectedUntil time.Time
 		ejections    int
+		// misdirectedAt is when a request last reached another upstream at the
+		// address, zero if one has reached this one since.
+		misdirectedAt time.Time
 		// probing lets only one request through at a time after an ejection.
 		probing bool
 		// lastReceived is when this host last received data from the upstream, and
@@ -465,21 +471,22 @@
 	if len(list) == 0 {
 		return
 	}
-	ejections := make(map[uint32]time.Duration)
+	misdirected := make(map[uint32]bool)
 	for _, un := range list {
-		d := baseEjection
-		if un.Misdirected {
-			d = misdirectedEjection
-		}
-		ejections[un.Upstream] = max(d, ejections[un.Upstream])
+		misdirected[un.Upstream] = misdirected[un.Upstream] || un.Misdirected
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Clock.Now()
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			if d, ok := ejections[u.loadID()]; ok && now.Sub(u.lastReceived) > baseEjection {
-				u.eject(now, d)
+			replaced, ok := misdirected[u.loadID()]
+			switch {
+			case !ok || now.Sub(u.lastReceived) <= baseEjection:
+			case replaced:
+				u.recordMisdirected(now)
+			default:
+				u.eject(now, baseEjection)
 			}
 		}
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -207,6 +207,30 @@
 		}
 	})
 
+	// Guards against requests that are refused although an upstream is there, because
+	// it refused a request for another reason than a new upstream at its address.
+	It("uses an upstream again that has served a request since it seemed replaced", func() {
+		p.Update(fleet(1, 64)[:1])
+		t := pick(placer.Request{})
+		clock.Advance(2 * time.Second)
+		t.RecordReceived()
+		refused := pick(placer.Request{})
+		refused.Done(placer.Misdirected, 0)
+		again := pick(placer.Request{}) // The last resort.
+		again.Done(placer.Succeeded, time.Millisecond)
+		for range 3 {
+			pick(placer.Request{})
+		}
+
+		By("an upstream that has sent nothing")
+		clock.Advance(2 * time.Second)
+		pick(placer.Request{}).Done(placer.Misdirected, 0)
+		_, ok := p.Pick(placer.Request{Service: "s"})
+		Expect(ok).To(BeFalse())
+		clock.Advance(time.Second)
+		pick(placer.Request{})
+	})
+
 	// Guards against requests that are refused or wait after a zone has lost its
 	// engines, while other zones have capacity.
 	It("uses other zones when its own has no healthy upstream", func() {
--- a/sharer/hub.go
+++ b/sharer/hub.go
@@ -152,6 +152,20 @@
 	return out[:min(len(out), maxUnreachable)]
 }
 
+// UpstreamsReplaced reports whether a host has found another upstream at the address
+// of a listed one within unreachableTTL.
+func (h *Hub) UpstreamsReplaced() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.set.Clock.Now()
+	for un, at := range h.unreachableAt {
+		if un.Misdirected && now.Sub(at) <= unreachableTTL {
+			return true
+		}
+	}
+	return false
+}
+
 // busiestUpstreams returns the keys of the maxLoads sums with the most work, as
 // of at most rankInterval ago.
 func (h *Hub) busiestUpstreams(now time.Time) []uint32 {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -63,6 +63,23 @@
 		))
 	})
 
+	// Guards against a list that is read as seldom as usual although hosts find other
+	// upstreams at the addresses that it names.
+	It("knows while hosts report that upstreams were replaced", func() {
+		count := uint64(0)
+		exchange := func(unreachable ...placer.Unreachable) {
+			count++
+			_, ok := hub.record(&report{Host: "a", Started: 1, Count: count, Unreachable: unreachable})
+			Expect(ok).To(BeTrue())
+		}
+		exchange(placer.Unreachable{Upstream: 1})
+		Expect(hub.UpstreamsReplaced()).To(BeFalse())
+		exchange(placer.Unreachable{Upstream: 2, Misdirected: true})
+		Expect(hub.UpstreamsReplaced()).To(BeTrue())
+		clock.Advance(unreachableTTL + time.Millisecond)
+		Expect(hub.UpstreamsReplaced()).To(BeFalse())
+	})
+
 	// Guards against hosts that learn late, or never, that an upstream has named a
 	// rate limit or ended it, and against an older report that replaces a newer one.
 	It("tells all hosts the newest rate limit of each upstream", func() {
