--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -258,10 +258,13 @@
 		for range maxUnreachable {
 			a.Unreachable = append(a.Unreachable, placer.Unreachable{Upstream: math.MaxUint32, Misdirected: true})
 		}
+		for range maxLimits {
+			a.Limits = append(a.Limits, limit{Upstream: math.MaxUint32, PerSecond: math.MaxUint32, Ended: true, Age: math.MaxUint32})
+		}
 		Expect(len(encode(a))).To(BeNumerically("<", maxDatagram))
 		r := report{
 			Host: strings.Repeat("h", 255), Started: math.MaxInt64, Count: a.Count, Known: a.Known,
-			Loads: a.Loads, Placements: a.Placements, Unreachable: a.Unreachable,
+			Loads: a.Loads, Placements: a.Placements, Unreachable: a.Unreachable, Limits: a.Limits,
 		}
 		Expect(len(encode(r))).To(BeNumerically("<", maxDatagram))
 	})
