Divide the retry budget among the hosts known before a leader changed

A leader that was just elected counts only the hosts that have reported to it, and told the first of them that they are one host, or two: each then used the whole allowance for retries that all share. Class: a share computed from a count that is too low while it is being built up; the rate limits of upstreams had the same guard from the start.

Hosts now use the largest number within 15 s.

--- a/starter/entry.go
+++ b/starter/entry.go
@@ -231,7 +231,6 @@
 // applyUpdate applies an update from the leader. It never goes back to an older
 // published state.
 func (e *entry) applyUpdate(u *syncer.Update) {
-	e.retryBudget.SetHosts(u.Hosts)
 	e.liveHosts.Store(int64(u.Hosts))
 	e.forwarder.SetSuspects(u.Suspects)
 	for _, excluded := range u.Excluded {
@@ -239,7 +238,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.placer.SetHosts(e.hosts.update(u.Hosts, u.Position, e.opts.Clock.Now()))
+	hosts, rank := e.hosts.update(u.Hosts, u.Position, e.opts.Clock.Now())
+	e.placer.SetHosts(hosts, rank)
+	e.retryBudget.SetHosts(hosts)
 	if u.ListAge >= 0 {
 		e.listReadAt = e.opts.Clock.Now().Add(-u.ListAge)
 	}
