Isolate requests that crash upstreams whenever they are sent again

Callers saw: a booking or lookup crashed each upstream that began to run it, was sent on, and crashed the next ones whenever its caller sent it again.

Cause: only prompt parts that requests share were judged; a plain request has none.

Hosts now report attempts that an upstream broke off with a hash of the request's content. Class: the guard was tied to one way of causing the harm.

--- a/controller/isolation.go
+++ b/controller/isolation.go
@@ -19,22 +19,26 @@
 
 type (
 	// PromptPart identifies a cacheable part of the prompts to the engines of a
-	// service.
+	// service, or a whole request to a service.
 	PromptPart struct {
 		Service string `cbor:"service"`
 		ID      uint64 `cbor:"id"`
+		// Request means that ID is the hash of a request's content.
+		Request bool `cbor:"request,omitempty"`
 	}
 
-	// IsolationStep starts the isolation of a prompt part, or ends it.
+	// IsolationStep starts the isolation of a prompt part or request, or ends it.
 	IsolationStep struct {
 		Part PromptPart `cbor:"part"`
 		End  bool       `cbor:"end,omitempty"`
 	}
 
-	// Isolation says that requests with a prompt part crashed engines.
+	// Isolation says that requests with a prompt part crashed engines, or that a
+	// request crashed upstreams.
 	Isolation struct {
 		Part PromptPart `cbor:"part"`
-		// Active means that requests with the part are refused.
+		// Active means that requests with the part, or copies of the request, are
+		// refused.
 		Active bool `cbor:"active"`
 		// Times is how often the part was isolated.
 		Times int `cbor:"times"`
@@ -44,8 +48,14 @@
 	}
 )
 
-// String returns the service and, in hexadecimal, the ID of the part.
-func (p PromptPart) String() string { return p.Service + "/" + strconv.FormatUint(p.ID, 16) }
+// String returns the service and, in hexadecimal, the ID of the part or request.
+func (p PromptPart) String() string {
+	id := strconv.FormatUint(p.ID, 16)
+	if p.Request {
+		return p.Service + "/request/" + id
+	}
+	return p.Service + "/" + id
+}
 
 // stepIsolation starts or ends an isolation and reports whether that had an
 // effect.
--- a/coordinator/isolate.go
+++ b/coordinator/isolate.go
@@ -7,8 +7,8 @@
 	"foxtailwall/timekeeper"
 )
 
-// runIsolations starts and ends the isolation of prompt parts while this host
-// leads.
+// runIsolations starts and ends the isolation of prompt parts and requests while
+// this host leads.
 func (c *Coordinator) runIsolations(ctx context.Context) {
 	for timekeeper.Sleep(ctx, c.set.Clock, isolationInterval) == nil {
 		if !c.Leading() {
@@ -17,7 +17,7 @@
 		}
 		isolations := c.Published().Isolations
 		c.judge.SetIsolations(isolations)
-		if part, ok := c.judge.Next(); ok {
+		for _, part := range c.judge.Next() {
 			c.stepIsolation(ctx, controller.IsolationStep{Part: part})
 		}
 		now := c.set.Clock.Now()
@@ -35,9 +35,9 @@
 	a, err := c.propose(ctx, controller.Item{Isolation: &st})
 	if err != nil {
 		c.set.Log.Info().Stringer("part", st.Part).AnErr("cause", err).
-			Msg("cannot propose the isolation of a prompt part")
+			Msg("cannot propose the isolation of a prompt part or request")
 		return
 	}
 	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("changed", a.OK).
-		Msg("isolation of a prompt part that crashes engines")
+		Msg("isolation of a prompt part or request that crashes upstreams")
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -54,7 +54,9 @@
 		workspace string
 		priority  int
 		body      []byte
-		deadline  time.Time
+		// content is the hash that contentID returns, zero until it is needed.
+		content  uint64
+		deadline time.Time
 
 		session  uint64
 		rollout  *controller.OrderedRollout
@@ -538,6 +540,7 @@
 	}
 	resp.Finish()
 	c.countDelivered(true)
+	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
 	a := &response{status: resp.Status, header: resp.Header, body: body}
 	c.recordResponse(resp.Status >= http.StatusInternalServerError, firstByte)
 	if resp.Status < http.StatusInternalServerError {
--- a/forwarder/content.go
+++ b/forwarder/content.go
@@ -10,6 +10,13 @@
 // method, host, target and body, or the parts of the prompt if there is no body. It
 // is the same for each copy of a request that a caller sends, whatever its ID.
 func (c *call) contentID() uint64 {
+	if c.content == 0 {
+		c.content = c.hashContent()
+	}
+	return c.content
+}
+
+func (c *call) hashContent() uint64 {
 	d := xxhash.New()
 	for _, text := range []string{c.workspace, c.r.Method, c.r.Host, c.r.RequestURI} {
 		// Writing to a digest does not fail.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -133,7 +133,7 @@
 		Table *matcher.Table
 		// Rollouts maps services to their ordered rollouts.
 		Rollouts map[string]controller.OrderedRollout
-		// Isolated has the prompt parts that crash engines.
+		// Isolated has the prompt parts and requests that crash upstreams.
 		Isolated map[controller.PromptPart]bool
 	}
 
@@ -149,7 +149,8 @@
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
-		// isolation collects evidence about prompt parts that crash engines.
+		// isolation collects evidence about prompt parts and requests that crash
+		// upstreams.
 		isolation *isolator.Recorder
 
 		// requestLog is a sampled logger for lines about single requests.
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 
 	"foxtailwall/controller"
 	"foxtailwall/isolator"
@@ -9,13 +10,19 @@
 	"foxtailwall/router"
 )
 
-// Evidence returns this host's evidence about prompt parts that crash engines.
-func (f *Forwarder) Evidence() isolator.Evidence { return f.isolation.Evidence() }
+// Evidence returns this host's evidence about prompt parts and requests that crash
+// upstreams, for the leader of the control group.
+func (f *Forwarder) Evidence(leader netip.AddrPort) isolator.Evidence {
+	f.isolation.SetLeader(leader)
+	return f.isolation.Evidence()
+}
 
-// SetSuspects sets the prompt parts of which Evidence reports the last success.
+// SetSuspects sets the prompt parts and requests of which Evidence reports the last
+// success.
 func (f *Forwarder) SetSuspects(suspects []controller.PromptPart) { f.isolation.SetSuspects(suspects) }
 
-// refuseIsolated refuses the request if its prompt has an isolated part.
+// refuseIsolated refuses the request if it is isolated or its prompt has an isolated
+// part.
 func (c *call) refuseIsolated() *refusal {
 	isolated := c.f.ActiveConfig().Isolated
 	if len(isolated) == 0 {
@@ -27,6 +34,10 @@
 			return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, isolatedRetryAfter)
 		}
 	}
+	if isolated[isolator.Request(c.service.Name, c.contentID())] {
+		c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
+		return newRefusal(http.StatusServiceUnavailable, refuser.RequestIsolated, isolatedRetryAfter)
+	}
 	return nil
 }
 
@@ -48,6 +59,9 @@
 	if c.r.Context().Err() != nil || err.Outcome == refuser.NotRun || (err.Kind != router.FailReset && err.Kind != router.FailCut) {
 		return
 	}
+	c.f.isolation.RecordBrokenRequest(isolator.BrokenRequest{
+		Service: c.service.Name, Content: c.contentID(), Upstream: c.upstream.Key(), ID: c.envelope.ID, Attempt: c.attempts,
+	})
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordBroken(c.service.Name, c.upstream.Key(), c.envelope.ID, parts)
 	}
@@ -55,6 +69,7 @@
 
 // recordUnbroken records that the request got its whole response.
 func (c *call) recordUnbroken() {
+	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordSuccess(c.service.Name, parts)
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -1,5 +1,5 @@
-// Package isolator finds prompt parts that crash engines, so that requests with
-// them are refused.
+// Package isolator finds prompt parts that crash engines, and requests that crash
+// upstreams whenever callers send them again, so that these are refused.
 //
 // An engine that crashes breaks all requests that it serves, and all their prompt
 // parts are suspects. Two things tell the cause from the rest: it is there at
@@ -10,6 +10,10 @@
 // part that remains with the most crashes is isolated, and the crashes that it
 // explains no longer count against other parts.
 //
+// A whole request is judged by its content: each time that it is sent it is broken
+// off, by one upstream after the other, while one that only shared an upstream with
+// it is served when it is sent again.
+//
 // Package monitor and package placer judge upstreams, package governor judges
 // versions; this package judges requests.
 //
@@ -19,6 +23,8 @@
 //	r := isolator.NewRecorder(clock)
 //	r.RecordBroken(service, upstream, requestID, parts)
 //	r.RecordSuccess(service, parts)
+//	r.RecordBrokenRequest(isolator.BrokenRequest{Service: service, Content: hash, Upstream: upstream, ID: requestID, Attempt: 1})
+//	r.RecordRequestSuccess(service, hash)
 //	r.SetSuspects(suspects) // from the leader
 //	evidence := r.Evidence() // to the leader
 //
@@ -27,8 +33,8 @@
 //	j.SetIsolations(isolations)
 //	j.Add(evidence)
 //	suspects := j.Suspects()
-//	if part, ok := j.Next(); ok {
-//		// Isolate the part.
+//	for _, part := range j.Next() {
+//		// Isolate the part, or the request.
 //	}
 package isolator
 
@@ -53,6 +59,18 @@
 		Age time.Duration `cbor:"age"`
 	}
 
+	// Break says that an attempt of a request was broken off by the end of an
+	// upstream's connection.
+	Break struct {
+		Request controller.PromptPart `cbor:"request"`
+		// Attempt is the hash of the request's ID and the number of the attempt, and
+		// Upstream that of the upstream's incarnation.
+		Attempt  uint64 `cbor:"attempt"`
+		Upstream uint64 `cbor:"upstream"`
+		// Age is the time since the break.
+		Age time.Duration `cbor:"age"`
+	}
+
 	// Success says that a request with a prompt part got its whole response.
 	Success struct {
 		Part controller.PromptPart `cbor:"part"`
@@ -64,6 +82,9 @@
 	Evidence struct {
 		// Crashes are those of the last seconds, whether reported before or not.
 		Crashes []Crash `cbor:"crashes,omitempty"`
+		// Breaks are those of the last seconds; after a change of the leader, all that
+		// the host remembers.
+		Breaks []Break `cbor:"breaks,omitempty"`
 		// Successes are the last ones with each suspect.
 		Successes []Success `cbor:"successes,omitempty"`
 	}
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -74,7 +74,7 @@
 		h.SetSuspects(g.judge.Suspects())
 	}
 	g.judge.SetIsolations(g.active)
-	if p, ok := g.judge.Next(); ok {
+	for _, p := range g.judge.Next() {
 		g.active = append(g.active, controller.Isolation{Part: p, Active: true})
 	}
 }
@@ -169,8 +169,7 @@
 			}
 			g.judge.Add(h.Evidence())
 			h.SetSuspects(g.judge.Suspects())
-			_, ok := g.judge.Next()
-			Expect(ok).To(BeFalse(), "after %d steps", step)
+			Expect(g.judge.Next()).To(BeEmpty(), "after %d steps", step)
 		}
 	})
 
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -57,6 +57,7 @@
 		explained map[uint64]time.Time
 		// isolated has the isolations by part; the value says whether it is active.
 		isolated map[controller.PromptPart]bool
+		requests requestJudge
 		// announcement is what Suspects returned at announcedAt.
 		announcement []controller.PromptPart
 		announcedAt  time.Time
@@ -97,6 +98,7 @@
 	j.crashed = make(map[uint64]time.Time)
 	j.explained = make(map[uint64]time.Time)
 	j.isolated = make(map[controller.PromptPart]bool)
+	j.requests = requestJudge{}
 	j.announcement, j.announcedAt = nil, time.Time{}
 }
 
@@ -106,7 +108,12 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	isolated := make(map[controller.PromptPart]bool, len(list))
+	requests := make(map[controller.PromptPart]bool)
 	for _, i := range list {
+		if i.Part.Request {
+			requests[i.Part] = i.Active
+			continue
+		}
 		isolated[i.Part] = i.Active
 		if s := j.suspects[i.Part]; s != nil && i.Active {
 			for upstream := range s.crashes {
@@ -116,6 +123,7 @@
 		}
 	}
 	j.isolated = isolated
+	j.requests.setIsolations(requests, j.clock.Now())
 }
 
 // explain drops the crash of an upstream from the evidence.
@@ -132,12 +140,15 @@
 
 // Add adds the evidence of a host.
 func (j *Judge) Add(e Evidence) {
-	if len(e.Crashes) == 0 && len(e.Successes) == 0 {
+	if len(e.Crashes) == 0 && len(e.Breaks) == 0 && len(e.Successes) == 0 {
 		return
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.clock.Now()
+	for _, b := range e.Breaks {
+		j.requests.add(b, now)
+	}
 	for _, c := range e.Crashes {
 		if _, ok := j.explained[c.Upstream]; !ok && j.isolated[c.Part] {
 			j.explain(c.Upstream)
@@ -158,6 +169,10 @@
 		j.addCrash(c, now)
 	}
 	for _, ok := range e.Successes {
+		if ok.Part.Request {
+			j.requests.addSuccess(ok.Part, now.Add(-ok.Age), now)
+			continue
+		}
 		if s := j.suspects[ok.Part]; s != nil {
 			j.addSuccess(ok.Part, s, now.Add(-ok.Age))
 		}
@@ -228,8 +243,8 @@
 	}
 }
 
-// Suspects returns the parts of which hosts should report the last success, those
-// with the most crashes first.
+// Suspects returns the parts and requests of which hosts should report the last
+// success, each with the most crashes first.
 func (j *Judge) Suspects() []controller.PromptPart {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -238,16 +253,27 @@
 		return j.announcement
 	}
 	j.expire()
-	ranked := j.ranked(now)
+	ranked, requests := j.ranked(now), j.requests.suspects(now)
 	j.announcement, j.announcedAt = ranked[:min(len(ranked), maxAnnounced)], now
+	j.announcement = append(j.announcement, requests[:min(len(requests), maxAnnounced)]...)
 	return j.announcement
 }
 
-// Next returns the part to isolate next, if the evidence suffices.
-func (j *Judge) Next() (controller.PromptPart, bool) {
+// Next returns the requests to isolate now, and the part to isolate next, if the
+// evidence suffices.
+func (j *Judge) Next() []controller.PromptPart {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.expire()
+	out := j.requests.next(j.clock.Now())
+	if part, ok := j.nextPart(); ok {
+		out = append(out, part)
+	}
+	return out
+}
+
+// nextPart returns the part to isolate next.
+func (j *Judge) nextPart() (controller.PromptPart, bool) {
 	now := j.clock.Now()
 	ranked := j.ranked(now.Add(-clearTime))
 	for i, part := range ranked {
@@ -314,4 +340,5 @@
 	maps.DeleteFunc(j.suspects, func(_ controller.PromptPart, s *suspect) bool { return now.Sub(s.reported) > suspectTTL })
 	maps.DeleteFunc(j.crashed, func(_ uint64, at time.Time) bool { return now.Sub(at) > suspectTTL })
 	maps.DeleteFunc(j.explained, func(_ uint64, at time.Time) bool { return now.Sub(at) > explainedTTL })
+	j.requests.expire(now)
 }
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -19,8 +20,13 @@
 	crashReportTime = 3 * time.Second
 	// maxReportedCrashes bounds the crashes in a report; the oldest are dropped.
 	maxReportedCrashes = 128
-	// maxSuccesses bounds the parts whose last success is remembered.
+	// maxSuccesses bounds the parts, and the requests, whose last success is
+	// remembered.
 	maxSuccesses = 4096
+	// breakMemory is how long breaks of requests are remembered for a new leader, and
+	// maxBreaks bounds them; the oldest are dropped.
+	breakMemory = time.Minute
+	maxBreaks   = 128
 )
 
 type (
@@ -34,6 +40,26 @@
 		// succeeded is when a request with the part last succeeded.
 		succeeded *buffer.LRU[controller.PromptPart, time.Time]
 		suspects  []controller.PromptPart
+		breaks    []BrokenRequest
+		// requestSucceeded is when a request last got its whole response.
+		requestSucceeded *buffer.LRU[controller.PromptPart, time.Time]
+		// leader is the leader that gets the reports, since leaderAt.
+		leader   netip.AddrPort
+		leaderAt time.Time
+	}
+
+	// BrokenRequest is an attempt whose connection an upstream ended before the end
+	// of its response.
+	BrokenRequest struct {
+		Service string
+		// Content is a hash that is the same for each copy of the request.
+		Content  uint64
+		Upstream tracker.Key
+		// ID is the request's ID, and Attempt the number of the attempt.
+		ID      string
+		Attempt int
+		// brokenAt is set by RecordBrokenRequest.
+		brokenAt time.Time
 	}
 
 	recordedCrash struct {
@@ -44,7 +70,15 @@
 
 // NewRecorder returns a recorder without evidence.
 func NewRecorder(clock timekeeper.Clock) *Recorder {
-	return &Recorder{clock: clock, succeeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses)}
+	return &Recorder{
+		clock: clock, succeeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
+		requestSucceeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
+	}
+}
+
+// Request identifies all copies of a request by the hash of its content.
+func Request(service string, content uint64) controller.PromptPart {
+	return controller.PromptPart{Service: service, ID: content, Request: true}
 }
 
 // RecordBroken records that an upstream's connection ended before the end of its
@@ -74,6 +108,50 @@
 	}
 }
 
+// RecordBrokenRequest records that an attempt has just been broken off.
+func (r *Recorder) RecordBrokenRequest(b BrokenRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	b.brokenAt = r.clock.Now()
+	r.breaks = append(r.breaks, b)
+	if extra := len(r.breaks) - maxBreaks; extra > 0 {
+		r.breaks = slices.Delete(r.breaks, 0, extra)
+	}
+}
+
+// RecordRequestSuccess records that a request got its whole response.
+func (r *Recorder) RecordRequestSuccess(service string, content uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.requestSucceeded.Put(Request(service, content), r.clock.Now())
+}
+
+// SetLeader sets the leader that gets the reports. A new one does not know what its
+// predecessor was told.
+func (r *Recorder) SetLeader(leader netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if leader.IsValid() && leader != r.leader {
+		r.leader, r.leaderAt = leader, r.clock.Now()
+	}
+}
+
+// reportedBreaks returns the breaks to report.
+func (r *Recorder) reportedBreaks(now time.Time) []Break {
+	r.breaks = slices.DeleteFunc(r.breaks, func(b BrokenRequest) bool { return now.Sub(b.brokenAt) > breakMemory })
+	var out []Break
+	for _, b := range r.breaks {
+		age := now.Sub(b.brokenAt)
+		if age > crashReportTime && now.Sub(r.leaderAt) > crashReportTime {
+			continue
+		}
+		out = append(out, Break{
+			Request: Request(b.Service, b.Content), Attempt: xxhash.Sum64String(b.ID) + uint64(b.Attempt), Upstream: b.Upstream.Hash(), Age: age,
+		})
+	}
+	return out
+}
+
 // SetSuspects replaces the suspects that the leader has announced.
 func (r *Recorder) SetSuspects(suspects []controller.PromptPart) {
 	r.mu.Lock()
@@ -92,8 +170,13 @@
 		c.Age = now.Sub(c.at)
 		e.Crashes = append(e.Crashes, c.Crash)
 	}
+	e.Breaks = r.reportedBreaks(now)
 	for _, part := range r.suspects {
-		if at, ok := r.succeeded.Peek(part); ok {
+		succeeded := r.succeeded
+		if part.Request {
+			succeeded = r.requestSucceeded
+		}
+		if at, ok := succeeded.Peek(part); ok {
 			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(at)})
 		}
 	}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -58,6 +58,7 @@
 	RetryBudget        Code = "retryBudgetSpent"
 	UpstreamFailed     Code = "upstreamFailed"
 	PromptIsolated     Code = "promptIsolated"
+	RequestIsolated    Code = "requestIsolated"
 	RateLimited        Code = "rateLimited"
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
@@ -111,6 +112,7 @@
 	RetryBudget:        http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
 	PromptIsolated:     http.StatusServiceUnavailable,
+	RequestIsolated:    http.StatusServiceUnavailable,
 	RateLimited:        http.StatusServiceUnavailable,
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -210,7 +210,7 @@
 func (e *entry) newReport() syncer.Report {
 	settings := e.settings.Load()
 	report := syncer.Report{
-		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Evidence: e.forwarder.Evidence(),
+		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
 	}
 	for line, count := range e.forwarder.Counts() {
 		report.Counts = append(report.Counts, syncer.AnswerCount{Line: line, Count: count})
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -48,7 +48,7 @@
 	// HubSettings configures a Hub.
 	HubSettings struct {
 		Source Source
-		// Judge receives the evidence about prompt parts; nil ignores it.
+		// Judge receives the evidence about prompt parts and requests; nil ignores it.
 		Judge *isolator.Judge
 		Clock timekeeper.Clock
 		Log   zerolog.Logger
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -60,7 +60,7 @@
 		// Excluded has one element for each running rollout.
 		Excluded []ExcludedSessions `cbor:"kept,omitempty"`
 
-		// Evidence is about prompt parts that may crash engines.
+		// Evidence is about prompt parts and requests that may crash upstreams.
 		Evidence isolator.Evidence `cbor:"evidence,omitempty"`
 
 		// PartBytes is the largest part that the host accepts. Zero, from hosts of
@@ -111,8 +111,8 @@
 		// ListAge is the time since the leader last read the list of upstreams,
 		// negative if it never has.
 		ListAge time.Duration `cbor:"listAge"`
-		// Suspects are the prompt parts of which the host should report the last
-		// success.
+		// Suspects are the prompt parts and requests of which the host should report
+		// the last success.
 		Suspects []controller.PromptPart `cbor:"suspects,omitempty"`
 		// Excluded are the sessions that only other hosts have reported.
 		Excluded []ExcludedSessions `cbor:"kept,omitempty"`
