Give the trial of a rollout as many answers at 300 hosts as at 6

In the trial no answer looks bad at any size: 0 of 53 late at 300 hosts, 0 of 5 at 6, since the target's engines are idle and, though four times slower than idle engines of a good version (126 against 32 ms between events), no slower than the busy old ones. At 6 hosts the trial ends before the 50th bad answer; at 300 it goes on for 4.4 s after it. Leader, reports and publication take part of a second in both. Ruled out: a late leader, a late last host.

The share of the trial is now such that it gives about 30 answers, as a share of 2% does with a few hosts, and never more than 2%. The log line of each step has the counts that decided it.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -58,21 +58,26 @@
 
 // runRollouts advances the running rollouts while this host leads.
 func (c *Coordinator) runRollouts(ctx context.Context) {
+	var rates stager.RateMeter
 	for timekeeper.Sleep(ctx, c.set.Clock, rolloutInterval) == nil {
 		if !c.Leading() {
+			rates = stager.RateMeter{}
 			continue
 		}
 		for _, r := range c.Published().Rollouts {
 			if r.State == controller.RolloutRunning {
-				c.advanceRollout(ctx, r)
+				c.advanceRollout(ctx, r, &rates)
+			} else {
+				rates.Forget(r.Service)
 			}
 		}
 	}
 }
 
 // advanceRollout proposes the next step of a rollout, if it is due.
-func (c *Coordinator) advanceRollout(ctx context.Context, r controller.OrderedRollout) {
+func (c *Coordinator) advanceRollout(ctx context.Context, r controller.OrderedRollout, rates *stager.RateMeter) {
 	e := stager.Evidence{Counts: c.hub.Counts(), Running: c.hub.RunningOtherVersions(r.Service), Prepared: c.hub.ExclusionsReported(r.Service, r.Target)}
+	e.PerSecond = rates.Update(r.Service, e.Counts, c.set.Clock.Now())
 	for _, u := range c.hub.Upstreams() {
 		switch {
 		case u.Service != r.Service || u.Leaving:
@@ -90,7 +95,10 @@
 		c.set.Log.Info().Str("service", r.Service).AnErr("cause", err).Msg("cannot propose the next step of a rollout")
 		return
 	}
+	target, others := stager.Sum(r, e.Counts)
 	c.set.Log.Info().Str("service", r.Service).Str("target", r.Target).Str("state", string(step.State)).
 		Int("share", step.Share).Bool("moving", step.Moving).Int("ready", e.Ready).Int("old", e.Old).
+		Float64("perSecond", e.PerSecond).Uint64("targetAnswers", target.All).Uint64("targetBad", target.Bad).
+		Uint64("otherAnswers", others.All).Uint64("otherBad", others.Bad).
 		Msg("rollout advanced")
 }
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -28,10 +28,14 @@
 )
 
 const (
-	// trialShare is the share of new sessions on the target during the trial,
-	// in thousandths. At 100 requests a second, a version that fails half of
+	// trialShare is the largest share of new sessions on the target during the
+	// trial, in thousandths. At 100 requests a second, a version that fails half of
 	// them is detected within about five seconds.
 	trialShare = 20
+	// trialAnswers is the number of answers from which more add no evidence: a
+	// version that looks good in the trial may still be bad under load. With many
+	// requests the share is smaller, so that a trial has about as many.
+	trialAnswers = 30
 	// fullShare is the share of all traffic, in thousandths.
 	fullShare = 1000
 
@@ -100,6 +104,8 @@
 		// Running is the number of requests in flight on other versions, or
 		// negative if not all hosts have reported.
 		Running int
+		// PerSecond is the number of answers per second of all versions, 0 if unknown.
+		PerSecond float64
 		// Prepared says that all hosts have reported their Assigner.Kept.
 		Prepared bool
 	}
@@ -122,7 +128,9 @@
 		return step, false
 	}
 	elapsed := float64(now.Sub(rollout.StartedAt)) / float64(max(rollout.Duration, time.Second))
-	step.Share = max(step.Share, trialShare)
+	if step.Share == 0 {
+		step.Share = initialShare(rollout, now, evidence.PerSecond)
+	}
 	for _, s := range stagesAfterTrial {
 		if elapsed >= s.minElapsed {
 			step.Share, step.Moving = max(step.Share, s.share), true
@@ -134,6 +142,17 @@
 	return step, step.Share != rollout.Share || step.Moving != rollout.Moving || step.State != rollout.State
 }
 
+// initialShare returns the share with which the trial starts, with which the target
+// gives about trialAnswers answers until the first stage after the trial.
+func initialShare(rollout controller.OrderedRollout, now time.Time, perSecond float64) int {
+	rest := stagesAfterTrial[0].minElapsed*rollout.Duration.Seconds() - now.Sub(rollout.StartedAt).Seconds()
+	answers := perSecond * rest
+	if answers <= 0 {
+		return trialShare
+	}
+	return max(1, min(trialShare, int(fullShare*trialAnswers/answers)))
+}
+
 // targetIsBad reports whether the target has excess bad answers on any route or
 // over all routes.
 func targetIsBad(r controller.OrderedRollout, counts map[CountKey]Count) bool {
@@ -165,6 +184,21 @@
 	return hasExcessBadAnswers(all.target, all.others)
 }
 
+// Sum returns the answers of the rollout's target and of the other versions of its
+// service.
+func Sum(r controller.OrderedRollout, counts map[CountKey]Count) (target, others Count) {
+	for key, c := range counts {
+		switch {
+		case key.Service != r.Service:
+		case key.Version == r.Target:
+			target.add(c)
+		default:
+			others.add(c)
+		}
+	}
+	return target, others
+}
+
 // hasExcessBadAnswers reports whether the target has enough bad answers, and a
 // rate of them that exceeds that of the other versions by enough, to roll back.
 func hasExcessBadAnswers(target, others Count) bool {
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -21,21 +21,34 @@
 	duration          = 24 * time.Second
 	requestsPerSecond = 100
 	sessions          = 700
+	// chainDelay is the time from an answer to the leader's decision, and from there
+	// to the last host that obeys it.
+	chainDelay = 1500 * time.Millisecond
 )
 
+// load is the load of a simulated rollout.
+type load struct {
+	perSecond, sessions int
+	duration            time.Duration
+}
+
+// usualLoad is that of a few hosts.
+var usualLoad = load{perSecond: requestsPerSecond, sessions: sessions, duration: duration}
+
 // simulateRollout runs a rollout under load. badRate returns the rate of bad
 // answers of the target for a route, the time since the order and the share of
 // the target. The results are the final rollout, the time of its last step since
 // the order, the number of requests on the target and the number of times that
 // a session changed its version during the trial.
-func simulateRollout(seed uint64, badRate func(route string, at time.Duration, share int) float64) (r controller.OrderedRollout, done time.Duration, exposed int, moves int) {
+func simulateRollout(seed uint64, l load, badRate func(route string, at time.Duration, share int) float64) (r controller.OrderedRollout, done time.Duration, exposed int, moves int) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	start := time.Unix(1000, 0)
 	r = controller.OrderedRollout{
-		RolloutOrder: controller.RolloutOrder{Service: "s", Target: "v2", Duration: duration},
+		RolloutOrder: controller.RolloutOrder{Service: "s", Target: "v2", Duration: l.duration},
 		StartedAt:    start, State: controller.RolloutRunning,
 	}
 	var a stager.Assigner
+	var rates stager.RateMeter
 	counts := make(map[stager.CountKey]stager.Count)
 	type run struct {
 		target bool
@@ -43,13 +56,13 @@
 	}
 	lastRuns := make(map[uint64]run)
 	routes := []string{"a", "b", "c"}
-	for at := time.Duration(0); at < duration+10*time.Second && r.State == controller.RolloutRunning; at += 200 * time.Millisecond {
+	for at := time.Duration(0); at < l.duration+10*time.Second && r.State == controller.RolloutRunning; at += 200 * time.Millisecond {
 		now := start.Add(at)
-		for range requestsPerSecond / 5 {
-			session := uint64(rng.IntN(sessions))
+		for range l.perSecond / 5 {
+			session := uint64(rng.IntN(l.sessions))
 			target := a.RunsOnTarget(r, session, now)
 			// A session ends 5 s after its last request.
-			if was, ok := lastRuns[session]; ok && was.target != target && at < duration/2 && at-was.at < 5*time.Second {
+			if was, ok := lastRuns[session]; ok && was.target != target && at < l.duration/2 && at-was.at < 5*time.Second {
 				moves++
 			}
 			lastRuns[session] = run{target, at}
@@ -59,15 +72,16 @@
 				exposed++
 				rate = badRate(route, at, r.Share)
 			}
-			l := stager.CountKey{Service: "s", Version: version, Route: route}
-			c := counts[l]
+			key := stager.CountKey{Service: "s", Version: version, Route: route}
+			c := counts[key]
 			c.All++
 			if rng.Float64() < rate {
 				c.Bad++
 			}
-			counts[l] = c
+			counts[key] = c
 		}
-		if s, ok := stager.Next(r, now, stager.Evidence{Counts: counts, Ready: 3, Old: 3, Running: 4}); ok {
+		e := stager.Evidence{Counts: counts, Ready: 3, Old: 3, Running: 4, PerSecond: rates.Update("s", counts, now), Prepared: at >= time.Second}
+		if s, ok := stager.Next(r, now, e); ok {
 			r.State, r.Share, r.Moving = s.State, s.Share, s.Moving
 			done = at
 		}
@@ -80,7 +94,7 @@
 	// against sessions that change their version during the trial.
 	It("completes the rollout of a good version in time", func() {
 		for seed := range uint64(50) {
-			r, done, _, moves := simulateRollout(seed, func(string, time.Duration, int) float64 { return 0.02 })
+			r, done, _, moves := simulateRollout(seed, usualLoad, func(string, time.Duration, int) float64 { return 0.02 })
 			Expect(r.State).To(Equal(controller.RolloutCompleted), "seed %d", seed)
 			Expect(done).To(BeNumerically("<", duration))
 			Expect(moves).To(BeZero())
@@ -92,7 +106,7 @@
 	DescribeTable("rolls back a bad version",
 		func(bad func(route string, at time.Duration, share int) float64) {
 			for seed := range uint64(50) {
-				r, done, exposed, _ := simulateRollout(seed, bad)
+				r, done, exposed, _ := simulateRollout(seed, usualLoad, bad)
 				Expect(r.State).To(Equal(controller.RolloutRolledBack), "seed %d", seed)
 				Expect(done).To(BeNumerically("<", duration))
 				Expect(float64(exposed)).To(BeNumerically("<", 0.15*requestsPerSecond*duration.Seconds()+30), "seed %d", seed)
@@ -120,6 +134,35 @@
 		}),
 	)
 
+	// Guards against a version that many users get during the trial although it only
+	// looks bad under load: at 1,500 requests a second, its 50th bad answer comes
+	// long before a larger share shows that it is bad.
+	It("rolls back within 5 s after the 50th bad answer, however many requests there are", func() {
+		for seed := range uint64(50) {
+			for _, perSecond := range []int{200, 850, 1500, 6000} {
+				bad, fiftiethAt := 0, time.Duration(0)
+				l := load{perSecond: perSecond, sessions: 100 * perSecond, duration: 15600 * time.Millisecond}
+				rng := rand.New(rand.NewPCG(seed, 28))
+				r, done, _, _ := simulateRollout(seed, l, func(_ string, at time.Duration, share int) float64 {
+					if rng.IntN(2) == 0 {
+						if bad++; bad == 50 {
+							fiftiethAt = at
+						}
+					}
+					if share < 200 {
+						return 0.02
+					}
+					return 0.35
+				})
+				Expect(r.State).To(Equal(controller.RolloutRolledBack), "seed %d, %d a second", seed, perSecond)
+				if bad < 50 {
+					continue
+				}
+				Expect(done-fiftiethAt).To(BeNumerically("<", 5*time.Second-chainDelay), "seed %d, %d a second", seed, perSecond)
+			}
+		}
+	})
+
 	// Guards against a rollout to a version without upstreams, and against
 	// steps of a rollout that has ended.
 	It("returns no step without ready upstreams or after the rollout has ended", func() {
