Do not suspect streams that were served for a while of crashing upstreams

Found by reading the isolation of requests: a stream that is resumed and broken off three times in a row, for example while upstreams go down by turns, would be isolated and its next attempt refused, although each upstream served it for seconds. Sound callers would lose their stream.

A break counts only within a second of the first byte of the response: a request that crashes what begins to run it does so at once.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -209,15 +209,15 @@
 	w.(http.Flusher).Flush()
 }
 
-// pausingStream returns a handler that sends two events 300 ms apart, or less
-// at the end of the spec.
-func pausingStream() http.HandlerFunc {
+// pausingStream returns a handler that sends two events with a pause, which is
+// shorter at the end of the spec.
+func pausingStream(pause time.Duration) http.HandlerFunc {
 	release := make(chan struct{})
 	DeferCleanup(func() { close(release) })
 	return func(w http.ResponseWriter, _ *http.Request) {
 		writeEvent(w, 1)
 		select {
-		case <-time.After(300 * time.Millisecond):
+		case <-time.After(pause):
 		case <-release:
 		}
 		writeEvent(w, 2)
@@ -413,6 +413,23 @@
 		Expect(len(b.ranUpstreams())).To(BeNumerically(">", before))
 	})
 
+	// Guards against refusing a long stream, which several upstreams served for a
+	// while before they crashed for another reason.
+	It("does not suspect a stream that was served for a while", func() {
+		serve := pausingStream(1100 * time.Millisecond)
+		b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("X-Stream") != "" {
+				serve(w, r)
+			}
+			panic(http.ErrAbortHandler)
+		})
+		b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 1, Resumable: true, MaxPause: 5 * time.Second})
+		Expect(b.send("POST", "/p/", "x", "X-Stream", "1").err).To(HaveOccurred())
+		Expect(b.fwd.Evidence(netip.AddrPort{}).Breaks).To(BeEmpty())
+		Expect(b.send("POST", "/p/", "x").status).To(Equal(http.StatusBadGateway))
+		Expect(b.fwd.Evidence(netip.AddrPort{}).Breaks).To(HaveLen(1))
+	})
+
 	// Guards against callers that hold a request for ever by sending its body a byte
 	// at a time or not at all.
 	It("refuses a request whose body does not arrive in time", func(context.Context) {
@@ -651,7 +668,7 @@
 		It("waits for a silent upstream when the retry budget is exhausted", func() {
 			b.budget.Ratio, b.budget.Slack = 0, 0
 			b = newTestbedWithBudget(b.budget)
-			b.addUpstream(pausingStream())
+			b.addUpstream(pausingStream(300 * time.Millisecond))
 			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
 			b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, MaxPause: 50 * time.Millisecond})
 			a := b.send("POST", "/p/", "x")
@@ -663,7 +680,7 @@
 		// Guards against losing a stream because it was moved from a slow upstream to
 		// a last attempt that fails.
 		It("waits longer for a silent upstream when one attempt is left", func() {
-			b.addUpstream(pausingStream())
+			b.addUpstream(pausingStream(300 * time.Millisecond))
 			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
 			b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 2, Resumable: true, MaxPause: 200 * time.Millisecond})
 			a := b.send("POST", "/p/", "x")
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"time"
 
 	"foxtailwall/controller"
 	"foxtailwall/isolator"
@@ -10,6 +11,10 @@
 	"foxtailwall/router"
 )
 
+// maxCrashDelay is how long after the first byte of its response a request may be the
+// cause of a crash. One that was served for longer is a victim.
+const maxCrashDelay = time.Second
+
 // Evidence returns this host's evidence about prompt parts and requests that crash
 // upstreams, for the leader of the control group.
 func (f *Forwarder) Evidence(leader netip.AddrPort) isolator.Evidence {
@@ -59,9 +64,11 @@
 	if c.r.Context().Err() != nil || err.Outcome == refuser.NotRun || (err.Kind != router.FailReset && err.Kind != router.FailCut) {
 		return
 	}
-	c.f.isolation.RecordBrokenRequest(isolator.BrokenRequest{
-		Service: c.service.Name, Content: c.contentID(), Upstream: c.upstream.Key(), ID: c.envelope.ID, Attempt: c.attempts,
-	})
+	if begun := c.stats.begunAt; begun.IsZero() || c.f.settings.Clock.Since(begun) <= maxCrashDelay {
+		c.f.isolation.RecordBrokenRequest(isolator.BrokenRequest{
+			Service: c.service.Name, Content: c.contentID(), Upstream: c.upstream.Key(), ID: c.envelope.ID, Attempt: c.attempts,
+		})
+	}
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordBroken(c.service.Name, c.upstream.Key(), c.envelope.ID, parts)
 	}
