--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -200,6 +200,23 @@
 		Expect(g.exchange()).To(Equal([]uint64{666}))
 	})
 
+	// Guards against a part that is never isolated because another one, which is rare
+	// among all crashes, was there at more of them.
+	It("isolates a part although a rarer one was there at more crashes", func() {
+		g := newGroup(2)
+		for i := range uint64(6) {
+			g.crash([]uint64{5, 100 + i})
+			for j := range uint64(5) {
+				g.crash([]uint64{200 + 10*i + j})
+			}
+			Expect(g.exchange()).To(BeEmpty())
+		}
+		for i := range uint64(4) {
+			g.crash([]uint64{300 + i, 666})
+		}
+		Expect(g.exchange()).To(Equal([]uint64{666}))
+	})
+
 	// Guards against a part that crashes many engines again after its isolation
 	// has ended.
 	It("isolates a part again after one crash", func() {
