Test that many hosts keep and use a rate limit together

The spec runs 14 entries and a control host, so that limits, the number of hosts and ranks must reach each entry.

--- /dev/null
+++ b/starter/limit_test.go
@@ -0,0 +1,88 @@
+package starter_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/starter"
+	"foxtailwall/timekeeper"
+)
+
+// startMoreEntries starts n entries beside the first until the spec ends, and
+// returns the settings of all.
+func (d *deployment) startMoreEntries(n int) []starter.Settings {
+	all := []starter.Settings{d.entry}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for i := range n {
+		s := d.entry
+		s.Name, s.Callers, s.Ready, s.Grace = fmt.Sprint("e", i), reserveAddr(), reserveAddr(), time.Second
+		all = append(all, s)
+		o := d.opts
+		o.MetricsPort = reserveAddr().Port()
+		wg.Go(func() {
+			defer GinkgoRecover()
+			Expect(starter.RunEntry(ctx, s, o)).To(Succeed())
+		})
+	}
+	DeferCleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return all
+}
+
+// Guards against hosts that do not learn of a limit, of the number of hosts or of
+// their rank among them, and so exceed the limit together or never use the upstream.
+var _ = Describe("A rate limit of an upstream", func() {
+	It("is kept by many hosts together, which go on using the upstream", func(ctx context.Context) {
+		const perSecond, window, settle = 2, 4 * time.Second, 3 * time.Second
+		clock := timekeeper.System{}
+		var mu sync.Mutex
+		var arrivals []time.Time
+		sound := func(w http.ResponseWriter, r *http.Request) { w.Header().Set("X-Id", r.Header.Get("X-Id")) }
+		d := startDeployment(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			arrivals = append(arrivals, clock.Now())
+			mu.Unlock()
+			w.Header().Set("X-Limit", fmt.Sprint(perSecond))
+			sound(w, r)
+		}, sound)
+		entries := d.startMoreEntries(13)
+		d.putConfig(config(1, "/a/"))
+		for _, e := range entries {
+			d.eventually(status(e.Ready, "/ready")).Should(Equal(200))
+		}
+		settled := func() []time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			for i, at := range arrivals {
+				if at.Sub(arrivals[0]) >= settle {
+					return arrivals[i:]
+				}
+			}
+			return nil
+		}
+		for next := 0; len(settled()) < 12; next++ {
+			Expect(context.Cause(d.running)).To(Succeed())
+			Expect(status(entries[next%len(entries)].Callers, "/a/x")()).To(Equal(200))
+			Expect(timekeeper.Sleep(ctx, clock, 3*time.Millisecond)).To(Succeed())
+		}
+		at := settled()
+		for i := range at {
+			n := 0
+			for _, other := range at[:i+1] {
+				if at[i].Sub(other) < window {
+					n++
+				}
+			}
+			Expect(float64(n)).To(BeNumerically("<=", 1.5*perSecond*window.Seconds()+5))
+		}
+	}, NodeTimeout(eventTimeout))
+})
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -61,7 +61,11 @@
 }
 
 func (codec) Reply(h http.Header) forwarder.Reply {
-	return forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
+	reply := forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
+	if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
+		reply.RateLimit = &rate
+	}
+	return reply
 }
 
 var ports reserver.Ports
