--- a/starter/crash_test.go
+++ b/starter/crash_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
-	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -19,24 +17,6 @@
 	isolatedRequestCode = "requestIsolated"
 )
 
-// post sends a request with a body and returns the status and the body of the
-// response, or 0 if it broke off.
-func (d *deployment) post(id, path, body string) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+path, strings.NewReader(body))
-	Expect(err).NotTo(HaveOccurred())
-	req.Header.Set("X-Id", id)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, ""
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, ""
-	}
-	return resp.StatusCode, strings.TrimSpace(string(text))
-}
-
 // Guards against a request that crashes one upstream after the other whenever a
 // caller sends it again, and against refusing others of the same route.
 var _ = Describe("A request that crashes upstreams", func() {
@@ -61,7 +41,7 @@
 		next := 0
 		send := func(path, body string) (int, string) {
 			next++
-			return d.post(fmt.Sprint("r", next), path, body)
+			return d.post(fmt.Sprint("r", next), path, body, "")
 		}
 		crashing := func() string { _, text := send(crashingPath, "order 7"); return text }
 		d.eventually(crashing).Should(Equal(isolatedRequestCode))
--- a/starter/isolation_test.go
+++ b/starter/isolation_test.go
@@ -109,23 +109,28 @@
 	return c
 }
 
-// ask sends a request with these prompt parts and returns the status and body,
-// or 0 if the answer broke off.
+// ask sends a request with these prompt parts and a body of its own.
 func (d *deployment) ask(id string, parts ...int) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+"/a/x", strings.NewReader(id))
+	return d.post(id, "/a/x", id, strings.Trim(fmt.Sprint(parts), "[]"))
+}
+
+// post sends a request with a body and the IDs of its prompt's parts, and returns
+// the status and the body of the response, or 0 if it broke off.
+func (d *deployment) post(id, path, body, parts string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("X-Id", id)
-	req.Header.Set("X-Parts", strings.Trim(fmt.Sprint(parts), "[]"))
+	req.Header.Set("X-Parts", parts)
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, ""
 	}
-	return resp.StatusCode, strings.TrimSpace(string(body))
+	return resp.StatusCode, strings.TrimSpace(string(text))
 }
 
 var _ = Describe("Requests with a prompt part that crashes engines", func() {
