--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -272,18 +272,13 @@
 	return out
 }
 
-// nextPart returns the part to isolate next. Parts that are rare among all crashes
-// are neither isolated nor do they hold others back.
+// nextPart returns the part to isolate next.
 func (j *Judge) nextPart() (controller.PromptPart, bool) {
 	now := j.clock.Now()
-	until := now.Add(-clearTime)
-	candidates := slices.DeleteFunc(j.ranked(until), func(part controller.PromptPart) bool {
-		_, before := j.isolated[part]
-		return !before && !j.isFrequent(j.suspects[part], until)
-	})
-	for i, part := range candidates {
+	ranked := j.ranked(now.Add(-clearTime))
+	for i, part := range ranked {
 		s := j.suspects[part]
-		count := s.countUntil(until)
+		count := s.countUntil(now.Add(-clearTime))
 		if count == 0 || now.Sub(s.announced) < clearTime {
 			continue
 		}
@@ -291,7 +286,10 @@
 			// It has crashed engines before, so one more crash suffices.
 			return part, true
 		}
-		alone := i == 0 && (len(candidates) == 1 || j.suspects[candidates[1]].countUntil(until) < count)
+		if !j.isFrequent(s, now.Add(-clearTime)) {
+			continue
+		}
+		alone := i == 0 && (len(ranked) == 1 || j.suspects[ranked[1]].countUntil(now.Add(-clearTime)) < count)
 		if i == 0 && count >= decisiveCrashes || alone && count >= minCrashes {
 			return part, true
 		}
