--- a/review/driver/plain.go
+++ b/review/driver/plain.go
@@ -7,17 +7,12 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 
 	"foxtailwall/timekeeper"
 )
 
-// spoiledAnswer is sent instead of an answer: bytes that are not a response.
-const spoiledAnswer = "\x00\x17spoiled bytes of a faulty replica\r\n\r\n"
-
 // servePlain serves a plain service. It does not use net/http, which would close
 // the connection of a request that is answered before its body was read.
 func (r *replica) servePlain(log *runLog, l net.Listener) error {
@@ -52,13 +47,8 @@
 	// The work goes on although the connection may have ended.
 	_ = timekeeper.Sleep(context.Background(), clock, r.Work)
 	log.record("ends", id)
-	if os.Getenv("TROUBLE") != "0" && rand.Float64() < r.Spoils {
-		log.record("spoils", id)
-		_, _ = conn.Write([]byte(spoiledAnswer))
-	} else {
-		body := "answer to " + id
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nFoxtailwall-Request-Id: %s\r\nFoxtailwall-Replica-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, r.ID, id, len(body), body)
-	}
+	body := "answer to " + id
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nFoxtailwall-Request-Id: %s\r\nFoxtailwall-Replica-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", id, r.ID, id, len(body), body)
 	_, err = io.Copy(io.Discard, req.Body)
 	return err == nil
 }
--- a/review/driver/player.go
+++ b/review/driver/player.go
@@ -52,6 +52,8 @@
 		endedAt time.Time
 		// err says how the connection ended without a complete answer.
 		err error
+		// retryAfter is the pause that a refusal asks for.
+		retryAfter time.Duration
 	}
 )
 
@@ -202,6 +204,9 @@
 	resp, err := client.Do(req)
 	if err == nil {
 		a.status = resp.StatusCode
+		if s, perr := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); perr == nil {
+			a.retryAfter = time.Duration(s * float64(time.Second))
+		}
 		var b []byte
 		b, err = io.ReadAll(resp.Body)
 		a.body = string(b)
@@ -251,6 +256,20 @@
 	return strconv.Atoi(strings.TrimSpace(string(b)))
 }
 
+// setDisruption begins or ends the disruption that the replicas cause, unless the
+// case is played without it.
+func (p *player) setDisruption(on bool, what string) error {
+	if !p.trouble {
+		return nil
+	}
+	p.logf("disruption: %s, on %t", what, on)
+	name := filepath.Join(p.dir, "disruption")
+	if on {
+		return os.WriteFile(name, nil, 0o600)
+	}
+	return os.Remove(name)
+}
+
 // exclude removes a replica from the platform's list.
 func (p *player) exclude(id string) {
 	p.mu.Lock()
@@ -267,6 +286,13 @@
 	}
 }
 
+// withoutResume returns the route of streams that may not be resumed, which run
+// once at most.
+func withoutResume(r map[string]any) map[string]any {
+	r["streamResume"] = false
+	return r
+}
+
 // config returns a configuration with the limits of the page on the protocol.
 func config(services []any, routes ...any) map[string]any {
 	return map[string]any{
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,12 +27,16 @@
 	// Work is how long a request of a plain service takes. The replica begins with
 	// the header, answers after the work and reads the rest of the body after that.
 	Work time.Duration
-	// Spoils is the share of the answers of a plain service that are spoiled.
-	Spoils float64
 	// First is the time to the first event of a stream, and Pause the time between
 	// events, of which there are Events; zero Events means a plain service.
 	First, Pause time.Duration
 	Events       int
+	// Fails is the share of streams that the replica begins and ends with status 503
+	// during the disruption.
+	Fails float64
+	// Endless means that the bodies of the replica's answers do not end during the
+	// disruption.
+	Endless bool
 }
 
 // receiveBuffer is the size of the receive buffer of a replica's connections, as
@@ -52,6 +57,15 @@
 	fmt.Fprintf(l.file, "%d %s %s %s\n", clock.Now().UnixMilli(), l.id, what, request)
 }
 
+// dirOf returns the folder of the run.
+func dirOf(l *runLog) string { return filepath.Dir(l.file.Name()) }
+
+// disrupted reports whether the player has begun the disruption and not ended it.
+func disrupted(dir string) bool {
+	_, err := os.Stat(filepath.Join(dir, "disruption"))
+	return err == nil
+}
+
 // serveReplica serves the replica with the ID until the process ends.
 func serveReplica(dir, id string) error {
 	f, err := readFleet(dir)
@@ -108,6 +122,17 @@
 		log.record("stops", id)
 		return
 	}
+	if r.Endless && disrupted(dirOf(log)) {
+		log.record("spoils", id)
+		r.serveEndless(w, req)
+		return
+	}
+	if r.Fails > 0 && disrupted(dirOf(log)) && rand.Float64() < r.Fails {
+		_ = timekeeper.Sleep(req.Context(), clock, r.First/2) // The answer follows in any case.
+		log.record("fails", id)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // An absent header means 0.
 	for i := from + 1; i <= r.Events; i++ {
