--- a/review/driver/endless.go
+++ b/review/driver/endless.go
@@ -28,8 +28,8 @@
 	// endlessRate is how many bytes a second a response without end sends, and
 	// endlessTotal how many all of them send together: the links of the two entries
 	// carry 125 MB a second each.
-	endlessRate     = 4500 << 10
-	endlessTotal    = 200 << 20
+	endlessRate     = 5000 << 10
+	endlessTotal    = 230 << 20
 	endlessInterval = 50 * time.Millisecond
 	// memoryInterval is how often the platform looks at the memory of a process.
 	memoryInterval = 20 * time.Millisecond
--- a/review/driver/grey.go
+++ b/review/driver/grey.go
@@ -45,7 +45,7 @@
 // playGrey sends streams that may not be resumed, while one of seven replicas
 // fails part of its requests after it has begun to work on them.
 func playGrey(ctx context.Context, p *player) ([]string, error) {
-	answers := p.startDrafts(ctx, draftTime)
+	answers := p.startDrafts(ctx, draftClients, draftTime)
 	if err := timekeeper.Sleep(ctx, clock, greyAfter); err != nil {
 		return nil, err
 	}
@@ -61,14 +61,14 @@
 	return judgeRuns(p, answers())
 }
 
-// startDrafts sends drafts of several clients for a time. The result waits for
+// startDrafts sends drafts of some clients for a time. The result waits for
 // them and returns the answers.
-func (p *player) startDrafts(ctx context.Context, d time.Duration) func() []answer {
+func (p *player) startDrafts(ctx context.Context, clients int, d time.Duration) func() []answer {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var answers []answer
 	end := clock.Now().Add(d)
-	for i := range draftClients {
+	for i := range clients {
 		client := newClient()
 		wg.Go(func() {
 			for n := 0; clock.Now().Before(end); n++ {
