Review: a resumed stream ends with the text of a failure and looks complete

When a stream is resumed and the next replica answers 504 at the deadline, its body is written into the stream, which then ends as complete.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A machine gets SIGTERM; proofs are sent on connections that were open before.
+# A replica crashes; streams are resumed shortly before the timeout of their route.
 . "$(dirname "$0")/../common.sh"
-play stop
+play resume
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A replica fails streams that may not be resumed, after it has begun to work.
+# The answers of a replica do not end.
 . "$(dirname "$0")/../common.sh"
-play grey
+play endless
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -116,7 +116,8 @@
 	r.serveStream(log, w, req, id)
 }
 
-// serveStream sends events from the one after Last-Event-Id on.
+// serveStream sends events from the one after Last-Event-Id on. It stops at the
+// deadline, with status 504 if it has sent none.
 func (r *replica) serveStream(log *runLog, w http.ResponseWriter, req *http.Request, id string) {
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		log.record("stops", id)
@@ -133,19 +134,44 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Content-Type", "text/event-stream")
+	left, err := strconv.Atoi(req.Header.Get("Foxtailwall-Deadline-Ms"))
+	if err != nil {
+		left = int(time.Hour / time.Millisecond)
+	}
+	deadline := clock.Now().Add(time.Duration(left) * time.Millisecond)
 	from, _ := strconv.Atoi(req.Header.Get("Last-Event-Id")) // An absent header means 0.
 	for i := from + 1; i <= r.Events; i++ {
 		pause := r.Pause
 		if i == from+1 {
 			pause = r.First
 		}
-		if timekeeper.Sleep(req.Context(), clock, pause) != nil {
+		until := clock.Now().Add(pause)
+		late := until.After(deadline)
+		if late {
+			until = deadline
+		}
+		if timekeeper.Sleep(req.Context(), clock, until.Sub(clock.Now())) != nil {
 			log.record("stops", id)
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s.%d\n\n", i, id, i)
+		switch {
+		case late && i == from+1:
+			log.record("late", id)
+			w.Header().Set("Content-Type", "text/plain")
+			w.WriteHeader(http.StatusGatewayTimeout)
+			fmt.Fprint(w, "the deadline has passed\n")
+			return
+		case late:
+			log.record("late", id)
+			panic(http.ErrAbortHandler) // The stream must not look complete.
+		case i == from+1:
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		fmt.Fprint(w, event(i, id))
 		w.(http.Flusher).Flush()
 	}
 	log.record("ends", id)
 }
+
+// event returns an event of the answer to a request.
+func event(i int, id string) string { return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", i, id, i) }
