--- a/review/common.sh
+++ b/review/common.sh
@@ -17,7 +17,7 @@
     target/review/driver replica "$dir" "$id" >"$dir/log-$id" 2>&1 &
     pids+=($!)
     echo $! >"$dir/pid-$id"
-  done <"$dir/replicas"
+  done < <(grep . "$dir/replicas")
   while read -r host role; do
     FOXTAILWALL_NODE_FILE="$dir/$host.toml" target/foxtailwall "$role" --metrics-port 9464 >"$dir/log-$host" 2>&1 &
     pids+=($!)
--- a/review/driver/fleet.go
+++ b/review/driver/fleet.go
@@ -83,7 +83,9 @@
 	for i, r := range s.replicas {
 		r.ID, r.Addr, r.Zone = fmt.Sprintf("i-%d", i), fmt.Sprintf("127.0.0.1:%d", numbers[5+i]), zones[i%len(zones)]
 		f.Replicas = append(f.Replicas, r)
-		replicas = append(replicas, r.ID)
+		if !r.Inside {
+			replicas = append(replicas, r.ID)
+		}
 	}
 	b, err := json.Marshal(f)
 	if err != nil {
--- a/review/driver/player.go
+++ b/review/driver/player.go
@@ -106,7 +106,7 @@
 		}
 		out = append(out, map[string]any{
 			"id": r.ID, "service": r.Service, "address": r.Addr, "zone": r.Zone, "version": "v1", "slots": r.Slots,
-			"state": "ready", "coldLeftMs": 0, "born": p.began.UnixMilli(),
+			"state": "ready", "coldLeftMs": 0, "born": max(r.Born, p.began.UnixMilli()),
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -37,6 +37,8 @@
 	// Endless means that the bodies of the replica's answers do not end during the
 	// disruption.
 	Endless bool
+	Inside  bool
+	Born    int64
 }
 
 // receiveBuffer is the size of the receive buffer of a replica's connections, as
