review: case 5 sends the crashing part at a slow, steady rate

Broken: a prompt part that crashes replicas is isolated after four requests, each of which crashes three replicas; the news allow three more arrivals from 3 s after the fifth crash on. The former rhythm of 0.8 s also took all replicas down at once, which the claim does not need.

--- a/review/driver/part.go
+++ b/review/driver/part.go
@@ -25,7 +25,7 @@
 	// partAfter is when the first request with the crashing part is sent, and
 	// partPoison the time between two of them.
 	partAfter   = 4 * time.Second
-	partPoison  = 800 * time.Millisecond
+	partPoison  = 4 * time.Second
 	partTime    = 30 * time.Second
 	partClients = 30
 	// contact is contactMs. Rules bind from the crash number knownCrashes on, for
@@ -49,22 +49,28 @@
 	scenarios["part"] = s
 }
 
+// crashing is a replica that crashes before it answers a request with the crashing
+// part and starts again, under the same ID, after partDown.
 type crashing struct {
 	*replica
 	p   *player
 	log *runLog
 
-	mu    sync.Mutex
-	l     net.Listener
+	mu sync.Mutex
+	l  net.Listener
+	// conns are the connections since the last start.
 	conns map[net.Conn]bool
 }
 
 var (
 	crashMu sync.Mutex
+	// crashes and poisons are when replicas crashed, and when requests with the
+	// crashing part reached one.
 	crashes []time.Time
 	poisons []time.Time
 )
 
+// listen starts the replica.
 func (c *crashing) listen() error {
 	l, err := net.Listen("tcp", c.Addr)
 	if err != nil {
@@ -87,7 +93,9 @@
 				return
 			}
 			c.mu.Lock()
-			c.conns[conn] = true
+			if c.conns != nil {
+				c.conns[conn] = true
+			}
 			c.mu.Unlock()
 			go c.serveConn(conn)
 		}
@@ -95,13 +103,19 @@
 	return nil
 }
 
-func (c *crashing) crash() {
+// crash ends the replica, unless it has crashed since the connection was accepted.
+func (c *crashing) crash(cause net.Conn) {
 	c.mu.Lock()
+	if !c.conns[cause] {
+		c.mu.Unlock()
+		return
+	}
 	c.l.Close()
 	for conn := range c.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		conn.Close()
 	}
+	c.conns = nil
 	c.mu.Unlock()
 	crashMu.Lock()
 	crashes = append(crashes, clock.Now())
@@ -115,6 +129,7 @@
 	}()
 }
 
+// serveConn serves one connection.
 func (c *crashing) serveConn(conn net.Conn) {
 	defer conn.Close()
 	br := bufio.NewReader(conn)
@@ -144,7 +159,7 @@
 			_ = timekeeper.Sleep(context.Background(), clock, pause)
 			pause = c.Pause
 			if poison {
-				c.crash()
+				c.crash(conn)
 				return
 			}
 			head := ""
@@ -163,6 +178,8 @@
 	}
 }
 
+// playPart sends sound requests and, one at a time, requests with a part that crashes
+// replicas.
 func playPart(ctx context.Context, p *player) ([]string, error) {
 	for i := range p.fleet.Replicas {
 		r := p.fleet.Replicas[i]
