review: case 5 judges LOST for sound requests beside a crashing part

Broken: instead of the part that crashes replicas, the first part that it shares with sound requests is isolated, and all of these are refused. Work on the case goes on.

--- a/review/driver/part.go
+++ b/review/driver/part.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,15 +20,26 @@
 )
 
 const (
+	// The times of a blurb of the sheet: the first event is due after 1 s, 56 events
+	// of 5 tokens follow each other at 35 ms a token, and the caller waits 25 s.
+	blurbDeadline = 25 * time.Second
+	blurbTarget   = time.Second
+	blurbFirst    = 100 * time.Millisecond
+	blurbPause    = 175 * time.Millisecond
+	blurbEvents   = 56
+	// blurbPeriod is the mean time between two sound blurbs. On the sheet there are
+	// 22.8 a second, with 20 first parts of different popularity.
+	blurbPeriod = 350 * time.Millisecond
+
 	partReplicas = 9
 	// partDown is how long a replica is down after a crash.
-	partDown = 3 * time.Second
+	partDown = 4500 * time.Millisecond
 	// partAfter is when the first request with the crashing part is sent, and
-	// partPoison the time between two of them.
-	partAfter   = 4 * time.Second
-	partPoison  = 4 * time.Second
-	partTime    = 30 * time.Second
-	partClients = 30
+	// partPause the shortest time between an answer and the next one. No request is
+	// sent after partTime.
+	partAfter = 16 * time.Second
+	partPause = 100 * time.Millisecond
+	partTime  = 50 * time.Second
 	// contact is contactMs. Rules bind from the crash number knownCrashes on, for
 	// minCounted requests or more; lateAllowed requests with the part may still reach
 	// replicas.
@@ -41,10 +53,10 @@
 
 func init() {
 	s := scenario{entries: 2, play: playPart, config: config(
-		[]any{engineService("etch-llm")}, route("draft", "streaming", "etch-llm", draftDeadline, draftTarget, 3),
+		[]any{engineService("desk-model")}, route("blurb", "streaming", "desk-model", blurbDeadline, blurbTarget, 3),
 	)}
 	for range partReplicas {
-		s.replicas = append(s.replicas, replica{Service: "etch-llm", Slots: 64, First: draftFirst, Pause: draftPause, Events: draftEvents, Inside: true})
+		s.replicas = append(s.replicas, replica{Service: "desk-model", Slots: 128, First: blurbFirst, Pause: blurbPause, Events: blurbEvents, Inside: true})
 	}
 	scenarios["part"] = s
 }
@@ -178,8 +190,8 @@
 	}
 }
 
-// playPart sends sound requests and, one at a time, requests with a part that crashes
-// replicas.
+// playPart sends sound requests, and one caller sends requests with a part that crashes
+// replicas, each after the answer to the one before.
 func playPart(ctx context.Context, p *player) ([]string, error) {
 	for i := range p.fleet.Replicas {
 		r := p.fleet.Replicas[i]
@@ -199,27 +211,31 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var answers []answer
-	header := func(i, n int, second string) map[string]string {
-		return map[string]string{"Foxtailwall-Model": "m0", "Foxtailwall-Token-Usage": "1050,24", "Foxtailwall-Prefix-Hash": fmt.Sprintf("5c1e07aa:600,%s:200,%08x:250", second, 1000*i+n)}
+	send := func(client *http.Client, to int, name, second string) answer {
+		return p.send(ctx, client, p.fleet.Entries[to%len(p.fleet.Entries)], http.MethodPost, "/blurb/"+name, blurbDeadline, map[string]string{
+			"Foxtailwall-Model": "m0", "Foxtailwall-Token-Usage": "715,280",
+			"Foxtailwall-Prefix-Hash": fmt.Sprintf("5c1e07aa:103,%s:69,%x:543", second, name),
+		}, []byte("{}"))
 	}
-	for i := range partClients {
-		client := newClient()
-		wg.Go(func() {
-			for n := 0; clock.Now().Before(end); n++ {
-				a := p.send(ctx, client, p.fleet.Entries[i%2], http.MethodPost, fmt.Sprintf("/draft/%d-%d", i, n), draftDeadline, header(i, n, fmt.Sprintf("a%07x", i%8)), []byte("{}"))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100, DisableCompression: true}}
+	wg.Go(func() {
+		for n := 0; clock.Now().Before(end); n++ {
+			wg.Go(func() {
+				a := send(client, n, fmt.Sprintf("%d", n), fmt.Sprintf("a%07x", rand.IntN(8)))
 				mu.Lock()
 				answers = append(answers, a)
 				mu.Unlock()
-				_ = timekeeper.Sleep(ctx, clock, min(max(a.retryAfter, 500*time.Millisecond), time.Second))
-			}
-		})
-	}
+			})
+			_ = timekeeper.Sleep(ctx, clock, time.Duration((0.5+rand.Float64())*float64(blurbPeriod)))
+		}
+	})
 	if p.trouble {
 		wg.Go(func() {
 			_ = timekeeper.Sleep(ctx, clock, partAfter)
 			for n := 0; clock.Now().Before(end); n++ {
-				go p.send(ctx, newClient(), p.fleet.Entries[n%2], http.MethodPost, fmt.Sprintf("/draft/p%d", n), draftDeadline, header(900, n, poisonPart), []byte("{}"))
-				_ = timekeeper.Sleep(ctx, clock, partPoison)
+				a := send(client, n, fmt.Sprintf("p%d", n), poisonPart)
+				// Clients honour Retry-After up to a third of their time.
+				_ = timekeeper.Sleep(ctx, clock, max(partPause, min(a.retryAfter, blurbDeadline/3)))
 			}
 		})
 	}
@@ -227,7 +243,8 @@
 	return p.judgeParts(answers, begin)
 }
 
-// judgeParts judges LOST and BUDGET for requests with a part that crashes replicas.
+// judgeParts judges LOST for sound requests that share their first part with requests
+// that crash replicas, and records what BUDGET counts.
 func (p *player) judgeParts(answers []answer, begin time.Time) ([]string, error) {
 	crashMu.Lock()
 	defer crashMu.Unlock()
@@ -263,10 +280,7 @@
 			late++
 		}
 	}
-	p.logf("%d requests with the crashing part reached replicas later than 3 s after crash %d", late, knownCrashes)
-	if late > lateAllowed {
-		broken = append(broken, fmt.Sprintf("BUDGET: %d requests with the crashing part reached replicas later than 3 s after crash %d", late, knownCrashes))
-	}
+	p.logf("BUDGET: %d requests with the crashing part reached replicas later than 3 s after crash %d, %d are allowed", late, knownCrashes, lateAllowed)
 	sent, began := count(known.Add(2*contact), end)
 	if sent >= minCounted && float64(began)/float64(sent) < float64(begunBefore)/float64(sentBefore)/2 {
 		broken = append(broken, fmt.Sprintf("LOST: %d of %d sound requests began at a replica from 6 s after crash %d on, %d of %d before the first", began, sent, knownCrashes, begunBefore, sentBefore))
