--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# A replica crashes; streams are resumed shortly before the timeout of their route.
+# One replica after the other resets connections of bookings with long bodies.
 . "$(dirname "$0")/../common.sh"
-play resume
+play twice
--- a/review/driver/replica.go
+++ b/review/driver/replica.go
@@ -82,17 +82,7 @@
 		if err != nil {
 			return err
 		}
-		lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
-			var serr error
-			err := rc.Control(func(fd uintptr) {
-				serr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-			})
-			if err != nil {
-				return err
-			}
-			return serr
-		}}
-		l, err := lc.Listen(context.Background(), "tcp", r.Addr)
+		l, err := listenSmall(r.Addr, receiveBuffer)
 		if err != nil {
 			return err
 		}
@@ -105,6 +95,22 @@
 	return fmt.Errorf("replica %q is unknown", id)
 }
 
+// listenSmall listens at addr with receive buffers of the given size, as on links with
+// small windows.
+func listenSmall(addr string, size int) (net.Listener, error) {
+	lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
+		var serr error
+		err := rc.Control(func(fd uintptr) {
+			serr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, size)
+		})
+		if err != nil {
+			return err
+		}
+		return serr
+	}}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
 func (r *replica) serve(log *runLog, w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Foxtailwall-Request-Id")
 	w.Header().Set("Foxtailwall-Request-Id", id)
