--- a/review/driver/grey.go
+++ b/review/driver/grey.go
@@ -22,7 +22,7 @@
 	// greyShare is the share of its requests that one of greyReplicas replicas fails,
 	// for greyTime after greyAfter.
 	greyShare    = 0.4
-	greyReplicas = 7
+	greyReplicas = 8
 	greyAfter    = 2 * time.Second
 	greyTime     = 6 * time.Second
 	draftTime    = 10 * time.Second
@@ -42,7 +42,7 @@
 	scenarios["grey"] = s
 }
 
-// playGrey sends streams that may not be resumed, while one of seven replicas
+// playGrey sends streams that may not be resumed, while one of eight replicas
 // fails part of its requests after it has begun to work on them.
 func playGrey(ctx context.Context, p *player) ([]string, error) {
 	answers := p.startDrafts(ctx, draftClients, draftTime)
--- a/review/driver/twice.go
+++ b/review/driver/twice.go
@@ -27,7 +27,7 @@
 	// bookBody is below maxBodyBytes, 4,194,304.
 	bookBody     = 4_000_000
 	bookClients  = 16
-	bookReplicas = 7
+	bookReplicas = 8
 	// bookWindow is the size of the receive buffers of replicas.
 	bookWindow = 32 << 10
 	// bookWork is the longest work of a booking before the replica resets it.
@@ -109,7 +109,7 @@
 	return err == nil
 }
 
-// playTwice sends bookings with long bodies, while one of seven replicas resets part
+// playTwice sends bookings with long bodies, while one of eight replicas resets part
 // of its connections.
 func playTwice(ctx context.Context, p *player) ([]string, error) {
 	var replicas []*resetter
