review: scripts take TROUBLE themselves and end on signals; link limit in case 1

A script that gets SIGTERM ends its processes at once; before, it did so at the end of the case. Case 1 sent more to an entry than the 1,000 Mbit/s of its link carry: it now has the six entries of the sheet, at 112 MB a second each.

--- a/review/common.sh
+++ b/review/common.sh
@@ -1,7 +1,9 @@
 # Sourced by run.sh of a case: starts a small deployment and plays the case.
-# play NAME starts the hosts and replicas of the case NAME, plays it and exits.
+# play NAME TROUBLE starts the hosts and replicas of the case NAME, plays it, without its
+# disruption if TROUBLE is 0, and exits.
 play() {
   local name=$1 here root dir code
+  export TROUBLE=$2
   here=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
   root=$(cd "$here/../.." && pwd)
   cd "$root" || exit 2
@@ -11,7 +13,8 @@
   fi
   dir=$(mktemp -d) || exit 2
   pids=()
-  trap 'kill -9 "${pids[@]}" 2>/dev/null; wait 2>/dev/null; rm -rf "$dir"' EXIT
+  trap 'kill "${watchdog:-}" 2>/dev/null; kill -9 "${pids[@]}" 2>/dev/null; wait 2>/dev/null; rm -rf "$dir"' EXIT
+  trap 'exit 2' HUP INT TERM
   target/review/driver settings "$name" "$dir" || exit 2
   while read -r id; do
     target/review/driver replica "$dir" "$id" >"$dir/log-$id" 2>&1 &
@@ -23,8 +26,15 @@
     pids+=($!)
     echo $! >"$dir/pid-$host"
   done <"$dir/hosts"
-  timeout -s KILL 100 target/review/driver play "$name" "$dir" "$here/record.txt"
+  target/review/driver play "$name" "$dir" "$here/record.txt" &
+  player=$!
+  pids+=("$player")
+  # The player and its watchdog run in the background, so that a signal ends the script.
+  (trap 'kill "$!" 2>/dev/null; exit' TERM; sleep 105 & wait "$!"; kill -9 "$player" 2>/dev/null) &
+  watchdog=$!
+  wait "$player"
   code=$?
+  kill "$watchdog" 2>/dev/null
   [ -z "${KEEP_LOGS:-}" ] || cp "$dir"/log-* "$KEEP_LOGS"/
   [ "$code" -le 2 ] || code=2
   exit "$code"
--- a/review/driver/twice.go
+++ b/review/driver/twice.go
@@ -25,8 +25,12 @@
 	bookTimeout  = 1500 * time.Millisecond
 	bookTarget   = 300 * time.Millisecond
 	// bookBody is below maxBodyBytes, 4,194,304.
-	bookBody     = 4_000_000
-	bookClients  = 16
+	bookBody = 4_000_000
+	// The machines are those of the sheet. Each gets bookRate bookings a second, which is
+	// 112 MB of the 125 MB a second that its link carries.
+	bookEntries  = 6
+	bookClients  = 36
+	bookRate     = 28
 	bookReplicas = 8
 	// bookWindow is the size of the receive buffers of replicas.
 	bookWindow = 32 << 10
@@ -40,7 +44,7 @@
 )
 
 func init() {
-	s := scenario{entries: 2, play: playTwice, config: config(
+	s := scenario{entries: bookEntries, play: playTwice, config: config(
 		[]any{plainService("shop-app")}, route("book", "non_idempotent", "shop-app", bookTimeout, bookTarget, 1),
 	)}
 	for range bookReplicas {
@@ -137,7 +141,11 @@
 	for i := range bookClients {
 		client := newClient()
 		wg.Go(func() {
+			period := bookClients / bookEntries * time.Second / bookRate
+			next := clock.Now().Add(rand.N(period))
 			for n := 0; clock.Now().Before(end); n++ {
+				_ = timekeeper.Sleep(ctx, clock, next.Sub(clock.Now())) // ctx does not end.
+				next = clock.Now().Add(period)
 				a := p.send(ctx, client, p.fleet.Entries[i%len(p.fleet.Entries)], http.MethodPost, fmt.Sprintf("/book/%d-%d", i, n), bookDeadline, nil, body)
 				mu.Lock()
 				answers = append(answers, a)
