--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# One replica after the other resets connections of bookings with long bodies.
+# A part of a prompt crashes each replica that begins to answer a request with it.
 # With TROUBLE=0 it plays the same without the disruption.
 . "$(dirname "$0")/../common.sh"
-play twice "${TROUBLE:-1}"
+play part "${TROUBLE:-1}"
