Forward a response to a resumed stream only if it continues the stream

Cause: the response to a resumed attempt was handled like the first response of a request. Statuses below 500, 504 and failures without a further attempt were written to the caller although a part of the stream was sent, and the handler returned normally. Only the router's own refusals checked whether the response had begun.

Fix: forwarder/verdict.go decides what a response means from its status, header and what the caller has. After a part of a stream only a 200 of the same media type is of use. Otherwise the next upstream is asked, or the connection is closed without the end of the body.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -447,22 +447,25 @@
 	reply := c.f.settings.Codec.Reply(resp.Header)
 	firstByte := c.f.settings.Clock.Since(sentAt)
 	c.recordRateLimit(t, resp, reply, sentAt)
-	switch {
-	case reply.NotRun:
+	v := c.judgeResponse(resp, reply)
+	switch v {
+	case verdictNotRun:
 		return c.handleNotRun(t, resp)
-	case !isValidResponse(resp, reply, c.envelope.ID):
+	case verdictInvalid:
 		resp.Abort()
 		c.countDelivered(true)
-		return c.handleInvalid(t, "the response is unsigned, encoded or for another request")
-	case c.route.Kind == matcher.Stream && resp.Status == http.StatusOK:
+		return c.handleInvalid(t, errors.Newf("the response with status %d is of no use: signed %t, ID %q, media type %q",
+			resp.Status, reply.Signed, reply.ID, mediaType(resp.Header)))
+	case verdictStream:
 		c.confidence = reply.Confidence
 		if c.escalate(t, firstByte) {
 			resp.Abort()
 			return false
 		}
 		return c.forwardStream(t, resp, g, firstByte)
+	case verdictAnswer, verdictFailure:
 	}
-	return c.forwardWhole(t, resp, firstByte)
+	return c.forwardWhole(t, resp, v, firstByte)
 }
 
 // recordRateLimit records the rate limit that a response names, or that it names
@@ -490,15 +493,6 @@
 	}
 }
 
-// isValidResponse reports whether a successful response is signed, unencoded
-// and for the request with this ID. Other statuses are always valid.
-func isValidResponse(resp *dialer.ForwardResponse, reply Reply, id string) bool {
-	if resp.Status/100 != 2 {
-		return true
-	}
-	return reply.Signed && reply.ID == id && resp.Header.Get("Content-Encoding") == ""
-}
-
 // handleNotRun handles a response that proves that the request did not run.
 func (c *call) handleNotRun(t *placer.Ticket, resp *dialer.ForwardResponse) bool {
 	status := resp.Status
@@ -520,9 +514,9 @@
 }
 
 // handleInvalid ends an attempt whose response cannot be used.
-func (c *call) handleInvalid(t *placer.Ticket, reason string) bool {
+func (c *call) handleInvalid(t *placer.Ticket, err error) bool {
 	t.Done(placer.Broken, 0)
-	c.logAttempt(t.Upstream(), string(router.FailMalformed), refuser.Unknown, errors.Newf("%s", reason))
+	c.logAttempt(t.Upstream(), string(router.FailMalformed), refuser.Unknown, err)
 	if c.route.Repeatable() {
 		return false
 	}
@@ -532,7 +526,7 @@
 
 // forwardWhole reads a response to its end and forwards it, unless it is an
 // error that another attempt may avoid.
-func (c *call) forwardWhole(t *placer.Ticket, resp *dialer.ForwardResponse, firstByte time.Duration) bool {
+func (c *call) forwardWhole(t *placer.Ticket, resp *dialer.ForwardResponse, v verdict, firstByte time.Duration) bool {
 	body, err := readResponse(resp)
 	if err != nil {
 		resp.Abort()
@@ -542,8 +536,8 @@
 	c.countDelivered(true)
 	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
 	a := &response{status: resp.Status, header: resp.Header, body: body}
-	c.recordResponse(resp.Status >= http.StatusInternalServerError, firstByte)
-	if resp.Status < http.StatusInternalServerError {
+	c.recordResponse(v == verdictFailure, firstByte)
+	if v == verdictAnswer {
 		t.Done(placer.Succeeded, firstByte)
 		c.writeResponse(a)
 		return true
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -45,23 +45,11 @@
 	return &refusal{status: status, code: code, retryAfter: retryAfter}
 }
 
-// promisesNotRun reports whether the status tells callers that the request has
-// not run and never will.
-func promisesNotRun(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
-
 // finishFailed ends a request for which no further attempt is made.
 func (c *call) finishFailed(ref *refusal) {
 	switch {
 	case c.responding:
-		// A response that has begun must not look complete.
-		c.logEnd(statusNone, string(ref.code))
-		panic(http.ErrAbortHandler)
+		c.abort(string(ref.code))
 	case ref.status == statusNone:
 		c.logEnd(statusNone, string(ref.code))
 		return
@@ -77,6 +65,13 @@
 	c.writeRefusal(ref)
 }
 
+// abort closes the caller's connection, so that a response that has begun does not
+// look complete, and logs the end of the request.
+func (c *call) abort(reason string) {
+	c.logEnd(statusNone, reason)
+	panic(http.ErrAbortHandler)
+}
+
 // writeRefusal sends a refusal to the caller and logs the end of the request.
 func (c *call) writeRefusal(ref *refusal) {
 	h := c.w.Header()
--- /dev/null
+++ b/forwarder/verdict.go
@@ -0,0 +1,93 @@
+package forwarder
+
+import (
+	"mime"
+	"net/http"
+
+	"foxtailwall/dialer"
+	"foxtailwall/matcher"
+)
+
+// Verdicts on responses.
+const (
+	// verdictNotRun means that the upstream did not run the request.
+	verdictNotRun verdict = iota
+	// verdictInvalid means that the request may have run and that the response is of
+	// no use to the caller.
+	verdictInvalid
+	// verdictStream means that the events of the response are for the caller.
+	verdictStream
+	// verdictAnswer means that the whole response is for the caller.
+	verdictAnswer
+	// verdictFailure means that the upstream ran the request and failed. The response
+	// is for the caller if no further attempt is made.
+	verdictFailure
+)
+
+type (
+	// verdict says what the response of an upstream means for its request.
+	verdict uint8
+
+	// responseFacts are the facts that decide the verdict.
+	responseFacts struct {
+		status int
+		// notRun means that the response states that the request did not run.
+		notRun bool
+		// signed, ownID and encoded report whether the response has the upstream's
+		// signature, the ID of the request and an encoded body.
+		signed, ownID, encoded bool
+		// stream means that the route's successful responses are streams of events.
+		stream bool
+		// begun means that the caller has received a part of the stream, and sameType
+		// that the response has the media type of that part.
+		begun, sameType bool
+	}
+)
+
+// judge decides what a response means from its status and header. After the
+// caller has received a part of a stream, only the rest of the stream is of use.
+func judge(f responseFacts) verdict {
+	switch {
+	case f.notRun:
+		return verdictNotRun
+	case f.status/100 == 2 && (!f.signed || !f.ownID || f.encoded):
+		return verdictInvalid
+	case f.begun && (f.status != http.StatusOK || !f.sameType):
+		return verdictInvalid
+	case f.stream && f.status == http.StatusOK:
+		return verdictStream
+	case f.status >= http.StatusInternalServerError:
+		return verdictFailure
+	}
+	return verdictAnswer
+}
+
+// judgeResponse returns the verdict on the response to the current attempt.
+func (c *call) judgeResponse(resp *dialer.ForwardResponse, reply Reply) verdict {
+	return judge(responseFacts{
+		status: resp.Status, notRun: reply.NotRun,
+		signed: reply.Signed, ownID: reply.ID == c.envelope.ID, encoded: resp.Header.Get("Content-Encoding") != "",
+		stream: c.route.Kind == matcher.Stream, begun: c.responding,
+		sameType: mediaType(resp.Header) == mediaType(c.w.Header()),
+	})
+}
+
+// mediaType returns the media type in a header without its parameters, empty if
+// there is none.
+func mediaType(h http.Header) string {
+	value := h.Get("Content-Type")
+	if t, _, err := mime.ParseMediaType(value); err == nil {
+		return t
+	}
+	return value
+}
+
+// promisesNotRun reports whether the status tells callers that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
