Close the connection when a request ends without a response

Seen by callers: none reported it.

Cause: the end of the caller's data ends the request's context, and the handler then returned normally, by which net/http sends an empty success or the last chunk.

Fix: one function, abort, ends requests without a response; it closes the connection. It is used when the caller has left, when a write to it fails and when a response that has begun cannot be completed.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -404,8 +404,7 @@
 	c.recordBroken(attemptErr)
 	c.logAttempt(t.Upstream(), string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
 	if c.r.Context().Err() != nil {
-		c.logEnd(0, "callerLeft")
-		return true
+		c.abort(callerLeft)
 	}
 	if attemptErr.Kind == router.FailDeadline {
 		c.finishFailed(newRefusal(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0))
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -31,6 +31,9 @@
 	// statusNone is the logged status of a request that ended without a complete
 	// response.
 	statusNone = 0
+	// callerLeft is the logged end of a request whose caller has closed the
+	// connection.
+	callerLeft = "callerLeft"
 )
 
 // refusal is a response that the router itself generates.
@@ -48,11 +51,8 @@
 // finishFailed ends a request for which no further attempt is made.
 func (c *call) finishFailed(ref *refusal) {
 	switch {
-	case c.responding:
+	case c.responding, ref.status == statusNone:
 		c.abort(string(ref.code))
-	case ref.status == statusNone:
-		c.logEnd(statusNone, string(ref.code))
-		return
 	case c.lastFailure != nil:
 		c.writeResponse(c.lastFailure)
 		return
@@ -65,8 +65,8 @@
 	c.writeRefusal(ref)
 }
 
-// abort closes the caller's connection, so that a response that has begun does not
-// look complete, and logs the end of the request.
+// abort closes the caller's connection and logs the end of the request. A handler
+// that only returned would end a response as complete, or send an empty success.
 func (c *call) abort(reason string) {
 	c.logEnd(statusNone, reason)
 	panic(http.ErrAbortHandler)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -47,8 +47,7 @@
 				resp.Abort()
 				t.Done(placer.Abandoned, firstByte)
 				c.countDelivered(true)
-				c.logEnd(statusNone, "callerLeft")
-				return true
+				c.abort(callerLeft)
 			}
 			// An upstream that sends parts of an event or comments is not making
 			// progress.
