Suspect prompt parts first with which no request was ever served

Cause: the judge ranked parts by the smaller number of crashes and of different requests. The crashing part had one count for the three engines that each request crashed; an innocent part of the sound streams on these engines had one for each crash and ranked first, and streams of ten seconds reach no end that would clear it while engines crash. Ruled out: late or lost reports (in the simulation each report arrives).

"clears the prompt parts of a stream that was served for a while" failed with no success reported.

Fix: crashes count, up to three for each request; parts that no request was ever served with are judged first, and one with successes waits while such a part shares half of its crashes; a stream that goes on for a second after its first event counts as served; too rare parts are not compared.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -43,6 +43,11 @@
 
 func (codec) Request(h http.Header) forwarder.Envelope {
 	e := forwarder.Envelope{ID: h.Get("X-Id"), Key: h.Get("X-Key"), AnyModel: h.Get("X-Model") == "*", Session: h.Get("X-Session")}
+	for _, id := range h.Values("X-Part") {
+		n, err := strconv.ParseUint(id, 10, 64)
+		Expect(err).NotTo(HaveOccurred())
+		e.Parts = append(e.Parts, forwarder.Part{ID: n, Tokens: 1})
+	}
 	if ms, err := strconv.Atoi(h.Get("X-Wait")); err == nil {
 		e.Timeout = time.Duration(ms) * time.Millisecond
 	}
@@ -194,6 +199,11 @@
 	for i := 0; i+1 < len(fields); i += 2 {
 		req.Header.Set(fields[i], fields[i+1])
 	}
+	return do(req)
+}
+
+// do sends a request and reads the whole response.
+func do(req *http.Request) response {
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return response{err: err}
@@ -203,6 +213,14 @@
 	return response{status: resp.StatusCode, header: resp.Header, body: string(got), err: err}
 }
 
+// sendParts sends a request whose prompt has the given parts.
+func (b *testbed) sendParts(parts ...string) response {
+	req, err := http.NewRequest("POST", b.frontend.URL+"/p/", strings.NewReader("x"))
+	Expect(err).NotTo(HaveOccurred())
+	req.Header = http.Header{"X-Id": {"id1"}, "X-Key": {"k"}, "X-Part": parts}
+	return do(req)
+}
+
 // writeEvent writes one event of a stream.
 func writeEvent(w http.ResponseWriter, id int) {
 	fmt.Fprintf(w, "id: %d\ndata: e%d\n\n", id, id)
@@ -430,6 +448,24 @@
 		Expect(b.fwd.Evidence(netip.AddrPort{}).Breaks).To(HaveLen(1))
 	})
 
+	// Guards against isolating the parts of long streams, which reach no end while
+	// engines crash under another part.
+	It("clears the prompt parts of a stream that was served for a while", func() {
+		serve := pausingStream(1100 * time.Millisecond)
+		b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+			serve(w, r)
+			panic(http.ErrAbortHandler)
+		})
+		b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 1, Resumable: true, MaxPause: 5 * time.Second})
+		part := controller.PromptPart{Service: "s", ID: 7}
+		b.fwd.SetSuspects([]controller.PromptPart{part})
+		Expect(b.sendParts("7", "8").err).To(HaveOccurred())
+		e := b.fwd.Evidence(netip.AddrPort{})
+		Expect(e.Crashes).To(HaveLen(1))
+		Expect(e.Successes).To(HaveLen(1))
+		Expect(e.Successes[0].Part).To(Equal(part))
+	})
+
 	// Guards against callers that hold a request for ever by sending its body a byte
 	// at a time or not at all.
 	It("refuses a request whose body does not arrive in time", func(context.Context) {
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// recordServed records that an upstream goes on with a stream that it has begun, which
+// none does that crashes under a part of the prompt. Long streams would otherwise
+// clear their parts only at their end, which they do not reach while engines crash.
+func (c *call) recordServed() {
+	a := c.stats
+	if a.served || c.f.settings.Clock.Since(a.firstEventAt) < maxCrashDelay {
+		return
+	}
+	a.served = true
+	if parts := c.sharedParts(); len(parts) > 0 {
+		c.f.isolation.RecordSuccess(c.service.Name, parts)
+	}
+}
+
 // recordUnbroken records that the request got its whole response.
 func (c *call) recordUnbroken() {
 	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
--- a/forwarder/stats.go
+++ b/forwarder/stats.go
@@ -49,6 +49,10 @@
 		// sentAt is when the attempt was sent, and begunAt when its first byte
 		// arrived.
 		sentAt, begunAt time.Time
+		// firstEventAt is when the first event of a stream arrived, and served means
+		// that RecordSuccess was told that the upstream went on after it.
+		firstEventAt time.Time
+		served       bool
 		// events is the number of events after the first bytes.
 		events       int
 		counted, bad bool
@@ -149,6 +153,9 @@
 	f, a := c.f, c.stats
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if a.firstEventAt.IsZero() {
+		a.firstEventAt = f.settings.Clock.Now()
+	}
 	a.events += bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
 	if pace, ok := a.pace(f.settings.Clock.Now()); ok && isSlow(pace, f.stats.meanPace[a.route], minSlowPace) {
 		f.stats.count(a, true)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -54,6 +54,7 @@
 			if containsEvent(buf[:end]) {
 				g.recordProgress(resp)
 				c.recordEvents(buf[:end])
+				c.recordServed()
 			}
 			buf = append(buf[:0], buf[end:]...)
 		}
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -18,6 +18,9 @@
 	announcedCrashes = 2
 	minCrashes       = 4
 	decisiveCrashes  = 5
+	// maxCrashesPerRequest bounds the crashes that count for one request, which goes
+	// from one engine to the next while these crash under others.
+	maxCrashesPerRequest = 3
 	// maxOtherCrashes is the number of crashes without the part for each one with
 	// it, from its first one on, up to which it is isolated. It allows for several
 	// such parts at once, and for engines that end for other reasons.
@@ -216,9 +219,8 @@
 	j.update(part, s)
 }
 
-// countUntil counts the crashes until a time. Neither one request that is sent to
-// several engines which crash under others counts more than once, nor one engine
-// that crashes under several.
+// countUntil counts the crashes until a time, at most maxCrashesPerRequest for each
+// request that they broke off.
 func (s *suspect) countUntil(t time.Time) int {
 	requests := make(map[uint64]bool)
 	crashes := 0
@@ -228,7 +230,37 @@
 			maps.Copy(requests, c.requests)
 		}
 	}
-	return min(len(requests), crashes)
+	return min(maxCrashesPerRequest*len(requests), crashes)
+}
+
+// isFrequent reports whether the part was there at a large enough share of the
+// crashes of all engines from its first one until a time.
+func (s *suspect) isFrequent(crashed map[uint64]time.Time, until time.Time) bool {
+	first := until
+	for _, c := range s.crashes {
+		if c.at.Before(first) {
+			first = c.at
+		}
+	}
+	all := 0
+	for _, at := range crashed {
+		if !at.Before(first) && !at.After(until) {
+			all++
+		}
+	}
+	return all <= s.countUntil(until)*(1+maxOtherCrashes)
+}
+
+// wasAtMostOf reports whether the part was there at half of the crashes of another
+// one or more.
+func (s *suspect) wasAtMostOf(other *suspect) bool {
+	both := 0
+	for upstream := range other.crashes {
+		if s.crashes[upstream] != nil {
+			both++
+		}
+	}
+	return 2*both >= len(other.crashes)
 }
 
 // update decides whether a part is a suspect after a change of its crashes.
@@ -275,49 +307,46 @@
 // nextPart returns the part to isolate next.
 func (j *Judge) nextPart() (controller.PromptPart, bool) {
 	now := j.clock.Now()
-	ranked := j.ranked(now.Add(-clearTime))
-	for i, part := range ranked {
+	until := now.Add(-clearTime)
+	ranked := j.ranked(until)
+	var candidates []controller.PromptPart
+	for _, part := range ranked {
 		s := j.suspects[part]
-		count := s.countUntil(now.Add(-clearTime))
-		if count == 0 || now.Sub(s.announced) < clearTime {
-			continue
-		}
-		if _, before := j.isolated[part]; before {
+		count := s.countUntil(until)
+		if _, before := j.isolated[part]; before && count > 0 && now.Sub(s.announced) >= clearTime {
 			// It has crashed engines before, so one more crash suffices.
 			return part, true
 		}
-		if !j.isFrequent(s, now.Add(-clearTime)) {
-			continue
-		}
-		alone := i == 0 && (len(ranked) == 1 || j.suspects[ranked[1]].countUntil(now.Add(-clearTime)) < count)
-		if i == 0 && count >= decisiveCrashes || alone && count >= minCrashes {
-			return part, true
+		if count >= minCrashes && s.isFrequent(j.crashed, until) {
+			candidates = append(candidates, part)
 		}
 	}
-	return controller.PromptPart{}, false
-}
-
-// isFrequent reports whether the part was there at a large enough share of the
-// crashes from its first one until a time.
-func (j *Judge) isFrequent(s *suspect, until time.Time) bool {
-	first := until
-	for _, c := range s.crashes {
-		if c.at.Before(first) {
-			first = c.at
-		}
+	if len(candidates) == 0 {
+		return controller.PromptPart{}, false
 	}
-	all := 0
-	for _, at := range j.crashed {
-		if !at.Before(first) && !at.After(until) {
-			all++
-		}
+	first := j.suspects[candidates[0]]
+	count := first.countUntil(until)
+	hasEqual := slices.ContainsFunc(candidates[1:], func(p controller.PromptPart) bool { return j.suspects[p].countUntil(until) >= count })
+	if now.Sub(first.announced) < clearTime || count < decisiveCrashes && hasEqual || j.hasLikelier(first, ranked) {
+		return controller.PromptPart{}, false
 	}
-	return all <= s.countUntil(until)*(1+maxOtherCrashes)
+	return candidates[0], true
 }
 
-// ranked returns the suspects, those with the most crashes until a time first. Of
-// those with equally many, the one that comes last in prompts is first: fewer
-// requests share it.
+// hasLikelier reports whether a part with which requests were served shares most of
+// its crashes with a suspect that no request was ever served with.
+func (j *Judge) hasLikelier(s *suspect, ranked []controller.PromptPart) bool {
+	return !s.succeeded.IsZero() && slices.ContainsFunc(ranked, func(p controller.PromptPart) bool {
+		other := j.suspects[p]
+		return other.succeeded.IsZero() && other.wasAtMostOf(s)
+	})
+}
+
+// ranked returns the suspects in the order in which they are likely to crash
+// engines. Those that no request was ever served with come first: all requests with
+// an innocent part that many share were there at the crashes, too. Next come those
+// with the most crashes until a time. Of those with equally many, the one that comes
+// last in prompts is first: fewer requests share it.
 func (j *Judge) ranked(until time.Time) []controller.PromptPart {
 	var parts []controller.PromptPart
 	counts := make(map[controller.PromptPart]int)
@@ -329,11 +358,22 @@
 	}
 	slices.SortFunc(parts, func(a, b controller.PromptPart) int {
 		x, y := j.suspects[a], j.suspects[b]
-		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(x.depth, y.depth), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(compareBool(!x.succeeded.IsZero(), !y.succeeded.IsZero()), cmp.Compare(counts[b], counts[a]), cmp.Compare(x.depth, y.depth), cmp.Compare(a.Service, b.Service), cmp.Compare(a.ID, b.ID))
 	})
 	return parts
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // expire drops evidence that is too old.
 func (j *Judge) expire() {
 	now := j.clock.Now()
