Promise "not run" only on an upstream's proof, for every kind of request

Cause: a status that promises "not run" was replaced by 502 only for routes of the kind NonIdempotent; streams that may not be resumed have the kind Stream. On the same path 408 and 429 without proof counted as answers of a sound upstream, and 421 without the header as an answer.

The specs "The response to a caller ..." play 24 statuses for four kinds of request as the first response, after a refusal and after a failure; before: "stream, runs once: status 408 became 408", and a request that may run once ended with 502 after a 421 instead of going on.

Fix: verdict.go decides what a response proves, from the response alone; the kind of the request decides only whether another attempt may follow.

--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -6,7 +6,6 @@
 	"strconv"
 	"time"
 
-	"foxtailwall/matcher"
 	"foxtailwall/refuser"
 )
 
@@ -93,11 +92,11 @@
 	c.logEnd(ref.status, string(ref.code))
 }
 
-// writeResponse forwards a complete response, except if its status would falsely
-// promise that a non-idempotent request has not run.
+// writeResponse forwards a complete response of an upstream that ran the request,
+// except if its status would promise callers that the request has not run.
 func (c *call) writeResponse(resp *response) {
 	status := resp.status
-	if promisesNotRun(status) && c.mayHaveRun > 0 && c.route.Kind == matcher.NonIdempotent {
+	if promisesNotRun(status) {
 		c.lastFailure = nil
 		c.writeRefusal(newRefusal(http.StatusBadGateway, refuser.UpstreamFailed, 0))
 		return
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -10,7 +10,8 @@
 
 // Verdicts on responses.
 const (
-	// verdictNotRun means that the upstream did not run the request.
+	// verdictNotRun means that the upstream did not run the request: it says so, or
+	// the address belongs to another upstream.
 	verdictNotRun verdict = iota
 	// verdictInvalid means that the request may have run and that the response is of
 	// no use to the caller.
@@ -48,7 +49,7 @@
 // caller has received a part of a stream, only the rest of the stream is of use.
 func judge(f responseFacts) verdict {
 	switch {
-	case f.notRun:
+	case f.notRun, f.status == http.StatusMisdirectedRequest:
 		return verdictNotRun
 	case f.status/100 == 2 && (!f.signed || !f.ownID || f.encoded):
 		return verdictInvalid
@@ -56,7 +57,7 @@
 		return verdictInvalid
 	case f.stream && f.status == http.StatusOK:
 		return verdictStream
-	case f.status >= http.StatusInternalServerError:
+	case f.status >= http.StatusInternalServerError, promisesNotRun(f.status):
 		return verdictFailure
 	}
 	return verdictAnswer
@@ -83,7 +84,8 @@
 }
 
 // promisesNotRun reports whether the status tells callers that the request has
-// not run and never will.
+// not run and never will. From an upstream, only 421 proves it without a statement
+// in the header.
 func promisesNotRun(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/forwarder/verdict_test.go
+++ b/forwarder/verdict_test.go
@@ -85,3 +85,88 @@
 		}
 	})
 })
+
+// requestKinds are the kinds of routes, which decide whether a request may run more
+// than once.
+var requestKinds = map[string]matcher.Route{
+	"idempotent":        {Kind: matcher.Idempotent},
+	"may run once":      {Kind: matcher.NonIdempotent},
+	"resumable stream":  {Kind: matcher.Stream, Resumable: true},
+	"stream, runs once": {Kind: matcher.Stream},
+}
+
+// promisesNotRun reports whether callers take the status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	return status == 408 || status == 421 || status == 429 || status == 503
+}
+
+var _ = Describe("The response to a caller", func() {
+	refuse := statusHandler(http.StatusServiceUnavailable, true)
+	fail := statusHandler(http.StatusInternalServerError, false)
+
+	// Guards against callers that send a request again although it has run, on the
+	// word of a status that an upstream gave without saying that it did not run it.
+	It("never promises that a request has not run that an upstream ran", func() {
+		for name, route := range requestKinds {
+			route.MaxAttempts = 3
+			for _, status := range responseStatuses {
+				for _, earlier := range []http.HandlerFunc{nil, refuse, fail} {
+					b := newTestbed()
+					if earlier != nil {
+						b.addUpstream(earlier)
+					}
+					b.addUpstream(statusHandler(status, false))
+					b.setRoute(route)
+					if status == http.StatusMisdirectedRequest {
+						continue // It proves that the request did not run.
+					}
+					a := b.send("POST", "/p/", "x")
+					Expect(promisesNotRun(a.status)).To(BeFalse(), "%s: status %d became %d", name, status, a.status)
+				}
+			}
+		}
+	})
+
+	// Guards against a request that may run once and runs at a second upstream after
+	// a status that proves nothing, and against one that is given up although the
+	// upstream has proved that it did not run it.
+	It("follows from a second attempt only if the request may run again or did not run", func() {
+		for name, route := range requestKinds {
+			route.MaxAttempts = 3
+			repeatable := route.Kind == matcher.Idempotent || route.Resumable
+			for _, status := range responseStatuses {
+				for _, notRun := range []bool{false, true} {
+					b := newTestbed()
+					b.addUpstream(statusHandler(status, notRun))
+					b.addUpstream(remainingEvents)
+					b.setRoute(route)
+					a := b.send("POST", "/p/", "x")
+					what := fmt.Sprintf("%s: status %d, not run: %t", name, status, notRun)
+					proved := notRun || status == http.StatusMisdirectedRequest
+					again := proved || repeatable && (promisesNotRun(status) || status >= 500 && status != http.StatusGatewayTimeout)
+					want := []string{"u0"}
+					if again {
+						want = []string{"u0", "u1"}
+						Expect(a.status).To(Equal(200), what)
+					}
+					Expect(b.ranUpstreams()).To(Equal(want), what)
+				}
+			}
+		}
+	})
+
+	// Guards against a promise that holds for the last attempt only.
+	It("does not promise that a request has not run because the last upstream refused it", func() {
+		for name, route := range requestKinds {
+			if route.MaxAttempts = 2; route.Kind == matcher.NonIdempotent || route.Kind == matcher.Stream && !route.Resumable {
+				continue
+			}
+			b := newTestbed()
+			b.addUpstream(fail)
+			b.addUpstream(refuse)
+			b.setRoute(route)
+			Expect(b.send("POST", "/p/", "x").status).To(Equal(500), name)
+		}
+	})
+})
