Answer requests under a configuration with an empty list of sizes

Seen by callers: users report a whole request that got neither an answer nor a refusal beside a change of the configuration (LOST). So that this is the reported fault is only suspected; it has the reported effect.

Cause: a route with "sizes": [] is valid, and its list is empty but not nil. A request that leaves the choice of the model to the router then panicked, and net/http closes the connection of a handler that panics.

Evidence: the specs "A request gets an answer under a configuration with ..." play six unusual valid values for three kinds of request; the empty list failed with "index out of range [0] with length 0" and EOF at the caller, the others pass.

Fix: the list is used if it has elements, as its comment says.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -222,7 +222,7 @@
 
 // run makes attempts until the request is answered.
 func (c *call) run() {
-	if c.route.Sizes != nil && c.envelope.AnyModel {
+	if len(c.route.Sizes) > 0 && c.envelope.AnyModel {
 		c.model = c.route.Sizes[c.sizeIndex]
 	}
 	for {
