Take the retry before a silent attempt is ended

Seen by callers: streams that are cut in the middle though their upstream was only silent.

Cause: the guard ended an attempt for silence if the retry budget had one retry left, but the retry was taken when the next attempt was placed. Of several streams that timed out at one upstream all ended on the word of the same retry, and all but one were cut.

Fix: the retry is taken before the attempt ends; the next attempt uses it, and it is returned if there is none.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -72,6 +72,9 @@
 		misdirected int
 		// isRetry reports whether the current attempt uses the retry budget.
 		isRetry bool
+		// hasRetry reports whether a retry was taken from the budget for the next
+		// attempt.
+		hasRetry bool
 		tried   []tracker.Key
 		// upstream is the upstream of the latest attempt, and stats what is known
 		// about its response.
@@ -222,6 +225,7 @@
 
 // run makes attempts until the request is answered.
 func (c *call) run() {
+	defer c.returnRetry()
 	if len(c.route.Sizes) > 0 && c.envelope.AnyModel {
 		c.model = c.route.Sizes[c.sizeIndex]
 	}
@@ -273,7 +277,7 @@
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, noUpstreamRetryAfter)
 	}
 	c.isRetry = c.delivered+c.misdirected > 0
-	if c.isRetry && !c.f.settings.Budget.Allow(c.service.Name) {
+	if c.isRetry && !c.takeRetry() {
 		t.Done(placer.Abandoned, 0)
 		return nil, newRefusal(http.StatusBadGateway, refuser.RetryBudget, busyRetryAfter)
 	}
@@ -283,6 +287,23 @@
 	return t, nil
 }
 
+// takeRetry takes a retry from the budget, unless the request has one already.
+func (c *call) takeRetry() bool {
+	if c.hasRetry {
+		c.hasRetry = false
+		return true
+	}
+	return c.f.settings.Budget.Allow(c.service.Name)
+}
+
+// returnRetry returns a retry that no attempt has used to the budget.
+func (c *call) returnRetry() {
+	if c.hasRetry {
+		c.hasRetry = false
+		c.f.settings.Budget.ReturnRetry(c.service.Name)
+	}
+}
+
 // promptWork returns the work for the part of the prompt that is the request's
 // own, the work for the shared prefix, both in tokens of the largest model, and
 // the unweighted tokens of the prefix. Work is assumed proportional to the
@@ -346,7 +367,10 @@
 	sentAt := c.f.settings.Clock.Now()
 	g := newProgressGuard(c, t, sentAt)
 	c.beginAttempt(upstream, sentAt)
-	defer c.endAttempt()
+	defer func() {
+		c.endAttempt()
+		c.hasRetry = c.hasRetry || g.hasRetry.Load()
+	}()
 	forward := &dialer.ForwardRequest{
 		Upstream: upstream.Address, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Fields: c.f.settings.Codec.Fields(c.r.Header, Dispatch{
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -713,6 +713,39 @@
 			Expect(b.ranUpstreams()).To(Equal([]string{"u0"}))
 		})
 
+		// Guards against streams that leave a silent upstream together because of the
+		// same retry that is left, of which all but one are cut.
+		It("moves only as many streams from a silent upstream as may be retried", func() {
+			const streams, retries = 8, 3
+			b.budget.Ratio, b.budget.Slack = 0, 3.4 // Three retries.
+			b = newTestbedWithBudget(b.budget)
+			var begun sync.WaitGroup
+			begun.Add(streams)
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				writeEvent(w, 1)
+				begun.Done()
+				begun.Wait()
+				<-time.After(400 * time.Millisecond)
+				writeEvent(w, 2)
+			})
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { writeEvent(w, 2) })
+			b.placer.Update(b.upstreams[:1:1])
+			b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, MaxPause: 50 * time.Millisecond})
+			answers := make([]response, streams)
+			var sent sync.WaitGroup
+			for i := range streams {
+				sent.Go(func() { answers[i] = b.send("POST", "/p/", "x", "X-Id", fmt.Sprint("id", i)) })
+			}
+			begun.Wait()
+			b.placer.Update(append([]tracker.Upstream(nil), b.upstreams...))
+			sent.Wait()
+			for _, a := range answers {
+				Expect(a.err).NotTo(HaveOccurred())
+				Expect(a.body).To(Equal("id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"))
+			}
+			Expect(len(b.ranUpstreams())).To(BeNumerically("<=", streams+retries))
+		})
+
 		// Guards against losing a stream because it was moved from a slow upstream to
 		// a last attempt that fails.
 		It("waits longer for a silent upstream when one attempt is left", func() {
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -50,6 +50,9 @@
 	// header or its last event. It and streaming are also read by the dialer's watcher.
 	lastProgress atomic.Pointer[time.Time]
 	streaming    atomic.Bool
+	// hasRetry is true once the guard has ended the attempt and taken a retry from the
+	// budget for the next one.
+	hasRetry atomic.Bool
 }
 
 func newProgressGuard(c *call, t *placer.Ticket, sentAt time.Time) *progressGuard {
@@ -89,7 +92,7 @@
 // extendTimeout returns the time by which to extend an expired timeout, zero to
 // end the attempt. It is called by the dialer's watcher.
 func (g *progressGuard) extendTimeout() time.Duration {
-	if !g.call.route.Repeatable() || g.attemptsLeft <= 0 || !g.call.f.settings.Budget.CanRetry(g.call.service.Name) {
+	if !g.call.route.Repeatable() || g.attemptsLeft <= 0 {
 		return timeoutExtension
 	}
 	lastProgress, streaming := *g.lastProgress.Load(), g.streaming.Load()
@@ -106,5 +109,10 @@
 	if g.call.route.Kind == matcher.Stream && waited < limit && (streaming && g.attemptsLeft == 1 || g.ticket.ReceivedSince(lastProgress)) {
 		return timeoutExtension
 	}
+	// The retry is taken now, since other attempts may time out at the same moment.
+	if !g.call.f.settings.Budget.Allow(g.call.service.Name) {
+		return timeoutExtension
+	}
+	g.hasRetry.Store(true)
 	return 0
 }
