Take a refusal only for the request that it answers

Reported by other operators: a replica wrote an earlier refusal once more on a kept connection. Callers were told "not run, try again" for requests that it ran (REFUSED), or such a request ran at a second replica (TWICE).

Cause: a response without an ID was taken for the answer to the current request also on a connection that had carried another one; and a request was repeated to an upstream that had refused it on the connection that had carried the refusal, of which a copy has the right ID. The first holds for service calls of `serve` too.

"does not believe a refusal without an ID on a reused connection" failed with the outcome notRun.

Fix: a response without an ID counts only if its connection has carried no other request; a repeat to an upstream that has answered the request before uses a new connection, as do all repeats of requests that may run once.

A trial that used a new connection for every repeat to the same upstream was narrowed to those after a whole response: an attempt that is aborted leaves no connection behind.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -248,6 +248,23 @@
 		Expect(expectAttemptError(err).RetryAfter).To(Equal(2 * time.Second))
 	})
 
+	// Guards against a call that is run again, or reported as not run, on the word of
+	// a copy of an earlier refusal.
+	It("does not believe a refusal without an ID on a reused connection", func(ctx context.Context) {
+		u := startUpstream(func(c net.Conn, r *bufio.Reader) {
+			for readAttemptID(r) != "" {
+				fmt.Fprint(c, "HTTP/1.1 503 Full\r\nFoxtailwall-Not-Run: true\r\nContent-Length: 0\r\n\r\n")
+			}
+		})
+		d := newDialer(dialer.Options{})
+		for _, outcome := range []refuser.Outcome{refuser.NotRun, refuser.Unknown} {
+			a := u.newAttempt("a")
+			a.Engine = false
+			_, err := d.Do(ctx, a)
+			Expect(expectAttemptError(err).Outcome).To(Equal(outcome))
+		}
+	})
+
 	// Guards against a request reaching a version that was withdrawn while the
 	// connection was being opened.
 	It("sends nothing if the check before sending fails", func(ctx context.Context) {
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -173,11 +173,15 @@
 }
 
 // notRunError returns an error if a response header states that the upstream
-// did not run the request, else nil.
+// did not run the request, else nil. On a reused connection, a statement without the
+// attempt's ID may be a copy of an earlier one and proves nothing.
 func (x *exchange) notRunError() error {
 	if x.resp.Header.Get(notRunHeader) != "true" {
 		return nil
 	}
+	if x.conn.reused && x.resp.Header.Get(requestHeader) != x.attempt.ID {
+		return x.fail(router.FailMismatch, errors.Newf("the upstream responded %s without an ID on a reused connection", x.resp.Status))
+	}
 	err := &router.AttemptError{
 		Kind: router.FailStatus, Outcome: refuser.NotRun, Status: x.resp.StatusCode,
 		RetryAfter: retryAfter(x.resp.Header), Err: errors.Newf("the upstream responded %s without running the request", x.resp.Status),
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -45,7 +45,8 @@
 		// ID is the request ID and IDField the header in which the response
 		// may echo it; a response with another ID is discarded.
 		ID, IDField string
-		// NewConn requires a new connection.
+		// NewConn requires a new connection. A request that was sent to the upstream
+		// before needs one: a late copy of the first response carries the same ID.
 		NewConn bool
 		// MaxIdle limits the idle connections to the upstream when this
 		// request ends, in addition to Options.MaxIdleConns; zero is no limit.
@@ -73,6 +74,9 @@
 		// Framed is true if the body has a Content-Length or a transfer
 		// encoding; otherwise it ends with the connection.
 		Framed bool
+		// Sole is true if the connection carried no other request or response before,
+		// so that the response cannot belong to another request.
+		Sole bool
 
 		checkout
 		req  *ForwardRequest
@@ -194,6 +198,7 @@
 		if id == r.req.ID || id == "" {
 			r.resp = resp
 			r.Status, r.Header, r.Length = resp.StatusCode, resp.Header, resp.ContentLength
+			r.Sole = !r.conn.reused && !r.sawStray
 			r.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -4,6 +4,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -75,7 +77,10 @@
 		// hasRetry reports whether a retry was taken from the budget for the next
 		// attempt.
 		hasRetry bool
-		tried   []tracker.Key
+		tried    []tracker.Key
+		// answered are the addresses to which connections may be open that have carried
+		// the request and a whole response.
+		answered []netip.AddrPort
 		// upstream is the upstream of the latest attempt, and stats what is known
 		// about its response.
 		upstream tracker.Upstream
@@ -378,7 +383,7 @@
 			Resume: c.lastEventID, Priority: c.enginePriority(),
 		}),
 		Body: c.body, ID: c.envelope.ID, IDField: c.f.settings.Codec.IDField(),
-		NewConn: c.route.Kind == matcher.NonIdempotent && c.attempts > 1, Deadline: c.deadline,
+		NewConn: c.needsNewConn(upstream), Deadline: c.deadline,
 		MaxIdle:       c.maxIdleConns(),
 		HeaderTimeout: g.firstByteTimeout(), Extend: g.extendTimeout,
 	}
@@ -392,6 +397,14 @@
 	return c.handleResponse(t, resp, g, sentAt)
 }
 
+// needsNewConn reports whether the attempt may not use a connection that has carried
+// a request: a repeat of a request that may run once, whose outcome would be unknown
+// if the connection is just being closed, and one to an upstream that has answered
+// the request before, whose late copy of that response carries the same ID.
+func (c *call) needsNewConn(upstream tracker.Upstream) bool {
+	return !c.route.Repeatable() && c.attempts > 1 || slices.Contains(c.answered, upstream.Address)
+}
+
 // maxIdleConns returns this host's share of the idle connections to an
 // upstream, zero for no bound.
 func (c *call) maxIdleConns() int {
@@ -521,6 +534,7 @@
 	status := resp.Status
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
 		resp.Finish()
+		c.answered = append(c.answered, c.upstream.Address)
 	}
 	resp.Abort()
 	outcome := placer.Busy
@@ -556,6 +570,7 @@
 		return c.handleFailure(t, err)
 	}
 	resp.Finish()
+	c.answered = append(c.answered, c.upstream.Address)
 	c.countDelivered(true)
 	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
 	a := &response{status: resp.Status, header: resp.Header, body: body}
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -37,6 +37,9 @@
 		// signed, ownID and encoded report whether the response has the upstream's
 		// signature, the ID of the request and an encoded body.
 		signed, ownID, encoded bool
+		// sole means that the connection has carried no other request, and anonymous
+		// that the response has no ID.
+		sole, anonymous bool
 		// stream means that the route's successful responses are streams of events.
 		stream bool
 		// begun means that the caller has received a part of the stream, and sameType
@@ -46,9 +49,13 @@
 )
 
 // judge decides what a response means from its status and header. After the
-// caller has received a part of a stream, only the rest of the stream is of use.
+// caller has received a part of a stream, only the rest of the stream is of use. A
+// response without an ID on a connection that carried another request may be a copy
+// of an earlier response and proves nothing.
 func judge(f responseFacts) verdict {
 	switch {
+	case !f.ownID && !(f.anonymous && f.sole):
+		return verdictInvalid
 	case f.notRun, f.status == http.StatusMisdirectedRequest:
 		return verdictNotRun
 	case f.status/100 == 2 && (!f.signed || !f.ownID || f.encoded):
@@ -67,6 +74,7 @@
 func (c *call) judgeResponse(resp *dialer.ForwardResponse, reply Reply) verdict {
 	return judge(responseFacts{
 		status: resp.Status, notRun: reply.NotRun,
+		sole: resp.Sole, anonymous: reply.ID == "",
 		signed: reply.Signed, ownID: reply.ID == c.envelope.ID, encoded: resp.Header.Get("Content-Encoding") != "",
 		stream: c.route.Kind == matcher.Stream, begun: c.responding,
 		sameType: mediaType(resp.Header) == mediaType(c.w.Header()),
