Send nothing to upstreams that leave or pause by their own word

If only pausing upstreams are left, callers are refused at once with upstreamsPaused and a Retry-After from the end of the first pause on.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"foxtailwall/controller"
 	"foxtailwall/dialer"
@@ -279,6 +280,10 @@
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.RateLimited, limitedRetryAfter)
 	}
 	if !ok {
+		if left := c.f.settings.Placer.PauseLeft(c.service.Name); left > 0 {
+			// No caller returns before the pause ends.
+			return nil, newRefusal(http.StatusServiceUnavailable, refuser.UpstreamsPaused, time.Duration(float64(left)/minRetryJitter))
+		}
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, noUpstreamRetryAfter)
 	}
 	c.isRetry = c.delivered+c.misdirected > 0
@@ -483,6 +488,7 @@
 	reply := c.f.settings.Codec.Reply(resp.Header)
 	firstByte := c.f.settings.Clock.Since(sentAt)
 	c.recordRateLimit(t, resp, reply, sentAt)
+	c.recordWithdrawal(t, resp, reply)
 	v := c.judgeResponse(resp, reply)
 	switch v {
 	case verdictNotRun:
@@ -521,6 +527,30 @@
 	}
 }
 
+// recordWithdrawal records that the upstream leaves or wants a pause.
+func (c *call) recordWithdrawal(t *placer.Ticket, resp *dialer.ForwardResponse, reply Reply) {
+	if resp.Status == http.StatusMisdirectedRequest || !c.isOwnResponse(resp, reply) {
+		return
+	}
+	log := func() *zerolog.Event {
+		return c.f.settings.Log.Info().Str("request", c.envelope.ID).Str("upstream", c.upstream.ID).Str("service", c.service.Name).Int("status", resp.Status)
+	}
+	if reply.Leaving && t.RecordLeaving() {
+		c.f.settings.Scope.Counter("forwarder.upstreamsLeft").Inc(1)
+		log().Msg("upstream says that it leaves")
+	}
+	if resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	if reply.BadRetryAfter != "" {
+		log().Str("retryAfter", reply.BadRetryAfter).Msg("Retry-After of an upstream is ignored")
+	}
+	if reply.RetryAfter > 0 {
+		c.f.settings.Scope.Counter("forwarder.pauses").Inc(1)
+		log().Time("until", t.RecordPause(reply.RetryAfter)).Msg("upstream pauses")
+	}
+}
+
 // countDelivered counts a finished attempt that reached an upstream.
 func (c *call) countDelivered(mayHaveRun bool) {
 	c.delivered++
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -112,6 +112,13 @@
 		// RateLimit is the number of requests per second that the upstream accepts
 		// from all hosts together; nil for no limit.
 		RateLimit *float64
+		// Leaving reports whether the upstream leaves and wants no further requests.
+		Leaving bool
+		// RetryAfter is the time for which the upstream wants no requests, if its
+		// status is 503; zero if it names none.
+		RetryAfter time.Duration
+		// BadRetryAfter is a Retry-After that cannot be read, empty if there is none.
+		BadRetryAfter string
 	}
 
 	// Settings configures a Forwarder.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -63,7 +63,12 @@
 }
 
 func (codec) Reply(h http.Header) forwarder.Reply {
-	r := forwarder.Reply{ID: h.Get("X-Id"), Signed: h.Get("X-Sign") != "", NotRun: h.Get("X-Not-Run") != "", Confidence: -1}
+	r := forwarder.Reply{
+		ID: h.Get("X-Id"), Signed: h.Get("X-Sign") != "", NotRun: h.Get("X-Not-Run") != "", Confidence: -1, Leaving: h.Get("X-Leaving") != "",
+	}
+	if d, err := time.ParseDuration(h.Get("X-Pause")); err == nil {
+		r.RetryAfter = d
+	}
 	if n, err := strconv.Atoi(h.Get("X-Sure")); err == nil {
 		r.Confidence = n
 	}
@@ -215,7 +220,7 @@
 
 // sendParts sends a request whose prompt has the given parts.
 func (b *testbed) sendParts(parts ...string) response {
-	req, err := http.NewRequest("POST", b.frontend.URL+"/p/", strings.NewReader("x"))
+	req, err := http.NewRequest(http.MethodPost, b.frontend.URL+"/p/", strings.NewReader("x"))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header = http.Header{"X-Id": {"id1"}, "X-Key": {"k"}, "X-Part": parts}
 	return do(req)
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -27,6 +27,9 @@
 	// request are at their rate limits. The retry reaches another host, whose share
 	// may be free.
 	limitedRetryAfter = 700 * time.Millisecond
+	// minRetryJitter and retryJitter bound the factors that spread the retries of
+	// callers that are refused together.
+	minRetryJitter, retryJitter = 0.75, 0.5
 	// statusNone is the logged status of a request that ended without a complete
 	// response.
 	statusNone = 0
@@ -75,8 +78,7 @@
 func (c *call) writeRefusal(ref *refusal) {
 	h := c.w.Header()
 	if ref.retryAfter > 0 {
-		// Jitter spreads the retries of callers that are refused together.
-		seconds := ref.retryAfter.Seconds() * (0.75 + 0.5*rand.Float64())
+		seconds := ref.retryAfter.Seconds() * (minRetryJitter + retryJitter*rand.Float64())
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
 	if id := c.envelope.ID; id != "" {
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -37,9 +37,9 @@
 		// signed, ownID and encoded report whether the response has the upstream's
 		// signature, the ID of the request and an encoded body.
 		signed, ownID, encoded bool
-		// sole means that the connection has carried no other request, and anonymous
-		// that the response has no ID.
-		sole, anonymous bool
+		// own means that the response belongs to the request, whether it has an ID or
+		// not.
+		own bool
 		// stream means that the route's successful responses are streams of events.
 		stream bool
 		// begun means that the caller has received a part of the stream, and sameType
@@ -49,12 +49,10 @@
 )
 
 // judge decides what a response means from its status and header. After the
-// caller has received a part of a stream, only the rest of the stream is of use. A
-// response without an ID on a connection that carried another request may be a copy
-// of an earlier response and proves nothing.
+// caller has received a part of a stream, only the rest of the stream is of use.
 func judge(f responseFacts) verdict {
 	switch {
-	case !f.ownID && !(f.anonymous && f.sole):
+	case !f.own:
 		return verdictInvalid
 	case f.notRun, f.status == http.StatusMisdirectedRequest:
 		return verdictNotRun
@@ -74,13 +72,20 @@
 func (c *call) judgeResponse(resp *dialer.ForwardResponse, reply Reply) verdict {
 	return judge(responseFacts{
 		status: resp.Status, notRun: reply.NotRun,
-		sole: resp.Sole, anonymous: reply.ID == "",
+		own:    c.isOwnResponse(resp, reply),
 		signed: reply.Signed, ownID: reply.ID == c.envelope.ID, encoded: resp.Header.Get("Content-Encoding") != "",
 		stream: c.route.Kind == matcher.Stream, begun: c.responding,
 		sameType: mediaType(resp.Header) == mediaType(c.w.Header()),
 	})
 }
 
+// isOwnResponse reports whether a response belongs to the request. One without an ID
+// on a connection that carried another request may be a copy of an earlier response
+// and proves nothing.
+func (c *call) isOwnResponse(resp *dialer.ForwardResponse, reply Reply) bool {
+	return reply.ID == c.envelope.ID || reply.ID == "" && resp.Sole
+}
+
 // mediaType returns the media type in a header without its parameters, empty if
 // there is none.
 func mediaType(h http.Header) string {
--- a/placer/limit.go
+++ b/placer/limit.go
@@ -92,7 +92,7 @@
 	defer p.mu.Unlock()
 	if pl := p.pools[service]; pl != nil {
 		for _, u := range pl.upstreams {
-			if u.limit.named && !u.Leaving {
+			if u.limit.named && !u.Leaving && !u.withdrawal.leaving {
 				return true
 			}
 		}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -259,7 +259,8 @@
 		// lastReceivedElsewhere when another host did.
 		lastReceived, lastReceivedElsewhere time.Time
 
-		limit rateLimit
+		limit      rateLimit
+		withdrawal withdrawal
 	}
 
 	// Ticket is an attempt in progress. It must be ended with Done.
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -60,6 +60,7 @@
 	PromptIsolated     Code = "promptIsolated"
 	RequestIsolated    Code = "requestIsolated"
 	RateLimited        Code = "rateLimited"
+	UpstreamsPaused    Code = "upstreamsPaused"
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
@@ -114,6 +115,7 @@
 	PromptIsolated:     http.StatusServiceUnavailable,
 	RequestIsolated:    http.StatusServiceUnavailable,
 	RateLimited:        http.StatusServiceUnavailable,
+	UpstreamsPaused:    http.StatusServiceUnavailable,
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
