--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -62,6 +62,10 @@
 
 func (codec) Reply(h http.Header) forwarder.Reply {
 	reply := forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
+	reply.Leaving = h.Get("X-Leaving") != ""
+	if d, err := time.ParseDuration(h.Get("X-Pause")); err == nil {
+		reply.RetryAfter = d
+	}
 	if rate, err := strconv.ParseFloat(h.Get("X-Limit"), 64); err == nil {
 		reply.RateLimit = &rate
 	}
