Keep the upstream of an attempt as it was listed when it was chosen

Seen by callers: nothing known. Ticket.Upstream read the listed upstream without the lock under which Placer.Update replaces it, so that an attempt that begins while a new list arrives could get half of an old and half of a new entry: an address, or a string with the length of another, by which the process would end.

Evidence: "names its upstream while the list changes" fails with the race detector before and passes now.

Fix: the ticket holds a copy that is made under the lock.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -265,10 +265,13 @@
 
 	// Ticket is an attempt in progress. It must be ended with Done.
 	Ticket struct {
-		p    *Placer
-		up   *upstream
-		work float64
-		done bool
+		p  *Placer
+		up *upstream
+		// listed is the upstream as it was listed when it was chosen; that of up changes
+		// with the list.
+		listed tracker.Upstream
+		work   float64
+		done   bool
 		// placement is what this attempt has added to the caches of pool; its zero
 		// value means nothing.
 		placement Placement
@@ -324,7 +327,7 @@
 	if u == nil {
 		return nil, false
 	}
-	t = &Ticket{p: p, up: u, work: r.Work}
+	t = &Ticket{p: p, up: u, listed: u.Upstream, work: r.Work}
 	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.loadID()) {
 		t.work += r.SharedWork
 		t.pool, t.placement = pl, p.recordPlacement(pl, r.Group, u)
@@ -509,8 +512,8 @@
 	return n
 }
 
-// Upstream returns the chosen upstream.
-func (t *Ticket) Upstream() tracker.Upstream { return t.up.Upstream }
+// Upstream returns the chosen upstream as it was listed then.
+func (t *Ticket) Upstream() tracker.Upstream { return t.listed }
 
 // RecordReceived records that data arrived from the upstream. The first data
 // reduces the request's work, since its prompt has been processed by then.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -490,3 +490,22 @@
 		Expect(zones).To(HaveLen(3))
 	})
 })
+
+// Guards against an attempt that reads the address or version of its upstream while a
+// new list is written: run with the race detector.
+var _ = Describe("Ticket", func() {
+	It("names its upstream while the list changes", func() {
+		p := placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})
+		list := fleet(1, 8)
+		p.Update(list)
+		t, ok := p.Pick(placer.Request{Service: "s"})
+		Expect(ok).To(BeTrue())
+		updated := make(chan struct{})
+		go func() {
+			defer close(updated)
+			p.Update(list)
+		}()
+		Expect(t.Upstream().ID).NotTo(BeEmpty())
+		<-updated
+	})
+})
