Take only requests whose deadline passes before a leaving entry stops

Cause: a leaving entry took a request if an estimate of its duration (1.5 s for the prompt, 15 ms a token) fitted the time left, and in the first 30% of the grace period without any check. Nothing but a deadline bounds a request.

Ruled out: the caller or the replica ending the stream (the log says callerLeft, the record that the replicas stopped at that moment, when the entry closed its connections); a wrong end of the grace period (7.36 s).

The failing specs first: "takes a request only if its deadline passes before the host stops" got 200 in place of 503 for `stream, output "1", deadline ""`; "answers or refuses each request on kept connections, of every kind", over running hosts, found four streams that ran and ended with "unexpected EOF", two of them of a route that runs once.

The spec "refuses requests that may not complete before the shutdown" called DisableKeepAlives and SetShutdownTime in turn; both are Leave now. It checks the same statuses and, in addition, that each response closes its connection.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -29,10 +29,6 @@
 	attemptLimit = 24
 	// minAttemptTime is the least remaining time with which an attempt is started.
 	minAttemptTime = 20 * time.Millisecond
-	// maxPromptTime is an upper bound on the time an engine takes for a prompt,
-	// including a second model, and maxTokenTime on that for a generated token.
-	maxPromptTime = 1500 * time.Millisecond
-	maxTokenTime  = 15 * time.Millisecond
 	// idleConnDivisor is the divisor of an upstream's connection limit that gives
 	// the number of connections that may be idle.
 	idleConnDivisor = 2
@@ -136,7 +132,7 @@
 		timeout = min(timeout, c.envelope.Timeout)
 	}
 	c.deadline = c.startedAt.Add(timeout)
-	if end := c.f.shutdownAt.Load(); end != nil && c.startedAt.Add(min(c.maxDuration(), timeout)).After(*end) {
+	if end := c.f.leavesAt.Load(); end != nil && c.deadline.After(*end) {
 		return newRefusal(http.StatusServiceUnavailable, refuser.ShuttingDown, shutdownRetryAfter)
 	}
 	if ref := c.readBody(); ref != nil {
@@ -146,15 +142,6 @@
 	return nil
 }
 
-// maxDuration returns an estimate of the longest time to a complete response if
-// nothing fails.
-func (c *call) maxDuration() time.Duration {
-	if c.route.Kind != matcher.Stream || c.envelope.Output <= 0 {
-		return c.route.Timeout
-	}
-	return maxPromptTime + time.Duration(c.envelope.Output)*maxTokenTime
-}
-
 // authenticate sets the workspace and priority from the caller's API key, or
 // refuses the request if a valid key is required but missing.
 func (c *call) authenticate() *refusal {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -148,11 +148,10 @@
 	Forwarder struct {
 		settings     Settings
 		activeConfig atomic.Pointer[ActiveConfig]
-		closeConns   atomic.Bool
 		running      atomic.Int64
-		// shutdownAt is when this host stops, nil while no shutdown is scheduled.
-		shutdownAt atomic.Pointer[time.Time]
-		started    time.Time
+		// leavesAt is when this host stops, nil while it does not leave.
+		leavesAt atomic.Pointer[time.Time]
+		started  time.Time
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
@@ -219,13 +218,11 @@
 	f.assigner.AddExcludedSessions(service, target, sessions)
 }
 
-// DisableKeepAlives makes every further response close its connection, so that
-// callers connect to other hosts.
-func (f *Forwarder) DisableKeepAlives() { f.closeConns.Store(true) }
-
-// SetShutdownTime announces that this host stops at end. Further requests that
-// may not complete by then are refused at once.
-func (f *Forwarder) SetShutdownTime(end time.Time) { f.shutdownAt.Store(&end) }
+// Leave announces that this host stops at end. From now on it takes only requests
+// whose deadline passes before, since nothing else bounds their duration, and
+// refuses all others at once. Every response closes its connection, so that callers
+// connect to other hosts.
+func (f *Forwarder) Leave(end time.Time) { f.leavesAt.Store(&end) }
 
 // Running returns the number of requests in progress.
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
@@ -235,7 +232,7 @@
 	f.running.Add(1)
 	defer f.running.Add(-1)
 	c := &call{f: f, w: w, r: r, startedAt: f.settings.Clock.Now()}
-	if f.closeConns.Load() {
+	if f.leavesAt.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if ref := c.admit(); ref != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -51,6 +51,9 @@
 	if ms, err := strconv.Atoi(h.Get("X-Wait")); err == nil {
 		e.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	if n, err := strconv.Atoi(h.Get("X-Output")); err == nil {
+		e.Output = n
+	}
 	return e
 }
 
@@ -185,6 +188,8 @@
 	header http.Header
 	body   string
 	err    error
+	// closed reports whether the response announces the end of its connection.
+	closed bool
 }
 
 // badAnswers returns the number of counted responses and of the bad ones.
@@ -215,7 +220,7 @@
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
-	return response{status: resp.StatusCode, header: resp.Header, body: string(got), err: err}
+	return response{status: resp.StatusCode, header: resp.Header, body: string(got), err: err, closed: resp.Close}
 }
 
 // sendParts sends a request whose prompt has the given parts.
@@ -337,12 +342,15 @@
 	It("refuses requests that may not complete before the shutdown", func() {
 		b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
 		b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 2})
-		b.fwd.DisableKeepAlives()
-		Expect(b.send("GET", "/p/", "").status).To(Equal(200))
-		b.fwd.SetShutdownTime(time.Now().Add(time.Minute))
 		Expect(b.send("GET", "/p/", "").status).To(Equal(200))
-		b.fwd.SetShutdownTime(time.Now().Add(time.Second))
-		Expect(b.send("GET", "/p/", "").status).To(Equal(503))
+		b.fwd.Leave(time.Now().Add(time.Minute))
+		a := b.send("GET", "/p/", "")
+		Expect(a.status).To(Equal(200))
+		Expect(a.closed).To(BeTrue())
+		b.fwd.Leave(time.Now().Add(time.Second))
+		a = b.send("GET", "/p/", "")
+		Expect(a.status).To(Equal(503))
+		Expect(a.closed).To(BeTrue())
 		Expect(b.ranUpstreams()).To(HaveLen(2))
 	})
 
--- /dev/null
+++ b/forwarder/leaving_test.go
@@ -0,0 +1,52 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/matcher"
+)
+
+// routesOfEachKind returns a route of each kind of request, by name.
+func routesOfEachKind() map[string]matcher.Route {
+	return map[string]matcher.Route{
+		"idempotent":            {Kind: matcher.Idempotent, MaxAttempts: 2},
+		"may run once":          {Kind: matcher.NonIdempotent, MaxAttempts: 1},
+		"stream":                {Kind: matcher.Stream, MaxAttempts: 2, Resumable: true},
+		"stream that runs once": {Kind: matcher.Stream, MaxAttempts: 1},
+	}
+}
+
+var _ = Describe("A host that leaves", func() {
+	// Guards against requests that are accepted after SIGTERM and cut at the end of the
+	// grace period: an estimate of their duration was taken for an upper bound, which
+	// only their deadline is.
+	It("takes a request only if its deadline passes before the host stops", func() {
+		const leftMs = 60_000
+		for name, route := range routesOfEachKind() {
+			b := newTestbed()
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				writeEvent(w, 1)
+			})
+			route.Timeout = 2 * leftMs * time.Millisecond
+			b.setRoute(route)
+			b.fwd.Leave(time.Now().Add(leftMs * time.Millisecond))
+			for _, output := range []string{"", "1"} {
+				taken := b.send("POST", "/p/", "x", "X-Output", output, "X-Wait", fmt.Sprint(leftMs/2))
+				Expect(taken.status).To(Equal(200), "%s, output %q", name, output)
+				ran := len(b.ranUpstreams())
+				for _, wait := range []string{"", fmt.Sprint(leftMs + 1000), fmt.Sprint(3 * leftMs)} {
+					a := b.send("POST", "/p/", "x", "X-Output", output, "X-Wait", wait)
+					Expect(a.status).To(Equal(503), "%s, output %q, deadline %q", name, output, wait)
+					Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+				}
+				Expect(b.ranUpstreams()).To(HaveLen(ran), "%s, output %q", name, output)
+			}
+		}
+	})
+})
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -42,9 +42,10 @@
 	// maxIdleConns bounds the unused connections to one upstream.
 	maxIdleConns = 24
 
-	// acceptFraction is the part of the grace period in which all requests are
-	// still accepted: the platform takes two seconds to stop sending new ones.
-	acceptFraction = 0.3
+	// handoverFraction is the part of the grace period for which a leaving entry stays
+	// even if no request is running: the platform goes on opening connections to it for
+	// two seconds.
+	handoverFraction = 0.3
 	// drainCheckInterval is how often a draining entry checks for running
 	// requests.
 	drainCheckInterval = 100 * time.Millisecond
@@ -162,17 +163,17 @@
 }
 
 // drain makes callers reconnect to other hosts and waits for the running
-// requests. It accepts new connections until the end, because the platform
-// still sends them when most hosts of the zone are leaving.
+// requests, further ones only if they certainly end in time. It accepts new
+// connections until the end, because the platform still sends them when most hosts
+// of the zone are leaving.
 func (e *entry) drain(callers *http.Server) {
 	grace := e.settings.Load().Grace
 	start := e.opts.Clock.Now()
 	end := start.Add(time.Duration(cutOffFraction * float64(grace)))
 	e.draining.Store(true)
-	e.forwarder.DisableKeepAlives()
-	e.opts.Log.Info().Dur("grace", grace).Msg("entry is leaving")
-	e.sleep(time.Duration(acceptFraction * float64(grace)))
-	e.forwarder.SetShutdownTime(end)
+	e.forwarder.Leave(end)
+	e.opts.Log.Info().Dur("grace", grace).Int("running", e.forwarder.Running()).Msg("entry is leaving")
+	e.sleep(time.Duration(handoverFraction * float64(grace)))
 	for e.opts.Clock.Now().Before(end) && e.forwarder.Running() > 0 {
 		e.sleep(drainCheckInterval)
 	}
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -38,8 +38,8 @@
 // eventTimeout bounds the waits for events of real hosts.
 const eventTimeout = time.Minute
 
-// codec is a minimal forwarder.Codec whose headers are X-Id and, with the IDs of
-// the prompt's parts separated by spaces, X-Parts.
+// codec is a minimal forwarder.Codec whose headers are X-Id, X-Output and, with the
+// IDs of the prompt's parts separated by spaces, X-Parts.
 type codec struct{}
 
 func (codec) IDField() string { return "X-Id" }
@@ -53,6 +53,9 @@
 		}
 		envelope.Parts = append(envelope.Parts, forwarder.Part{ID: id, Tokens: 1})
 	}
+	if n, err := strconv.Atoi(h.Get("X-Output")); err == nil {
+		envelope.Output = n
+	}
 	return envelope
 }
 
