Let callers that a leaving entry refuses return once they reach another one

Cause: the refusal's Retry-After was 30 ms for all, on the assumption that the return reaches another host. The platform stops opening connections only after two failed checks, one a second, and while no other host of the zone takes requests, returns within these 2 s reach the same entry, which refuses again.

Change: entries report that they leave, the leader tells each how many others of its zone stay, and without any the Retry-After lasts until the platform has turned away.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -132,8 +132,8 @@
 		timeout = min(timeout, c.envelope.Timeout)
 	}
 	c.deadline = c.startedAt.Add(timeout)
-	if end := c.f.leavesAt.Load(); end != nil && c.deadline.After(*end) {
-		return newRefusal(http.StatusServiceUnavailable, refuser.ShuttingDown, shutdownRetryAfter)
+	if ref := c.refuseLate(); ref != nil {
+		return ref
 	}
 	if ref := c.readBody(); ref != nil {
 		return ref
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -149,9 +149,9 @@
 		settings     Settings
 		activeConfig atomic.Pointer[ActiveConfig]
 		running      atomic.Int64
-		// leavesAt is when this host stops, nil while it does not leave.
-		leavesAt atomic.Pointer[time.Time]
-		started  time.Time
+		// departure is nil while this host does not leave.
+		departure atomic.Pointer[Departure]
+		started   time.Time
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
@@ -218,11 +218,11 @@
 	f.assigner.AddExcludedSessions(service, target, sessions)
 }
 
-// Leave announces that this host stops at end. From now on it takes only requests
-// whose deadline passes before, since nothing else bounds their duration, and
+// Leave announces that this host stops. From now on it takes only requests whose
+// deadline passes before d.End, since nothing else bounds their duration, and
 // refuses all others at once. Every response closes its connection, so that callers
 // connect to other hosts.
-func (f *Forwarder) Leave(end time.Time) { f.leavesAt.Store(&end) }
+func (f *Forwarder) Leave(d Departure) { f.departure.Store(&d) }
 
 // Running returns the number of requests in progress.
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
@@ -232,7 +232,7 @@
 	f.running.Add(1)
 	defer f.running.Add(-1)
 	c := &call{f: f, w: w, r: r, startedAt: f.settings.Clock.Now()}
-	if f.leavesAt.Load() != nil {
+	if f.departure.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if ref := c.admit(); ref != nil {
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
 )
 
@@ -35,7 +37,7 @@
 			})
 			route.Timeout = 2 * leftMs * time.Millisecond
 			b.setRoute(route)
-			b.fwd.Leave(time.Now().Add(leftMs * time.Millisecond))
+			b.fwd.Leave(forwarder.Departure{End: time.Now().Add(leftMs * time.Millisecond)})
 			for _, output := range []string{"", "1"} {
 				taken := b.send("POST", "/p/", "x", "X-Output", output, "X-Wait", fmt.Sprint(leftMs/2))
 				Expect(taken.status).To(Equal(200), "%s, output %q", name, output)
@@ -49,4 +51,34 @@
 			}
 		}
 	})
+
+	// Guards against callers that are refused again where their return reaches the same
+	// host, since the platform goes on opening connections to it.
+	It("lets callers return once they reach another host", func() {
+		const left = time.Hour
+		for _, v := range []struct {
+			departure forwarder.Departure
+			later     bool
+		}{
+			{forwarder.Departure{}, false},
+			{forwarder.Departure{OutOfRotation: time.Now().Add(left)}, false},
+			{forwarder.Departure{OutOfRotation: time.Now().Add(left), Neighbours: func() int { return 1 }}, false},
+			{forwarder.Departure{OutOfRotation: time.Now().Add(left), Neighbours: func() int { return 0 }}, true},
+			{forwarder.Departure{OutOfRotation: time.Now(), Neighbours: func() int { return 0 }}, false},
+		} {
+			b := newTestbed()
+			b.setRoute(matcher.Route{Kind: matcher.Idempotent, MaxAttempts: 1, Timeout: 2 * left})
+			v.departure.End = time.Now()
+			b.fwd.Leave(v.departure)
+			a := b.send("GET", "/p/", "")
+			Expect(a.status).To(Equal(503))
+			seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			if v.later {
+				Expect(seconds).To(BeNumerically(">", (left - time.Minute).Seconds()))
+			} else {
+				Expect(seconds).To(BeNumerically("<", 1))
+			}
+		}
+	})
 })
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -15,8 +15,8 @@
 	// noUpstreamRetryAfter is the Retry-After of refusals for lack of an upstream: the
 	// list names a new one about a second after its start.
 	noUpstreamRetryAfter = 900 * time.Millisecond
-	// shutdownRetryAfter is the Retry-After while this host leaves; the retry
-	// reaches another host.
+	// shutdownRetryAfter is the Retry-After while this host leaves and the retry reaches
+	// another one.
 	shutdownRetryAfter = 30 * time.Millisecond
 	// busyRetryAfter is the Retry-After when no further attempt is allowed.
 	busyRetryAfter = 150 * time.Millisecond
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -42,9 +42,11 @@
 	// maxIdleConns bounds the unused connections to one upstream.
 	maxIdleConns = 24
 
+	// rotationTime is how long the platform goes on opening connections to an entry
+	// that is not ready: until the second of its checks, one a second, has failed.
+	rotationTime = 2 * time.Second
 	// handoverFraction is the part of the grace period for which a leaving entry stays
-	// even if no request is running: the platform goes on opening connections to it for
-	// two seconds.
+	// even if no request is running, which is a little longer than rotationTime.
 	handoverFraction = 0.3
 	// drainCheckInterval is how often a draining entry checks for running
 	// requests.
@@ -66,8 +68,9 @@
 	loadClient  *sharer.Client
 	startedAt   time.Time
 	draining    atomic.Bool
-	// liveHosts is the number of live hosts that serve callers.
-	liveHosts atomic.Int64
+	// liveHosts is the number of live hosts that serve callers, and neighbours that of
+	// the others in this zone that do not leave.
+	liveHosts, neighbours atomic.Int64
 
 	// mu guards the state received from the leader or the platform.
 	mu sync.Mutex
@@ -171,7 +174,9 @@
 	start := e.opts.Clock.Now()
 	end := start.Add(time.Duration(cutOffFraction * float64(grace)))
 	e.draining.Store(true)
-	e.forwarder.Leave(end)
+	e.forwarder.Leave(forwarder.Departure{
+		End: end, OutOfRotation: start.Add(rotationTime), Neighbours: func() int { return int(e.neighbours.Load()) },
+	})
 	e.opts.Log.Info().Dur("grace", grace).Int("running", e.forwarder.Running()).Msg("entry is leaving")
 	e.sleep(time.Duration(handoverFraction * float64(grace)))
 	for e.opts.Clock.Now().Before(end) && e.forwarder.Running() > 0 {
@@ -211,7 +216,7 @@
 func (e *entry) newReport() syncer.Report {
 	settings := e.settings.Load()
 	report := syncer.Report{
-		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
+		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Leaving: e.draining.Load(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
 	}
 	for line, count := range e.forwarder.Counts() {
 		report.Counts = append(report.Counts, syncer.AnswerCount{Line: line, Count: count})
@@ -233,6 +238,7 @@
 // published state.
 func (e *entry) applyUpdate(u *syncer.Update) {
 	e.liveHosts.Store(int64(u.Hosts))
+	e.neighbours.Store(int64(u.Neighbours))
 	e.forwarder.SetSuspects(u.Suspects)
 	for _, excluded := range u.Excluded {
 		e.forwarder.AddExcludedSessions(excluded.Service, excluded.Target, excluded.Sessions)
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -73,9 +73,10 @@
 		// leadingSince is when this host first answered as the leader, zero if it does
 		// not lead.
 		leadingSince time.Time
-		// liveHosts has the positions of the live hosts among countedReports reports,
-		// from 1 and by name, as counted at countedAt.
-		liveHosts      map[string]int
+		// liveHosts are the live hosts by name among countedReports reports, and staying
+		// the number of those that do not leave by zone, as counted at countedAt.
+		liveHosts      map[string]liveHost
+		staying        map[string]int
 		countedAt      time.Time
 		countedReports int
 		// excluded counts the hosts that exclude a session, by trial.
@@ -98,9 +99,19 @@
 		started int64
 	}
 
+	// liveHost is what other hosts are told of a live host.
+	liveHost struct {
+		// position is the host's position among the live hosts by name, from 1.
+		position int
+		zone     string
+		leaving  bool
+	}
+
 	// hostReport is the newest report of one run of a host.
 	hostReport struct {
 		at       time.Time
+		zone     string
+		leaving  bool
 		counts   []AnswerCount
 		running  map[string]int
 		excluded []ExcludedSessions
@@ -203,7 +214,9 @@
 	k := hostKey{r.Host, r.Started}
 	h.countExcluded(h.reports[k].excluded, -1)
 	h.countExcluded(r.Excluded, 1)
-	h.reports[k] = hostReport{at: h.set.Clock.Now(), counts: r.Counts, running: r.Running, excluded: r.Excluded}
+	h.reports[k] = hostReport{
+		at: h.set.Clock.Now(), zone: r.Zone, leaving: r.Leaving, counts: r.Counts, running: r.Running, excluded: r.Excluded,
+	}
 }
 
 // countExcluded adds delta to the number of hosts that exclude each session.
@@ -232,10 +245,14 @@
 	u := &Update{
 		FromLeader: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), ListAge: -1,
 	}
-	positions := h.livePositions()
-	u.Hosts = len(positions)
+	h.countLiveHosts()
+	own := h.liveHosts[r.Host]
+	u.Hosts, u.Neighbours = len(h.liveHosts), h.staying[own.zone]
+	if !own.leaving {
+		u.Neighbours--
+	}
 	if h.set.Clock.Since(h.leadingSince) >= positionDelay {
-		u.Position = positions[r.Host]
+		u.Position = own.position
 	}
 	u.Excluded = h.excludedByOthers(r)
 	if h.set.Judge != nil {
@@ -276,17 +293,23 @@
 	return out, true
 }
 
-// livePositions returns the positions of the live hosts by name, from 1, as of at
-// most liveHostsMaxAge ago.
-func (h *Hub) livePositions() map[string]int {
+// countLiveHosts updates liveHosts and staying unless they are at most
+// liveHostsMaxAge old.
+func (h *Hub) countLiveHosts() {
 	now := h.set.Clock.Now()
-	if h.countedReports != len(h.reports) || now.Sub(h.countedAt) > liveHostsMaxAge {
-		h.liveHosts, h.countedAt, h.countedReports = make(map[string]int), now, len(h.reports)
-		for i, host := range slices.Sorted(maps.Keys(h.liveReports())) {
-			h.liveHosts[host] = i + 1
+	if h.countedReports == len(h.reports) && now.Sub(h.countedAt) <= liveHostsMaxAge {
+		return
+	}
+	h.liveHosts, h.staying = make(map[string]liveHost), make(map[string]int)
+	h.countedAt, h.countedReports = now, len(h.reports)
+	reports := h.liveReports()
+	for i, name := range slices.Sorted(maps.Keys(reports)) {
+		r := reports[name]
+		h.liveHosts[name] = liveHost{position: i + 1, zone: r.zone, leaving: r.leaving}
+		if !r.leaving {
+			h.staying[r.zone]++
 		}
 	}
-	return h.liveHosts
 }
 
 // liveReports returns the newest report of each live host, by host name.
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -50,6 +50,8 @@
 		// name of the list that the host has.
 		Published uint64 `cbor:"published"`
 		List      string `cbor:"list"`
+		// Leaving says that the host stops soon and takes few requests.
+		Leaving bool `cbor:"leaving,omitempty"`
 		// Wait is how long the leader may wait for changes, at most 5 s.
 		Wait time.Duration `cbor:"wait"`
 		// Counts are the answers since the start of the process.
@@ -99,6 +101,9 @@
 		// Position is this host's position among them by name, from 1; 0 while the
 		// leader may not know all of them.
 		Position int `cbor:"position,omitempty"`
+		// Neighbours is the number of other live hosts in the zone of this host that do
+		// not leave.
+		Neighbours int `cbor:"neighbours,omitempty"`
 		// Published lacks the document's body if the host has it, or receives its
 		// last part with this answer.
 		Published *controller.Published `cbor:"published,omitempty"`
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -162,6 +162,26 @@
 		Expect(position("a")).To(Equal(1))
 	})
 
+	// Guards against a leaving host that sends callers back at once although no other
+	// host of its zone takes requests.
+	It("tells hosts how many neighbours do not leave", func() {
+		src.publish(1)
+		neighbours := func(host, zone string, leaving bool) int {
+			u := <-watch(syncer.Report{Host: host, Zone: zone, Started: 1, Published: 1, Leaving: leaving})
+			clock.Advance(300 * time.Millisecond)
+			return u.Neighbours
+		}
+		Expect(neighbours("a", "x", false)).To(Equal(0))
+		Expect(neighbours("b", "x", false)).To(Equal(1))
+		Expect(neighbours("c", "y", false)).To(Equal(0))
+		Expect(neighbours("a", "x", false)).To(Equal(1))
+		Expect(neighbours("b", "x", true)).To(Equal(1))
+		Expect(neighbours("a", "x", false)).To(Equal(0))
+		Expect(neighbours("a", "x", true)).To(Equal(0))
+		Expect(neighbours("d", "x", false)).To(Equal(0))
+		Expect(neighbours("a", "x", true)).To(Equal(1))
+	})
+
 	// Guards against excluded sessions that are not sent to other hosts, are
 	// sent back to the host that reported them, or are still sent after no host
 	// excludes them.
