Answer requests that a leaving entry cuts off

Callers saw: a request that began before the SIGTERM of its entry and was still running at 92% of the grace period ended with a closed connection and no answer, also one that may not be repeated.

Cause: the entry closed the callers' connections while the handlers still waited for their upstreams; what they then wrote went nowhere.

Change: the entry ends the requests' contexts first, with a cause of its own. A request of which nothing was sent to the caller ends with 502, or 503 if it certainly did not run, and its connection is closed after that; a stream that has begun is broken off as before.

Evidence: "answers each request that outlasts it and was not answered in part" over running hosts got "/stream-once/ 0 unexpected EOF" without the call of CutOff and passes with it; the specs of the forwarder play each kind of request, before and after the first byte.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -236,10 +236,11 @@
 // placeAttempt chooses the upstream for the next attempt, or returns a refusal
 // if no attempt is possible.
 func (c *call) placeAttempt() (*placer.Ticket, *refusal) {
+	if ref := c.interruption(); ref != nil {
+		return nil, ref
+	}
 	remaining := c.deadline.Sub(c.f.settings.Clock.Now())
 	switch {
-	case c.r.Context().Err() != nil:
-		return nil, newRefusal(0, refuser.DeadlineExceeded, 0)
 	case remaining < minAttemptTime:
 		return nil, newRefusal(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0)
 	case c.attempts >= attemptLimit, c.delivered >= max(c.route.MaxAttempts, 1):
@@ -431,8 +432,9 @@
 	t.Done(placerOutcome(attemptErr), 0)
 	c.recordBroken(attemptErr)
 	c.logAttempt(t.Upstream(), string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
-	if c.r.Context().Err() != nil {
-		c.abort(callerLeft)
+	if ref := c.interruption(); ref != nil {
+		c.finishFailed(ref)
+		return true
 	}
 	if attemptErr.Kind == router.FailDeadline {
 		c.finishFailed(newRefusal(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0))
--- a/forwarder/departure.go
+++ b/forwarder/departure.go
@@ -1,23 +1,34 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"foxtailwall/refuser"
 )
 
-// Departure describes how this host leaves.
-type Departure struct {
-	// End is when the host stops.
-	End time.Time
-	// OutOfRotation is when callers' new connections certainly reach other hosts.
-	OutOfRotation time.Time
-	// Neighbours returns the number of other hosts of the zone that take requests; a
-	// caller that returns reaches one of them even before OutOfRotation. Nil means that
-	// there are some.
-	Neighbours func() int
-}
+type (
+	// Departure describes how this host leaves.
+	Departure struct {
+		// End is when the host stops.
+		End time.Time
+		// OutOfRotation is when callers' new connections certainly reach other hosts.
+		OutOfRotation time.Time
+		// Neighbours returns the number of other hosts of the zone that take requests; a
+		// caller that returns reaches one of them even before OutOfRotation. Nil means that
+		// there are some.
+		Neighbours func() int
+	}
+
+	// CutOffError is the cause with which CutOff ends the contexts of requests.
+	CutOffError struct{}
+)
+
+// Error implements error.
+func (*CutOffError) Error() string { return "the host stops and has cut the request off" }
 
 // refuseLate refuses the request if this host leaves and may stop before the
 // request's deadline.
@@ -38,3 +49,18 @@
 	// No caller returns before the time has passed.
 	return time.Duration(float64(left)/minRetryJitter) + shutdownRetryAfter
 }
+
+// interruption returns why the request's context has ended, as a refusal: this host
+// has cut the request off or the caller has closed its connection. It returns nil if
+// the context has not ended.
+func (c *call) interruption() *refusal {
+	ctx := c.r.Context()
+	if ctx.Err() == nil {
+		return nil
+	}
+	var cut *CutOffError
+	if errors.As(context.Cause(ctx), &cut) {
+		return newRefusal(http.StatusServiceUnavailable, refuser.ShuttingDown, shutdownRetryAfter)
+	}
+	return newRefusal(statusNone, callerLeft, 0)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -12,7 +12,8 @@
 //
 //	f := forwarder.New(forwarder.Settings{Codec: codec, Upstreams: dialer, Placer: placer, Budget: budget, Clock: clock})
 //	f.SetConfig(forwarder.ActiveConfig{Table: table})
-//	http.Serve(listener, f)
+//	srv := &http.Server{Handler: f, BaseContext: f.BaseContext}
+//	srv.Serve(listener)
 //
 // Every request ends in exactly one of: the complete response of one upstream;
 // a refusal with status 4xx or 503, which guarantees that the request has not
@@ -21,7 +22,9 @@
 package forwarder
 
 import (
+	"context"
 	"maps"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -151,7 +154,10 @@
 		running      atomic.Int64
 		// departure is nil while this host does not leave.
 		departure atomic.Pointer[Departure]
-		started   time.Time
+		// base is the parent of the contexts of all requests, and cutOff ends it.
+		base    context.Context
+		cutOff  context.CancelCauseFunc
+		started time.Time
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
@@ -175,6 +181,7 @@
 	f := &Forwarder{
 		settings: s, started: s.Clock.Now(), configured: make(chan struct{}), isolation: isolator.NewRecorder(s.Clock),
 	}
+	f.base, f.cutOff = context.WithCancelCause(context.Background())
 	f.requestLog = sampledLogger(s.Log)
 	f.assigner.SessionTimeout = s.SessionTimeout
 	f.stats = newResponseStats()
@@ -224,6 +231,15 @@
 // connect to other hosts.
 func (f *Forwarder) Leave(d Departure) { f.departure.Store(&d) }
 
+// BaseContext is the http.Server.BaseContext of the server for callers. CutOff does
+// not reach requests of other servers.
+func (f *Forwarder) BaseContext(net.Listener) context.Context { return f.base }
+
+// CutOff ends all running requests, and further ones, because this host stops.
+// Callers that have received nothing get a final answer, the others a broken
+// connection.
+func (f *Forwarder) CutOff() { f.cutOff(&CutOffError{}) }
+
 // Running returns the number of requests in progress.
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -113,7 +113,9 @@
 		Codec: codec{}, Upstreams: d, Placer: b.placer, Clock: timekeeper.System{},
 		Budget: budgeter.New(budget),
 	})
-	b.frontend = httptest.NewServer(b.fwd)
+	b.frontend = httptest.NewUnstartedServer(b.fwd)
+	b.frontend.Config.BaseContext = b.fwd.BaseContext
+	b.frontend.Start()
 	DeferCleanup(b.frontend.Close)
 	return b
 }
--- a/forwarder/leaving_test.go
+++ b/forwarder/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -81,4 +82,54 @@
 			}
 		}
 	})
+
+	// Guards against requests that began before the host left and end with a closed
+	// connection and no answer when it stops.
+	It("answers the requests that it cuts off, unless a part of their answer was sent", func() {
+		for name, route := range routesOfEachKind() {
+			for _, begun := range []bool{false, true} {
+				b := newTestbed()
+				reached := make(chan struct{})
+				b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
+					// The context ends with the connection only once the body was read.
+					_, err := io.Copy(io.Discard, r.Body)
+					Expect(err).NotTo(HaveOccurred())
+					if begun {
+						w.Header().Set("Content-Type", "text/event-stream")
+						writeEvent(w, 1)
+					}
+					close(reached)
+					<-r.Context().Done()
+				})
+				b.setRoute(route)
+				got := make(chan response)
+				go func() {
+					defer GinkgoRecover()
+					got <- b.send("POST", "/p/", "x")
+				}()
+				<-reached
+				b.fwd.CutOff()
+				a := <-got
+				if begun && route.Kind == matcher.Stream {
+					Expect(a.status).To(Equal(200), name)
+					Expect(a.err).To(HaveOccurred(), name)
+					continue
+				}
+				Expect(a.err).NotTo(HaveOccurred(), name)
+				Expect(a.status).To(Equal(502), name)
+				Expect(a.body).To(Equal("shuttingDown\n"), name)
+				Expect(b.ranUpstreams()).To(HaveLen(1), name)
+			}
+		}
+	})
+
+	// Guards against a request that is passed on, or called not run, after the cut-off.
+	It("passes no request on after the cut-off", func() {
+		b := newTestbed()
+		b.addUpstream(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "done") })
+		b.setRoute(matcher.Route{Kind: matcher.NonIdempotent, MaxAttempts: 1})
+		b.fwd.CutOff()
+		Expect(b.send("POST", "/p/", "x").status).To(Equal(503))
+		Expect(b.ranUpstreams()).To(BeEmpty())
+	})
 })
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -35,7 +35,7 @@
 	statusNone = 0
 	// callerLeft is the logged end of a request whose caller has closed the
 	// connection.
-	callerLeft = "callerLeft"
+	callerLeft refuser.Code = "callerLeft"
 )
 
 // refusal is a response that the router itself generates.
@@ -54,7 +54,7 @@
 func (c *call) finishFailed(ref *refusal) {
 	switch {
 	case c.responding, ref.status == statusNone:
-		c.abort(string(ref.code))
+		c.abort(ref.code)
 	case c.lastFailure != nil:
 		c.writeResponse(c.lastFailure)
 		return
@@ -69,8 +69,8 @@
 
 // abort closes the caller's connection and logs the end of the request. A handler
 // that only returned would end a response as complete, or send an empty success.
-func (c *call) abort(reason string) {
-	c.logEnd(statusNone, reason)
+func (c *call) abort(reason refuser.Code) {
+	c.logEnd(statusNone, string(reason))
 	panic(http.ErrAbortHandler)
 }
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -54,6 +54,9 @@
 	// cutOffFraction is the part of the grace period after which requests that
 	// are still under way are cut off.
 	cutOffFraction = 0.92
+	// lastAnswersFraction is the part of the grace period in which they get their last
+	// answers.
+	lastAnswersFraction = 0.04
 )
 
 // entry is a host that serves callers.
@@ -140,7 +143,7 @@
 
 func (e *entry) run(ctx context.Context) error {
 	settings := e.settings.Load()
-	callers := &http.Server{Handler: e.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: e.forwarder, BaseContext: e.forwarder.BaseContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	// The components keep running while the entry drains after the end of ctx.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -183,15 +186,25 @@
 		e.sleep(drainCheckInterval)
 	}
 	// A request may have arrived since the last check.
-	ctx, cancel := context.WithTimeout(context.Background(), max(drainCheckInterval, end.Sub(e.opts.Clock.Now())))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutDown(callers, max(drainCheckInterval, end.Sub(e.opts.Clock.Now()))); err != nil {
 		e.opts.Log.Info().AnErr("cause", err).Int("running", e.forwarder.Running()).
 			Msg("requests were cut at the end of the grace period")
+		e.forwarder.CutOff()
+		if err := shutDown(callers, time.Duration(lastAnswersFraction*float64(grace))); err != nil {
+			e.opts.Log.Info().AnErr("cause", err).Int("running", e.forwarder.Running()).
+				Msg("callers that were cut have not taken their last answers")
+		}
 	}
 	e.opts.Log.Info().Msg("entry stopped")
 }
 
+// shutDown waits for the requests of srv, at most for the given time.
+func shutDown(srv *http.Server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return srv.Shutdown(ctx)
+}
+
 // sleep waits for d and cannot be interrupted.
 func (e *entry) sleep(d time.Duration) {
 	// Sleep fails only when its context ends.
--- a/starter/leaving_test.go
+++ b/starter/leaving_test.go
@@ -165,4 +165,42 @@
 		Expect(all).To(BeEmpty())
 		Expect(<-d.ended).To(Succeed())
 	})
+
+	// Guards against a caller that gets a closed connection and no answer because its
+	// request began before SIGTERM and outlasts the grace period.
+	It("answers each request that outlasts it and was not answered in part", func() {
+		reached := make(chan struct{}, 4)
+		d := startDeployment(func(_ http.ResponseWriter, r *http.Request) {
+			// The context ends with the connection only once the body was read.
+			_, err := io.Copy(io.Discard, r.Body)
+			Expect(err).NotTo(HaveOccurred())
+			reached <- struct{}{}
+			<-r.Context().Done()
+		})
+		conf := kindsConfig()
+		for i := range conf.Routes {
+			conf.Routes[i].Timeout = time.Hour
+		}
+		d.putConfig(conf)
+		d.eventually(status(d.entry.Ready, "/ready")).Should(Equal(200))
+		answers := make(chan string, len(conf.Routes))
+		for _, route := range conf.Routes {
+			go func() {
+				defer GinkgoRecover()
+				conn, err := net.Dial("tcp", d.entry.Callers.String())
+				Expect(err).NotTo(HaveOccurred())
+				defer conn.Close()
+				code, _, err := (&keptConn{Conn: conn, br: bufio.NewReader(conn)}).send(route.Prefix, route.Name)
+				answers <- fmt.Sprintf("%s %d %v", route.Name, code, err)
+			}()
+		}
+		for range conf.Routes {
+			<-reached
+		}
+		d.stopEntry()
+		for range conf.Routes {
+			Expect(<-answers).To(HaveSuffix(" 502 <nil>"))
+		}
+		Expect(<-d.ended).To(Succeed())
+	})
 })
