serve: take only requests whose deadline passes before the end of the drain

Now the router refuses at once, as not run, each request whose deadline, plus 5 s for its bill and claim, is later than the end of the drain: chat requests, streams, idempotent and claimed calls alike, also those that waited in a queue when the host began to leave. What is cut at the end gets its final answer before the connections close: notRun if it was never sent, else outcomeUnknown; a stream that is cut is billed as cut, not as cancelled by its caller. The forwarder checks once more after the body was read, for a body that arrives while the host begins to leave.

--- a/cmd/foxtailwall/serve.go
+++ b/cmd/foxtailwall/serve.go
@@ -19,8 +19,9 @@
 )
 
 const usageServe = `Serve runs one host until it receives SIGINT or SIGTERM, and then drains: it
-reports itself as not ready, stops accepting requests after --grace, and exits
-when the running requests have been answered completely or --drain has passed.
+reports itself as not ready, takes only requests whose deadline passes 5 s before
+--drain is over, stops accepting connections after --grace, and exits when the
+running requests have been answered completely or --drain has passed.
 
 Every host gets the same list of hosts and of control group members. A host
 with --entry serves callers; a host named in --control votes in the control
@@ -81,7 +82,7 @@
 		&cli.StringFlag{Name: "session-keys", Usage: "file with session keys in hexadecimal, one per line; the first signs, all verify", Sources: env("session-keys")},
 		&cli.StringFlag{Name: "operator-keys", Usage: "file with the keys of operators, one per line", Sources: env("operator-keys")},
 		&cli.DurationFlag{Name: "drain", Usage: "time that a graceful shutdown allows for running requests", Value: hoster.DefaultDrain, Sources: env("drain")},
-		&cli.DurationFlag{Name: "grace", Usage: "part of the drain time in which the host is not ready but still accepts requests", Value: hoster.DefaultGrace, Sources: env("grace")},
+		&cli.DurationFlag{Name: "grace", Usage: "part of the drain time in which the host is not ready but still accepts connections", Value: hoster.DefaultGrace, Sources: env("grace")},
 	}
 	for _, side := range []string{"caller", "peer", "upstream"} {
 		flags = append(flags, tlsFlags(side)...)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -138,6 +138,10 @@
 	if ref := c.readBody(); ref != nil {
 		return ref
 	}
+	// The host may have begun to leave while the body was read.
+	if ref := c.refuseLate(); ref != nil {
+		return ref
+	}
 	c.assignService(config)
 	return nil
 }
--- a/forwarder/departure.go
+++ b/forwarder/departure.go
@@ -1,34 +1,24 @@
 package forwarder
 
 import (
-	"context"
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"foxtailwall/refuser"
+	"foxtailwall/router"
 )
 
-type (
-	// Departure describes how this host leaves.
-	Departure struct {
-		// End is when the host stops.
-		End time.Time
-		// OutOfRotation is when callers' new connections certainly reach other hosts.
-		OutOfRotation time.Time
-		// Neighbours returns the number of other hosts of the zone that take requests; a
-		// caller that returns reaches one of them even before OutOfRotation. Nil means that
-		// there are some.
-		Neighbours func() int
-	}
-
-	// CutOffError is the cause with which CutOff ends the contexts of requests.
-	CutOffError struct{}
-)
-
-// Error implements error.
-func (*CutOffError) Error() string { return "the host stops and has cut the request off" }
+// Departure describes how this host leaves.
+type Departure struct {
+	// End is when the host stops.
+	End time.Time
+	// OutOfRotation is when callers' new connections certainly reach other hosts.
+	OutOfRotation time.Time
+	// Neighbours returns the number of other hosts of the zone that take requests; a
+	// caller that returns reaches one of them even before OutOfRotation. Nil means that
+	// there are some.
+	Neighbours func() int
+}
 
 // refuseLate refuses the request if this host leaves and may stop before the
 // request's deadline.
@@ -58,8 +48,7 @@
 	if ctx.Err() == nil {
 		return nil
 	}
-	var cut *CutOffError
-	if errors.As(context.Cause(ctx), &cut) {
+	if router.IsCutOff(ctx) {
 		return newRefusal(http.StatusServiceUnavailable, refuser.ShuttingDown, shutdownRetryAfter)
 	}
 	return newRefusal(statusNone, callerLeft, 0)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,7 @@
 	"foxtailwall/isolator"
 	"foxtailwall/matcher"
 	"foxtailwall/placer"
+	"foxtailwall/router"
 	"foxtailwall/sizer"
 	"foxtailwall/stager"
 	"foxtailwall/timekeeper"
@@ -238,7 +239,7 @@
 // CutOff ends all running requests, and further ones, because this host stops.
 // Callers that have received nothing get a final answer, the others a broken
 // connection.
-func (f *Forwarder) CutOff() { f.cutOff(&CutOffError{}) }
+func (f *Forwarder) CutOff() { f.cutOff(&router.CutOffError{}) }
 
 // Running returns the number of requests in progress.
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -15,7 +15,7 @@
 	// DefaultDrain bounds a graceful shutdown if Drain is not set.
 	DefaultDrain = 60 * time.Second
 	// DefaultGrace is the time for which a host that shuts down reports that it
-	// is not ready and still accepts requests, if Grace is not set.
+	// is not ready and still accepts connections, if Grace is not set.
 	DefaultGrace = 5 * time.Second
 	// minSessionKeyBytes is the minimum size of a session key in bytes. Shorter
 	// keys weaken HMAC with SHA-256.
@@ -54,9 +54,10 @@
 		// CallerTLS, PeerTLS and UpstreamTLS are the TLS files for connections
 		// from callers, between hosts and to upstreams.
 		CallerTLS, PeerTLS, UpstreamTLS TLSFiles
-		// Drain bounds a graceful shutdown. Grace is its first part, in which
-		// the readiness check fails and requests are still accepted, so that
-		// load balancers stop sending requests in time.
+		// Drain bounds a graceful shutdown, in which only requests are taken whose
+		// deadline passes before its end. Grace is its first part, in which the
+		// readiness check fails and connections are still accepted, so that load
+		// balancers stop sending requests in time.
 		Drain, Grace time.Duration
 	}
 
--- a/router/attempts.go
+++ b/router/attempts.go
@@ -71,7 +71,7 @@
 			return nil, err
 		}
 		if tgt.upstream == nil {
-			return nil, attemptRefusal(t, last)
+			return nil, attemptRefusal(ctx, t, last)
 		}
 		tgt.newConn = newConn
 		ans, err := r.runHedged(ctx, t, op, tgt, tried)
@@ -85,7 +85,7 @@
 		t.recordFailure(ae)
 		last = ae
 		if !canRetry(ae, op.mayRepeat) {
-			return nil, attemptRefusal(t, ae)
+			return nil, attemptRefusal(ctx, t, ae)
 		}
 		if ae.Kind == FailSilent {
 			// The connection failed, not the replica. The replica holds the
@@ -102,7 +102,7 @@
 // budget of the workspace. last is the latest failure.
 func (r *Router) admitAttempt(ctx context.Context, t *task, n int, last *AttemptError) error {
 	if ctx.Err() != nil {
-		return t.newRefusal(refuser.DeadlineExceeded, "the caller disconnected")
+		return t.cancelRefusal(ctx)
 	}
 	if r.timeLeft(t) <= 0 {
 		return t.newRefusal(refuser.DeadlineExceeded, "the deadline passed before an upstream responded")
@@ -111,7 +111,7 @@
 		return nil
 	}
 	if n >= maxAttempts {
-		return attemptRefusal(t, last)
+		return attemptRefusal(ctx, t, last)
 	}
 	if !r.opts.Limiter.Retry(t.workspace.Name) {
 		r.opts.Scope.Counter("router.retryBudgetSpent").Inc(1)
@@ -168,7 +168,7 @@
 
 // attemptRefusal returns the refusal for a request whose last attempt failed
 // with ae. A nil ae means that no replica was available.
-func attemptRefusal(t *task, ae *AttemptError) error {
+func attemptRefusal(ctx context.Context, t *task, ae *AttemptError) error {
 	if ae == nil {
 		return t.newRefusal(refuser.NoUpstream, "no replica is available; retry later")
 	}
@@ -180,7 +180,7 @@
 	case FailDeadline:
 		return t.newRefusal(refuser.DeadlineExceeded, "the deadline passed before the answer was complete")
 	case FailCancelled:
-		return t.newRefusal(refuser.DeadlineExceeded, "the caller disconnected before the answer was complete")
+		return t.cancelRefusal(ctx)
 	case FailMismatch:
 		return t.newRefusal(refuser.AnswerMismatch, "the upstream returned the answer to another request")
 	}
--- a/router/call.go
+++ b/router/call.go
@@ -40,19 +40,16 @@
 			return nil, err
 		}
 	}
-	t, release, err := r.admit(ctx, &req.Request, 0)
-	if err != nil {
-		return nil, err
-	}
-	defer release()
-	c.task = t
 	timeout := c.decl.Timeout
 	if timeout <= 0 {
 		timeout = defaultCallTimeout
 	}
-	if end := t.began.Add(timeout); end.Before(t.deadline) {
-		t.deadline = end
+	t, release, err := r.admit(ctx, &req.Request, 0, timeout)
+	if err != nil {
+		return nil, err
 	}
+	defer release()
+	c.task = t
 	if c.decl.Idempotent {
 		return r.runIdempotent(ctx, c)
 	}
--- a/router/chat.go
+++ b/router/chat.go
@@ -51,7 +51,7 @@
 // *refuser.Refusal or a *RejectedError.
 func (r *Router) Chat(ctx context.Context, req *ChatRequest) (_ *ChatAnswer, err error) {
 	defer r.countRequest(&req.Request, &err)
-	t, release, err := r.admit(ctx, &req.Request, req.PromptTokens+req.MaxTokens)
+	t, release, err := r.admit(ctx, &req.Request, req.PromptTokens+req.MaxTokens, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/router/claim.go
+++ b/router/claim.go
@@ -128,9 +128,10 @@
 
 // runClaimed runs the call under a granted claim. The call continues if the
 // caller disconnects: otherwise its outcome would be lost, and a resend could
-// only report that it is unknown.
+// only report that it is unknown. Only the end of this host cuts it off.
 func (r *Router) runClaimed(ctx context.Context, c *call, key claimer.Key) (*CallAnswer, error) {
-	ctx = context.WithoutCancel(ctx)
+	ctx, done := withoutCaller(ctx)
+	defer done()
 	a, err := r.dispatchCall(ctx, c)
 	if err != nil {
 		if c.outcome == refuser.NotRun {
--- a/router/router.go
+++ b/router/router.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,6 +100,8 @@
 		opts    Options
 		pins    *pinner.Cache
 		ratings *ratingTracker
+		// leavesAt is when this host stops, nil while it does not leave.
+		leavesAt atomic.Pointer[time.Time]
 	}
 
 	// task holds the state that chat requests and service calls share.
@@ -142,23 +145,36 @@
 	return v
 }
 
-// admit sets the deadline of the request and waits until the limiter admits
-// it. The returned function ends the admission.
-func (r *Router) admit(ctx context.Context, req *Request, tokens int64) (*task, func(), error) {
+// admit sets the deadline of the request, at most maxTime from now unless that is
+// zero, and waits until the limiter admits it. The returned function ends the
+// admission.
+func (r *Router) admit(ctx context.Context, req *Request, tokens int64, maxTime time.Duration) (*task, func(), error) {
 	w := req.Holder.Workspace
 	t := &task{
 		id: req.ID, workspace: w, member: req.Holder.Member, began: r.opts.Clock.Now(),
 		priority: req.Priority, outcome: refuser.NotRun,
 	}
-	t.deadline = t.began.Add(requestDeadline(req.Deadline, w.Deadline))
-	release, err := r.opts.Limiter.Admit(ctx, Admission{Workspace: w, Priority: req.Priority, Deadline: t.deadline, Tokens: tokens})
-	if err == nil {
-		return t, release, nil
+	limit := requestDeadline(req.Deadline, w.Deadline)
+	if maxTime > 0 {
+		limit = min(limit, maxTime)
+	}
+	t.deadline = t.began.Add(limit)
+	if err := r.refuseLate(t.deadline); err != nil {
+		return nil, nil, err
 	}
+	release, err := r.opts.Limiter.Admit(ctx, Admission{Workspace: w, Priority: req.Priority, Deadline: t.deadline, Tokens: tokens})
 	if _, ok := refuser.As(err); ok {
 		return nil, nil, err
 	}
-	return nil, nil, refuser.New(refuser.DeadlineExceeded, refuser.NotRun, "the request was cancelled while it waited for admission")
+	if err != nil {
+		return nil, nil, t.cancelRefusal(ctx)
+	}
+	// The host may have begun to leave while the request waited.
+	if err := r.refuseLate(t.deadline); err != nil {
+		release()
+		return nil, nil, err
+	}
+	return t, release, nil
 }
 
 // requestDeadline returns the time limit set by the caller, at most
--- a/router/stream.go
+++ b/router/stream.go
@@ -61,7 +61,7 @@
 // *refuser.Refusal or a *RejectedError; they can occur after the first chunk.
 func (r *Router) Stream(ctx context.Context, req *ChatRequest, sink Sink) (err error) {
 	defer r.countRequest(&req.Request, &err)
-	t, release, err := r.admit(ctx, &req.Request, req.PromptTokens+req.MaxTokens)
+	t, release, err := r.admit(ctx, &req.Request, req.PromptTokens+req.MaxTokens, 0)
 	if err != nil {
 		return err
 	}
@@ -106,7 +106,7 @@
 	switch {
 	case err == nil:
 		return biller.Complete
-	case isSinkError(err) || ctx.Err() != nil:
+	case isSinkError(err) || ctx.Err() != nil && !IsCutOff(ctx):
 		return biller.Cancelled
 	default:
 		return biller.Cut
--- a/server/server.go
+++ b/server/server.go
@@ -13,8 +13,10 @@
 //
 // Drain shuts the server down gracefully: /readyz fails first, so that the load
 // balancer sends requests to other hosts; after Options.Grace the listener
-// closes; then running requests finish. Only requests that exceed
-// Options.DrainTimeout are aborted.
+// closes; then running requests finish. From its start on only requests are taken
+// whose deadline passes before it ends, and all others are refused at once as not
+// run. Requests that exceed Options.DrainTimeout are cut off and get a final answer,
+// unless a part of theirs was sent.
 //
 // Callers use /v1/chat/completions, /v1/models and /services/NAME/PATH with an
 // API key in the Authorization header. Every response carries its request ID in
@@ -126,6 +128,9 @@
 		// slots holds an element for each running request of a caller.
 		slots    chan struct{}
 		draining atomic.Bool
+		// base is the parent of the contexts of callers' requests, and cutOff ends it.
+		base   context.Context
+		cutOff context.CancelCauseFunc
 
 		mu              sync.Mutex
 		callerServers   []*http.Server
@@ -139,6 +144,7 @@
 func New(o Options) (*Server, error) {
 	o = o.withDefaults()
 	s := &Server{opts: o, slots: make(chan struct{}, o.MaxConcurrent)}
+	s.base, s.cutOff = context.WithCancelCause(context.Background())
 	if o.OperatorDigest != "" {
 		d, err := hex.DecodeString(o.OperatorDigest)
 		if err != nil || len(d) != 32 {
@@ -168,6 +174,7 @@
 		Handler: h, MaxHeaderBytes: s.opts.MaxHeader, ErrorLog: s.opts.Scope.ErrorLog("server.connectionErrors"),
 		TLSConfig:         conf.Clone(), // net/http modifies it.
 		ReadHeaderTimeout: s.opts.HeaderTimeout, IdleTimeout: s.opts.IdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return s.base },
 	}
 	s.mu.Lock()
 	if s.stopped {
@@ -193,6 +200,7 @@
 // returns an error if requests were aborted because they exceeded DrainTimeout
 // or ctx ended. If ctx ends within Options.Grace, it leaves the ports open.
 func (s *Server) Drain(ctx context.Context) error {
+	s.opts.Router.Leave(s.opts.Clock.Now().Add(s.opts.Grace + s.opts.DrainTimeout))
 	s.draining.Store(true)
 	s.opts.Log.Info().Dur("grace", s.opts.Grace).Msg("draining: readiness check fails, listener closes after the grace period")
 	if err := timekeeper.Sleep(ctx, s.opts.Clock, s.opts.Grace); err != nil {
@@ -202,16 +210,18 @@
 	s.stopped = true
 	callers, operators := s.callerServers, s.operatorServers
 	s.mu.Unlock()
-	bounded, cancel := context.WithCancel(ctx)
-	var wg conc.WaitGroup
-	defer wg.Wait()
-	defer cancel()
-	wg.Go(func() {
-		if timekeeper.Sleep(bounded, s.opts.Clock, s.opts.DrainTimeout) == nil {
-			cancel()
+	err := s.shutDown(ctx, s.opts.DrainTimeout, callers)
+	if err != nil {
+		err = errors.Wrap(err, "requests were cut off after the drain timeout")
+		s.cutOff(&router.CutOffError{})
+		// The end of ctx does not keep callers from their last answers.
+		if serr := s.shutDown(context.WithoutCancel(ctx), handlerTimeout, callers); serr != nil {
+			err = errors.CombineErrors(err, errors.Wrap(serr, "callers have not taken their last answers"))
 		}
-	})
-	err := s.shutdown(bounded, callers, operators)
+	}
+	for _, srv := range append(callers, operators...) {
+		srv.Close()
+	}
 	s.awaitHandlers()
 	s.opts.Log.Info().Err(err).Msg("drained: all requests have ended")
 	return err
@@ -244,18 +254,21 @@
 	}
 }
 
-// shutdown waits until the running requests of the callers' servers have
-// finished, aborts the rest when ctx ends, and closes the operators' servers.
-func (s *Server) shutdown(ctx context.Context, callers, operators []*http.Server) error {
-	var err error
-	for _, srv := range callers {
-		if serr := srv.Shutdown(ctx); serr != nil {
-			err = errors.CombineErrors(err, errors.Wrap(serr, "requests were aborted after the drain timeout"))
-			srv.Close()
+// shutDown stops the servers from accepting connections and waits until their
+// running requests have ended, at most for the given time.
+func (s *Server) shutDown(ctx context.Context, limit time.Duration, servers []*http.Server) error {
+	bounded, cancel := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	wg.Go(func() {
+		if timekeeper.Sleep(bounded, s.opts.Clock, limit) == nil {
+			cancel()
 		}
-	}
-	for _, srv := range operators {
-		srv.Close()
+	})
+	var err error
+	for _, srv := range servers {
+		err = errors.CombineErrors(err, srv.Shutdown(bounded))
 	}
 	return err
 }
--- a/starter/leaving_test.go
+++ b/starter/leaving_test.go
@@ -163,7 +163,7 @@
 			all = append(all, f)
 		}
 		Expect(all).To(BeEmpty())
-		Expect(<-d.ended).To(Succeed())
+		d.eventually(d.ended).Should(Receive(BeNil()))
 	})
 
 	// Guards against a caller that gets a closed connection and no answer because its
@@ -195,12 +195,12 @@
 			}()
 		}
 		for range conf.Routes {
-			<-reached
+			d.eventually(reached).Should(Receive())
 		}
 		d.stopEntry()
 		for range conf.Routes {
-			Expect(<-answers).To(HaveSuffix(" 502 <nil>"))
+			d.eventually(answers).Should(Receive(HaveSuffix(" 502 <nil>")))
 		}
-		Expect(<-d.ended).To(Succeed())
+		d.eventually(d.ended).Should(Receive(BeNil()))
 	})
 })
