--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -129,8 +129,9 @@
 // Unwrap returns the error of the failed operation.
 func (e *FailedError) Unwrap() error { return e.Err }
 
-// Open recovers the state from the directory and returns it with a journal that
-// is ready for writes. It returns a *CorruptError if the directory is damaged.
+// Open recovers the state from the directory and returns it, once all of it is
+// durable, with a journal that is ready for writes. It returns a *CorruptError if the
+// directory is damaged.
 func Open(fs FS) (*Journal, State, error) {
 	j := &Journal{fs: fs}
 	st, err := j.recover()
@@ -246,10 +247,17 @@
 	if j.failure == nil {
 		j.failure = errors.New("the journal is closed")
 	}
+	return j.closeFile()
+}
+
+// closeFile closes the current segment, if one is open. The caller holds mu.
+func (j *Journal) closeFile() error {
 	if j.file == nil {
 		return nil
 	}
-	return j.file.Close()
+	f := j.file
+	j.file = nil
+	return errors.Wrap(f.Close(), "close segment")
 }
 
 // checkFailure is failedError for callers that do not hold mu.
@@ -299,11 +307,8 @@
 // that older segments can be removed. If reset is not nil, the frame also
 // discards all earlier entries.
 func (j *Journal) startSegment(reset *uint64) error {
-	if j.file != nil {
-		if err := j.file.Close(); err != nil {
-			return errors.Wrap(err, "close segment")
-		}
-		j.file = nil
+	if err := j.closeFile(); err != nil {
+		return err
 	}
 	seq := uint64(1)
 	if n := len(j.segments); n > 0 {
@@ -314,18 +319,23 @@
 		return errors.Wrapf(err, "create %q", segmentName(seq))
 	}
 	b := encodeFrame(seq, 0, encodePayload(&j.meta, reset, nil))
+	if err := j.writeFirstFrame(f, seq, b); err != nil {
+		return err
+	}
+	j.file, j.size = f, int64(len(b))
+	j.segments = append(j.segments, segment{seq: seq})
+	return nil
+}
+
+// writeFirstFrame makes a new segment with the frame b durable.
+func (j *Journal) writeFirstFrame(f File, seq uint64, b []byte) error {
 	if _, err := f.Write(b); err != nil {
 		return errors.Wrapf(err, "write %q", segmentName(seq))
 	}
 	if err := f.Sync(); err != nil {
 		return errors.Wrapf(err, "sync %q", segmentName(seq))
 	}
-	if err := j.fs.Sync(); err != nil {
-		return errors.Wrap(err, "sync directory")
-	}
-	j.file, j.size = f, int64(len(b))
-	j.segments = append(j.segments, segment{seq: seq})
-	return nil
+	return errors.Wrap(j.fs.Sync(), "sync directory")
 }
 
 // removeSegments removes the oldest segments that hold no entry above index.
--- a/journaler/memory.go
+++ b/journaler/memory.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 )
 
 // sectorBytes is the unit in which a crash keeps or loses unsynced data.
@@ -21,6 +22,11 @@
 		pending []func(map[string]*memoryData)
 		fault   func(op, name string) error
 		syncs   int
+		// limited says that at most room further bytes can be written.
+		limited bool
+		room    int
+		// openFiles is the number of files that have not been closed.
+		openFiles int
 		// generation changes at a crash or wipe, which invalidates the open files.
 		generation int
 	}
@@ -36,6 +42,7 @@
 		name       string
 		data       *memoryData
 		generation int
+		closed     bool
 	}
 )
 
@@ -48,6 +55,28 @@
 	m.fault = f
 }
 
+// Fill leaves room for the given number of bytes. A write beyond it is stored in part
+// and fails with ENOSPC, as on a full disk.
+func (m *Memory) Fill(room int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limited, m.room = true, room
+}
+
+// Empty ends the effect of Fill.
+func (m *Memory) Empty() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.limited = false
+}
+
+// OpenFiles returns the number of files that are open.
+func (m *Memory) OpenFiles() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.openFiles
+}
+
 // FileSyncs returns the number of file syncs so far.
 func (m *Memory) FileSyncs() int {
 	m.mu.Lock()
@@ -119,7 +148,7 @@
 	}
 	d := &memoryData{}
 	m.applyChange(func(names map[string]*memoryData) { names[name] = d })
-	return &memoryFile{fs: m, name: name, data: d, generation: m.generation}, nil
+	return m.newFile(name, d), nil
 }
 
 // Open implements FS.
@@ -133,7 +162,13 @@
 	if !ok {
 		return nil, fs.ErrNotExist
 	}
-	return &memoryFile{fs: m, name: name, data: d, generation: m.generation}, nil
+	return m.newFile(name, d), nil
+}
+
+// newFile opens a file with the data. The caller holds mu.
+func (m *Memory) newFile(name string, d *memoryData) *memoryFile {
+	m.openFiles++
+	return &memoryFile{fs: m, name: name, data: d, generation: m.generation}
 }
 
 // Rename implements FS.
@@ -211,6 +246,13 @@
 	if err := f.check("write"); err != nil {
 		return 0, err
 	}
+	if f.fs.limited && len(p) > f.fs.room {
+		n := max(f.fs.room, 0)
+		f.data.written = append(f.data.written, p[:n]...)
+		f.fs.room = 0
+		return n, syscall.ENOSPC
+	}
+	f.fs.room -= len(p)
 	f.data.written = append(f.data.written, p...)
 	return len(p), nil
 }
@@ -249,7 +291,15 @@
 }
 
 // Close implements io.Closer.
-func (f *memoryFile) Close() error { return nil }
+func (f *memoryFile) Close() error {
+	f.fs.mu.Lock()
+	defer f.fs.mu.Unlock()
+	if !f.closed {
+		f.closed = true
+		f.fs.openFiles--
+	}
+	return nil
+}
 
 func (f *memoryFile) check(op string) error {
 	if f.generation != f.fs.generation {
--- a/journaler/recover.go
+++ b/journaler/recover.go
@@ -25,7 +25,9 @@
 }
 
 // recover reads the snapshot and the segments, truncates an incomplete last
-// frame and leaves a segment open for writes.
+// frame and leaves a segment open for writes. It syncs what it has read: a process
+// that failed or was killed between a write and its sync leaves content that a loss
+// of power would take back.
 func (j *Journal) recover() (State, error) {
 	seqs, err := j.listSegments()
 	if err != nil {
@@ -44,6 +46,9 @@
 			return State{}, err
 		}
 	}
+	if err := j.fs.Sync(); err != nil {
+		return State{}, errors.Wrap(err, "sync directory")
+	}
 	st.Meta = r.meta
 	j.meta = r.meta
 	return st, j.joinSnapshot(&st, &r)
@@ -86,11 +91,33 @@
 	if err != nil {
 		return errors.Wrapf(err, "open %q", name)
 	}
+	seg, size, err := replayFile(r, f, seq, newest)
+	switch {
+	case err != nil:
+		return err
+	case size == 0:
+		// The creation of the segment was interrupted.
+		if err := f.Close(); err != nil {
+			return errors.Wrapf(err, "close %q", name)
+		}
+		return errors.Wrapf(j.fs.Remove(name), "remove %q", name)
+	}
+	j.segments = append(j.segments, seg)
+	if newest {
+		j.file, j.size = f, size
+		return nil
+	}
+	return errors.Wrapf(f.Close(), "close %q", name)
+}
+
+// replayFile replays the frames of a segment's file and makes them durable. It
+// truncates an incomplete last frame and returns the size of the others.
+func replayFile(r *replay, f File, seq uint64, newest bool) (segment, int64, error) {
+	name, seg := segmentName(seq), segment{seq: seq}
 	b, err := f.ReadAll()
 	if err != nil {
-		return errors.Wrapf(err, "read %q", name)
+		return seg, 0, errors.Wrapf(err, "read %q", name)
 	}
-	seg := segment{seq: seq}
 	off := int64(0)
 	for off < int64(len(b)) {
 		p, n, ok := decodeFrame(seq, off, b[off:])
@@ -98,48 +125,29 @@
 			break
 		}
 		if err := r.applyFrame(p, &seg); err != nil {
-			return &CorruptError{File: name, Offset: off, Reason: err.Error()}
+			return seg, 0, &CorruptError{File: name, Offset: off, Reason: err.Error()}
 		}
 		off += n
 	}
 	torn := off < int64(len(b))
 	if (torn || off == 0) && !newest {
-		return &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and a newer segment exists"}
+		return seg, 0, &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and a newer segment exists"}
 	}
 	if torn && intactFrameFollows(seq, off, b) {
-		return &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and an intact one follows"}
-	}
-	return j.addSegment(f, seg, off, torn, newest)
-}
-
-// addSegment keeps a replayed segment: it truncates an incomplete last frame,
-// removes a segment whose creation was interrupted, and leaves the newest
-// segment open.
-func (j *Journal) addSegment(f File, seg segment, size int64, torn, newest bool) error {
-	name := segmentName(seg.seq)
-	if size == 0 {
-		if err := f.Close(); err != nil {
-			return errors.Wrapf(err, "close %q", name)
-		}
-		if err := j.fs.Remove(name); err != nil {
-			return errors.Wrapf(err, "remove %q", name)
-		}
-		return errors.Wrap(j.fs.Sync(), "sync directory")
+		return seg, 0, &CorruptError{File: name, Offset: off, Reason: "a frame is damaged and an intact one follows"}
 	}
 	if torn {
-		if err := f.Truncate(size); err != nil {
-			return errors.Wrapf(err, "truncate %q", name)
-		}
-		if err := f.Sync(); err != nil {
-			return errors.Wrapf(err, "sync %q", name)
+		if err := f.Truncate(off); err != nil {
+			return seg, 0, errors.Wrapf(err, "truncate %q", name)
 		}
 	}
-	j.segments = append(j.segments, seg)
 	if newest {
-		j.file, j.size = f, size
-		return nil
+		// Older segments were durable before this one was begun.
+		if err := f.Sync(); err != nil {
+			return seg, 0, errors.Wrapf(err, "sync %q", name)
+		}
 	}
-	return errors.Wrapf(f.Close(), "close %q", name)
+	return seg, off, nil
 }
 
 // joinSnapshot sets the entries that follow the snapshot and opens a segment if
