--- a/journaler/journaler.go
+++ b/journaler/journaler.go
@@ -136,7 +136,7 @@
 	j := &Journal{fs: fs}
 	st, err := j.recover()
 	if err != nil {
-		return nil, State{}, err
+		return nil, State{}, errors.CombineErrors(err, j.closeFile())
 	}
 	j.meta = st.Meta
 	j.newestSnapshot = st.Snapshot.Index
@@ -320,7 +320,7 @@
 	}
 	b := encodeFrame(seq, 0, encodePayload(&j.meta, reset, nil))
 	if err := j.writeFirstFrame(f, seq, b); err != nil {
-		return err
+		return errors.CombineErrors(err, f.Close())
 	}
 	j.file, j.size = f, int64(len(b))
 	j.segments = append(j.segments, segment{seq: seq})
--- a/journaler/recover.go
+++ b/journaler/recover.go
@@ -94,7 +94,7 @@
 	seg, size, err := replayFile(r, f, seq, newest)
 	switch {
 	case err != nil:
-		return err
+		return errors.CombineErrors(err, f.Close())
 	case size == 0:
 		// The creation of the segment was interrupted.
 		if err := f.Close(); err != nil {
--- a/journaler/reopen_test.go
+++ b/journaler/reopen_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
@@ -10,6 +11,9 @@
 	"foxtailwall/journaler"
 )
 
+// operations are the operations of a disk that can fail.
+var operations = []string{"create", "open", "rename", "remove", "list", "syncDir", "read", "write", "sync", "truncate"}
+
 var _ = Describe("A journal that is opened again", func() {
 	// Guards against a host that counts on content which is not durable: after a failed
 	// sync, or a kill between write and sync, the content was read back and not synced.
@@ -58,4 +62,50 @@
 		Entry(nil, uint64(1)), Entry(nil, uint64(2)), Entry(nil, uint64(3)), Entry(nil, uint64(4)),
 		Entry(nil, uint64(5)), Entry(nil, uint64(6)), Entry(nil, uint64(7)), Entry(nil, uint64(8)),
 	)
+
+	// Guards against a host that runs out of descriptors because each attempt to open
+	// the journal on a disk that fails leaves files open.
+	It("leaves no file open if it fails", func() {
+		for _, failing := range operations {
+			fs := &journaler.Memory{}
+			j, _ := openJournal(fs)
+			Expect(j.Write(&journaler.Meta{Member: "m"}, []journaler.Entry{{Index: 1, Data: make([]byte, 100)}})).To(Succeed())
+			fs.Fill(50)
+			Expect(j.Write(nil, []journaler.Entry{{Index: 2, Data: make([]byte, 100)}})).To(MatchError(syscall.ENOSPC))
+			Expect(j.Close()).To(Succeed())
+			Expect(fs.OpenFiles()).To(BeZero(), failing)
+			fs.SetFault(func(op, _ string) error {
+				if op == failing {
+					return syscall.EIO
+				}
+				return nil
+			})
+			for range 3 {
+				j, _, err := journaler.Open(fs)
+				if err == nil {
+					Expect(j.Close()).To(Succeed())
+				}
+				Expect(fs.OpenFiles()).To(BeZero(), failing)
+			}
+		}
+	})
+
+	// Guards against files that stay open when a new segment cannot be begun.
+	It("leaves no file open if a segment cannot be begun", func() {
+		for _, failing := range operations {
+			fs := &journaler.Memory{}
+			j, _ := openJournal(fs)
+			Expect(j.Write(nil, []journaler.Entry{{Index: 1}})).To(Succeed())
+			fs.SetFault(func(op, _ string) error {
+				if op == failing {
+					return syscall.EIO
+				}
+				return nil
+			})
+			_ = j.Save(journaler.Snapshot{Index: 1}) // Some faults do not concern it.
+			_ = j.Reset(journaler.Snapshot{Index: 9})
+			Expect(j.Close()).To(Succeed())
+			Expect(fs.OpenFiles()).To(BeZero(), failing)
+		}
+	})
 })
