Test control hosts whose disks are full one after another

Not shown by this spec, over three hosts and over six of which five vote, with disks in memory that take a part of a write (up to 200 KB), hosts that are killed while their disk is full, and operators who call each host in turn: every change is acknowledged and every host catches up before the next disk is full.

The disk of a coordinator can be passed in, as its clock is.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -70,6 +70,8 @@
 		// calls and UDP for load reports.
 		Peers      netip.AddrPort
 		DataFolder string
+		// Disk holds the files of the control group; nil uses a folder in DataFolder.
+		Disk journaler.FS
 		// Bootstrap allows the seeds to form a new group.
 		Bootstrap bool
 		// LostDisks is the number of disks that may be lost at once. The group
@@ -87,7 +89,6 @@
 	// Coordinator is a control host. Make it with New.
 	Coordinator struct {
 		set     Settings
-		fs      journaler.FS
 		hub     *syncer.Hub
 		loadHub *sharer.Hub
 		judge   *isolator.Judge
@@ -128,11 +129,14 @@
 
 // New returns a coordinator and creates its data folder.
 func New(s Settings) (*Coordinator, error) {
-	fs, err := journaler.NewOS(filepath.Join(s.DataFolder, groupFolder))
-	if err != nil {
-		return nil, err
+	if s.Disk == nil {
+		disk, err := journaler.NewOS(filepath.Join(s.DataFolder, groupFolder))
+		if err != nil {
+			return nil, err
+		}
+		s.Disk = disk
 	}
-	c := &Coordinator{set: s, fs: fs, judge: isolator.NewJudge(s.Clock), peers: make(map[netip.AddrPort]*messenger.Peer)}
+	c := &Coordinator{set: s, judge: isolator.NewJudge(s.Clock), peers: make(map[netip.AddrPort]*messenger.Peer)}
 	c.hub = syncer.NewHub(syncer.HubSettings{Source: c, Judge: c.judge, Clock: s.Clock, Log: s.Log})
 	c.loadHub = sharer.NewHub(sharer.HubSettings{Leading: c.Leading, Clock: s.Clock})
 	return c, nil
@@ -196,7 +200,7 @@
 	var err error
 	m.group, err = replicator.New(replicator.Options{
 		Name: c.set.Name, Addr: c.set.Peers, Seeds: c.set.Seeds, Bootstrap: c.set.Bootstrap,
-		Voters: 2*c.set.LostDisks + 1, VerifyReads: true, FS: c.fs, Machine: m.machine, Transport: t,
+		Voters: 2*c.set.LostDisks + 1, VerifyReads: true, FS: c.set.Disk, Machine: m.machine, Transport: t,
 		Clock: c.set.Clock, Scope: c.set.Scope, Log: c.set.Log,
 		SnapshotEvery: snapshotEntries, Trailing: trailingEntries,
 	})
--- /dev/null
+++ b/coordinator/full_disk_test.go
@@ -0,0 +1,81 @@
+package coordinator_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/controller"
+	"foxtailwall/coordinator"
+	"foxtailwall/journaler"
+)
+
+// startWithDisks starts n hosts, each with a disk in memory.
+func startWithDisks(n, lostDisks int) (*hosts, []*journaler.Memory) {
+	h := newHosts(n)
+	disks := make([]*journaler.Memory, n)
+	for i := range n {
+		disks[i] = &journaler.Memory{}
+		h.startWith(i, func(s *coordinator.Settings) {
+			s.Bootstrap, s.LostDisks, s.Disk = true, lostDisks, disks[i]
+		})
+	}
+	return h, disks
+}
+
+// putDocument stores a document of the size through any of the hosts, which operators
+// call in turn, and retries until it is acknowledged.
+func (h *hosts) putDocument(version uint64, size int) {
+	body := bytes.Repeat([]byte{byte(version)}, size)
+	next := 0
+	Eventually(func() error {
+		next++
+		_, err := h.running[next%len(h.running)].PutDocument(context.Background(), controller.Document{Version: version, Body: body})
+		return err
+	}, eventTimeout).WithContext(h.ctx).Should(Succeed())
+}
+
+var _ = Describe("Control hosts whose disks are full one after another", func() {
+	// Guards against changes that are refused long after all disks have room again,
+	// although all processes run: a host whose disk was full did not take part in the
+	// control group any more, and the next one made it lose its majority.
+	DescribeTable("acknowledge changes, small and large, to the end of the day",
+		func(n, lostDisks int, seed uint64) {
+			rng := rand.New(rand.NewPCG(seed, seed))
+			h, disks := startWithDisks(n, lostDisks)
+			version := uint64(0)
+			put := func(size int) {
+				version++
+				h.putDocument(version, size)
+			}
+			put(10)
+			for round := range 2 * n {
+				disk := disks[round%n]
+				disk.Fill(rng.IntN(3) * rng.IntN(100_000))
+				for range 3 {
+					put(10 + rng.IntN(2)*rng.IntN(200_000))
+				}
+				if rng.IntN(2) == 0 {
+					// A host that is killed while its disk is full.
+					h.stop(round % n)
+					h.startWith(round%n, func(s *coordinator.Settings) { s.LostDisks, s.Disk = lostDisks, disk })
+				}
+				disk.Empty()
+				put(10)
+				// The host has caught up before the next disk is full.
+				Eventually(h.version(round%n), eventTimeout).WithContext(h.ctx).Should(Equal(version))
+				Eventually(h.running[round%n].PublishedVersion, eventTimeout).WithContext(h.ctx).Should(Equal(version), fmt.Sprint("round ", round))
+			}
+			for i := range n {
+				put(200_000)
+				Expect(h.version(i)()).To(Equal(version))
+			}
+		},
+		Entry("three hosts", 3, 1, uint64(1)), Entry("three hosts, other sizes", 3, 1, uint64(2)),
+		Entry("six hosts, of which five vote", 6, 2, uint64(3)),
+	)
+})
