Answer the running calls of operators before a control host stops

Found by looking for the fault of the entries on related paths. Operators saw a closed connection in place of the acknowledgement of a change that had been carried out, if its control host was stopped at that moment; they send it again, which is allowed, but the answer was ready.

Cause: at SIGTERM the control host closed its server for operators, with all connections, and ended its member of the group at the same time.

Now it stops listening, lets the running calls end, one second at most (each is bounded to 0.9 s by the coordinator), and only then ends its member.

"answers the calls that are under way" got EOF before.

--- a/starter/control.go
+++ b/starter/control.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"time"
 
 	"github.com/sourcegraph/conc/pool"
 
@@ -12,8 +13,13 @@
 	"foxtailwall/validator"
 )
 
-// RunControl runs a control host until ctx ends. Errors are a
-// *validator.SettingError or that of the first component to fail.
+// operatorDrainTime is how long a control host that leaves waits for the running calls
+// of operators, which are bounded to 900 ms.
+const operatorDrainTime = time.Second
+
+// RunControl runs a control host until ctx ends, then lets the running calls of
+// operators end. Errors are a *validator.SettingError or that of the first component
+// to fail.
 func RunControl(ctx context.Context, s Settings, o Options) error {
 	if err := s.checkControl(); err != nil {
 		return err
@@ -30,16 +36,25 @@
 		return err
 	}
 	srv := &http.Server{Handler: o.Protocol.Operators(c), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	ctx, cancel := context.WithCancel(ctx)
+	// The components keep running while the host drains after the end of ctx.
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	o.Log.Info().Str("zone", s.Zone).Bool("bootstrap", s.Bootstrap).Msg("control host started")
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { defer cancel(); return c.Run(ctx) })
-	p.Go(func() error { defer cancel(); return serve(ctx, "operators", s.Operators, srv) })
-	p.Go(func() error { reloadSettings(ctx, &o, &settings); return nil })
-	p.Go(func() error { serveMetrics(ctx, &s, &o); return nil })
+	p.Go(func() error { defer cancel(); return c.Run(runCtx) })
+	p.Go(func() error { defer cancel(); return serve(runCtx, "operators", s.Operators, srv) })
+	p.Go(func() error { reloadSettings(runCtx, &o, &settings); return nil })
+	p.Go(func() error { serveMetrics(runCtx, &s, &o); return nil })
 	p.Go(func() error {
-		<-ctx.Done()
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			o.Log.Info().Msg("control host is leaving")
+			if err := shutDown(srv, operatorDrainTime); err != nil {
+				o.Log.Info().AnErr("cause", err).Msg("calls of operators were cut")
+			}
+		case <-runCtx.Done():
+		}
 		return srv.Close()
 	})
 	err = p.Wait()
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -198,13 +198,6 @@
 	e.opts.Log.Info().Msg("entry stopped")
 }
 
-// shutDown waits for the requests of srv, at most for the given time.
-func shutDown(srv *http.Server, limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	return srv.Shutdown(ctx)
-}
-
 // sleep waits for d and cannot be interrupted.
 func (e *entry) sleep(d time.Duration) {
 	// Sleep fails only when its context ends.
--- a/starter/leaving_test.go
+++ b/starter/leaving_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -204,3 +206,21 @@
 		d.eventually(d.ended).Should(Receive(BeNil()))
 	})
 })
+
+var _ = Describe("a planned stop of a control host", func() {
+	// Guards against operators whose change was carried out and who get a closed
+	// connection, because the host was stopped before it had answered.
+	It("answers the calls that are under way", func() {
+		d := startDeployment()
+		d.putConfig(config(1, "/a/"))
+		body, err := json.Marshal(config(2, "/b/"))
+		Expect(err).NotTo(HaveOccurred())
+		req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/2", d.control.Operators), bytes.NewReader(body))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set("X-Stop", "1")
+		resp, err := http.DefaultClient.Do(req)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.Body.Close()).To(Succeed())
+		Expect(resp.StatusCode).To(Equal(200))
+	})
+})
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -162,6 +162,13 @@
 	return errors.Wrapf(err, "serve %s", what)
 }
 
+// shutDown waits for the requests of srv, at most for the given time.
+func shutDown(srv *http.Server, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return srv.Shutdown(ctx)
+}
+
 // serveMetrics serves the metrics until ctx ends. A failure is only logged.
 func serveMetrics(ctx context.Context, s *Settings, o *Options) {
 	if o.MetricsPort == 0 {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -93,6 +93,8 @@
 	ended          chan error
 	// running ends when a host fails, so that the spec does not wait for it.
 	running context.Context
+	// stopControl stops the control host.
+	stopControl context.CancelFunc
 }
 
 // startDeployment runs a deployment with the given upstreams until the spec ends.
@@ -123,7 +125,7 @@
 			return c, err
 		},
 		List:      func(context.Context) ([]tracker.Upstream, error) { return list(), nil },
-		Operators: operatorsHandler, ReadyPath: "/ready",
+		Operators: d.operatorsHandler, ReadyPath: "/ready",
 		Settings: func() (starter.Settings, error) { return d.entry, nil },
 	}}
 	operatorsAddr := reserveAddr()
@@ -137,6 +139,7 @@
 		Grace: 3 * time.Second, Retries: retries,
 	}
 	ctx, cancel := context.WithCancel(context.Background())
+	d.stopControl = cancel
 	done := make(chan struct{})
 	controlOpts := d.opts
 	go func() {
@@ -176,19 +179,23 @@
 }
 
 // operatorsHandler stores request bodies as documents; the version is in the path.
-func operatorsHandler(c *coordinator.Coordinator) http.Handler {
+func (d *deployment) operatorsHandler(c *coordinator.Coordinator) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		var d controller.Document
-		_, err := fmt.Sscanf(r.URL.Path, "/%d", &d.Version)
+		var doc controller.Document
+		_, err := fmt.Sscanf(r.URL.Path, "/%d", &doc.Version)
 		if err == nil {
-			d.Body, err = io.ReadAll(r.Body)
+			doc.Body, err = io.ReadAll(r.Body)
 		}
 		if err == nil {
-			_, err = c.PutDocument(r.Context(), d)
+			_, err = c.PutDocument(r.Context(), doc)
 		}
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		if r.Header.Get("X-Stop") != "" {
+			d.stopControl()
+			<-time.After(100 * time.Millisecond)
+		}
 	})
 }
 
