Take a request for unsent only if no write of it is under way

Cause: the dialer counts the bytes of a request after the write has returned. Long bodies are written by a goroutine of their own; if the reading side saw the reset first, the count was still zero.

Ruled out: a retry that is allowed (the route runs once; the log says notRun).

"may have run" got notRun before.

--- a/dialer/checkout.go
+++ b/dialer/checkout.go
@@ -86,7 +86,7 @@
 	}
 	co.dialer.opts.Scope.Counter("dialer.failures", "kind", string(kind)).Inc(1)
 	out := refuser.Unknown
-	if co.conn.raw.bytesSent.Load() == 0 {
+	if !co.conn.raw.mayHaveSent() {
 		out = refuser.NotRun
 	}
 	return &router.AttemptError{Kind: kind, Outcome: out, Err: errors.Wrapf(err, "upstream %s", upstream)}
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -49,10 +49,12 @@
 		keepAlive time.Duration
 	}
 
-	// countingConn counts the bytes handed to the network.
+	// countingConn counts the bytes handed to the network. A write that is under way
+	// may have handed over any number of them.
 	countingConn struct {
 		net.Conn
 		bytesSent atomic.Int64
+		writing   atomic.Int64
 	}
 
 	// headerLimitReader limits the bytes read while it is enabled, which is
@@ -68,11 +70,17 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
+	c.writing.Add(1)
 	n, err := c.Conn.Write(b)
 	c.bytesSent.Add(int64(n))
+	c.writing.Add(-1)
 	return n, err
 }
 
+// mayHaveSent reports whether bytes may have been handed to the network since the
+// count was reset. Once the connection is closed, the answer is final.
+func (c *countingConn) mayHaveSent() bool { return c.writing.Load() > 0 || c.bytesSent.Load() > 0 }
+
 // Read implements io.Reader.
 func (l *headerLimitReader) Read(b []byte) (int, error) {
 	if !l.enabled {
@@ -161,8 +169,10 @@
 	}
 	// countingConn does not support vectored writes, so this bypasses it and
 	// adds the count itself.
+	c.raw.writing.Add(1)
 	n, err := bufs.WriteTo(c.raw.Conn)
 	c.raw.bytesSent.Add(n)
+	c.raw.writing.Add(-1)
 	return err
 }
 
--- a/dialer/forward_test.go
+++ b/dialer/forward_test.go
@@ -9,12 +9,14 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"foxtailwall/dialer"
+	"foxtailwall/refuser"
 	"foxtailwall/router"
 )
 
@@ -129,3 +131,46 @@
 		}
 	}, NodeTimeout(time.Minute))
 })
+
+// slowWriteConn returns from a write only once a read has failed, as a goroutine does
+// that the scheduler resumes late.
+type slowWriteConn struct {
+	net.Conn
+	readFailed chan struct{}
+	once       sync.Once
+}
+
+func (c *slowWriteConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		c.once.Do(func() { close(c.readFailed) })
+	}
+	return n, err
+}
+
+func (c *slowWriteConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	<-c.readFailed
+	return n, err
+}
+
+var _ = Describe("A request whose connection is reset while it is written", func() {
+	// Guards against a request that is taken for one that was not sent, and is run at a
+	// second upstream, because the reading side notices the reset before the write has
+	// returned and its bytes were counted.
+	It("may have run", func(ctx context.Context) {
+		u := startUpstream(func(c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r) // The body is not read.
+			c.(*net.TCPConn).SetLinger(0)
+		})
+		d := newDialer(dialer.Options{Dial: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+			return &slowWriteConn{Conn: c, readFailed: make(chan struct{})}, err
+		}})
+		_, err := d.Forward(ctx, &dialer.ForwardRequest{
+			Upstream: netip.MustParseAddrPort(u.listener.Addr().String()), Method: "POST", Target: "/p", Host: "h",
+			Body: make([]byte, 64<<10), ID: "a", IDField: "X-Id", Deadline: time.Now().Add(time.Minute),
+		})
+		Expect(expectAttemptError(err).Outcome).To(Equal(refuser.Unknown))
+	}, NodeTimeout(time.Minute))
+})
