Divide a bounded memory among the requests that read large responses

Cause: whole responses were buffered up to 16 MiB each, and nothing bounded them together; an announced length was reserved at once.

Package allotter gives each request that reads a large response its equal share of a tenth of the host's memory; up to 64 KiB are free.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -40,6 +40,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"foxtailwall/allotter"
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
 	"foxtailwall/router"
@@ -103,6 +104,9 @@
 		MaxIdleConns int
 		// MaxBody limits the body of a non-streaming response, in bytes.
 		MaxBody int64
+		// BodyMemory limits the bodies of non-streaming responses that are being read,
+		// all together, in bytes; zero means 64 MiB.
+		BodyMemory int64
 		// MaxEvent limits one chunk of a streamed response, in bytes.
 		MaxEvent int
 		// TCPUserTimeout is the TCP_USER_TIMEOUT: the time after which a
@@ -122,6 +126,7 @@
 		watcher *watcher
 		cancel  context.CancelFunc
 		wg      conc.WaitGroup
+		memory  allotter.Memory
 
 		mu     sync.Mutex
 		idle   map[netip.AddrPort][]*conn
@@ -145,6 +150,7 @@
 		opts: o, net: newNetDialer(o.TCPUserTimeout, o.KeepAliveIdle), cancel: cancel,
 		idle: make(map[netip.AddrPort][]*conn),
 	}
+	d.memory.Total = o.BodyMemory
 	if d.opts.Dial == nil {
 		d.opts.Dial = d.net.DialContext
 	}
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/allotter"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
 )
@@ -203,30 +203,26 @@
 	return min(time.Duration(s)*time.Second, maxRetryAfter)
 }
 
-// readBody reads the body to its end, up to Options.MaxBody.
+// readBody reads the body to its end, up to Options.MaxBody and this exchange's share
+// of Options.BodyMemory.
 func (x *exchange) readBody() ([]byte, error) {
 	if x.attempt.Method == http.MethodHead {
 		return nil, nil // The Content-Length is that of the body of a GET.
 	}
-	if x.resp.ContentLength > x.dialer.opts.MaxBody {
-		return nil, x.fail(router.FailMalformed, x.bodyTooLargeError())
-	}
-	var buf bytes.Buffer
-	if n := x.resp.ContentLength; n > 0 {
-		buf.Grow(int(n) + bytes.MinRead)
-	}
-	r := &progressReader{r: x.resp.Body, exchange: x}
-	if _, err := buf.ReadFrom(io.LimitReader(r, x.dialer.opts.MaxBody+1)); err != nil {
+	share := x.dialer.memory.NewShare()
+	defer share.Release()
+	body, err := share.ReadAll(&progressReader{r: x.resp.Body, exchange: x}, allotter.Limits{
+		Length: x.resp.ContentLength, MaxBytes: x.dialer.opts.MaxBody,
+	})
+	var tooLong *allotter.TooLongError
+	var exhausted *allotter.ExhaustedError
+	switch {
+	case errors.As(err, &tooLong), errors.As(err, &exhausted):
+		return nil, x.fail(router.FailMalformed, err)
+	case err != nil:
 		return nil, x.fail(router.FailCut, err)
 	}
-	if int64(buf.Len()) > x.dialer.opts.MaxBody {
-		return nil, x.fail(router.FailMalformed, x.bodyTooLargeError())
-	}
-	return buf.Bytes(), nil
-}
-
-func (x *exchange) bodyTooLargeError() error {
-	return errors.Newf("the response body exceeds %d bytes", x.dialer.opts.MaxBody)
+	return body, nil
 }
 
 // finish ends an exchange whose body was read to its end, and returns the
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -8,8 +8,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/allotter"
 	"foxtailwall/dialer"
 	"foxtailwall/refuser"
+	"foxtailwall/router"
 )
 
 const (
@@ -22,8 +24,6 @@
 	maxPreallocatedBody = 64 << 10
 )
 
-var errResponseTooLong = errors.Newf("the response exceeds %d bytes", maxResponseBytes)
-
 // readBody reads the body until the request's deadline, so that a caller cannot
 // hold a request for ever. Memory grows with what has arrived, not with the
 // announced length.
@@ -68,27 +68,25 @@
 	}
 }
 
-// readResponse reads the body of a response, at most maxResponseBytes.
-func readResponse(resp *dialer.ForwardResponse) ([]byte, error) {
-	if resp.Length > maxResponseBytes {
-		return nil, errResponseTooLong
+// readResponse reads the body of a response that is not a stream. Its errors are
+// *router.AttemptError; a body that is too large is the upstream's fault, but no sign
+// that it crashed.
+func (c *call) readResponse(resp *dialer.ForwardResponse) ([]byte, error) {
+	limits := allotter.Limits{Length: resp.Length, MaxBytes: maxResponseBytes}
+	if c.lastFailure != nil {
+		limits.Held = int64(len(c.lastFailure.body))
 	}
-	if resp.Length >= 0 {
-		body := make([]byte, resp.Length)
-		_, err := io.ReadFull(resp, body)
-		if err != nil || resp.Length == 0 {
-			return body, err
-		}
-		// Reading the end of the body frees the connection.
-		_, err = resp.Read(make([]byte, 1))
-		if errors.Is(err, io.EOF) {
-			err = nil
-		}
+	body, err := c.memory.ReadAll(resp, limits)
+	var attemptErr *router.AttemptError
+	if err == nil || errors.As(err, &attemptErr) {
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp, maxResponseBytes+1))
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLong
-	}
-	return body, err
+	return nil, c.tooLarge(err)
+}
+
+// tooLarge returns the error of an attempt whose response is larger than this host
+// reads.
+func (c *call) tooLarge(err error) error {
+	c.f.settings.Scope.Counter("forwarder.responsesTooLarge").Inc(1)
+	return &router.AttemptError{Kind: router.FailMalformed, Outcome: refuser.Unknown, Err: err}
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/allotter"
 	"foxtailwall/controller"
 	"foxtailwall/dialer"
 	"foxtailwall/matcher"
@@ -52,6 +53,8 @@
 		workspace string
 		priority  int
 		body      []byte
+		// memory is that of the response which is being read and of lastFailure.
+		memory allotter.Share
 		// content is the hash that contentID returns, zero until it is needed.
 		content  uint64
 		deadline time.Time
@@ -545,7 +548,7 @@
 // forwardWhole reads a response to its end and forwards it, unless it is an
 // error that another attempt may avoid.
 func (c *call) forwardWhole(t *placer.Ticket, resp *dialer.ForwardResponse, v verdict, firstByte time.Duration) bool {
-	body, err := readResponse(resp)
+	body, err := c.readResponse(resp)
 	if err != nil {
 		resp.Abort()
 		return c.handleFailure(t, err)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,6 +33,7 @@
 
 	"github.com/rs/zerolog"
 
+	"foxtailwall/allotter"
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
 	"foxtailwall/counter"
@@ -137,6 +138,9 @@
 		// SessionTimeout is the time after a session's last request at which it
 		// expires.
 		SessionTimeout time.Duration
+		// ResponseMemory is the memory in bytes for all responses of more than 64 KiB
+		// that are read before they are passed on; zero means 64 MiB.
+		ResponseMemory int64
 	}
 
 	// ActiveConfig holds the routes, services and rollouts that apply to requests.
@@ -162,6 +166,9 @@
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
+		// memory is divided among the requests that read a large response.
+		memory allotter.Memory
+
 		// isolation collects evidence about prompt parts and requests that crash
 		// upstreams.
 		isolation *isolator.Recorder
@@ -183,6 +190,7 @@
 		settings: s, started: s.Clock.Now(), configured: make(chan struct{}), isolation: isolator.NewRecorder(s.Clock),
 	}
 	f.base, f.cutOff = context.WithCancelCause(context.Background())
+	f.memory.Total = s.ResponseMemory
 	f.requestLog = sampledLogger(s.Log)
 	f.assigner.SessionTimeout = s.SessionTimeout
 	f.stats = newResponseStats()
@@ -248,7 +256,8 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
-	c := &call{f: f, w: w, r: r, startedAt: f.settings.Clock.Now()}
+	c := &call{f: f, w: w, r: r, startedAt: f.settings.Clock.Now(), memory: f.memory.NewShare()}
+	defer c.memory.Release()
 	if f.departure.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -106,13 +106,23 @@
 }
 
 func newTestbedWithBudget(budget budgeter.Settings) *testbed {
+	return newTestbedWithSettings(budget, forwarder.Settings{})
+}
+
+// newTestbedWithMemory returns a testbed with a limit in bytes for large responses.
+func newTestbedWithMemory(limit int64) *testbed {
+	return newTestbedWithSettings(
+		budgeter.Settings{Ratio: 1, Window: 10 * time.Second, Slack: 50, Clock: timekeeper.System{}}, forwarder.Settings{ResponseMemory: limit},
+	)
+}
+
+// newTestbedWithSettings sets the fields of s that every forwarder needs.
+func newTestbedWithSettings(budget budgeter.Settings, s forwarder.Settings) *testbed {
 	b := &testbed{budget: budget, placer: placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})}
 	d := dialer.New(dialer.Options{})
 	DeferCleanup(d.Close)
-	b.fwd = forwarder.New(forwarder.Settings{
-		Codec: codec{}, Upstreams: d, Placer: b.placer, Clock: timekeeper.System{},
-		Budget: budgeter.New(budget),
-	})
+	s.Codec, s.Upstreams, s.Placer, s.Clock, s.Budget = codec{}, d, b.placer, timekeeper.System{}, budgeter.New(budget)
+	b.fwd = forwarder.New(s)
 	b.frontend = httptest.NewUnstartedServer(b.fwd)
 	b.frontend.Config.BaseContext = b.fwd.BaseContext
 	b.frontend.Start()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/allotter"
 	"foxtailwall/dialer"
 	"foxtailwall/placer"
 )
@@ -35,6 +36,10 @@
 	buf := make([]byte, 0, eventBufferSize)
 	for {
 		if cap(buf)-len(buf) < eventBufferSize/2 {
+			if size := int64(len(buf) + eventBufferSize); !c.memory.Grow(size) {
+				resp.Abort()
+				return c.handleStreamFailure(t, c.tooLarge(&allotter.ExhaustedError{Bytes: size}))
+			}
 			buf = append(buf, make([]byte, eventBufferSize)...)[:len(buf)]
 		}
 		n, err := resp.Read(buf[len(buf):cap(buf)])
@@ -63,7 +68,7 @@
 			return c.finishStream(t, resp, firstByte, len(buf) == 0)
 		case err == nil && len(buf) > maxEventBytes:
 			resp.Abort()
-			err = errEventTooLong
+			err = c.tooLarge(errEventTooLong)
 		}
 		if err != nil {
 			return c.handleStreamFailure(t, err)
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -114,6 +114,7 @@
 	e.forwarder = forwarder.New(forwarder.Settings{
 		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Budget: e.retryBudget, Clock: o.Clock,
 		Scope: o.Scope, Log: o.Log, SessionTimeout: s.SessionTimeout,
+		ResponseMemory: int64(responseMemoryFraction * float64(s.Memory)),
 	})
 	e.syncClient = syncer.NewClient(syncer.ClientSettings{
 		Seeds: e.seeds, Report: e.newReport, Apply: e.applyUpdate, Clock: o.Clock, Log: o.Log,
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -38,6 +38,9 @@
 	// softMemoryFraction is the part of Settings.Memory at which the Go runtime
 	// limits further growth.
 	softMemoryFraction = 0.6
+	// responseMemoryFraction is the part of Settings.Memory for large responses of
+	// upstreams. Collected later, they take about twice as much.
+	responseMemoryFraction = 0.1
 	// gcPercent is the heap growth between garbage collections, in percent.
 	// It is below the default of 100, since hosts are small and memory is billed.
 	gcPercent = 60
