Do not end connections whose peers read a long body late

Cause: TCP_USER_TIMEOUT (0.7 s) also counts the time in which a live peer takes no bytes; the kernel closed the connection without telling the peer.

For bodies of 8 KiB or more the kernel's limit is off until the exchange ends; abandoned exchanges with such a body reset their connection.

"does not end the connection" got "unexpected EOF" before.

--- a/dialer/checkout.go
+++ b/dialer/checkout.go
@@ -33,12 +33,24 @@
 		return checkout{}, markCancelled(ctx, err)
 	}
 	c.raw.bytesSent.Store(0)
-	co := checkout{dialer: d, conn: c, watch: d.watcher.addExtendable(func() { c.Close() }, extend)}
+	co := checkout{dialer: d, conn: c, watch: d.watcher.addExtendable(c.abandon, extend)}
 	co.watch.setDeadline(deadline)
-	co.stopCancelHook = context.AfterFunc(ctx, func() { c.Close() })
+	co.stopCancelHook = context.AfterFunc(ctx, c.abandon)
 	return co, nil
 }
 
+// allowLateReading prepares the connection for a body that may not fit the TCP
+// windows: the peer may begin to answer and read the body later, and to the kernel a
+// window that stays closed looks like a host that has stopped. Such a host is noticed
+// by the missing response, at the deadline at the latest.
+func (co *checkout) allowLateReading(bodyBytes int, deadline time.Time) error {
+	if bodyBytes < concurrentBodyBytes || deadline.IsZero() {
+		return nil
+	}
+	co.conn.noUserTimeout.Store(true)
+	return co.conn.setUserTimeout(0)
+}
+
 // returnConn ends the checkout and returns a reusable connection to the pool,
 // which keeps at most maxIdle; see putIdle.
 func (co *checkout) returnConn(reusable bool, maxIdle int) {
@@ -46,6 +58,16 @@
 		co.conn.Close()
 		return
 	}
+	if co.conn.noUserTimeout.Load() {
+		// With the short limit, the kernel may close a connection whose peer has yet to
+		// read the rest of the body.
+		if co.conn.unacknowledged() > 0 || co.conn.setUserTimeout(co.dialer.opts.TCPUserTimeout) != nil {
+			co.dialer.opts.Scope.Counter("dialer.bodiesUnread").Inc(1)
+			co.conn.Close()
+			return
+		}
+		co.conn.noUserTimeout.Store(false)
+	}
 	co.dialer.putIdle(co.conn, maxIdle)
 }
 
@@ -63,7 +85,7 @@
 // response counts as silent also when the deadline passed.
 func (co *checkout) closeWithError(kind router.FailKind, responseStarted, deadlineIsSilence bool, upstream string, err error) error {
 	open := co.unwatch()
-	co.conn.Close()
+	co.conn.abandon()
 	reason := co.watch.reason()
 	if reason == notStopped && open && errors.Is(err, syscall.ETIMEDOUT) {
 		// The kernel has closed the connection because the peer's host no longer
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -47,6 +47,8 @@
 		// keepAlive is the idle timeout announced by the peer, less
 		// keepAliveMargin; zero if it announced none.
 		keepAlive time.Duration
+		// noUserTimeout is true while the kernel's time limit is off.
+		noUserTimeout atomic.Bool
 	}
 
 	// countingConn counts the bytes handed to the network. A write that is under way
@@ -107,14 +109,65 @@
 			cerr := rc.Control(func(fd uintptr) {
 				// Closes the connection when sent bytes stay unacknowledged;
 				// the kernel's default waits for 15 minutes.
-				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
-					int(userTimeout.Milliseconds()))
+				err = setUserTimeout(fd, userTimeout)
 			})
 			return errors.CombineErrors(cerr, err)
 		},
 	}
 }
 
+// setUserTimeout sets the time for which sent bytes may stay unacknowledged, and for
+// which the peer may take none; zero means the kernel's default of minutes.
+func setUserTimeout(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
+// setUserTimeout is the function of that name for the connection; it does nothing on
+// connections that are not TCP.
+func (c *conn) setUserTimeout(d time.Duration) error {
+	err := c.control(func(fd uintptr) error { return setUserTimeout(fd, d) })
+	return errors.Wrap(err, "set the user timeout")
+}
+
+// unacknowledged returns the number of sent bytes that the peer has not acknowledged,
+// zero if it is unknown.
+func (c *conn) unacknowledged() int {
+	n := 0
+	err := c.control(func(fd uintptr) (err error) {
+		n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		return err
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// control calls f with the descriptor of a TCP connection.
+func (c *conn) control(f func(fd uintptr) error) error {
+	sc, ok := c.raw.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	cerr := rc.Control(func(fd uintptr) { err = f(fd) })
+	return errors.CombineErrors(cerr, err)
+}
+
+// abandon closes a connection that carries an unfinished exchange. While the peer
+// takes no more of a long body, the end of the connection would wait behind the rest
+// of it, and the peer would work on.
+func (c *conn) abandon() {
+	if tcp, ok := c.raw.Conn.(*net.TCPConn); ok && c.noUserTimeout.Load() {
+		// Fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // dial opens a connection and performs the TLS handshake. It sends no part of
 // a request, so its errors have the outcome NotRun.
 func (d *Dialer) dial(ctx context.Context, u *declarer.Upstream, deadline time.Time) (*conn, error) {
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -84,6 +84,9 @@
 }
 
 func (x *exchange) send() error {
+	if err := x.allowLateReading(len(x.attempt.Body), x.attempt.Deadline); err != nil {
+		return err
+	}
 	return x.conn.writeRequest(x.appendHead(make([]byte, 0, 512)), x.attempt.Body)
 }
 
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -147,7 +147,7 @@
 		return
 	}
 	r.unwatch()
-	r.conn.Close()
+	r.conn.abandon()
 }
 
 func (r *ForwardResponse) send() error {
@@ -155,6 +155,9 @@
 	if len(r.req.Body) < concurrentBodyBytes {
 		return r.conn.writeRequest(head, r.req.Body)
 	}
+	if err := r.allowLateReading(len(r.req.Body), r.req.Deadline); err != nil {
+		return err
+	}
 	r.bodySent = make(chan struct{})
 	r.dialer.wg.Go(func() {
 		// A failed write also fails the reading of the response.
--- a/dialer/forward_test.go
+++ b/dialer/forward_test.go
@@ -10,8 +10,10 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -174,3 +176,51 @@
 		Expect(expectAttemptError(err).Outcome).To(Equal(refuser.Unknown))
 	}, NodeTimeout(time.Minute))
 })
+
+var _ = Describe("A long body that the upstream reads after its answer has begun", func() {
+	// Guards against a request that is sent again elsewhere while the upstream works on
+	// it: the kernel closed the connection because the upstream took no bytes for a
+	// while, as if its host had stopped.
+	It("does not end the connection", func(ctx context.Context) {
+		const userTimeout = 200 * time.Millisecond
+		lc := net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
+			var err error
+			cerr := rc.Control(func(fd uintptr) {
+				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 16<<10)
+			})
+			return errors.CombineErrors(cerr, err)
+		}}
+		l, err := lc.Listen(ctx, "tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		body := make([]byte, 8<<20)
+		go func() {
+			defer GinkgoRecover()
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				r := bufio.NewReaderSize(c, 1<<10)
+				req, err := http.ReadRequest(r)
+				Expect(err).NotTo(HaveOccurred())
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nfirst")
+				<-time.After(5 * userTimeout)
+				n, err := io.Copy(io.Discard, req.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(n).To(Equal(int64(len(body))))
+				fmt.Fprint(c, "after")
+			}
+		}()
+		d := newDialer(dialer.Options{TCPUserTimeout: userTimeout})
+		for range 2 {
+			resp, err := d.Forward(ctx, &dialer.ForwardRequest{
+				Upstream: netip.MustParseAddrPort(l.Addr().String()), Method: "POST", Target: "/p", Host: "h",
+				Body: body, ID: "a", IDField: "X-Id", Deadline: time.Now().Add(time.Minute), NewConn: true,
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(resp)).To(BeEquivalentTo("firstafter"))
+			resp.Finish()
+		}
+	}, NodeTimeout(time.Minute))
+})
