Log when a host reaches no upstream

The placer now tracks it: three upstreams that could not be reached or sent nothing in time, without data from any in between. Logged and counted only; nothing is decided by it yet.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -214,6 +214,7 @@
 		// remoteLoadsInterval is the time between the last two loads received.
 		remoteLoadsInterval time.Duration
 		zonePaths           map[string]*zonePath
+		reach               reach
 		// placements are those that other hosts were not told yet, at most
 		// maxPlacements.
 		placements []Placement
@@ -521,7 +522,7 @@
 	t.p.mu.Lock()
 	defer t.p.mu.Unlock()
 	t.up.lastReceived = t.p.settings.Clock.Now()
-	t.p.zonePath(t.up.Zone).recordReceived()
+	t.p.recordReceived(t.up)
 	if t.work > generationWork && !t.done {
 		t.up.work -= t.work - generationWork
 		t.work = generationWork
@@ -565,18 +566,22 @@
 	}
 	switch outcome {
 	case Misdirected:
-		t.p.zonePath(u.Zone).recordReceived()
+		t.p.recordReceived(u)
 		t.p.recordUnreachable(Unreachable{Upstream: u.loadID(), Misdirected: true})
 	case Succeeded, Failed, Busy:
-		t.p.zonePath(u.Zone).recordReceived()
+		t.p.recordReceived(u)
 	case Silent, Stale:
+		t.p.recordUnreached(u)
 		// The path within the own zone is never considered unreachable.
 		if u.Zone != t.p.settings.Zone {
 			t.p.zonePath(u.Zone).recordSilent(u.hash, now)
 		}
 	case NotListening:
+		t.p.recordUnreached(u)
 		t.p.recordUnreachable(Unreachable{Upstream: u.loadID()})
-	case Broken, Refused, Abandoned:
+	case Refused:
+		t.p.recordUnreached(u)
+	case Broken, Abandoned:
 		// A reset may come from either side of a partition, so it proves nothing.
 	}
 	if outcome == Succeeded || outcome == Failed || outcome == Broken {
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -48,6 +48,8 @@
 	// handoverFraction is the part of the grace period for which a leaving entry stays
 	// even if no request is running, which is a little longer than rotationTime.
 	handoverFraction = 0.3
+	// reachCheckInterval is how often an entry checks whether it reaches upstreams.
+	reachCheckInterval = 100 * time.Millisecond
 	// drainCheckInterval is how often a draining entry checks for running
 	// requests.
 	drainCheckInterval = 100 * time.Millisecond
@@ -155,6 +157,7 @@
 	p.Go(func() error { e.syncClient.Run(runCtx); return nil })
 	p.Go(func() error { e.exchangeLoads(runCtx); return nil })
 	p.Go(func() error { e.runListFallback(runCtx); return nil })
+	p.Go(func() error { e.watchReach(runCtx); return nil })
 	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts); return nil })
 	p.Go(func() error { reloadSettings(runCtx, &e.opts, &e.settings); return nil })
 	p.Go(func() error {
@@ -337,6 +340,24 @@
 	}
 }
 
+// watchReach logs when this host no longer reaches any upstream, and when it does
+// again.
+func (e *entry) watchReach(ctx context.Context) {
+	partitioned := false
+	for timekeeper.Sleep(ctx, e.opts.Clock, reachCheckInterval) == nil {
+		if e.placer.Partitioned() == partitioned {
+			continue
+		}
+		partitioned = !partitioned
+		if partitioned {
+			e.opts.Scope.Counter("entry.partitions").Inc(1)
+			e.opts.Log.Warn().Int("running", e.forwarder.Running()).Msg("this host reaches no upstream")
+		} else {
+			e.opts.Log.Info().Msg("this host reaches upstreams again")
+		}
+	}
+}
+
 // exchangeLoads exchanges loads with the other hosts. Without it, requests are
 // placed by this host's loads alone, so a failure is only logged.
 func (e *entry) exchangeLoads(ctx context.Context) {
