--- a/starter/entry.go
+++ b/starter/entry.go
@@ -108,7 +108,7 @@
 		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
 	})
 	upstreams := dialer.New(dialer.Options{
-		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
+		Clock: o.Clock, Scope: o.Scope, Dial: o.DialUpstream, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
 		KeepAliveIdle: upstreamKeepAliveIdle,
 		IdleTimeout:   upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
--- a/starter/limit_test.go
+++ b/starter/limit_test.go
@@ -19,23 +19,9 @@
 // returns the settings of all.
 func (d *deployment) startMoreEntries(n int) []starter.Settings {
 	all := []starter.Settings{d.entry}
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
 	for i := range n {
-		s := d.entry
-		s.Name, s.Callers, s.Ready, s.Grace = fmt.Sprint("e", i), reserveAddr(), reserveAddr(), time.Second
-		all = append(all, s)
-		o := d.opts
-		o.MetricsPort = reserveAddr().Port()
-		wg.Go(func() {
-			defer GinkgoRecover()
-			Expect(starter.RunEntry(ctx, s, o)).To(Succeed())
-		})
+		all = append(all, d.startEntry(fmt.Sprint("e", i), d.opts))
 	}
-	DeferCleanup(func() {
-		cancel()
-		wg.Wait()
-	})
 	return all
 }
 
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -117,6 +118,8 @@
 		// MetricsPort is the port at the IP of Settings.Peers that serves
 		// /metrics; 0 serves none.
 		MetricsPort uint16
+		// DialUpstream opens connections to upstreams; nil uses the network.
+		DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	}
 )
 
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -99,13 +99,20 @@
 
 // startDeployment runs a deployment with the given upstreams until the spec ends.
 func startDeployment(upstreams ...http.HandlerFunc) *deployment {
+	d := newDeployment(upstreams...)
+	d.start()
+	return d
+}
+
+// newDeployment returns a deployment with the given upstreams that is not started.
+func newDeployment(upstreams ...http.HandlerFunc) *deployment {
 	var ups []tracker.Upstream
 	for i, handler := range upstreams {
 		srv := httptest.NewServer(handler)
 		DeferCleanup(srv.Close)
 		ups = append(ups, newUpstream(fmt.Sprint("u", i), srv))
 	}
-	return startDeploymentWithList(func() []tracker.Upstream { return ups })
+	return newDeploymentWithList(func() []tracker.Upstream { return ups })
 }
 
 // newUpstream returns the list's entry for a stand-in.
@@ -115,9 +122,15 @@
 
 // startDeploymentWithList runs a deployment with the upstreams that list returns.
 func startDeploymentWithList(list func() []tracker.Upstream) *deployment {
+	d := newDeploymentWithList(list)
+	d.start()
+	return d
+}
+
+// newDeploymentWithList returns a deployment, not started, with the upstreams that list
+// returns.
+func newDeploymentWithList(list func() []tracker.Upstream) *deployment {
 	d := &deployment{ended: make(chan error, 1)}
-	var fail context.CancelCauseFunc
-	d.running, fail = context.WithCancelCause(context.Background())
 	d.opts = starter.Options{Clock: timekeeper.System{}, Protocol: starter.Protocol{
 		Codec: codec{},
 		Config: func(b []byte) (c matcher.Config, err error) {
@@ -138,6 +151,13 @@
 		Name: "e", Zone: "a", Callers: reserveAddr(), Ready: reserveAddr(), Peers: d.control.Peers, Seeds: d.control.Seeds,
 		Grace: 3 * time.Second, Retries: retries,
 	}
+	return d
+}
+
+// start runs the deployment until the spec ends.
+func (d *deployment) start() {
+	var fail context.CancelCauseFunc
+	d.running, fail = context.WithCancelCause(context.Background())
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stopControl = cancel
 	done := make(chan struct{})
@@ -168,7 +188,26 @@
 		stop()
 		<-done
 	})
-	return d
+}
+
+// startEntry runs an entry beside the first until the spec ends, and returns its
+// settings.
+func (d *deployment) startEntry(name string, o starter.Options) starter.Settings {
+	s := d.entry
+	s.Name, s.Callers, s.Ready, s.Grace = name, reserveAddr(), reserveAddr(), time.Second
+	o.MetricsPort = reserveAddr().Port()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(done)
+		Expect(starter.RunEntry(ctx, s, o)).To(Succeed())
+	}()
+	DeferCleanup(func() {
+		cancel()
+		<-done
+	})
+	return s
 }
 
 // eventually is Eventually, but ends at once if a host has failed.
