Pass requests of a partitioned host to hosts that reach upstreams

What callers saw: hosts that had lost their paths to all upstreams, while callers and all other hosts still reached them, answered 503 upstreamFailed to each request (connections refused) or let it wait until its deadline (silent ones).

Cause: a host takes each failed connection for a fact about the upstream, and has nobody to turn to when the fact is about itself. Leaving rotation is no answer by itself: kept connections stay, and a zone with fewer than half of its hosts in rotation gets connections at all of them.

Now a host counts as partitioned when three upstreams could not be reached or were silent and no data came from any for 300 ms. Then, or after a request has found no connection to six upstreams, the request is passed to another host: - one hop: the other host serves it at an address of its own for hosts and never passes it on; - once only: each response between hosts says whether the request ran; a request that may run once is passed on over a new connection, and a lost response is answered 502; "not run" needs the other host's word or no byte sent; - deadline, attempts left and the ID of the last event go with the request; a caller that leaves ends the request at both hosts; - budget: the host that sends a request to upstreams counts it; - drain: the other host answers what it has taken, and refuses by deadline.

With -race: forwarder and starter pass.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -117,8 +117,22 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.currentWindow(service)
+	w.takeBack(&w.retries)
+}
+
+// ReturnRequest takes back the latest request counted by AddRequest, because another
+// host counts it.
+func (b *Budget) ReturnRequest(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.currentWindow(service)
+	w.takeBack(&w.requests)
+}
+
+// takeBack takes one from the latest count in a ring that is not zero.
+func (w *window) takeBack(ring *[numBuckets + 1]int) {
 	for back := range int64(numBuckets) {
-		if n := &w.retries[(w.current-back+numBuckets+1)%(numBuckets+1)]; *n > 0 {
+		if n := &ring[(w.current-back+numBuckets+1)%(numBuckets+1)]; *n > 0 {
 			*n--
 			return
 		}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -63,11 +63,21 @@
 		rollout  *controller.OrderedRollout
 		onTarget bool
 
+		// delegatedAttempts is the number of attempts that another host, which has passed
+		// the request to this one, leaves to it; zero for requests of callers.
+		delegatedAttempts int
+		// hosts are those to which the request was passed, and hostRefusal is the refusal
+		// of the latest one that had not sent it to an upstream.
+		hosts       []netip.AddrPort
+		hostRefusal *refusal
+
 		// attempts counts all attempts, including those that reached no upstream.
 		attempts int
 		// delivered counts the finished attempts that reached an upstream, mayHaveRun
 		// those of them that may have run.
 		delivered, mayHaveRun int
+		// unreached counts the finished attempts for which no connection could be opened.
+		unreached int
 		// misdirected counts the finished attempts that reached another upstream than
 		// the one chosen.
 		misdirected int
@@ -81,7 +91,7 @@
 		// the request and a whole response.
 		answered []netip.AddrPort
 		// upstream is the upstream of the latest attempt, and stats what is known
-		// about its response.
+		// about its response, nil if another host knows it.
 		upstream tracker.Upstream
 		stats    *attemptStats
 		// lastFailure is the latest error response of an upstream, which is returned
@@ -98,6 +108,14 @@
 		sizeIndex   int
 	}
 
+	// ticket is an attempt in progress.
+	ticket interface {
+		// RecordReceived records that data arrived.
+		RecordReceived()
+		// Done ends the attempt; see placer.Ticket.
+		Done(o placer.Outcome, firstByte time.Duration)
+	}
+
 	// response is a complete response of an upstream.
 	response struct {
 		status int
@@ -108,12 +126,12 @@
 
 // admit finds the route and workspace, reads the body and assigns the service.
 func (c *call) admit() *refusal {
+	c.envelope = c.f.settings.Codec.Request(c.r.Header)
 	config := c.f.waitForConfig(c.r.Context())
 	if config.Table == nil {
 		return newRefusal(http.StatusServiceUnavailable, refuser.NotConfigured, startupRetryAfter)
 	}
 	c.table = config.Table
-	c.envelope = c.f.settings.Codec.Request(c.r.Header)
 	requestURI := c.r.RequestURI
 	path, _, _ := strings.Cut(requestURI, "?")
 	route, ok := c.table.Route(hostOnly(c.r.Host), path)
@@ -127,7 +145,7 @@
 	if c.envelope.ID == "" {
 		return newRefusal(http.StatusBadRequest, refuser.BadRequest, 0)
 	}
-	if maxBytes := c.table.Limits().HeaderBytes; maxBytes > 0 && headerSize(c.r) > maxBytes {
+	if maxBytes := c.table.Limits().HeaderBytes; maxBytes > 0 && !c.isDelegated() && headerSize(c.r) > maxBytes {
 		return newRefusal(http.StatusRequestHeaderFieldsTooLarge, refuser.HeaderTooLarge, 0)
 	}
 	timeout := route.Timeout
@@ -229,6 +247,16 @@
 		c.model = c.route.Sizes[c.sizeIndex]
 	}
 	for {
+		if ref := c.refuseAttempt(); ref != nil {
+			c.finishFailed(ref)
+			return
+		}
+		if t, ok := c.pickHost(); ok {
+			if c.delegate(t) {
+				return
+			}
+			continue
+		}
 		t, ref := c.placeAttempt()
 		if ref != nil {
 			c.finishFailed(ref)
@@ -240,20 +268,25 @@
 	}
 }
 
-// placeAttempt chooses the upstream for the next attempt, or returns a refusal
-// if no attempt is possible.
-func (c *call) placeAttempt() (*placer.Ticket, *refusal) {
+// refuseAttempt returns a refusal if no further attempt is allowed.
+func (c *call) refuseAttempt() *refusal {
 	if ref := c.interruption(); ref != nil {
-		return nil, ref
+		return ref
 	}
 	remaining := c.deadline.Sub(c.f.settings.Clock.Now())
 	switch {
 	case remaining < minAttemptTime:
-		return nil, newRefusal(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0)
-	case c.attempts >= attemptLimit, c.delivered >= max(c.route.MaxAttempts, 1):
-		return nil, newRefusal(http.StatusBadGateway, refuser.UpstreamFailed, busyRetryAfter)
+		return newRefusal(http.StatusGatewayTimeout, refuser.DeadlineExceeded, 0)
+	case c.attempts >= attemptLimit, c.delivered >= c.maxAttempts():
+		return newRefusal(http.StatusBadGateway, refuser.UpstreamFailed, busyRetryAfter)
 	}
-	if ref := c.refuseIsolated(); ref != nil {
+	return c.refuseIsolated()
+}
+
+// placeAttempt chooses the upstream for the next attempt, or returns a refusal
+// if no attempt is possible.
+func (c *call) placeAttempt() (*placer.Ticket, *refusal) {
+	if ref := c.refusePartitioned(); ref != nil {
 		return nil, ref
 	}
 	c.excludeNewRollout()
@@ -424,7 +457,7 @@
 
 // handleFailure handles an attempt that failed before the response header or
 // broke off after it. It reports whether the request is finished.
-func (c *call) handleFailure(t *placer.Ticket, err error) bool {
+func (c *call) handleFailure(t ticket, err error) bool {
 	var attemptErr *router.AttemptError
 	if !errors.As(err, &attemptErr) {
 		attemptErr = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Err: err}
@@ -436,9 +469,12 @@
 		// The retry reached no upstream, so it is not charged.
 		c.f.settings.Budget.ReturnRetry(c.service.Name)
 	}
+	if attemptErr.Kind == router.FailRefused && c.stats != nil {
+		c.unreached++
+	}
 	t.Done(placerOutcome(attemptErr), 0)
 	c.recordBroken(attemptErr)
-	c.logAttempt(t.Upstream(), string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
+	c.logAttempt(c.upstream, string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
 	if ref := c.interruption(); ref != nil {
 		c.finishFailed(ref)
 		return true
@@ -516,11 +552,7 @@
 // handleNotRun handles a response that proves that the request did not run.
 func (c *call) handleNotRun(t *placer.Ticket, resp *dialer.ForwardResponse) bool {
 	status := resp.Status
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
-		resp.Finish()
-		c.answered = append(c.answered, c.upstream.Address)
-	}
-	resp.Abort()
+	c.discardBody(resp)
 	outcome := placer.Busy
 	if status == http.StatusMisdirectedRequest {
 		// The request reached only an upstream that cannot run it.
@@ -534,10 +566,20 @@
 	return false
 }
 
+// discardBody reads the rest of a response that is not forwarded, so that its
+// connection can be used again.
+func (c *call) discardBody(resp *dialer.ForwardResponse) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
+		resp.Finish()
+		c.answered = append(c.answered, c.upstream.Address)
+	}
+	resp.Abort()
+}
+
 // handleInvalid ends an attempt whose response cannot be used.
-func (c *call) handleInvalid(t *placer.Ticket, err error) bool {
+func (c *call) handleInvalid(t ticket, err error) bool {
 	t.Done(placer.Broken, 0)
-	c.logAttempt(t.Upstream(), string(router.FailMalformed), refuser.Unknown, err)
+	c.logAttempt(c.upstream, string(router.FailMalformed), refuser.Unknown, err)
 	if c.route.Repeatable() {
 		return false
 	}
@@ -547,7 +589,7 @@
 
 // forwardWhole reads a response to its end and forwards it, unless it is an
 // error that another attempt may avoid.
-func (c *call) forwardWhole(t *placer.Ticket, resp *dialer.ForwardResponse, v verdict, firstByte time.Duration) bool {
+func (c *call) forwardWhole(t ticket, resp *dialer.ForwardResponse, v verdict, firstByte time.Duration) bool {
 	body, err := c.readResponse(resp)
 	if err != nil {
 		resp.Abort()
@@ -565,7 +607,7 @@
 		return true
 	}
 	t.Done(placer.Failed, firstByte)
-	c.logAttempt(t.Upstream(), string(router.FailStatus), refuser.Ran, errors.Newf("status %d", resp.Status))
+	c.logAttempt(c.upstream, string(router.FailStatus), refuser.Ran, errors.Newf("status %d", resp.Status))
 	if c.route.Repeatable() && resp.Status != http.StatusGatewayTimeout {
 		c.lastFailure = a
 		return false
--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -20,7 +20,7 @@
 	}
 	c.f.latency.Record(sizer.Key{Service: c.service.Name, Model: c.model}, firstByte, c.f.settings.Clock.Now())
 	budget := c.f.settings.Budget.FractionLeft(c.service.Name)
-	if c.responding || c.delivered+1 >= c.route.MaxAttempts || budget < escalationReserve {
+	if c.responding || c.delivered+1 >= c.maxAttempts() || budget < escalationReserve {
 		return false
 	}
 	largest := sizer.Key{Service: c.service.Name, Model: c.route.Sizes[len(c.route.Sizes)-1]}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,7 +4,8 @@
 // upstream that the placer chooses. A Codec interprets the headers, so the
 // package knows no platform's header names. A request is retried at another
 // upstream only if its route is repeatable or if it certainly did not run, and
-// only within the route's attempts and the shared retry budget. Streams are
+// only within the route's attempts and the shared retry budget. A host that reaches no
+// upstream passes requests to another host. Streams are
 // forwarded event by event. On a resumable route, a stream that breaks off is
 // continued from another upstream within the same response.
 //
@@ -37,6 +38,7 @@
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
 	"foxtailwall/counter"
+	"foxtailwall/delegator"
 	"foxtailwall/dialer"
 	"foxtailwall/isolator"
 	"foxtailwall/matcher"
@@ -55,6 +57,9 @@
 		// Fields returns the header fields to send to an upstream, without hop-by-hop
 		// fields.
 		Fields(h http.Header, d Dispatch) []dialer.Field
+		// HostFields returns the header fields with which another host treats the request
+		// as if the caller had sent it there, without hop-by-hop fields.
+		HostFields(h http.Header, d Delegation) []dialer.Field
 		// Reply parses the header of an upstream's response.
 		Reply(h http.Header) Reply
 		// IDField returns the name of the field that carries the request's ID in
@@ -131,10 +136,14 @@
 		Codec     Codec
 		Upstreams *dialer.Dialer
 		Placer    *placer.Placer
-		Budget    *budgeter.Budget
-		Clock     timekeeper.Clock
-		Scope     counter.Scope
-		Log       zerolog.Logger
+		// Hosts are those to which requests are passed while this host reaches no
+		// upstream, over connections of HostDialer; nil for none.
+		Hosts      *delegator.Pool
+		HostDialer *dialer.Dialer
+		Budget     *budgeter.Budget
+		Clock      timekeeper.Clock
+		Scope      counter.Scope
+		Log        zerolog.Logger
 		// SessionTimeout is the time after a session's last request at which it
 		// expires.
 		SessionTimeout time.Duration
@@ -253,10 +262,16 @@
 func (f *Forwarder) Running() int { return int(f.running.Load()) }
 
 // ServeHTTP implements http.Handler.
-func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) { f.serve(w, r, 0) }
+
+// serve serves a request. The number of attempts that another host leaves to it is
+// zero for requests of callers.
+func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request, delegatedAttempts int) {
 	f.running.Add(1)
 	defer f.running.Add(-1)
-	c := &call{f: f, w: w, r: r, startedAt: f.settings.Clock.Now(), memory: f.memory.NewShare()}
+	c := &call{
+		f: f, w: w, r: r, startedAt: f.settings.Clock.Now(), memory: f.memory.NewShare(), delegatedAttempts: delegatedAttempts,
+	}
 	defer c.memory.Release()
 	if f.departure.Load() != nil {
 		w.Header().Set("Connection", "close")
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -65,6 +65,16 @@
 	}
 }
 
+func (codec) HostFields(h http.Header, d forwarder.Delegation) []dialer.Field {
+	var fields []dialer.Field
+	for _, name := range []string{"X-Id", "X-Key", "X-Model", "X-Session", "X-Output", "X-Stream"} {
+		if v := h.Get(name); v != "" {
+			fields = append(fields, dialer.Field{Name: name, Value: v})
+		}
+	}
+	return append(fields, dialer.Field{Name: "X-Wait", Value: strconv.Itoa(int(d.TimeLeft.Milliseconds()))}, dialer.Field{Name: "X-Resume", Value: d.Resume})
+}
+
 func (codec) Reply(h http.Header) forwarder.Reply {
 	r := forwarder.Reply{
 		ID: h.Get("X-Id"), Signed: h.Get("X-Sign") != "", NotRun: h.Get("X-Not-Run") != "", Confidence: -1, Leaving: h.Get("X-Leaving") != "",
--- a/forwarder/guard.go
+++ b/forwarder/guard.go
@@ -56,7 +56,7 @@
 }
 
 func newProgressGuard(c *call, t *placer.Ticket, sentAt time.Time) *progressGuard {
-	g := &progressGuard{call: c, ticket: t, attemptsLeft: c.route.MaxAttempts - c.delivered - 1}
+	g := &progressGuard{call: c, ticket: t, attemptsLeft: c.maxAttempts() - c.delivered - 1}
 	g.lastProgress.Store(&sentAt)
 	return g
 }
@@ -79,12 +79,13 @@
 
 // eventTimeout returns the timeout for the next event.
 func (g *progressGuard) eventTimeout() time.Duration {
-	return time.Duration(eventTimeoutFraction * float64(g.maxPause()))
+	return time.Duration(eventTimeoutFraction * float64(g.call.maxPause()))
 }
 
-func (g *progressGuard) maxPause() time.Duration {
-	if g.call.route.MaxPause > 0 {
-		return g.call.route.MaxPause
+// maxPause returns the longest pause between events of a stream that is on time.
+func (c *call) maxPause() time.Duration {
+	if c.route.MaxPause > 0 {
+		return c.route.MaxPause
 	}
 	return defaultMaxPause
 }
@@ -99,7 +100,7 @@
 	waited := g.call.f.settings.Clock.Since(lastProgress)
 	limit := time.Duration(firstEventLimitFactor * float64(g.call.route.Target))
 	if streaming {
-		limit = time.Duration(eventLimitFactor * float64(g.maxPause()))
+		limit = time.Duration(eventLimitFactor * float64(g.call.maxPause()))
 	}
 	if soleWait := g.firstByteTimeout() + soleRequestExtension - waited; !streaming && soleWait > 0 && g.ticket.Running() <= 1 {
 		return soleWait
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -61,7 +61,7 @@
 
 // recordBroken records an attempt whose connection the upstream ended.
 func (c *call) recordBroken(err *router.AttemptError) {
-	if c.r.Context().Err() != nil || err.Outcome == refuser.NotRun || (err.Kind != router.FailReset && err.Kind != router.FailCut) {
+	if c.stats == nil || c.r.Context().Err() != nil || err.Outcome == refuser.NotRun || (err.Kind != router.FailReset && err.Kind != router.FailCut) {
 		return
 	}
 	if begun := c.stats.begunAt; begun.IsZero() || c.f.settings.Clock.Since(begun) <= maxCrashDelay {
@@ -79,7 +79,7 @@
 // clear their parts only at their end, which they do not reach while engines crash.
 func (c *call) recordServed() {
 	a := c.stats
-	if a.served || c.f.settings.Clock.Since(a.firstEventAt) < maxCrashDelay {
+	if a == nil || a.served || c.f.settings.Clock.Since(a.firstEventAt) < maxCrashDelay {
 		return
 	}
 	a.served = true
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -81,6 +81,9 @@
 		seconds := ref.retryAfter.Seconds() * (minRetryJitter + retryJitter*rand.Float64())
 		h.Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	}
+	if c.isDelegated() {
+		c.handBack(h)
+	}
 	if id := c.envelope.ID; id != "" {
 		h.Set(c.f.settings.Codec.IDField(), id)
 	}
@@ -94,6 +97,20 @@
 	c.logEnd(ref.status, string(ref.code))
 }
 
+// handBack tells the host that has passed the request to this one whether it may have
+// run.
+func (c *call) handBack(h http.Header) {
+	outcome := refuser.Unknown
+	if c.mayHaveRun == 0 {
+		outcome = refuser.NotRun
+		if c.service != nil {
+			// The other host counts the request again.
+			c.f.settings.Budget.ReturnRequest(c.service.Name)
+		}
+	}
+	h.Set(fieldDelegatedOutcome, string(outcome))
+}
+
 // writeResponse forwards a complete response of an upstream that ran the request,
 // except if its status would promise callers that the request has not run.
 func (c *call) writeResponse(resp *response) {
@@ -103,7 +120,7 @@
 		c.writeRefusal(newRefusal(http.StatusBadGateway, refuser.UpstreamFailed, 0))
 		return
 	}
-	copyHeader(c.w.Header(), resp.header)
+	c.copyHeader(resp.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(resp.body); err != nil {
@@ -112,14 +129,18 @@
 	c.logEnd(status, "answered")
 }
 
-// copyHeader copies the fields that are not hop-by-hop.
-func copyHeader(to, from http.Header) {
+// copyHeader copies the fields of an upstream's response that are not hop-by-hop.
+func (c *call) copyHeader(from http.Header) {
+	to := c.w.Header()
 	for name, values := range from {
 		switch name {
 		case "Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer",
-			"Transfer-Encoding", "Upgrade", "Content-Length":
+			"Transfer-Encoding", "Upgrade", "Content-Length", fieldDelegatedOutcome:
 			continue
 		}
 		to[name] = values
 	}
+	if c.isDelegated() {
+		to.Set(fieldDelegatedOutcome, string(refuser.Ran))
+	}
 }
--- a/forwarder/stats.go
+++ b/forwarder/stats.go
@@ -139,6 +139,9 @@
 // recordResponse counts a response that has begun or, if it failed, ended.
 func (c *call) recordResponse(failed bool, firstByte time.Duration) {
 	f, a := c.f, c.stats
+	if a == nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.stats.awaited, a)
@@ -151,6 +154,9 @@
 // more slowly than usual.
 func (c *call) recordEvents(events []byte) {
 	f, a := c.f, c.stats
+	if a == nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.firstEventAt.IsZero() {
@@ -166,6 +172,9 @@
 // off: a connection that ends says little about the version.
 func (c *call) discardResponse() {
 	f, a := c.f, c.stats
+	if a == nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !a.counted || a.bad {
@@ -180,6 +189,9 @@
 // recordStreamEnd adds a complete stream to the usual time between events.
 func (c *call) recordStreamEnd() {
 	f, a := c.f, c.stats
+	if a == nil {
+		return
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if pace, ok := a.pace(f.settings.Clock.Now()); ok {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -28,10 +28,15 @@
 
 // forwardStream forwards the events of a response as they arrive and reports
 // whether the request is finished. If the response breaks off, the next attempt
-// resumes after the last complete event.
-func (c *call) forwardStream(t *placer.Ticket, resp *dialer.ForwardResponse, g *progressGuard, firstByte time.Duration) bool {
-	g.streaming.Store(true)
-	g.recordProgress(resp)
+// resumes after the last complete event. The guard is nil if another host guards the
+// attempt.
+func (c *call) forwardStream(t ticket, resp *dialer.ForwardResponse, g *progressGuard, firstByte time.Duration) bool {
+	recordProgress := func() { c.expectDelegatedEvent(resp) }
+	if g != nil {
+		g.streaming.Store(true)
+		recordProgress = func() { g.recordProgress(resp) }
+	}
+	recordProgress()
 	c.recordResponse(false, firstByte)
 	buf := make([]byte, 0, eventBufferSize)
 	for {
@@ -57,7 +62,7 @@
 			// An upstream that sends parts of an event or comments is not making
 			// progress.
 			if containsEvent(buf[:end]) {
-				g.recordProgress(resp)
+				recordProgress()
 				c.recordEvents(buf[:end])
 				c.recordServed()
 			}
@@ -80,7 +85,7 @@
 func (c *call) forwardEvents(resp *dialer.ForwardResponse, events []byte) error {
 	if !c.responding {
 		c.responding = true
-		copyHeader(c.w.Header(), resp.Header)
+		c.copyHeader(resp.Header)
 		c.w.WriteHeader(http.StatusOK)
 	}
 	if _, err := c.w.Write(events); err != nil {
@@ -98,7 +103,7 @@
 
 // finishStream handles the end of a response's body. It reports whether the
 // request is finished.
-func (c *call) finishStream(t *placer.Ticket, resp *dialer.ForwardResponse, firstByte time.Duration, complete bool) bool {
+func (c *call) finishStream(t ticket, resp *dialer.ForwardResponse, firstByte time.Duration, complete bool) bool {
 	if !complete {
 		resp.Abort()
 		return c.handleStreamFailure(t, errPartialEvent)
@@ -109,7 +114,7 @@
 	c.recordStreamEnd()
 	if !c.responding {
 		// A stream without events is complete.
-		copyHeader(c.w.Header(), resp.Header)
+		c.copyHeader(resp.Header)
 		c.w.WriteHeader(http.StatusOK)
 	}
 	c.recordSession()
@@ -120,7 +125,7 @@
 
 // handleStreamFailure handles a stream that broke off. It reports whether the
 // request is finished.
-func (c *call) handleStreamFailure(t *placer.Ticket, err error) bool {
+func (c *call) handleStreamFailure(t ticket, err error) bool {
 	c.discardResponse()
 	done := c.handleFailure(t, err)
 	if !done {
@@ -167,6 +172,9 @@
 // recordSession records the version that the session used, so that its later
 // requests stay on it.
 func (c *call) recordSession() {
+	if c.stats == nil {
+		return
+	}
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
 	c.f.assigner.RecordUse(c.service.Name, c.session, c.onTarget, c.f.settings.Clock.Now())
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -86,6 +86,8 @@
 	// Service is a group of interchangeable upstreams.
 	Service struct {
 		Name string
+		// HealthPath is the path of the upstreams' health check; empty for none.
+		HealthPath string
 		// MaxConns is the number of connections that an upstream accepts from
 		// all hosts together.
 		MaxConns int
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -557,32 +557,36 @@
 	u := t.up
 	u.running--
 	u.work -= t.work
-	now := t.p.settings.Clock.Now()
-	u.recordOutcome(outcome, firstByte, now)
 	switch outcome {
 	case Refused, NotListening, Misdirected, Busy:
 		t.removePlacement()
 	case Succeeded, Failed, Broken, Silent, Stale, Abandoned:
 	}
+	now := t.p.settings.Clock.Now()
 	switch outcome {
-	case Misdirected:
+	case Refused, NotListening, Silent, Stale:
+		t.p.reach.recordUnreached(u.hash, now)
+		if t.p.isPartitioned() {
+			// It says nothing about the upstream.
+			return
+		}
+	case Succeeded, Failed, Busy, Misdirected:
 		t.p.recordReceived(u)
+	case Broken, Abandoned:
+		// A reset may come from either side of a partition, so it proves nothing.
+	}
+	u.recordOutcome(outcome, firstByte, now)
+	switch outcome {
+	case Misdirected:
 		t.p.recordUnreachable(Unreachable{Upstream: u.loadID(), Misdirected: true})
-	case Succeeded, Failed, Busy:
-		t.p.recordReceived(u)
+	case NotListening:
+		t.p.recordUnreachable(Unreachable{Upstream: u.loadID()})
 	case Silent, Stale:
-		t.p.recordUnreached(u)
 		// The path within the own zone is never considered unreachable.
 		if u.Zone != t.p.settings.Zone {
 			t.p.zonePath(u.Zone).recordSilent(u.hash, now)
 		}
-	case NotListening:
-		t.p.recordUnreached(u)
-		t.p.recordUnreachable(Unreachable{Upstream: u.loadID()})
-	case Refused:
-		t.p.recordUnreached(u)
-	case Broken, Abandoned:
-		// A reset may come from either side of a partition, so it proves nothing.
+	case Succeeded, Failed, Busy, Broken, Refused, Abandoned:
 	}
 	if outcome == Succeeded || outcome == Failed || outcome == Broken {
 		t.p.ejectOutlier(u)
--- a/starter/control.go
+++ b/starter/control.go
@@ -50,7 +50,7 @@
 		select {
 		case <-ctx.Done():
 			o.Log.Info().Msg("control host is leaving")
-			if err := shutDown(srv, operatorDrainTime); err != nil {
+			if err := shutDown(operatorDrainTime, srv); err != nil {
 				o.Log.Info().AnErr("cause", err).Msg("calls of operators were cut")
 			}
 		case <-runCtx.Done():
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -14,6 +14,7 @@
 
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
+	"foxtailwall/delegator"
 	"foxtailwall/dialer"
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
@@ -49,7 +50,7 @@
 	// even if no request is running, which is a little longer than rotationTime.
 	handoverFraction = 0.3
 	// reachCheckInterval is how often an entry checks whether it reaches upstreams.
-	reachCheckInterval = 100 * time.Millisecond
+	reachCheckInterval = 200 * time.Millisecond
 	// drainCheckInterval is how often a draining entry checks for running
 	// requests.
 	drainCheckInterval = 100 * time.Millisecond
@@ -67,6 +68,7 @@
 	opts     Options
 
 	placer      *placer.Placer
+	helpers     delegator.Pool
 	retryBudget *budgeter.Budget
 	forwarder   *forwarder.Forwarder
 	syncClient  *syncer.Client
@@ -113,8 +115,14 @@
 		IdleTimeout:   upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
 	defer upstreams.Close()
+	e.helpers.Clock = o.Clock
+	hostDialer := dialer.New(dialer.Options{
+		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
+		KeepAliveIdle: upstreamKeepAliveIdle, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
+	})
+	defer hostDialer.Close()
 	e.forwarder = forwarder.New(forwarder.Settings{
-		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Budget: e.retryBudget, Clock: o.Clock,
+		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Hosts: &e.helpers, HostDialer: hostDialer, Budget: e.retryBudget, Clock: o.Clock,
 		Scope: o.Scope, Log: o.Log, SessionTimeout: s.SessionTimeout,
 		ResponseMemory: int64(responseMemoryFraction * float64(s.Memory)),
 	})
@@ -147,6 +155,9 @@
 func (e *entry) run(ctx context.Context) error {
 	settings := e.settings.Load()
 	callers := &http.Server{Handler: e.forwarder, BaseContext: e.forwarder.BaseContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	delegated := &http.Server{
+		Handler: http.HandlerFunc(e.forwarder.ServeDelegated), BaseContext: e.forwarder.BaseContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	// The components keep running while the entry drains after the end of ctx.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -154,6 +165,9 @@
 	p := pool.New().WithErrors().WithFirstError()
 	p.Go(func() error { defer cancel(); return serve(runCtx, "callers", settings.Callers, callers) })
 	p.Go(func() error { defer cancel(); return serve(runCtx, "readiness", settings.Ready, ready) })
+	if settings.Delegated.IsValid() {
+		p.Go(func() error { defer cancel(); return serve(runCtx, "other hosts", settings.Delegated, delegated) })
+	}
 	p.Go(func() error { e.syncClient.Run(runCtx); return nil })
 	p.Go(func() error { e.exchangeLoads(runCtx); return nil })
 	p.Go(func() error { e.runListFallback(runCtx); return nil })
@@ -163,11 +177,11 @@
 	p.Go(func() error {
 		select {
 		case <-ctx.Done():
-			e.drain(callers)
+			e.drain(callers, delegated)
 		case <-runCtx.Done():
 		}
 		cancel()
-		return errors.CombineErrors(callers.Close(), ready.Close())
+		return errors.Join(callers.Close(), delegated.Close(), ready.Close())
 	})
 	return p.Wait()
 }
@@ -176,7 +190,7 @@
 // requests, further ones only if they certainly end in time. It accepts new
 // connections until the end, because the platform still sends them when most hosts
 // of the zone are leaving.
-func (e *entry) drain(callers *http.Server) {
+func (e *entry) drain(servers ...*http.Server) {
 	grace := e.settings.Load().Grace
 	start := e.opts.Clock.Now()
 	end := start.Add(time.Duration(cutOffFraction * float64(grace)))
@@ -190,11 +204,11 @@
 		e.sleep(drainCheckInterval)
 	}
 	// A request may have arrived since the last check.
-	if err := shutDown(callers, max(drainCheckInterval, end.Sub(e.opts.Clock.Now()))); err != nil {
+	if err := shutDown(max(drainCheckInterval, end.Sub(e.opts.Clock.Now())), servers...); err != nil {
 		e.opts.Log.Info().AnErr("cause", err).Int("running", e.forwarder.Running()).
 			Msg("requests were cut at the end of the grace period")
 		e.forwarder.CutOff()
-		if err := shutDown(callers, time.Duration(lastAnswersFraction*float64(grace))); err != nil {
+		if err := shutDown(time.Duration(lastAnswersFraction*float64(grace)), servers...); err != nil {
 			e.opts.Log.Info().AnErr("cause", err).Int("running", e.forwarder.Running()).
 				Msg("callers that were cut have not taken their last answers")
 		}
@@ -226,7 +240,8 @@
 func (e *entry) newReport() syncer.Report {
 	settings := e.settings.Load()
 	report := syncer.Report{
-		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Leaving: e.draining.Load(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
+		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Leaving: e.draining.Load(),
+		Delegated: settings.Delegated, Partitioned: e.placer.Partitioned(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
 	}
 	for line, count := range e.forwarder.Counts() {
 		report.Counts = append(report.Counts, syncer.AnswerCount{Line: line, Count: count})
@@ -249,6 +264,7 @@
 func (e *entry) applyUpdate(u *syncer.Update) {
 	e.liveHosts.Store(int64(u.Hosts))
 	e.neighbours.Store(int64(u.Neighbours))
+	e.helpers.Update(u.Helpers)
 	e.forwarder.SetSuspects(u.Suspects)
 	for _, excluded := range u.Excluded {
 		e.forwarder.AddExcludedSessions(excluded.Service, excluded.Target, excluded.Sessions)
@@ -340,19 +356,21 @@
 	}
 }
 
-// watchReach logs when this host no longer reaches any upstream, and when it does
-// again.
+// watchReach logs when this host no longer reaches any upstream, and finds out when it
+// does again.
 func (e *entry) watchReach(ctx context.Context) {
 	partitioned := false
 	for timekeeper.Sleep(ctx, e.opts.Clock, reachCheckInterval) == nil {
-		if e.placer.Partitioned() == partitioned {
-			continue
+		if e.placer.Partitioned() {
+			if !partitioned {
+				e.opts.Scope.Counter("entry.partitions").Inc(1)
+				e.opts.Log.Warn().Int("running", e.forwarder.Running()).Msg("this host reaches no upstream")
+			}
+			partitioned = true
+			e.forwarder.ProbeUpstream(ctx)
 		}
-		partitioned = !partitioned
-		if partitioned {
-			e.opts.Scope.Counter("entry.partitions").Inc(1)
-			e.opts.Log.Warn().Int("running", e.forwarder.Running()).Msg("this host reaches no upstream")
-		} else {
+		if partitioned && !e.placer.Partitioned() {
+			partitioned = false
 			e.opts.Log.Info().Msg("this host reaches upstreams again")
 		}
 	}
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -24,6 +24,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc/pool"
 
 	"foxtailwall/coordinator"
 	"foxtailwall/counter"
@@ -59,6 +60,9 @@
 		// Callers and Ready are listen addresses of an entry, Operators that of
 		// a control host, and Peers that for the deployment's other hosts.
 		Callers, Ready, Operators, Peers netip.AddrPort
+		// Delegated is the listen address of an entry for requests of other entries that
+		// reach no upstream; invalid if it takes none. Callers must not reach it.
+		Delegated netip.AddrPort
 		// Seeds are the Operators addresses of control hosts, which use the
 		// same port for Peers as this host.
 		Seeds []netip.AddrPort
@@ -168,11 +172,15 @@
 	return errors.Wrapf(err, "serve %s", what)
 }
 
-// shutDown waits for the requests of srv, at most for the given time.
-func shutDown(srv *http.Server, limit time.Duration) error {
+// shutDown waits for the requests of the servers, at most for the given time.
+func shutDown(limit time.Duration, servers ...*http.Server) error {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	return srv.Shutdown(ctx)
+	p := pool.New().WithErrors()
+	for _, srv := range servers {
+		p.Go(func() error { return srv.Shutdown(ctx) })
+	}
+	return p.Wait()
 }
 
 // serveMetrics serves the metrics until ctx ends. A failure is only logged.
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -63,6 +63,10 @@
 	return []dialer.Field{{Name: "X-Id", Value: h.Get("X-Id")}, {Name: "X-Parts", Value: h.Get("X-Parts")}}
 }
 
+func (codec) HostFields(h http.Header, _ forwarder.Delegation) []dialer.Field {
+	return codec{}.Fields(h, forwarder.Dispatch{})
+}
+
 func (codec) Reply(h http.Header) forwarder.Reply {
 	reply := forwarder.Reply{ID: h.Get("X-Id"), Signed: true, Confidence: -1}
 	reply.Leaving = h.Get("X-Leaving") != ""
@@ -149,7 +153,8 @@
 	}
 	d.entry = starter.Settings{
 		Name: "e", Zone: "a", Callers: reserveAddr(), Ready: reserveAddr(), Peers: d.control.Peers, Seeds: d.control.Seeds,
-		Grace: 3 * time.Second, Retries: retries,
+		Delegated: reserveAddr(),
+		Grace:     3 * time.Second, Retries: retries,
 	}
 	return d
 }
@@ -194,7 +199,7 @@
 // settings.
 func (d *deployment) startEntry(name string, o starter.Options) starter.Settings {
 	s := d.entry
-	s.Name, s.Callers, s.Ready, s.Grace = name, reserveAddr(), reserveAddr(), time.Second
+	s.Name, s.Callers, s.Ready, s.Delegated, s.Grace = name, reserveAddr(), reserveAddr(), reserveAddr(), time.Second
 	o.MetricsPort = reserveAddr().Port()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -1,13 +1,16 @@
 package syncer
 
 import (
+	"cmp"
 	"context"
+	"encoding/binary"
 	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"foxtailwall/controller"
@@ -25,6 +28,8 @@
 	// positionDelay is how long a host leads before it tells hosts their positions:
 	// by then all hosts have reported to it.
 	positionDelay = 3 * DefaultWait
+	// maxHelpers is the number of helpers that a host is told.
+	maxHelpers = 4
 	// maxDocuments is the number of documents that a hub retains, so that a host
 	// receives one to its end although newer ones are published.
 	maxDocuments = 4
@@ -75,8 +80,10 @@
 		leadingSince time.Time
 		// liveHosts are the live hosts by name among countedReports reports, and staying
 		// the number of those that do not leave by zone, as counted at countedAt.
-		liveHosts      map[string]liveHost
-		staying        map[string]int
+		liveHosts map[string]liveHost
+		staying   map[string]int
+		// helpers are those of them that take requests of others.
+		helpers        []helper
 		countedAt      time.Time
 		countedReports int
 		// excluded counts the hosts that exclude a session, by trial.
@@ -107,14 +114,23 @@
 		leaving  bool
 	}
 
+	// helper is a host that reaches upstreams and takes requests of other hosts.
+	helper struct {
+		host    string
+		hash    uint64
+		address netip.AddrPort
+	}
+
 	// hostReport is the newest report of one run of a host.
 	hostReport struct {
-		at       time.Time
-		zone     string
-		leaving  bool
-		counts   []AnswerCount
-		running  map[string]int
-		excluded []ExcludedSessions
+		at      time.Time
+		zone    string
+		leaving bool
+		// delegated is Report.Delegated, invalid if the host cannot help others now.
+		delegated netip.AddrPort
+		counts    []AnswerCount
+		running   map[string]int
+		excluded  []ExcludedSessions
 	}
 )
 
@@ -214,9 +230,13 @@
 	k := hostKey{r.Host, r.Started}
 	h.countExcluded(h.reports[k].excluded, -1)
 	h.countExcluded(r.Excluded, 1)
-	h.reports[k] = hostReport{
+	report := hostReport{
 		at: h.set.Clock.Now(), zone: r.Zone, leaving: r.Leaving, counts: r.Counts, running: r.Running, excluded: r.Excluded,
 	}
+	if !r.Leaving && !r.Partitioned {
+		report.delegated = r.Delegated
+	}
+	h.reports[k] = report
 }
 
 // countExcluded adds delta to the number of hosts that exclude each session.
@@ -254,6 +274,7 @@
 	if h.set.Clock.Since(h.leadingSince) >= positionDelay {
 		u.Position = own.position
 	}
+	u.Helpers = h.helpersOf(r.Host)
 	u.Excluded = h.excludedByOthers(r)
 	if h.set.Judge != nil {
 		u.Suspects = h.set.Judge.Suspects()
@@ -300,7 +321,7 @@
 	if h.countedReports == len(h.reports) && now.Sub(h.countedAt) <= liveHostsMaxAge {
 		return
 	}
-	h.liveHosts, h.staying = make(map[string]liveHost), make(map[string]int)
+	h.liveHosts, h.staying, h.helpers = make(map[string]liveHost), make(map[string]int), nil
 	h.countedAt, h.countedReports = now, len(h.reports)
 	reports := h.liveReports()
 	for i, name := range slices.Sorted(maps.Keys(reports)) {
@@ -309,9 +330,26 @@
 		if !r.leaving {
 			h.staying[r.zone]++
 		}
+		if r.delegated.IsValid() {
+			h.helpers = append(h.helpers, helper{host: name, hash: xxhash.Sum64String(name), address: r.delegated})
+		}
 	}
 }
 
+// helpersOf returns the addresses of the maxHelpers helpers with the highest rendezvous
+// rank for the host, so that each helps about as many hosts.
+func (h *Hub) helpersOf(host string) []netip.AddrPort {
+	hash := xxhash.Sum64String(host)
+	rank := func(o helper) uint64 { return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, o.hash^hash)) }
+	ranked := slices.DeleteFunc(slices.Clone(h.helpers), func(o helper) bool { return o.host == host })
+	slices.SortFunc(ranked, func(a, b helper) int { return cmp.Compare(rank(b), rank(a)) })
+	var out []netip.AddrPort
+	for _, o := range ranked[:min(len(ranked), maxHelpers)] {
+		out = append(out, o.address)
+	}
+	return out
+}
+
 // liveReports returns the newest report of each live host, by host name.
 func (h *Hub) liveReports() map[string]hostReport {
 	out := make(map[string]hostReport)
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -52,6 +52,10 @@
 		List      string `cbor:"list"`
 		// Leaving says that the host stops soon and takes few requests.
 		Leaving bool `cbor:"leaving,omitempty"`
+		// Delegated is the address at which the host takes requests of other hosts,
+		// invalid if it takes none. Partitioned says that it reaches no upstream.
+		Delegated   netip.AddrPort `cbor:"delegated,omitzero"`
+		Partitioned bool           `cbor:"partitioned,omitempty"`
 		// Wait is how long the leader may wait for changes, at most 5 s.
 		Wait time.Duration `cbor:"wait"`
 		// Counts are the answers since the start of the process.
@@ -104,6 +108,9 @@
 		// Neighbours is the number of other live hosts in the zone of this host that do
 		// not leave.
 		Neighbours int `cbor:"neighbours,omitempty"`
+		// Helpers are the addresses of hosts that take requests of this host while it
+		// reaches no upstream.
+		Helpers []netip.AddrPort `cbor:"helpers,omitempty"`
 		// Published lacks the document's body if the host has it, or receives its
 		// last part with this answer.
 		Published *controller.Published `cbor:"published,omitempty"`
