Do not report lost paths to all upstreams as crashes of upstreams

Cause: a connection that ends in a response counts as a crash of its upstream. A host that is partitioned loses all of them at once, its resumed streams lose the next ones, and the requests and the parts that they share look like the cause at several upstreams.

Breaks by several upstreams are now held back, for 700 ms at most, until data comes from any upstream, and forgotten when the host counts as partitioned. A break by a single upstream is reported at once, as before.

--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -19,6 +19,8 @@
 // upstreams, for the leader of the control group.
 func (f *Forwarder) Evidence(leader netip.AddrPort) isolator.Evidence {
 	f.isolation.SetLeader(leader)
+	receivedAt, lost := f.settings.Placer.Path()
+	f.isolation.SetPath(isolator.Path{ReceivedAt: receivedAt, Lost: lost})
 	return f.isolation.Evidence()
 }
 
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -26,6 +26,7 @@
 //	r.RecordBrokenRequest(isolator.BrokenRequest{Service: service, Content: hash, Upstream: upstream, ID: requestID, Attempt: 1})
 //	r.RecordRequestSuccess(service, hash)
 //	r.SetSuspects(suspects) // from the leader
+//	r.SetPath(isolator.Path{ReceivedAt: receivedAt})
 //	evidence := r.Evidence() // to the leader
 //
 //	// At the leader:
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -27,6 +27,10 @@
 	// maxBreaks bounds them; the oldest are dropped.
 	breakMemory = time.Minute
 	maxBreaks   = 128
+	// unconfirmedTime is how long breaks by several upstreams are not reported while
+	// no data comes from any: by then it is known whether the host has lost its path to
+	// all of them.
+	unconfirmedTime = 700 * time.Millisecond
 )
 
 type (
@@ -43,11 +47,21 @@
 		breaks    []BrokenRequest
 		// requestSucceeded is when a request last got its whole response.
 		requestSucceeded *buffer.LRU[controller.PromptPart, time.Time]
+		path             Path
 		// leader is the leader that gets the reports, since leaderAt.
 		leader   netip.AddrPort
 		leaderAt time.Time
 	}
 
+	// Path is what a host knows of its path to the upstreams.
+	Path struct {
+		// ReceivedAt is when data was last received from an upstream, zero if that is
+		// unknown.
+		ReceivedAt time.Time
+		// Lost says that the host reaches no upstream.
+		Lost bool
+	}
+
 	// BrokenRequest is an attempt whose connection an upstream ended before the end
 	// of its response.
 	BrokenRequest struct {
@@ -136,11 +150,49 @@
 	}
 }
 
+// SetPath sets what the host knows of its path to the upstreams. Connections that end
+// with it say nothing about requests: once it is lost, they are forgotten.
+func (r *Recorder) SetPath(p Path) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.path = p
+	if p.Lost {
+		r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return c.at.After(p.ReceivedAt) })
+		r.breaks = slices.DeleteFunc(r.breaks, func(b BrokenRequest) bool { return b.brokenAt.After(p.ReceivedAt) })
+	}
+}
+
+// isUnconfirmed reports whether what broke at a time may have broken because the host
+// has lost its path to the upstreams.
+func (r *Recorder) isUnconfirmed(at, now time.Time) bool {
+	return !r.path.ReceivedAt.IsZero() && at.After(r.path.ReceivedAt) && now.Sub(at) < unconfirmedTime
+}
+
+// severalUnconfirmed reports whether several upstreams have broken requests off that
+// are not confirmed; a single one is more likely to have crashed.
+func (r *Recorder) severalUnconfirmed(now time.Time) bool {
+	upstreams := make(map[uint64]bool)
+	for _, b := range r.breaks {
+		if r.isUnconfirmed(b.brokenAt, now) {
+			upstreams[b.Upstream.Hash()] = true
+		}
+	}
+	for _, c := range r.crashes {
+		if r.isUnconfirmed(c.at, now) {
+			upstreams[c.Upstream] = true
+		}
+	}
+	return len(upstreams) > 1
+}
+
 // reportedBreaks returns the breaks to report.
-func (r *Recorder) reportedBreaks(now time.Time) []Break {
+func (r *Recorder) reportedBreaks(now time.Time, hold bool) []Break {
 	r.breaks = slices.DeleteFunc(r.breaks, func(b BrokenRequest) bool { return now.Sub(b.brokenAt) > breakMemory })
 	var out []Break
 	for _, b := range r.breaks {
+		if hold && r.isUnconfirmed(b.brokenAt, now) {
+			continue
+		}
 		age := now.Sub(b.brokenAt)
 		if age > crashReportTime && now.Sub(r.leaderAt) > crashReportTime {
 			continue
@@ -165,12 +217,16 @@
 	defer r.mu.Unlock()
 	now := r.clock.Now()
 	r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return now.Sub(c.at) > crashReportTime })
+	hold := r.severalUnconfirmed(now)
 	var e Evidence
 	for _, c := range r.crashes {
+		if hold && r.isUnconfirmed(c.at, now) {
+			continue
+		}
 		c.Age = now.Sub(c.at)
 		e.Crashes = append(e.Crashes, c.Crash)
 	}
-	e.Breaks = r.reportedBreaks(now)
+	e.Breaks = r.reportedBreaks(now, hold)
 	for _, part := range r.suspects {
 		succeeded := r.succeeded
 		if part.Request {
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -27,6 +27,8 @@
 	// last received from any, the first of them at since.
 	unreached map[uint64]bool
 	since     time.Time
+	// receivedAt is when data was last received from any upstream.
+	receivedAt time.Time
 	// partitioned is what the last call of update returned.
 	partitioned bool
 	// probed is the number of upstreams that NextProbed has returned.
@@ -45,8 +47,8 @@
 }
 
 // recordReceived records that data was received from an upstream.
-func (r *reach) recordReceived() {
-	r.partitioned = false
+func (r *reach) recordReceived(now time.Time) {
+	r.receivedAt, r.partitioned = now, false
 	clear(r.unreached)
 }
 
@@ -66,6 +68,14 @@
 	return p.isPartitioned()
 }
 
+// Path returns when data was last received from any upstream, and what Partitioned
+// returns.
+func (p *Placer) Path() (receivedAt time.Time, partitioned bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reach.receivedAt, p.isPartitioned()
+}
+
 // isPartitioned is Partitioned. The caller holds mu.
 func (p *Placer) isPartitioned() bool {
 	before := p.reach.partitioned
@@ -86,7 +96,7 @@
 // recordReceived records that data was received from an upstream. The caller holds mu.
 func (p *Placer) recordReceived(u *upstream) {
 	p.zonePath(u.Zone).recordReceived()
-	p.reach.recordReceived()
+	p.reach.recordReceived(p.settings.Clock.Now())
 }
 
 // forgive ends the ejections of the upstreams to which this host has lost its path, and
@@ -132,5 +142,5 @@
 func (p *Placer) RecordReached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reach.recordReceived()
+	p.reach.recordReceived(p.settings.Clock.Now())
 }
