--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -98,6 +98,7 @@
 	frontend  *httptest.Server
 	upstreams []tracker.Upstream
 	budget    budgeter.Settings
+	retries   *budgeter.Budget
 	// servers belong to upstreams, in the same order.
 	servers []*httptest.Server
 	// limits and maxConns, the connection limit of an upstream, take effect with
@@ -128,10 +129,10 @@
 
 // newTestbedWithSettings sets the fields of s that every forwarder needs.
 func newTestbedWithSettings(budget budgeter.Settings, s forwarder.Settings) *testbed {
-	b := &testbed{budget: budget, placer: placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})}
+	b := &testbed{budget: budget, retries: budgeter.New(budget), placer: placer.New(placer.Settings{Clock: timekeeper.System{}, Zone: "a"})}
 	d := dialer.New(dialer.Options{})
 	DeferCleanup(d.Close)
-	s.Codec, s.Upstreams, s.Placer, s.Clock, s.Budget = codec{}, d, b.placer, timekeeper.System{}, budgeter.New(budget)
+	s.Codec, s.Upstreams, s.Placer, s.Clock, s.Budget = codec{}, d, b.placer, timekeeper.System{}, b.retries
 	b.fwd = forwarder.New(s)
 	b.frontend = httptest.NewUnstartedServer(b.fwd)
 	b.frontend.Config.BaseContext = b.fwd.BaseContext
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync"
 	"testing"
@@ -182,6 +183,40 @@
 		Expect(neighbours("a", "x", true)).To(Equal(1))
 	})
 
+	// Guards against a partitioned host that passes its requests to hosts that cannot
+	// serve them either, and against a single host that gets those of all.
+	It("tells hosts which others take their requests", func() {
+		const hosts, told = 60, 4
+		address := func(i int) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1) }
+		report := func(i int) syncer.Report {
+			// Five hosts each are partitioned, leave, or have no address for it.
+			r := syncer.Report{Host: fmt.Sprint("h", i), Delegated: address(i), Partitioned: i < 5, Leaving: i >= 5 && i < 10}
+			if i >= 10 && i < 15 {
+				r.Delegated = netip.AddrPort{}
+			}
+			return r
+		}
+		for i := range hosts {
+			<-watch(report(i))
+		}
+		clock.Advance(time.Second)
+		counts := make(map[netip.AddrPort]int)
+		for i := range hosts {
+			helpers := (<-watch(report(i))).Helpers
+			Expect(helpers).To(HaveLen(told))
+			Expect(helpers).NotTo(ContainElement(address(i)))
+			for _, a := range helpers {
+				counts[a]++
+			}
+		}
+		for i := range 15 {
+			Expect(counts).NotTo(HaveKey(address(i)))
+		}
+		for _, n := range counts {
+			Expect(n).To(BeNumerically("<", hosts/4))
+		}
+	})
+
 	// Guards against excluded sessions that are not sent to other hosts, are
 	// sent back to the host that reported them, or are still sent after no host
 	// excludes them.
