Outlast the silence of a sound upstream

What callers would see: a request that runs at an upstream whose link is silent for a second is cut, and one that may run once is answered 502. By reading and the arithmetic of the options that are set, not over a silent link, which cannot be caused here without privileges: TCP_USER_TIMEOUT was 0.7 s, so bytes unacknowledged for that long ended a connection, and since it also decides when probes give up, an idle connection ended 2 s after its last data although a silence from 0 to 1.5 s leaves only the lost probe at 1 s before that.

It is 2.1 s now: the probe at 2 s is answered.

--- a/starter/entry.go
+++ b/starter/entry.go
@@ -30,12 +30,13 @@
 	// connectTimeout bounds the opening of a connection to an upstream, which
 	// is a few milliseconds away.
 	connectTimeout = 300 * time.Millisecond
-	// tcpUserTimeout is how long bytes sent to an upstream may stay
-	// unacknowledged.
-	tcpUserTimeout = 700 * time.Millisecond
+	// tcpUserTimeout is how long bytes sent to an upstream may stay unacknowledged. It also
+	// ends the probes of a silent upstream: a sound one may be silent for 1.5 s, and one
+	// probe after that must be answered before the connection is closed.
+	tcpUserTimeout = 2100 * time.Millisecond
 	// upstreamKeepAliveIdle is how long an upstream may send nothing before its
-	// host is probed. The kernel closes the connection a second after a probe
-	// that is not answered.
+	// host is probed, every second. The kernel closes the connection with the first probe
+	// that is due after tcpUserTimeout, so 3 s after data last came.
 	upstreamKeepAliveIdle = time.Second
 	// upstreamIdleTimeout is how long an unused connection to an upstream is
 	// kept.
