Take no service for partitioned to which nothing was sent

What callers would have seen since: when all engines had stopped and no request to another service was under way for 300 ms, hosts counted as partitioned, passed the requests of all services to each other and refused them as noUpstream until a probe, each 0.2 s to another upstream, came to one that responds.

Requests are passed on only if an upstream of their own service could not be reached since data last came, and probes go first to services none of whose upstreams has failed.

--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -82,7 +82,7 @@
 	if c.isDelegated() || c.f.settings.Hosts == nil || len(c.hosts) >= maxDelegations {
 		return nil, false
 	}
-	if !c.f.settings.Placer.Partitioned() && c.unreached < maxUnreached {
+	if !c.f.settings.Placer.PartitionedFrom(c.service.Name) && c.unreached < maxUnreached {
 		return nil, false
 	}
 	return c.f.settings.Hosts.Pick(c.hosts)
@@ -92,7 +92,7 @@
 // that another host has passed to it, and one that other hosts have refused.
 func (c *call) refusePartitioned() *refusal {
 	switch {
-	case !c.f.settings.Placer.Partitioned():
+	case !c.f.settings.Placer.PartitionedFrom(c.service.Name):
 		return nil
 	case c.isDelegated():
 		return newRefusal(http.StatusServiceUnavailable, refuser.NoUpstream, noUpstreamRetryAfter)
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -37,6 +37,7 @@
 	if err != nil {
 		f.settings.Scope.Counter("forwarder.probesFailed").Inc(1)
 		f.requestLog.Info().Str("upstream", upstream.ID).AnErr("cause", err).Msg("upstream cannot be reached")
+		f.settings.Placer.RecordUnreached(upstream.Key())
 		return
 	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -571,7 +571,7 @@
 	now := t.p.settings.Clock.Now()
 	switch outcome {
 	case Refused, NotListening, Silent, Stale:
-		t.p.reach.recordUnreached(u.hash, now)
+		t.p.reach.recordUnreached(u, now)
 		if t.p.isPartitioned() {
 			// It says nothing about the upstream.
 			return
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -23,9 +23,9 @@
 // It handles a host that is partitioned from all upstreams while callers and other
 // hosts reach it: the failures say nothing about the upstreams.
 type reach struct {
-	// unreached are the hashes of the upstreams that could not be reached since data was
-	// last received from any, the first of them at since.
-	unreached map[uint64]bool
+	// unreached has the services of the upstreams, by their hash, that could not be
+	// reached since data was last received from any, the first of them at since.
+	unreached map[uint64]string
 	since     time.Time
 	// receivedAt is when data was last received from any upstream.
 	receivedAt time.Time
@@ -36,14 +36,14 @@
 }
 
 // recordUnreached records that an upstream was not reached or sent nothing in time.
-func (r *reach) recordUnreached(upstream uint64, now time.Time) {
+func (r *reach) recordUnreached(u *upstream, now time.Time) {
 	if r.unreached == nil {
-		r.unreached = make(map[uint64]bool)
+		r.unreached = make(map[uint64]string)
 	}
 	if len(r.unreached) == 0 {
 		r.since = now
 	}
-	r.unreached[upstream] = true
+	r.unreached[u.hash] = u.Service
 }
 
 // recordReceived records that data was received from an upstream.
@@ -68,6 +68,23 @@
 	return p.isPartitioned()
 }
 
+// PartitionedFrom reports whether this host seems to reach no upstream of the service,
+// nor of any other. A service to which it has sent nothing since is still to be tried:
+// all upstreams of the others may have stopped.
+func (p *Placer) PartitionedFrom(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isPartitioned() {
+		return false
+	}
+	for _, unreached := range p.reach.unreached {
+		if unreached == service {
+			return true
+		}
+	}
+	return false
+}
+
 // Path returns when data was last received from any upstream, and what Partitioned
 // returns.
 func (p *Placer) Path() (receivedAt time.Time, partitioned bool) {
@@ -105,7 +122,7 @@
 	p.unreachable = nil
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			if p.reach.unreached[u.hash] {
+			if _, ok := p.reach.unreached[u.hash]; ok {
 				u.ejectedUntil, u.ejections, u.probing = time.Time{}, 0, false
 			}
 		}
@@ -113,7 +130,8 @@
 }
 
 // NextProbed returns the upstream to probe next while this host is partitioned, each in
-// turn; ok is false if there is none.
+// turn, but first those that have not failed, of services none of whose have; ok is false
+// if there is none.
 func (p *Placer) NextProbed() (u tracker.Upstream, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -129,6 +147,17 @@
 	if len(all) == 0 {
 		return tracker.Upstream{}, false
 	}
+	failed := make(map[string]bool)
+	for _, service := range p.reach.unreached {
+		failed[service] = true
+	}
+	without := func(has func(u *upstream) bool) {
+		if rest := slices.DeleteFunc(slices.Clone(all), has); len(rest) > 0 {
+			all = rest
+		}
+	}
+	without(func(u *upstream) bool { _, ok := p.reach.unreached[u.hash]; return ok })
+	without(func(u *upstream) bool { return failed[u.Service] })
 	slices.SortFunc(all, func(a, b *upstream) int { return cmp.Compare(a.hash, b.hash) })
 	p.reach.probed++
 	chosen := all[p.reach.probed%len(all)]
@@ -138,6 +167,19 @@
 	return chosen.Upstream, true
 }
 
+// RecordUnreached records that an upstream has not responded to a probe.
+func (p *Placer) RecordUnreached(key tracker.Key) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if u.Key() == key {
+				p.reach.recordUnreached(u, p.settings.Clock.Now())
+			}
+		}
+	}
+}
+
 // RecordReached records that an upstream has responded to a probe.
 func (p *Placer) RecordReached() {
 	p.mu.Lock()
