Outlast a silence that begins at any time

One that begins later loses two probes, and the connection ended 3 s after the last data without a third; and lost bytes are sent again after 0.2, 0.6, 1.4 and 3 s, so that 2.1 s gave up before the first try after 1.5 s.

TCP_USER_TIMEOUT is 3.1 s: three probes, and the try after 3 s. A dead upstream's host is found after 4 s. The product of `serve` has the same fault with its 4 s and probes after 5 s; not changed.

--- a/starter/entry.go
+++ b/starter/entry.go
@@ -31,12 +31,12 @@
 	// is a few milliseconds away.
 	connectTimeout = 300 * time.Millisecond
 	// tcpUserTimeout is how long bytes sent to an upstream may stay unacknowledged. It also
-	// ends the probes of a silent upstream: a sound one may be silent for 1.5 s, and one
-	// probe after that must be answered before the connection is closed.
-	tcpUserTimeout = 2100 * time.Millisecond
+	// ends the probes of a silent upstream. A sound one may be silent for 1.5 s, in which
+	// two probes are lost, and bytes are sent again after 1.4 s and then after 3 s.
+	tcpUserTimeout = 3100 * time.Millisecond
 	// upstreamKeepAliveIdle is how long an upstream may send nothing before its
 	// host is probed, every second. The kernel closes the connection with the first probe
-	// that is due after tcpUserTimeout, so 3 s after data last came.
+	// that is due after tcpUserTimeout, so 4 s after data last came.
 	upstreamKeepAliveIdle = time.Second
 	// upstreamIdleTimeout is how long an unused connection to an upstream is
 	// kept.
