Outlast the silence of a sound upstream in `serve` too

With TCP_USER_TIMEOUT at 4 s and a first probe after 5 s, the first lost probe ended a connection a second later: a silence of 1.5 s around it was enough. The limits of entries are the defaults of the dialer now, for both products, so that the arithmetic stands in one place: bytes unacknowledged for 3.1 s, idle connections of a dead host after 4 s (6 s before). The spec failed with the old defaults ("a probe before the end of an idle connection is answered"); dialer, hoster, server, router and the partition specs of starter pass.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -68,8 +68,14 @@
 	tlsSessionCacheSize  = 2048
 	defaultMaxBodyBytes  = 16 << 20
 	defaultMaxEventBytes = 1 << 20
-	defaultUserTimeout   = 4 * time.Second
-	defaultKeepAliveIdle = 5 * time.Second
+	// defaultUserTimeout also ends the probes of a silent upstream. A sound one may be
+	// silent for 1.5 s, in which two probes are lost, and bytes are sent again after
+	// 1.4 s and then after 3 s.
+	defaultUserTimeout = 3100 * time.Millisecond
+	// defaultKeepAliveIdle is the time to the first probe; one is sent every second. The
+	// kernel closes the connection with the first probe that is due after
+	// defaultUserTimeout, so 4 s after data last came.
+	defaultKeepAliveIdle = time.Second
 )
 
 type (
--- a/starter/silence_test.go
+++ b/dialer/silence_test.go
@@ -1,4 +1,4 @@
-package starter_test
+package dialer_test
 
 import (
 	"time"
@@ -6,7 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"foxtailwall/starter"
+	"foxtailwall/dialer"
 )
 
 // Guards against connections with running requests that the kernel ends because a sound
@@ -16,7 +16,7 @@
 // a probe is unanswered and the timeout has passed since data last came, whatever the
 // number of probes; and lost bytes, sent again after 0.2 s, 0.6 s, 1.4 s, 3 s and so on,
 // are given up at the timeout, without another try then.
-var _ = Describe("The connections of an entry to upstreams", func() {
+var _ = Describe("Connections to upstreams", func() {
 	const (
 		interval  = time.Second
 		firstSend = 200 * time.Millisecond
@@ -29,10 +29,10 @@
 		for wait := 2 * firstSend; sentAgain < silence; wait *= 2 {
 			sentAgain += wait
 		}
-		Expect(starter.TCPUserTimeout).To(BeNumerically(">", sentAgain), "unacknowledged bytes")
-		Expect(starter.TCPUserTimeout).To(BeNumerically("<=", dead), "unacknowledged bytes")
-		probes, closed := 1, starter.UpstreamKeepAliveIdle+interval
-		for ; closed < starter.TCPUserTimeout; closed += interval {
+		Expect(dialer.DefaultUserTimeout).To(BeNumerically(">", sentAgain), "unacknowledged bytes")
+		Expect(dialer.DefaultUserTimeout).To(BeNumerically("<=", dead), "unacknowledged bytes")
+		probes, closed := 1, dialer.DefaultKeepAliveIdle+interval
+		for ; closed < dialer.DefaultUserTimeout; closed += interval {
 			probes++
 		}
 		lost := int(silence/interval) + 1
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -30,14 +30,6 @@
 	// connectTimeout bounds the opening of a connection to an upstream, which
 	// is a few milliseconds away.
 	connectTimeout = 300 * time.Millisecond
-	// tcpUserTimeout is how long bytes sent to an upstream may stay unacknowledged. It also
-	// ends the probes of a silent upstream. A sound one may be silent for 1.5 s, in which
-	// two probes are lost, and bytes are sent again after 1.4 s and then after 3 s.
-	tcpUserTimeout = 3100 * time.Millisecond
-	// upstreamKeepAliveIdle is how long an upstream may send nothing before its
-	// host is probed, every second. The kernel closes the connection with the first probe
-	// that is due after tcpUserTimeout, so 4 s after data last came.
-	upstreamKeepAliveIdle = time.Second
 	// upstreamIdleTimeout is how long an unused connection to an upstream is
 	// kept.
 	upstreamIdleTimeout = 4 * time.Second
@@ -111,15 +103,14 @@
 		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
 	})
 	upstreams := dialer.New(dialer.Options{
-		Clock: o.Clock, Scope: o.Scope, Dial: o.DialUpstream, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
-		KeepAliveIdle: upstreamKeepAliveIdle,
-		IdleTimeout:   upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
+		Clock: o.Clock, Scope: o.Scope, Dial: o.DialUpstream, ConnectTimeout: connectTimeout,
+		IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
 	defer upstreams.Close()
 	e.helpers.Clock = o.Clock
 	hostDialer := dialer.New(dialer.Options{
-		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout, TCPUserTimeout: tcpUserTimeout,
-		KeepAliveIdle: upstreamKeepAliveIdle, IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
+		Clock: o.Clock, Scope: o.Scope, ConnectTimeout: connectTimeout,
+		IdleTimeout: upstreamIdleTimeout, MaxIdleConns: maxIdleConns,
 	})
 	defer hostDialer.Close()
 	e.forwarder = forwarder.New(forwarder.Settings{
