Evacuate zones by an order in the replicated log

Result: specs of controller, coordinator (three hosts, all restarted, one disk lost), placer and the platform's calls pass; before, there was no such call.

--- a/cmd/foxtailwall/host.go
+++ b/cmd/foxtailwall/host.go
@@ -92,10 +92,12 @@
 	}()
 	return run(ctx, settings, starter.Options{
 		Protocol: starter.Protocol{
-			Codec:     translator.Headers{},
-			Config:    translator.DecodeConfig,
-			List:      translator.NewLister(settings.Platform, settings.ListRate).List,
-			Operators: func(c *coordinator.Coordinator) http.Handler { return translator.NewOperatorHandler(c, log) },
+			Codec:  translator.Headers{},
+			Config: translator.DecodeConfig,
+			List:   translator.NewLister(settings.Platform, settings.ListRate).List,
+			Operators: func(c *coordinator.Coordinator) http.Handler {
+				return translator.NewOperatorHandler(c, settings.Zones, log)
+			},
 			ReadyPath: translator.ReadyPath,
 			Settings:  readSettings,
 		},
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -67,6 +67,7 @@
 		Order      *RolloutOrder    `cbor:"order,omitempty"`
 		Step       *RolloutStep     `cbor:"step,omitempty"`
 		Isolation  *IsolationStep   `cbor:"isolation,omitempty"`
+		Evacuation *EvacuationOrder `cbor:"evacuation,omitempty"`
 	}
 
 	// Result is what Machine.Apply returns for a Command.
@@ -92,8 +93,9 @@
 		Quarantine *QuarantineResult      `cbor:"quarantine,omitempty"`
 		Own        *OwnResult             `cbor:"own,omitempty"`
 		// Put is the version of the current document.
-		Put     uint64       `cbor:"put,omitempty"`
-		Ordered *OrderResult `cbor:"ordered,omitempty"`
+		Put       uint64            `cbor:"put,omitempty"`
+		Ordered   *OrderResult      `cbor:"ordered,omitempty"`
+		Evacuated *EvacuationResult `cbor:"evacuated,omitempty"`
 		// Fault says why the item is not supported.
 		Fault string `cbor:"fault,omitempty"`
 	}
--- /dev/null
+++ b/controller/evacuation.go
@@ -0,0 +1,55 @@
+package controller
+
+import (
+	"slices"
+	"time"
+)
+
+// maxEvacuations bounds the zones that are evacuated at the same time.
+const maxEvacuations = 64
+
+type (
+	// EvacuationOrder is an operator's order to send no new requests to the upstreams of
+	// a zone or, if End is set, to send requests there again.
+	EvacuationOrder struct {
+		Zone string `cbor:"zone"`
+		End  bool   `cbor:"end,omitempty"`
+	}
+
+	// Evacuation says that the upstreams of a zone get no new requests.
+	Evacuation struct {
+		Zone string `cbor:"zone" json:"zone"`
+		// Since is the leader's time when the order was accepted.
+		Since time.Time `cbor:"since" json:"since"`
+	}
+
+	// EvacuationResult is the result of an EvacuationOrder.
+	EvacuationResult struct {
+		// Accepted is false if too many zones are evacuated.
+		Accepted bool `cbor:"accepted"`
+		// Changed is false for a repeated order.
+		Changed bool `cbor:"changed,omitempty"`
+	}
+)
+
+// orderEvacuation starts or ends the evacuation of a zone. A repeated order is
+// accepted and changes nothing.
+func (m *Machine) orderEvacuation(at time.Time, o *EvacuationOrder) *EvacuationResult {
+	index := slices.IndexFunc(m.evacuations, func(e Evacuation) bool { return e.Zone == o.Zone })
+	switch {
+	case o.End == (index < 0):
+		return &EvacuationResult{Accepted: true}
+	case !o.End && len(m.evacuations) >= maxEvacuations:
+		return &EvacuationResult{}
+	}
+	// Readers may still use the old list.
+	next := slices.Clone(m.evacuations)
+	if o.End {
+		next = slices.Delete(next, index, index+1)
+	} else {
+		next = append(next, Evacuation{Zone: o.Zone, Since: at})
+	}
+	m.evacuations = next
+	m.viewDirty = true
+	return &EvacuationResult{Accepted: true, Changed: true}
+}
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -60,6 +60,7 @@
 		document        Document
 		orderedRollouts []OrderedRollout
 		isolations      []Isolation
+		evacuations     []Evacuation
 	}
 
 	// entryMeta is the log index of a command and the leader's time in it.
@@ -174,6 +175,8 @@
 		return Answer{OK: m.stepOrderedRollout(it.Step)}
 	case it.Isolation != nil:
 		return Answer{OK: m.stepIsolation(e.at, it.Isolation)}
+	case it.Evacuation != nil:
+		return Answer{Evacuated: m.orderEvacuation(e.at, it.Evacuation)}
 	case it.Prune != nil:
 		m.pruneOwners(e.at)
 		return Answer{OK: true}
--- a/controller/ordered_rollout.go
+++ b/controller/ordered_rollout.go
@@ -66,15 +66,16 @@
 		Rollout OrderedRollout `cbor:"rollout"`
 	}
 
-	// Published is the current document, the ordered rollouts and the isolated
-	// prompt parts.
+	// Published is the current document, the ordered rollouts, the isolated prompt parts
+	// and the evacuated zones.
 	Published struct {
 		// Version increases with every change of the state that hosts use.
 		Version  uint64           `cbor:"version"`
 		Document Document         `cbor:"document"`
 		Rollouts []OrderedRollout `cbor:"rollouts,omitempty"`
 		// Isolations includes those that have ended and are remembered.
-		Isolations []Isolation `cbor:"isolations,omitempty"`
+		Isolations  []Isolation  `cbor:"isolations,omitempty"`
+		Evacuations []Evacuation `cbor:"evacuations,omitempty"`
 	}
 )
 
@@ -83,7 +84,9 @@
 func (m *Machine) Published() Published {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Published{Version: m.view.Version, Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations}
+	return Published{
+		Version: m.view.Version, Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations, Evacuations: m.evacuations,
+	}
 }
 
 // putDocument stores the document if its version is higher than the current one
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -31,10 +31,11 @@
 		Ledger        biller.Export         `cbor:"ledger"`
 		Pins          []savedPin            `cbor:"pins,omitempty"`
 		// Owners has string keys, which the codec sorts.
-		Owners     map[string]engineOwner `cbor:"owners,omitempty"`
-		Document   Document               `cbor:"document"`
-		Rollouts   []OrderedRollout       `cbor:"rollouts,omitempty"`
-		Isolations []Isolation            `cbor:"isolations,omitempty"`
+		Owners      map[string]engineOwner `cbor:"owners,omitempty"`
+		Document    Document               `cbor:"document"`
+		Rollouts    []OrderedRollout       `cbor:"rollouts,omitempty"`
+		Isolations  []Isolation            `cbor:"isolations,omitempty"`
+		Evacuations []Evacuation           `cbor:"evacuations,omitempty"`
 	}
 
 	savedAnswer struct {
@@ -60,7 +61,7 @@
 		// affect the elements up to this length.
 		History:  m.history[:len(m.history):len(m.history)],
 		Owners:   make(map[string]engineOwner, len(m.owners)),
-		Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations,
+		Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations, Evacuations: m.evacuations,
 	}
 	for _, k := range m.answers.order {
 		s.Answers = append(s.Answers, savedAnswer{Key: k, Answer: m.answers.byID[k]})
@@ -134,6 +135,10 @@
 	for i := range m.isolations {
 		m.isolations[i].Until = m.isolations[i].Until.UTC()
 	}
+	m.evacuations = s.Evacuations
+	for i := range m.evacuations {
+		m.evacuations[i].Since = m.evacuations[i].Since.UTC()
+	}
 	m.view.Progress, m.view.Quarantined = s.Progress, s.Quarantined
 	for i := range m.view.Progress {
 		m.view.Progress[i].Since = m.view.Progress[i].Since.UTC()
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -88,6 +88,32 @@
 	return r, false, nil
 }
 
+// StartEvacuation has hosts send no new requests to the upstreams of the zone; EndEvacuation
+// takes that back. A repeated order is acknowledged again. Errors are *UnavailableError.
+func (c *Coordinator) StartEvacuation(ctx context.Context, zone string) error {
+	return c.evacuate(ctx, controller.EvacuationOrder{Zone: zone})
+}
+
+// EndEvacuation ends the evacuation of a zone; see StartEvacuation.
+func (c *Coordinator) EndEvacuation(ctx context.Context, zone string) error {
+	return c.evacuate(ctx, controller.EvacuationOrder{Zone: zone, End: true})
+}
+
+func (c *Coordinator) evacuate(ctx context.Context, o controller.EvacuationOrder) error {
+	a, err := c.propose(ctx, controller.Item{Evacuation: &o})
+	switch {
+	case err != nil:
+		return err
+	case a.Evacuated == nil:
+		// The leader, or the host that forwarded the call, is of a release without evacuations.
+		return wrapUnavailable(errors.Newf("the order was not applied: %s", a.Fault))
+	case !a.Evacuated.Accepted:
+		return wrapUnavailable(errors.Newf("too many zones are evacuated"))
+	}
+	c.set.Log.Info().Str("zone", o.Zone).Bool("ended", o.End).Bool("changed", a.Evacuated.Changed).Msg("evacuation ordered")
+	return nil
+}
+
 // propose appends one item to the log, if necessary through the leader, and
 // returns its answer.
 func (c *Coordinator) propose(ctx context.Context, item controller.Item) (controller.Answer, error) {
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -168,7 +168,7 @@
 	switch {
 	case c.rollout == nil:
 		return placer.VersionFilter{}
-	case c.onTarget:
+	case c.onTarget && (c.rollout.State != controller.RolloutRunning || !c.f.settings.Placer.Evacuated(c.service.Name, c.rollout.Target)):
 		return placer.VersionFilter{Only: c.rollout.Target}
 	}
 	return placer.VersionFilter{Except: c.rollout.Target}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -215,6 +215,8 @@
 		remoteLoadsInterval time.Duration
 		zonePaths           map[string]*zonePath
 		reach               reach
+		// evacuated has the zones whose upstreams get no requests.
+		evacuated map[string]bool
 		// placements are those that other hosts were not told yet, at most
 		// maxPlacements.
 		placements []Placement
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -139,7 +139,7 @@
 	var all []*upstream
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			if !u.Leaving && !u.withdrawal.refuses(now) && !p.throttled(u, now) {
+			if !u.Leaving && !p.evacuated[u.Zone] && !u.withdrawal.refuses(now) && !p.throttled(u, now) {
 				all = append(all, u)
 			}
 		}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -304,12 +304,21 @@
 		}
 	}
 	e.newest = next
+	e.placer.SetEvacuated(evacuatedZones(p.Evacuations))
 	e.activateNewest()
 	e.opts.Log.Info().Uint64("config", e.documentVersion).Uint64("published", p.Version).Int("rollouts", len(p.Rollouts)).
-		Int("isolated", len(next.Isolated)).
+		Int("isolated", len(next.Isolated)).Int("evacuated", len(p.Evacuations)).
 		Msg("configuration in force")
 }
 
+func evacuatedZones(evacuations []controller.Evacuation) []string {
+	var zones []string
+	for _, e := range evacuations {
+		zones = append(zones, e.Zone)
+	}
+	return zones
+}
+
 // applyList activates a list of upstreams. The caller holds mu.
 func (e *entry) applyList(list []tracker.Upstream) {
 	if e.inventory.Update(list) {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -57,6 +57,8 @@
 	// Settings are the settings of an entry or a control host.
 	Settings struct {
 		Name, Zone string
+		// Zones are all availability zones of the deployment.
+		Zones []string
 		// Callers and Ready are listen addresses of an entry, Operators that of
 		// a control host, and Peers that for the deployment's other hosts.
 		Callers, Ready, Operators, Peers netip.AddrPort
