Compare the failures of versions apart from late answers

Cause: failures and late answers were one count.

Change: hosts report failures besides, and a target is rolled back if either rate is in excess.

--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -98,7 +98,7 @@
 	target, others := stager.Sum(r, e.Counts)
 	c.set.Log.Info().Str("service", r.Service).Str("target", r.Target).Str("state", string(step.State)).
 		Int("share", step.Share).Bool("moving", step.Moving).Int("ready", e.Ready).Int("old", e.Old).
-		Float64("perSecond", e.PerSecond).Uint64("targetAnswers", target.All).Uint64("targetBad", target.Bad).
-		Uint64("otherAnswers", others.All).Uint64("otherBad", others.Bad).
+		Float64("perSecond", e.PerSecond).Uint64("targetAnswers", target.All).Uint64("targetBad", target.Bad).Uint64("targetFailed", target.Failed).
+		Uint64("otherAnswers", others.All).Uint64("otherBad", others.Bad).Uint64("otherFailed", others.Failed).
 		Msg("rollout advanced")
 }
--- a/forwarder/stats.go
+++ b/forwarder/stats.go
@@ -106,6 +106,13 @@
 	s.counts[a.line] = n
 }
 
+// countFailed notes that a counted response is a failure. Each attempt is noted once.
+func (s *responseStats) countFailed(a *attemptStats) {
+	n := s.counts[a.line]
+	n.Failed++
+	s.counts[a.line] = n
+}
+
 // average adds a sample to a moving average. The sample is capped, so that a
 // burst of slow responses does not raise the mean at once.
 func average(means map[routeKey]time.Duration, key routeKey, sample time.Duration) {
@@ -147,6 +154,9 @@
 	delete(f.stats.awaited, a)
 	a.begunAt = f.settings.Clock.Now()
 	f.stats.count(a, failed || f.stats.isLate(a, firstByte))
+	if failed {
+		f.stats.countFailed(a)
+	}
 	average(f.stats.meanFirstByte, a.route, firstByte)
 }
 
--- a/stager/stager.go
+++ b/stager/stager.go
@@ -91,6 +91,9 @@
 		// Bad counts failures and answers whose first byte took several times
 		// as long as usual.
 		Bad uint64 `cbor:"bad"`
+		// Failed counts failures alone, which are included in Bad. Hosts of earlier
+		// releases do not report it.
+		Failed uint64 `cbor:"failed,omitempty"`
 	}
 
 	// Evidence is the state of upstreams and requests on which Next decides.
@@ -201,16 +204,24 @@
 
 // hasExcessBadAnswers reports whether the target has enough bad answers, and a
 // rate of them that exceeds that of the other versions by enough, to roll back.
+//
+// Failures are also compared by themselves: while upstreams are overloaded, so many
+// answers of all versions are late that the rate of bad answers shows no excess.
 func hasExcessBadAnswers(target, others Count) bool {
-	if target.Bad < minBadAnswers {
+	return hasExcess(target.Bad, target.All, others.Bad, others.All) || hasExcess(target.Failed, target.All, others.Failed, others.All)
+}
+
+func hasExcess(bad, all, othersBad, othersAll uint64) bool {
+	if bad < minBadAnswers {
 		return false
 	}
-	rate := float64(target.Bad) / float64(max(target.All, 1))
-	usualRate := (float64(others.Bad) + priorBadAnswers) / (float64(others.All) + priorAnswers)
+	rate := float64(bad) / float64(max(all, 1))
+	usualRate := (float64(othersBad) + priorBadAnswers) / (float64(othersAll) + priorAnswers)
 	return rate > usualRate+maxBadRateExcess && rate > maxBadRateRatio*usualRate
 }
 
 func (c *Count) add(o Count) {
 	c.All += o.All
 	c.Bad += o.Bad
+	c.Failed += o.Failed
 }
--- a/stager/stager_test.go
+++ b/stager/stager_test.go
@@ -175,14 +175,28 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against a version that fails two of five requests and is completed since, on
+	// overloaded upstreams, more than half of the other versions' answers are late.
+	It("rolls back a version that fails while the others are slow", func() {
+		r := controller.OrderedRollout{State: controller.RolloutRunning, StartedAt: time.Unix(0, 0)}
+		r.Service, r.Target, r.Duration = "s", "v2", time.Minute
+		counts := map[stager.CountKey]stager.Count{
+			{Service: "s", Version: "v1", Route: "a"}: {All: 8999, Bad: 5119, Failed: 90},
+			{Service: "s", Version: "v2", Route: "a"}: {All: 25, Bad: 10, Failed: 10},
+		}
+		s, ok := stager.Next(r, time.Unix(5, 0), stager.Evidence{Counts: counts, Ready: 1})
+		Expect(ok).To(BeTrue())
+		Expect(s.State).To(Equal(controller.RolloutRolledBack))
+	})
+
 	// Guards against a limit on the target's rate of bad answers alone: here the
 	// other versions fail almost as often.
 	It("does not roll back because of failures that affect all versions", func() {
 		r := controller.OrderedRollout{State: controller.RolloutRunning, StartedAt: time.Unix(0, 0)}
 		r.Service, r.Target, r.Duration = "s", "v2", time.Minute
 		counts := map[stager.CountKey]stager.Count{
-			{Service: "s", Version: "v1", Route: "a"}: {All: 200, Bad: 80},
-			{Service: "s", Version: "v2", Route: "a"}: {All: 20, Bad: 9},
+			{Service: "s", Version: "v1", Route: "a"}: {All: 200, Bad: 80, Failed: 80},
+			{Service: "s", Version: "v2", Route: "a"}: {All: 20, Bad: 9, Failed: 9},
 		}
 		s, ok := stager.Next(r, time.Unix(5, 0), stager.Evidence{Counts: counts, Ready: 1})
 		Expect(ok).To(BeTrue())
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -382,6 +382,7 @@
 			n := out[c.Line]
 			n.All += c.Count.All
 			n.Bad += c.Count.Bad
+			n.Failed += c.Count.Failed
 			out[c.Line] = n
 		}
 	}
