Evacuate zones in serve too

Cause: orders to evacuate a zone existed only for entries on the platform.

Change: the procedure control/evacuate and the command foxtailwall evacuate; the view that hosts confirm has the evacuated zones, catalogs and pools leave out their upstreams, status lists them.

Result: specs of declarer, relayer (deltas), and a running host that stops and resumes sending pass; an unknown zone is refused.

--- a/cmd/foxtailwall/main.go
+++ b/cmd/foxtailwall/main.go
@@ -35,6 +35,7 @@
 			checkCommand(),
 			diffCommand(),
 			applyCommand(readConfig),
+			evacuateCommand(),
 			showCommand(declarer.Print),
 			statusCommand(),
 			ledgerCommand(),
--- a/cmd/foxtailwall/status.go
+++ b/cmd/foxtailwall/status.go
@@ -21,6 +21,8 @@
 still use an older version, including a stable version that was withdrawn since.
 It stops using versions in rollout when its lease ends.
 
+Zones whose upstreams get no new requests are listed as evacuated.
+
 For the newest version and each withdrawal it prints whether they are in force,
 which hosts have yet to confirm them, and which zones are cut off and may still
 use an older version. Only the leader of the control group reports this.
@@ -92,6 +94,9 @@
 	for _, q := range status.Quarantined {
 		fmt.Fprintf(w, "quarantined %s\n", q)
 	}
+	for _, e := range status.Evacuated {
+		fmt.Fprintf(w, "evacuated zone %s since %s\n", e.Zone, e.Since.Format(time.RFC3339))
+	}
 	for _, z := range zoneStatuses(status) {
 		fmt.Fprintf(w, "zone %s: %d of %d hosts use version %d\n", z.zone, z.current, z.hosts, status.Version)
 		for _, h := range z.notCurrent {
--- a/controller/evacuation.go
+++ b/controller/evacuation.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"foxtailwall/declarer"
 )
 
 // maxEvacuations bounds the zones that are evacuated at the same time.
@@ -16,13 +18,6 @@
 		End  bool   `cbor:"end,omitempty"`
 	}
 
-	// Evacuation says that the upstreams of a zone get no new requests.
-	Evacuation struct {
-		Zone string `cbor:"zone" json:"zone"`
-		// Since is the leader's time when the order was accepted.
-		Since time.Time `cbor:"since" json:"since"`
-	}
-
 	// EvacuationResult is the result of an EvacuationOrder.
 	EvacuationResult struct {
 		// Accepted is false if too many zones are evacuated.
@@ -35,7 +30,7 @@
 // orderEvacuation starts or ends the evacuation of a zone. A repeated order is
 // accepted and changes nothing.
 func (m *Machine) orderEvacuation(at time.Time, o *EvacuationOrder) *EvacuationResult {
-	index := slices.IndexFunc(m.evacuations, func(e Evacuation) bool { return e.Zone == o.Zone })
+	index := slices.IndexFunc(m.evacuations, func(e declarer.Evacuation) bool { return e.Zone == o.Zone })
 	switch {
 	case o.End == (index < 0):
 		return &EvacuationResult{Accepted: true}
@@ -47,7 +42,7 @@
 	if o.End {
 		next = slices.Delete(next, index, index+1)
 	} else {
-		next = append(next, Evacuation{Zone: o.Zone, Since: at})
+		next = append(next, declarer.Evacuation{Zone: o.Zone, Since: at})
 	}
 	m.evacuations = next
 	m.viewDirty = true
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -60,7 +60,7 @@
 		document        Document
 		orderedRollouts []OrderedRollout
 		isolations      []Isolation
-		evacuations     []Evacuation
+		evacuations     []declarer.Evacuation
 	}
 
 	// entryMeta is the log index of a command and the leader's time in it.
@@ -216,6 +216,7 @@
 	// Appending to nil makes an empty list nil, as it is after Restore.
 	m.view.Progress = append([]declarer.Progress(nil), m.view.Progress...)
 	m.view.Quarantined = append([]declarer.VersionRef(nil), m.view.Quarantined...)
+	m.view.Evacuated = append([]declarer.Evacuation(nil), m.evacuations...)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/controller/ordered_rollout.go
+++ b/controller/ordered_rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"foxtailwall/declarer"
 )
 
 // States of an ordered rollout.
@@ -74,8 +76,8 @@
 		Document Document         `cbor:"document"`
 		Rollouts []OrderedRollout `cbor:"rollouts,omitempty"`
 		// Isolations includes those that have ended and are remembered.
-		Isolations  []Isolation  `cbor:"isolations,omitempty"`
-		Evacuations []Evacuation `cbor:"evacuations,omitempty"`
+		Isolations  []Isolation           `cbor:"isolations,omitempty"`
+		Evacuations []declarer.Evacuation `cbor:"evacuations,omitempty"`
 	}
 )
 
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -35,7 +35,7 @@
 		Document    Document               `cbor:"document"`
 		Rollouts    []OrderedRollout       `cbor:"rollouts,omitempty"`
 		Isolations  []Isolation            `cbor:"isolations,omitempty"`
-		Evacuations []Evacuation           `cbor:"evacuations,omitempty"`
+		Evacuations []declarer.Evacuation  `cbor:"evacuations,omitempty"`
 	}
 
 	savedAnswer struct {
--- a/declarer/declarer_test.go
+++ b/declarer/declarer_test.go
@@ -138,6 +138,16 @@
 		Expect(c.ServiceUpstreams("booking")).To(HaveLen(1))
 	})
 
+	// Guards against requests to an upstream whose zone is evacuated.
+	It("omits the upstreams of evacuated zones", func() {
+		v := declarer.View{Config: validConfig(), Evacuated: []declarer.Evacuation{{Zone: "z1"}}}
+		c := declarer.NewCatalog(v)
+		Expect(c.Upstreams(declarer.VersionRef{Model: "draft", Version: "v1"})).To(BeEmpty())
+		Expect(c.ServiceUpstreams("booking")).To(BeEmpty())
+		v.Evacuated[0].Zone = "z2"
+		Expect(declarer.NewCatalog(v).ServiceUpstreams("booking")).To(HaveLen(1))
+	})
+
 	// Guards against a call that is treated as idempotent because a shorter
 	// path matched first.
 	DescribeTable("matches calls by the longest path", func(method, path string, found, idempotent bool) {
--- a/declarer/view.go
+++ b/declarer/view.go
@@ -20,6 +20,15 @@
 		// Quarantined lists versions that the change detector has taken out
 		// of use.
 		Quarantined []VersionRef `cbor:"quarantined,omitempty"`
+		// Evacuated lists zones whose upstreams get no new requests.
+		Evacuated []Evacuation `cbor:"evacuated,omitempty"`
+	}
+
+	// Evacuation says that the upstreams of a zone get no new requests.
+	Evacuation struct {
+		Zone string `cbor:"zone" json:"zone"`
+		// Since is the leader's time when the order was accepted.
+		Since time.Time `cbor:"since" json:"since"`
 	}
 
 	// Progress is the state of one rollout.
@@ -116,6 +125,9 @@
 	}
 	for i := range v.Config.Upstreams {
 		u := &v.Config.Upstreams[i]
+		if c.IsEvacuated(u.Zone) {
+			continue
+		}
 		for _, r := range u.Serves {
 			c.versionUpstreams[r] = append(c.versionUpstreams[r], u)
 		}
@@ -165,10 +177,17 @@
 // Rollout returns the progress of the model's rollout, or nil.
 func (c *Catalog) Rollout(model string) *Progress { return c.progress[model] }
 
-// Upstreams returns the replicas that serve the version.
+// IsEvacuated reports whether the upstreams of the zone get no new requests.
+func (c *Catalog) IsEvacuated(zone string) bool {
+	return slices.ContainsFunc(c.View.Evacuated, func(e Evacuation) bool { return e.Zone == zone })
+}
+
+// Upstreams returns the replicas that serve the version, without those in evacuated
+// zones.
 func (c *Catalog) Upstreams(r VersionRef) []*Upstream { return c.versionUpstreams[r] }
 
-// ServiceUpstreams returns the replicas of the plain service.
+// ServiceUpstreams returns the replicas of the plain service, without those in evacuated
+// zones.
 func (c *Catalog) ServiceUpstreams(name string) []*Upstream { return c.serviceUpstreams[name] }
 
 // Version returns the declaration of a version, or nil.
--- a/hoster/adapters.go
+++ b/hoster/adapters.go
@@ -122,6 +122,9 @@
 	for i := range c.View.Config.Upstreams {
 		u := &c.View.Config.Upstreams[i]
 		known[u.Address] = true
+		if c.IsEvacuated(u.Zone) {
+			continue
+		}
 		for _, ref := range u.Serves {
 			upstreamsByPool[poolKey{ref: ref}] = append(upstreamsByPool[poolKey{ref: ref}], u)
 		}
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -225,6 +225,41 @@
 		Expect(d.stop()).To(Succeed())
 	}, NodeTimeout(2*time.Minute))
 
+	// Guards against a host that goes on sending requests to an evacuated zone, or none
+	// after the evacuation has ended, and against an order for a zone that does not exist.
+	It("sends nothing to an evacuated zone", func(ctx context.Context) {
+		d := startDeployment(emulator.EngineConfig{Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}}}, hoster.TLSFiles{Insecure: true}, nil)
+		operator := messenger.OperatorClient{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(d.settings.Peers, nil)}}
+		change, err := controller.NewApply("office", "", 0, d.config("v1"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = operator.Apply(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+		status := func(status int) {
+			GinkgoHelper()
+			Eventually(d.sendRequest).WithContext(ctx).WithArguments(http.DefaultClient, "http").
+				WithTimeout(time.Minute).WithPolling(50 * time.Millisecond).Should(Equal(status))
+		}
+		status(http.StatusOK)
+		_, err = operator.Evacuate(ctx, controller.EvacuationOrder{Zone: "b"})
+		Expect(err).To(MatchError(ContainSubstring(`"b"`)))
+		for _, changed := range []bool{true, false} {
+			got, err := operator.Evacuate(ctx, controller.EvacuationOrder{Zone: "a"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(*got).To(Equal(controller.EvacuationResult{Accepted: true, Changed: changed}))
+		}
+		status(http.StatusServiceUnavailable)
+		ran := len(d.engine.Ran())
+		Expect(d.sendRequest(ctx, http.DefaultClient, "http")).To(Equal(http.StatusServiceUnavailable))
+		Expect(d.engine.Ran()).To(HaveLen(ran))
+		state, err := operator.Status(ctx, false)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(state.Evacuated).To(ConsistOf(HaveField("Zone", "a")))
+		_, err = operator.Evacuate(ctx, controller.EvacuationOrder{Zone: "a", End: true})
+		Expect(err).NotTo(HaveOccurred())
+		status(http.StatusOK)
+		Expect(d.stop()).To(Succeed())
+	}, NodeTimeout(2*time.Minute))
+
 	// Guards against a zone that is cut off before the leader starts, never
 	// confirms a version and is therefore missing from the status.
 	It("lists a cut-off zone in the status", func(ctx context.Context) {
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	procSubmit = "control/submit"
-	procApply  = "control/apply"
-	procShow   = "control/show"
-	procStatus = "control/status"
-	procExport = "control/export"
+	procSubmit   = "control/submit"
+	procApply    = "control/apply"
+	procShow     = "control/show"
+	procStatus   = "control/status"
+	procExport   = "control/export"
+	procEvacuate = "control/evacuate"
 
 	// maxItems is the largest number of items in one call, and so in one log
 	// entry.
@@ -112,6 +113,7 @@
 		Declared    uint64                `cbor:"declared" json:"declared"`
 		Progress    []declarer.Progress   `cbor:"progress,omitempty" json:"progress,omitempty"`
 		Quarantined []declarer.VersionRef `cbor:"quarantined,omitempty" json:"quarantined,omitempty"`
+		Evacuated   []declarer.Evacuation `cbor:"evacuated,omitempty" json:"evacuated,omitempty"`
 		Withdrawals []declarer.Withdrawal `cbor:"withdrawals,omitempty" json:"withdrawals,omitempty"`
 		// Standing is the status of Version, Withdrawn that of each withdrawal.
 		// Both are omitted if the answering host is not the leader.
@@ -139,6 +141,10 @@
 		Change controller.Apply `cbor:"change"`
 	}
 
+	evacuateRequest struct {
+		Order controller.EvacuationOrder `cbor:"order"`
+	}
+
 	showRequest struct {
 		History int `cbor:"history,omitempty"`
 		// Local requests the state of the receiving host, without a quorum.
@@ -169,6 +175,7 @@
 	s := &ControlService{opts: opts}
 	handleLeader(m, procSubmit, opts.Forward, s.submit)
 	handleLeader(m, procApply, opts.Forward, s.apply)
+	handleLeader(m, procEvacuate, opts.Forward, s.evacuate)
 	handleLeader(m, procShow, opts.Forward, s.show)
 	handleLeader(m, procStatus, opts.Forward, s.status)
 	HandleStream(m, procExport, s.export)
@@ -194,8 +201,8 @@
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "a call must carry 1 to %d items, not %d", maxItems, n)
 	}
 	for _, it := range r.Items {
-		if it.Apply != nil || it.Prune != nil {
-			return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "apply and prune items are not accepted; use %s to change the configuration", procApply)
+		if it.Apply != nil || it.Prune != nil || it.Evacuation != nil {
+			return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "apply, prune and evacuation items are not accepted; use %s to change the configuration and %s to evacuate a zone", procApply, procEvacuate)
 		}
 	}
 	answers, index, err := s.propose(ctx, r.Items)
@@ -213,6 +220,22 @@
 	return answers[0].Apply, nil
 }
 
+func (s *ControlService) evacuate(ctx context.Context, r *evacuateRequest) (*controller.EvacuationResult, error) {
+	zone := r.Order.Zone
+	inZone := func(u declarer.Upstream) bool { return u.Zone == zone }
+	if upstreams := s.opts.Machine.View().Config.Upstreams; !r.Order.End && !slices.ContainsFunc(upstreams, inZone) {
+		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "no upstream is declared in a zone %q", zone)
+	}
+	answers, _, err := s.propose(ctx, []controller.Item{{Evacuation: &r.Order}})
+	if err != nil {
+		return nil, err
+	}
+	if answers[0].Evacuated == nil {
+		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "the order was not applied: %s", answers[0].Fault)
+	}
+	return answers[0].Evacuated, nil
+}
+
 // propose stamps the items with the time of this host and appends them to the
 // log, which accepts them from the leader only.
 func (s *ControlService) propose(ctx context.Context, items []controller.Item) ([]controller.Answer, uint64, error) {
@@ -249,7 +272,7 @@
 	v, d := s.opts.Machine.View(), s.opts.Machine.Declared()
 	out := &Status{
 		Version: v.Version, Declared: d.Version, Progress: v.Progress,
-		Quarantined: v.Quarantined, Withdrawals: d.Config.Withdrawals,
+		Quarantined: v.Quarantined, Evacuated: v.Evacuated, Withdrawals: d.Config.Withdrawals,
 	}
 	out.Claims, out.Pins, out.Records, out.RefusedBills = s.opts.Machine.Sizes()
 	if s.opts.Hosts != nil {
--- a/messenger/operator.go
+++ b/messenger/operator.go
@@ -37,6 +37,12 @@
 	return callLeader[applyRequest, controller.ApplyResult](ctx, o.newLeaderCaller(), procApply, &applyRequest{Change: a})
 }
 
+// Evacuate starts or ends the evacuation of a zone. A repeated order has no effect, so
+// that it may be sent again after an *UncertainError.
+func (o *OperatorClient) Evacuate(ctx context.Context, order controller.EvacuationOrder) (*controller.EvacuationResult, error) {
+	return callLeader[evacuateRequest, controller.EvacuationResult](ctx, o.newLeaderCaller(), procEvacuate, &evacuateRequest{Order: order})
+}
+
 // Show returns the configuration and up to history changes. With local it
 // returns the state of the first reachable control host, which may be
 // outdated.
--- a/relayer/delta.go
+++ b/relayer/delta.go
@@ -25,6 +25,7 @@
 		Retention   *declarer.Retention          `cbor:"retention,omitempty"`
 		Progress    *change[declarer.Progress]   `cbor:"progress,omitempty"`
 		Quarantined *change[declarer.VersionRef] `cbor:"quarantined,omitempty"`
+		Evacuated   *change[declarer.Evacuation] `cbor:"evacuated,omitempty"`
 	}
 
 	// change lists the declarations that were added or modified, and the keys
@@ -53,6 +54,8 @@
 func withdrawalKey(v declarer.Withdrawal) string { return v.Model + "/" + v.Version }
 func progressKey(v declarer.Progress) string     { return v.Model + "/" + v.Version }
 
+func evacuationKey(v declarer.Evacuation) string { return v.Zone }
+
 // Diff returns the delta from old to next. Both must be sorted as by Sorted.
 func Diff(old, next declarer.View) *Delta {
 	a, b := &old.Config, &next.Config
@@ -66,6 +69,7 @@
 		Withdrawals: diff(a.Withdrawals, b.Withdrawals, withdrawalKey),
 		Progress:    diff(old.Progress, next.Progress, progressKey),
 		Quarantined: diff(old.Quarantined, next.Quarantined, declarer.VersionRef.String),
+		Evacuated:   diff(old.Evacuated, next.Evacuated, evacuationKey),
 	}
 	if a.Retention != b.Retention {
 		d.Retention = &b.Retention
@@ -90,6 +94,7 @@
 		},
 		Progress:    patch(old.Progress, d.Progress, progressKey),
 		Quarantined: patch(old.Quarantined, d.Quarantined, declarer.VersionRef.String),
+		Evacuated:   patch(old.Evacuated, d.Evacuated, evacuationKey),
 	}
 	if d.Retention != nil {
 		v.Config.Retention = *d.Retention
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -57,6 +57,9 @@
 	if rng.IntN(2) == 0 {
 		next.Quarantined = []declarer.VersionRef{{Model: name(), Version: "v"}}
 	}
+	if rng.IntN(2) == 0 {
+		next.Evacuated = []declarer.Evacuation{{Zone: name(), Since: time.Unix(rng.Int64N(99), 0).UTC()}}
+	}
 	rng.Shuffle(len(c.Models), func(i, j int) { c.Models[i], c.Models[j] = c.Models[j], c.Models[i] })
 	return next
 }
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -14,6 +14,7 @@
 
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
+	"foxtailwall/declarer"
 	"foxtailwall/delegator"
 	"foxtailwall/dialer"
 	"foxtailwall/forwarder"
@@ -311,7 +312,7 @@
 		Msg("configuration in force")
 }
 
-func evacuatedZones(evacuations []controller.Evacuation) []string {
+func evacuatedZones(evacuations []declarer.Evacuation) []string {
 	var zones []string
 	for _, e := range evacuations {
 		zones = append(zones, e.Zone)
