--- a/coordinator/lead.go
+++ b/coordinator/lead.go
@@ -45,7 +45,7 @@
 		return
 	}
 	if !c.inventory.Update(list) && len(c.hub.Upstreams()) > 0 {
-		c.hub.ConfirmList()
+		c.hub.ConfirmList(c.inventory.List())
 		return
 	}
 	c.listCount++
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -267,7 +267,7 @@
 	upstream := t.Upstream()
 	sentAt := c.f.settings.Clock.Now()
 	g := newProgressGuard(c, t, sentAt)
-	c.beginAttempt(upstream, sentAt)
+	c.beginAttempt(upstream, t.Cold(), sentAt)
 	defer func() {
 		c.endAttempt()
 		c.hasRetry = c.hasRetry || g.hasRetry.Load()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -132,6 +132,9 @@
 		// RetryAfter is the time for which the upstream wants no requests, if its
 		// status is 503; zero if it names none.
 		RetryAfter time.Duration
+		// ColdLeft is how much longer the upstream is cold, nil if the response does not
+		// say. Health responses do.
+		ColdLeft *time.Duration
 		// BadRetryAfter is a Retry-After that cannot be read, empty if there is none.
 		BadRetryAfter string
 	}
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -45,4 +45,7 @@
 	}
 	resp.Abort()
 	f.settings.Placer.RecordReached()
+	if left := f.settings.Codec.Reply(resp.Header).ColdLeft; left != nil {
+		f.settings.Placer.RecordColdTime(upstream.Key(), *left)
+	}
 }
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -27,6 +27,9 @@
 	// request are at their rate limits. The retry reaches another host, whose share
 	// may be free.
 	limitedRetryAfter = 700 * time.Millisecond
+	// coldRetryAfter is the Retry-After while the only upstreams are cold and this host
+	// has no permit for any: other hosts may have one, and some upstreams become warm.
+	coldRetryAfter = 500 * time.Millisecond
 	// fullRetryAfter is the Retry-After while brittle upstreams have no room for a request
 	// of this host.
 	fullRetryAfter = 500 * time.Millisecond
--- a/forwarder/stats.go
+++ b/forwarder/stats.go
@@ -56,6 +56,9 @@
 		// events is the number of events after the first bytes.
 		events       int
 		counted, bad bool
+		// cold means that the upstream counted as cold. Its response is late for that
+		// reason and says nothing about the version's speed.
+		cold bool
 	}
 )
 
@@ -84,7 +87,7 @@
 
 // isLate reports whether a response whose first byte takes this long is late.
 func (s *responseStats) isLate(a *attemptStats, firstByte time.Duration) bool {
-	return isSlow(firstByte, s.meanFirstByte[a.route], minSlowLatency)
+	return !a.cold && isSlow(firstByte, s.meanFirstByte[a.route], minSlowLatency)
 }
 
 // isSlow reports whether d is several times the mean, if that is known.
@@ -117,11 +120,12 @@
 }
 
 // beginAttempt starts to await the response of an attempt that was just sent.
-func (c *call) beginAttempt(upstream tracker.Upstream, sentAt time.Time) {
+// cold says that the upstream counts as cold.
+func (c *call) beginAttempt(upstream tracker.Upstream, cold bool, sentAt time.Time) {
 	a := &attemptStats{
 		route:  routeKey{service: c.service.Name, route: c.route.Name, model: c.model},
 		line:   stager.CountKey{Service: c.service.Name, Version: upstream.Version, Route: c.route.Name},
-		sentAt: sentAt,
+		sentAt: sentAt, cold: cold,
 	}
 	c.stats = a
 	c.f.mu.Lock()
@@ -147,7 +151,9 @@
 	delete(f.stats.awaited, a)
 	a.begunAt = f.settings.Clock.Now()
 	f.stats.count(a, failed || f.stats.isLate(a, firstByte))
-	average(f.stats.meanFirstByte, a.route, firstByte)
+	if !a.cold {
+		average(f.stats.meanFirstByte, a.route, firstByte)
+	}
 }
 
 // recordEvents counts events of a stream, which is bad if they come several times
@@ -163,7 +169,7 @@
 		a.firstEventAt = f.settings.Clock.Now()
 	}
 	a.events += bytes.Count(events, []byte("\n\n")) + bytes.Count(events, []byte("\r\n\r\n"))
-	if pace, ok := a.pace(f.settings.Clock.Now()); ok && isSlow(pace, f.stats.meanPace[a.route], minSlowPace) {
+	if pace, ok := a.pace(f.settings.Clock.Now()); ok && !a.cold && isSlow(pace, f.stats.meanPace[a.route], minSlowPace) {
 		f.stats.count(a, true)
 	}
 }
@@ -194,7 +200,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if pace, ok := a.pace(f.settings.Clock.Now()); ok {
+	if pace, ok := a.pace(f.settings.Clock.Now()); ok && !a.cold {
 		average(f.stats.meanPace, a.route, pace)
 	}
 }
--- a/matcher/matcher.go
+++ b/matcher/matcher.go
@@ -91,6 +91,11 @@
 		// MaxConns is the number of connections that an upstream accepts from
 		// all hosts together.
 		MaxConns int
+		// ColdStart is how long an upstream is cold after its start, and ColdRate the
+		// number of requests per second that it then tolerates from all hosts together.
+		// Upstreams of a service with a ColdRate of zero are never cold.
+		ColdStart time.Duration
+		ColdRate  float64
 		// Engine is nil for services without model engines.
 		Engine *Engine
 	}
@@ -261,6 +266,9 @@
 	return nil, false
 }
 
+// Services returns all services. The caller must not modify them.
+func (t *Table) Services() []Service { return t.config.Services }
+
 // Service returns the service with the name.
 func (t *Table) Service(name string) (*Service, bool) {
 	s, ok := t.services[name]
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -24,10 +24,12 @@
 	if now.Sub(p.remoteLoadsAt) > remoteLoadsTTL {
 		loads = nil
 	}
-	var local, remote, unusable []*upstream
+	var local, remote, unusable, withheld []*upstream
 	for _, u := range pl.upstreams {
 		switch {
 		case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !r.Versions.allows(u.Version) || slices.Contains(r.Tried, u.Key()) || p.throttled(u, now) || !p.hasPlace(u, now):
+		case p.withheld(u, now):
+			withheld = append(withheld, u)
 		case r.MaxConns > 0 && float64(u.running+int(loads[u.loadID()].Running)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
@@ -41,6 +43,9 @@
 			remote = append(remote, u)
 		}
 	}
+	if len(local)+len(remote)+len(unusable) == 0 {
+		return p.coldTrial(withheld, now)
+	}
 	if len(local)+len(remote) == 0 {
 		return firstReinstated(unusable)
 	}
--- /dev/null
+++ b/placer/cold.go
@@ -0,0 +1,542 @@
+package placer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"foxtailwall/throttler"
+	"foxtailwall/tracker"
+)
+
+const (
+	// coldWindow is the time within which the bound on requests to a cold upstream
+	// holds.
+	coldWindow = time.Second
+	// defaultColdOverage and defaultColdSlack are the bound of Settings without one.
+	defaultColdOverage = 1.5
+	defaultColdSlack   = 5
+	// listDelay is how long after an upstream has answered again a list must have been
+	// read to tell that it is not cold: the list is made from earlier data, and the time
+	// at which the leader read it is known less the time of the answer's transfer.
+	listDelay = 500 * time.Millisecond
+	// restartListDelay is the same for an upstream whose process has certainly ended.
+	// Lists lag by up to 3 s, and an older one still says that it is not cold.
+	restartListDelay = 3 * time.Second
+	// repeatedFailureTime is the time after which a second failure, with no response in
+	// between, counts as the end of the process. A lost connection alone does not.
+	repeatedFailureTime = 500 * time.Millisecond
+	// reportDelay is the time after a failure within which other hosts are told of it,
+	// and sinceReceivedError the largest error of the times at which other hosts
+	// received data.
+	reportDelay        = 700 * time.Millisecond
+	sinceReceivedError = 300 * time.Millisecond
+	// bufferedTime is how long data that an upstream sent before it ended may be read
+	// later.
+	bufferedTime = 300 * time.Millisecond
+	// A host without a permit for any upstream sends one request to a cold one at
+	// intervals of coldTrialTime for each host and upstream, at least minColdTrialTime,
+	// so that it learns that upstreams are back although the leader is unavailable.
+	// All such hosts together add a quarter of a request per second.
+	coldTrialTime    = 4 * time.Second
+	minColdTrialTime = 10 * time.Second
+	// outageMemory is how long hosts tell each other of an upstream that could not be
+	// reached, longer than a host is usually cut off.
+	outageMemory = 30 * time.Second
+	// outageError is the difference between two times of the same outage, which come
+	// from ages.
+	outageError = 300 * time.Millisecond
+	// A zone has failed if this many of its upstreams could not be reached and none has
+	// sent data to any host for silentZoneTime.
+	minFailedUpstreams = 2
+	silentZoneTime     = 300 * time.Millisecond
+	// maxColdChanges bounds the upstreams that TakeColdChanges names.
+	maxColdChanges = 8
+)
+
+type (
+	// ColdRate is the number of requests that an upstream of a service tolerates after
+	// its start.
+	ColdRate struct {
+		// PerSecond is the number of requests per second from all hosts together; zero
+		// means that upstreams of the service are never cold.
+		PerSecond float64
+		// Start is how long an upstream is cold after its start.
+		Start time.Duration
+	}
+
+	// Outage says that an upstream could not be reached.
+	Outage struct {
+		_ struct{} `cbor:",toarray"`
+		// Upstream is the hash of the upstream's key.
+		Upstream uint64
+		// Ended means that nothing listened at its address, so that its process had ended.
+		Ended bool
+		// Age is the time since then.
+		Age time.Duration
+	}
+
+	// ColdChanges says what has changed since the last call of TakeColdChanges.
+	ColdChanges struct {
+		// Became and Ceased are the IDs of upstreams that count as cold and no longer do,
+		// at most maxColdChanges each; MoreBecame and MoreCeased are the numbers of
+		// further ones.
+		Became, Ceased         []string
+		MoreBecame, MoreCeased int
+		// Sent is the number of requests sent to cold upstreams, and Withheld how often
+		// a cold upstream was passed over for lack of a permit.
+		Sent, Withheld int64
+	}
+
+	// coldState is what the choice among cold upstreams needs besides the upstreams.
+	coldState struct {
+		rates map[string]ColdRate
+		// turn rotates the ranks of hosts.
+		turn int
+		// sent has the services to which this host has sent requests.
+		sent           map[string]bool
+		requests, held int64
+		// nextTrial is when a host without permits may next send a request, zero if it
+		// has some.
+		nextTrial time.Time
+	}
+
+	// coldness is what this host knows of an upstream's start. It ends with the
+	// upstream's incarnation.
+	coldness struct {
+		// unlistedSince is when the upstream was first listed, zero once a list has said
+		// how long it stays cold.
+		unlistedSince time.Time
+		// until is when it is warm by the list or its own word, said at saidAt.
+		until, saidAt time.Time
+		// suspectedAt is when it was last found to be possibly cold, zero if it is not.
+		suspectedAt time.Time
+		// restarted means that its process has certainly ended.
+		restarted bool
+		// lostAfter is the earliest time at which its process may have ended. Zero means
+		// that it may be cold without a restart.
+		lostAfter time.Time
+		// answeredAt is when any host first received data after suspectedAt.
+		answeredAt time.Time
+		// failedAt is when this host last failed to reach it, endedAt when nothing listened
+		// then, and outageAt the time of the newest outage that is known.
+		failedAt, endedAt, outageAt time.Time
+		// reported is what TakeColdChanges last said.
+		reported bool
+		pace     throttler.Pace
+	}
+)
+
+// SetColdRates replaces the rates by service. Services without one have no cold
+// upstreams.
+func (p *Placer) SetColdRates(rates map[string]ColdRate) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cold.rates = rates
+}
+
+// SetColdTurn sets the number by which the ranks of all hosts are rotated at cold
+// upstreams, so that each host is a sender at times.
+func (p *Placer) SetColdTurn(turn int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cold.turn = turn
+}
+
+// SetColdTimes records what a list of upstreams, read at the time, says of how long
+// upstreams stay cold, by the hash of their keys. Those that are not named are not cold.
+func (p *Placer) SetColdTimes(left map[uint64]time.Duration, readAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			u.cold.list(left[u.Key().Hash()], readAt)
+		}
+	}
+}
+
+// ColdTimes returns the argument of SetColdTimes for a list.
+func ColdTimes(list []tracker.Upstream) map[uint64]time.Duration {
+	left := make(map[uint64]time.Duration)
+	for _, u := range list {
+		if u.ColdLeft > 0 {
+			left[u.Key().Hash()] = u.ColdLeft
+		}
+	}
+	return left
+}
+
+// RecordColdTime records how long the upstream says that it stays cold, zero if it is not.
+func (p *Placer) RecordColdTime(key tracker.Key, left time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if u.Key() == key {
+				u.cold.clear()
+				u.cold.unlistedSince, u.cold.until, u.cold.saidAt = time.Time{}, now.Add(left), now
+			}
+		}
+	}
+}
+
+// Cold reports whether an upstream of the service counts as cold, so that a request
+// without an upstream may have been withheld from it.
+func (p *Placer) Cold(service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
+	return slices.ContainsFunc(p.pools[service].members(), func(u *upstream) bool {
+		return !u.Leaving && !u.withdrawal.leaving && !p.evacuated[u.Zone] && p.isCold(u, now)
+	})
+}
+
+// TakeColdChanges returns what has changed since the last call.
+func (p *Placer) TakeColdChanges() ColdChanges {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
+	c := ColdChanges{Sent: p.cold.requests, Withheld: p.cold.held}
+	p.cold.requests, p.cold.held = 0, 0
+	add := func(ids []string, more int, id string) ([]string, int) {
+		if len(ids) >= maxColdChanges {
+			return ids, more + 1
+		}
+		return append(ids, id), more
+	}
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			cold := p.isCold(u, now)
+			if cold == u.cold.reported {
+				continue
+			}
+			u.cold.reported = cold
+			if cold {
+				c.Became, c.MoreBecame = add(c.Became, c.MoreBecame, u.ID)
+			} else {
+				c.Ceased, c.MoreCeased = add(c.Ceased, c.MoreCeased, u.ID)
+			}
+		}
+	}
+	return c
+}
+
+// Cold reports whether the upstream counted as cold when it was chosen.
+func (t *Ticket) Cold() bool { return t.cold }
+
+// isCold reports whether the upstream counts as cold. The caller holds mu.
+func (p *Placer) isCold(u *upstream, now time.Time) bool {
+	rate, ok := p.cold.rates[u.Service]
+	return ok && rate.PerSecond > 0 && u.cold.isCold(rate.Start, now)
+}
+
+// withheld reports whether the upstream is cold and this host has no permit for it now.
+// The caller holds mu.
+func (p *Placer) withheld(u *upstream, now time.Time) bool {
+	if !p.isCold(u, now) {
+		return false
+	}
+	limit := throttler.Limit{
+		PerSecond: p.cold.rates[u.Service].PerSecond, Hosts: p.hosts, Rank: p.coldRankAt(u),
+		Window: coldWindow, Factor: p.settings.ColdOverage, Slack: p.settings.ColdSlack, Hold: true,
+	}
+	if p.rank >= 0 && u.cold.pace.Allows(limit, now) {
+		p.cold.nextTrial = time.Time{}
+		return false
+	}
+	p.cold.held++
+	return true
+}
+
+// coldRankAt is rankAt, rotated by the leader's turn.
+func (p *Placer) coldRankAt(u *upstream) int {
+	rank := p.rankAt(u)
+	if rank < 0 {
+		return rank
+	}
+	return rank + p.cold.turn
+}
+
+// coldTrial returns a cold upstream for a host that has no permit for any, if its next
+// trial is due. The caller holds mu.
+func (p *Placer) coldTrial(withheld []*upstream, now time.Time) *upstream {
+	if len(withheld) == 0 {
+		return nil
+	}
+	interval := max(minColdTrialTime, coldTrialTime*time.Duration(max(p.hosts, 1))/time.Duration(len(withheld)))
+	switch {
+	case p.cold.nextTrial.IsZero():
+		p.cold.nextTrial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(interval)))
+		return nil
+	case now.Before(p.cold.nextTrial):
+		return nil
+	}
+	p.cold.nextTrial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(interval)))
+	return withheld[rand.IntN(len(withheld))]
+}
+
+// beginCold sets what is known of an upstream that is listed for the first time. before
+// is the pool of its service in the list before, nil if there was none.
+func (p *Placer) beginCold(u *upstream, listed tracker.Upstream, before *pool) {
+	now := p.settings.Clock.Now()
+	u.cold.unlistedSince = now
+	u.cold.pace.Reset(throttler.Phase(p.settings.Host, listed.ID), now)
+	if before != nil && p.cold.sent[listed.Service] {
+		u.cold.suspect(now, time.Time{}, false)
+	}
+}
+
+// countCold counts an attempt that begins. The caller holds mu.
+func (p *Placer) countCold(t *Ticket, now time.Time) {
+	if p.cold.sent == nil {
+		p.cold.sent = make(map[string]bool)
+	}
+	p.cold.sent[t.up.Service] = true
+	t.sentAt = now
+	t.cold = p.takeColdPermit(t.up, now)
+}
+
+// takeColdPermit uses a permit if the upstream is cold, and reports whether it is. The
+// caller holds mu.
+func (p *Placer) takeColdPermit(u *upstream, now time.Time) bool {
+	if !p.isCold(u, now) {
+		return false
+	}
+	u.cold.pace.Take()
+	p.cold.requests++
+	return true
+}
+
+// recordColdReceived records that data arrived for the attempt. The caller holds mu.
+func (t *Ticket) recordColdReceived(now time.Time) {
+	t.receivedAt = now
+	c := &t.up.cold
+	switch {
+	case c.suspectedAt.IsZero():
+	case !c.lostAfter.IsZero() && t.sentAt.Before(c.lostAfter) && now.Sub(c.suspectedAt) > bufferedTime:
+		// The same process has run this attempt all the time.
+		c.clear()
+	case !t.sentAt.Before(c.suspectedAt):
+		c.answer(now)
+	}
+}
+
+// recordColdOutcome records how the attempt ended. The caller holds mu.
+func (t *Ticket) recordColdOutcome(outcome Outcome, now time.Time) {
+	lostAfter := later(t.sentAt, t.receivedAt)
+	switch outcome {
+	case Succeeded, Failed, Busy:
+		t.recordColdReceived(now)
+	case NotListening, Misdirected:
+		t.up.cold.endedAt = now
+		t.up.cold.suspect(now, lostAfter, true)
+		t.p.suspectFailedZone(t.up.Zone, now)
+	case Refused, Silent, Stale:
+		t.up.cold.failedAt = now
+		t.up.cold.suspect(now, lostAfter, false)
+		t.p.suspectFailedZone(t.up.Zone, now)
+	case Broken:
+		t.up.cold.suspect(now, lostAfter, false)
+	case Abandoned:
+	}
+}
+
+// suspectFailedZone records that the upstreams of a zone may have become cold if the zone
+// seems to have failed: those that this host has not tried may have failed as well. The
+// caller holds mu.
+func (p *Placer) suspectFailedZone(zone string, now time.Time) {
+	failed, first := 0, now
+	var receivedAt time.Time
+	var others []*upstream
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			switch c := &u.cold; {
+			case u.Zone != zone:
+			case !c.suspectedAt.IsZero():
+				if c.answeredAt.IsZero() && (now.Sub(c.failedAt) < restartListDelay || now.Sub(c.endedAt) < restartListDelay) {
+					failed++
+					first = earlier(first, c.suspectedAt)
+				}
+			default:
+				receivedAt = later(receivedAt, later(u.lastReceived, u.lastReceivedElsewhere))
+				others = append(others, u)
+			}
+		}
+	}
+	if failed < minFailedUpstreams || now.Sub(first) < silentZoneTime || receivedAt.After(first) {
+		return
+	}
+	for _, u := range others {
+		u.cold.suspect(now, first, false)
+	}
+}
+
+// Outages returns the upstreams that this host could not reach within outageMemory,
+// unless it reaches none at all.
+func (p *Placer) Outages() []Outage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.reach.partitioned {
+		return nil
+	}
+	now := p.settings.Clock.Now()
+	var out []Outage
+	for _, pl := range p.pools {
+		if p.cold.rates[pl.service()].PerSecond <= 0 {
+			continue
+		}
+		for _, u := range pl.upstreams {
+			for ended, at := range map[bool]time.Time{false: u.cold.failedAt, true: u.cold.endedAt} {
+				if age := now.Sub(at); !at.IsZero() && age <= outageMemory {
+					out = append(out, Outage{Upstream: u.Key().Hash(), Ended: ended, Age: age})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// AddOutages adds what other hosts report.
+func (p *Placer) AddOutages(outages []Outage) {
+	if len(outages) == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.settings.Clock.Now()
+	told := make(map[uint64][]Outage, len(outages))
+	for _, o := range outages {
+		told[o.Upstream] = append(told[o.Upstream], o)
+	}
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			for _, o := range told[u.Key().Hash()] {
+				at := now.Add(-o.Age)
+				// The path of the reporting host may have failed.
+				if at.Sub(u.cold.outageAt) > outageError && (o.Ended || later(u.lastReceived, u.lastReceivedElsewhere).Before(at)) {
+					u.cold.suspect(at, at.Add(-reportDelay), o.Ended)
+				}
+			}
+		}
+	}
+}
+
+// service returns the name of the pool's service.
+func (pl *pool) service() string { return pl.upstreams[0].Service }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// suspectTold records that another host could not reach the upstream. The caller holds
+// mu.
+func (u *upstream) suspectTold(now time.Time) {
+	c := &u.cold
+	if !c.suspectedAt.IsZero() && now.Sub(c.suspectedAt) < reportDelay {
+		// It may be told repeatedly of the same failure.
+		c.restarted = true
+		return
+	}
+	c.suspect(now, now.Add(-reportDelay), true)
+}
+
+// suspectAll records that upstreams may have become cold without this host's knowledge:
+// those of a zone, or all if the zone is empty. The caller holds mu.
+func (p *Placer) suspectAll(zone string, now time.Time) {
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if zone == "" || u.Zone == zone {
+				u.cold.suspect(now, now, false)
+			}
+		}
+	}
+}
+
+// suspectEvacuated records that the upstreams of a zone may have become cold while its
+// evacuation lasted, with or without a restart. The caller holds mu.
+func (p *Placer) suspectEvacuated(zone string, now time.Time) {
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if u.Zone == zone {
+				u.cold.suspect(now, time.Time{}, true)
+			}
+		}
+	}
+}
+
+// isCold reports whether the upstream counts as cold; start is how long it is cold after
+// its start.
+func (c *coldness) isCold(start time.Duration, now time.Time) bool {
+	if !c.unlistedSince.IsZero() && now.Sub(c.unlistedSince) >= start {
+		c.unlistedSince = time.Time{}
+	}
+	if !c.answeredAt.IsZero() && now.Sub(c.answeredAt) >= start {
+		c.clear()
+	}
+	return !c.unlistedSince.IsZero() || now.Before(c.until) || !c.suspectedAt.IsZero()
+}
+
+// suspect records that the upstream may be cold from now on. restarted means that its
+// process has certainly ended, not before lostAfter.
+func (c *coldness) suspect(now, lostAfter time.Time, restarted bool) {
+	c.outageAt = later(c.outageAt, now)
+	first := c.suspectedAt.IsZero()
+	repeated := !first && c.answeredAt.IsZero() && now.Sub(c.suspectedAt) >= repeatedFailureTime
+	c.restarted = c.restarted || restarted || repeated
+	if first || lostAfter.Before(c.lostAfter) {
+		c.lostAfter = lostAfter
+	}
+	if first || c.restarted || !c.answeredAt.IsZero() {
+		c.suspectedAt = now
+	}
+	c.answeredAt = time.Time{}
+}
+
+// answer records that the upstream responds again.
+func (c *coldness) answer(at time.Time) {
+	if c.answeredAt.IsZero() {
+		c.answeredAt = at
+	}
+}
+
+// recordElsewhere records that another host received data at about the given time.
+func (c *coldness) recordElsewhere(at, now time.Time) {
+	if !c.suspectedAt.IsZero() && at.Sub(c.suspectedAt) > sinceReceivedError {
+		c.answer(now)
+	}
+}
+
+// clear records that the upstream has not become cold.
+func (c *coldness) clear() {
+	c.suspectedAt, c.answeredAt, c.lostAfter, c.restarted = time.Time{}, time.Time{}, time.Time{}, false
+}
+
+// list records what a list that was read at the time says.
+func (c *coldness) list(left time.Duration, readAt time.Time) {
+	c.unlistedSince = time.Time{}
+	switch {
+	case readAt.Before(c.saidAt):
+	case left > 0:
+		c.until, c.saidAt = readAt.Add(left), readAt
+	case readAt.Sub(c.saidAt) >= restartListDelay:
+		c.until = time.Time{}
+	}
+	delay := listDelay
+	if c.restarted {
+		delay = restartListDelay
+	}
+	if !c.answeredAt.IsZero() && readAt.Sub(c.answeredAt) >= delay {
+		c.clear()
+	}
+}
--- /dev/null
+++ b/placer/cold_test.go
@@ -0,0 +1,471 @@
+package placer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"foxtailwall/placer"
+	"foxtailwall/timekeeper"
+	"foxtailwall/tracker"
+)
+
+const (
+	coldFactor, coldExtra = 1.5, 5
+	// listLag is the age of what a list says when it is read, and listEvery the time
+	// between two reads by the leader.
+	listLag   = 1500 * time.Millisecond
+	listEvery = 1200 * time.Millisecond
+	// toldEvery is the time between two exchanges with the leader, and toldFor how long
+	// it tells hosts of an upstream that could not be reached.
+	toldEvery = 60 * time.Millisecond
+	toldFor   = 300 * time.Millisecond
+	// pollEvery is the time between two updates of a host by the leader.
+	pollEvery = 400 * time.Millisecond
+	// turnEvery is the time between two turns of the leader.
+	turnEvery = 4 * time.Second
+)
+
+type (
+	// coldFleet simulates hosts that send to upstreams that are cold after each start.
+	coldFleet struct {
+		clock     *timekeeper.Fake
+		rng       *rand.Rand
+		start     time.Duration
+		rate      float64
+		perSecond float64
+		hosts     []*coldHost
+		ups       []*coldUpstream
+		byID      map[string]*coldUpstream
+		// read is the list that the leader last read, and readAt when.
+		read   []tracker.Upstream
+		readAt time.Time
+		turn   int
+		// unreachable is when a host last reported an upstream as unreachable.
+		unreachable     map[placer.Unreachable]time.Time
+		received        map[uint32]time.Time
+		served, refused int
+		evacuated       []string
+		outages         map[uint64]coldOutage
+		// answers are the responses that are due.
+		answers []coldAnswer
+		nextAt  map[string]time.Time
+	}
+
+	coldHost struct {
+		*placer.Placer
+		index int
+		// cut hosts have no connection to the leader.
+		cut bool
+		// listed is the number of upstreams in the list that the host has.
+		listed []tracker.Upstream
+	}
+
+	coldUpstream struct {
+		tracker.Upstream
+		// down upstreams refuse connections, silent ones do not respond to them.
+		down, silent bool
+		// warmAt is when it was or is warm.
+		warmAt time.Time
+		// history has the cold time that the list shows, by the time of the change.
+		history []coldFact
+		// arrivals are the times of requests while it was cold.
+		arrivals []time.Time
+		run      int
+	}
+
+	coldOutage struct {
+		placer.Outage
+		at time.Time
+	}
+
+	coldFact struct {
+		at     time.Time
+		warmAt time.Time
+	}
+
+	coldAnswer struct {
+		at  time.Time
+		t   *placer.Ticket
+		up  *coldUpstream
+		run int
+	}
+)
+
+// coldSeeds returns the number of seeds to simulate, more if the variable
+// FOXTAILWALL_SEEDS says so.
+func coldSeeds() int {
+	if n, err := strconv.Atoi(os.Getenv("FOXTAILWALL_SEEDS")); err == nil {
+		return n
+	}
+	return 1
+}
+
+// newColdFleet returns warm upstreams, a third in each zone, and hosts that have a list.
+func newColdFleet(seed uint64, hosts, upstreams int, rate, perSecond float64) *coldFleet {
+	f := &coldFleet{
+		clock: timekeeper.NewFake(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(seed, 4)), start: 12 * time.Second, rate: rate, perSecond: perSecond,
+		byID: make(map[string]*coldUpstream), unreachable: make(map[placer.Unreachable]time.Time), received: make(map[uint32]time.Time),
+		nextAt: make(map[string]time.Time), outages: make(map[uint64]coldOutage),
+	}
+	for i, u := range fleet(upstreams/3, 64) {
+		u.ID = fmt.Sprint(seed, "-", i)
+		up := &coldUpstream{Upstream: u}
+		f.ups = append(f.ups, up)
+		f.byID[u.ID] = up
+	}
+	f.readList()
+	for i := range hosts {
+		h := &coldHost{index: i}
+		f.hosts = append(f.hosts, h)
+		f.begin(h, i)
+	}
+	return f
+}
+
+// begin starts the host's process.
+func (f *coldFleet) begin(h *coldHost, rank int) {
+	h.Placer = placer.New(placer.Settings{Clock: f.clock, Zone: []string{"a", "b", "c"}[h.index%3], Host: fmt.Sprint("h", h.index)})
+	h.SetColdRates(map[string]placer.ColdRate{"s": {PerSecond: f.rate, Start: f.start}})
+	h.SetHosts(len(f.hosts), rank)
+	h.listed = nil
+	f.update(h)
+}
+
+// readList lets the leader read the list, which lags.
+func (f *coldFleet) readList() {
+	now := f.clock.Now()
+	f.read, f.readAt = nil, now
+	for _, u := range f.ups {
+		listed := u.Upstream
+		shown := now.Add(-listLag)
+		for _, fact := range u.history {
+			if !fact.at.After(shown) {
+				listed.ColdLeft = max(0, fact.warmAt.Sub(shown))
+			}
+		}
+		f.read = append(f.read, listed)
+	}
+}
+
+// update gives the host what the leader knows.
+func (f *coldFleet) update(h *coldHost) {
+	if h.cut {
+		return
+	}
+	if h.listed == nil {
+		h.listed = slices.Clone(f.read)
+		h.Update(h.listed)
+	}
+	h.SetHosts(len(f.hosts), h.index)
+	h.SetColdTurn(f.turn)
+	h.SetColdTimes(placer.ColdTimes(f.read), f.readAt)
+	h.SetEvacuated(f.evacuated)
+	now := f.clock.Now()
+	var told []placer.Outage
+	for _, o := range f.outages {
+		if o.Age = now.Sub(o.at); o.Age < 30*time.Second {
+			told = append(told, o.Outage)
+		}
+	}
+	h.AddOutages(told)
+	// The report comes with the next call.
+	for _, o := range h.Outages() {
+		key := o.Upstream
+		if o.Ended {
+			key = ^key
+		}
+		if at := now.Add(-o.Age); at.After(f.outages[key].at) {
+			f.outages[key] = coldOutage{o, at}
+		}
+	}
+}
+
+// exchange lets the host tell the leader of upstreams and be told.
+func (f *coldFleet) exchange(h *coldHost) {
+	if h.cut {
+		return
+	}
+	now := f.clock.Now()
+	for _, un := range h.TakeUnreachable(64) {
+		f.unreachable[un] = now
+	}
+	for _, l := range h.Loads() {
+		if at := now.Add(-l.SinceReceived.Truncate(100 * time.Millisecond)); l.SinceReceived != placer.NeverReceived && at.After(f.received[l.Upstream]) {
+			f.received[l.Upstream] = at
+		}
+	}
+	var loads []placer.Load
+	for id, at := range f.received {
+		if now.Sub(at) < 500*time.Millisecond {
+			loads = append(loads, placer.Load{Upstream: id, Running: 1, SinceReceived: now.Sub(at).Truncate(100 * time.Millisecond)})
+		}
+	}
+	h.SetRemoteLoads(loads)
+	var told []placer.Unreachable
+	for un, at := range f.unreachable {
+		if now.Sub(at) <= toldFor {
+			told = append(told, un)
+		}
+	}
+	h.AvoidUnreachable(told)
+}
+
+// stop ends the process of the upstreams; silent ones do not refuse connections.
+func (f *coldFleet) stop(silent bool, ups ...*coldUpstream) {
+	for _, u := range ups {
+		u.down, u.silent = true, silent
+		u.run++
+	}
+}
+
+// restart starts the process of the upstreams under the same ID.
+func (f *coldFleet) restart(ups ...*coldUpstream) {
+	now := f.clock.Now()
+	for _, u := range ups {
+		u.down, u.silent = false, false
+		u.warmAt = now.Add(f.start)
+		u.history = append(u.history, coldFact{at: now, warmAt: u.warmAt})
+	}
+}
+
+// run lets requests arrive for a time, each at any host.
+func (f *coldFleet) run(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for range d / step {
+		now := f.clock.Now()
+		f.deliver(now)
+		if now.Sub(f.readAt) >= listEvery {
+			f.readList()
+		}
+		if f.due("turn", turnEvery) {
+			f.turn++
+		}
+		for _, h := range f.hosts {
+			if f.due(fmt.Sprint("told", h.index), toldEvery) {
+				f.exchange(h)
+			}
+			if f.due(fmt.Sprint("poll", h.index), pollEvery) {
+				f.update(h)
+			}
+		}
+		for due := f.perSecond * step.Seconds(); due > 0; due-- {
+			if due >= 1 || f.rng.Float64() < due {
+				f.request(f.hosts[f.rng.IntN(len(f.hosts))], 0)
+			}
+		}
+		f.clock.Advance(step)
+	}
+}
+
+// due reports whether the next of a series of events is due, the first at any time
+// within the interval.
+func (f *coldFleet) due(name string, every time.Duration) bool {
+	now := f.clock.Now()
+	at, ok := f.nextAt[name]
+	if !ok {
+		f.nextAt[name] = now.Add(time.Duration(f.rng.Float64() * float64(every)))
+		return false
+	}
+	if now.Before(at) {
+		return false
+	}
+	f.nextAt[name] = now.Add(every)
+	return true
+}
+
+// request sends a request, and retries it up to three times.
+func (f *coldFleet) request(h *coldHost, tries int) {
+	t, ok := h.Pick(placer.Request{Service: "s", Work: 1000, Group: f.rng.Uint64N(60) + 1, SharedTokens: 2000, SharedWork: 2000})
+	if !ok {
+		f.refused++
+		return
+	}
+	now, u := f.clock.Now(), f.byID[t.Upstream().ID]
+	switch {
+	case u.silent:
+		f.answers = append(f.answers, coldAnswer{at: now.Add(300 * time.Millisecond), t: t, up: u, run: -1})
+		return
+	case u.down:
+		t.Done(placer.NotListening, 0)
+		if tries < 3 {
+			f.request(h, tries+1)
+		}
+		return
+	}
+	f.served++
+	if now.Before(u.warmAt) {
+		u.arrivals = append(u.arrivals, now)
+	}
+	took := time.Duration(50+f.rng.IntN(400)) * time.Millisecond
+	f.answers = append(f.answers, coldAnswer{at: now.Add(took), t: t, up: u, run: u.run})
+}
+
+// deliver ends the attempts whose time has come.
+func (f *coldFleet) deliver(now time.Time) {
+	f.answers = slices.DeleteFunc(f.answers, func(a coldAnswer) bool {
+		switch {
+		case a.run < 0 && !now.Before(a.at):
+			a.t.Done(placer.Refused, 0)
+		case a.run >= 0 && a.run != a.up.run:
+			a.t.Done(placer.Broken, 0)
+		case !now.Before(a.at):
+			a.t.RecordReceived()
+			a.t.Done(placer.Succeeded, 50*time.Millisecond)
+		default:
+			return false
+		}
+		return true
+	})
+}
+
+// most returns the largest number of requests to a cold upstream within a second, and the
+// upstream.
+func (f *coldFleet) most() (n int, id string) {
+	for _, u := range f.ups {
+		first := 0
+		for i, at := range u.arrivals {
+			for !u.arrivals[first].After(at.Add(-time.Second)) {
+				first++
+			}
+			if i-first+1 > n {
+				n, id = i-first+1, u.ID
+			}
+		}
+	}
+	return n, id
+}
+
+// expectWithinBound checks each second at each cold upstream.
+func (f *coldFleet) expectWithinBound(description string) {
+	n, id := f.most()
+	AddReportEntry(fmt.Sprintf("%s: at most %d requests within a second, served %d, refused %d", description, n, f.served, f.refused))
+	ExpectWithOffset(1, float64(n)).To(BeNumerically("<=", f.rate*coldFactor+coldExtra), "%s: upstream %s", description, id)
+}
+
+// zone returns the upstreams of a zone.
+func (f *coldFleet) zone(z string) []*coldUpstream {
+	var out []*coldUpstream
+	for _, u := range f.ups {
+		if u.Zone == z {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Guards against hosts that together send a cold upstream more than it tolerates, because
+// they do not know that it has restarted, or divide its rate without regard to the others.
+var _ = Describe("Hosts with cold upstreams", func() {
+	sizes := []TableEntry{
+		Entry("6 hosts, 11 a second", 6, 18, 11.0, 200.0),
+		Entry("78 hosts, 11 a second", 78, 60, 11.0, 600.0),
+		Entry("300 hosts, 11 a second", 300, 126, 11.0, 1400.0),
+		Entry("6 hosts, 2 a second", 6, 18, 2.0, 140.0),
+		Entry("78 hosts, 2 a second", 78, 60, 2.0, 600.0),
+		Entry("300 hosts, 2 a second", 300, 126, 2.0, 1400.0),
+		Entry("6 hosts, 0.5 a second", 6, 18, 0.5, 140.0),
+		Entry("78 hosts, 0.5 a second", 78, 60, 0.5, 600.0),
+		Entry("300 hosts, 0.5 a second", 300, 126, 0.5, 1400.0),
+	}
+	DescribeTable("fill a zone that returns cold", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			f.stop(false, f.zone("b")...)
+			f.run(2500 * time.Millisecond)
+			f.restart(f.zone("b")...)
+			f.run(8 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill a zone that went silent and returns cold", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			f.stop(true, f.zone("b")...)
+			f.run(2500 * time.Millisecond)
+			f.restart(f.zone("b")...)
+			f.run(8 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill a quarter that returns cold", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			var quarter []*coldUpstream
+			for i := 0; i < len(f.ups); i += 4 {
+				quarter = append(quarter, f.ups[i])
+			}
+			f.stop(false, quarter...)
+			f.run(2 * time.Second)
+			f.restart(quarter...)
+			f.run(8 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill a zone while hosts join late, were cut off or restarted", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			for i, h := range f.hosts {
+				h.cut = i%6 == 1
+			}
+			f.stop(false, f.zone("b")...)
+			f.run(2500 * time.Millisecond)
+			f.restart(f.zone("b")...)
+			f.run(1 * time.Second)
+			for i, h := range f.hosts {
+				if i%6 == 2 {
+					f.begin(h, -1)
+				}
+			}
+			f.run(1 * time.Second)
+			for _, h := range f.hosts {
+				h.cut = false
+			}
+			f.run(6 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill a zone whose evacuation has ended", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(time.Second)
+			f.evacuated = []string{"c"}
+			f.run(2 * time.Second)
+			f.stop(false, f.zone("c")...)
+			f.run(time.Second)
+			f.restart(f.zone("c")...)
+			f.evacuated = nil
+			f.run(8 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill single upstreams that restart in turn", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			for i := range 6 {
+				f.stop(false, f.ups[i])
+				f.run(time.Second)
+				f.restart(f.ups[i])
+				f.run(500 * time.Millisecond)
+			}
+			f.run(4 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+})
--- a/placer/evacuation.go
+++ b/placer/evacuation.go
@@ -4,10 +4,16 @@
 func (p *Placer) SetEvacuated(zones []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	before := p.evacuated
 	p.evacuated = make(map[string]bool, len(zones))
 	for _, z := range zones {
 		p.evacuated[z] = true
 	}
+	for z := range before {
+		if !p.evacuated[z] {
+			p.suspectEvacuated(z, p.settings.Clock.Now())
+		}
+	}
 }
 
 // Evacuated reports whether the service has upstreams of the version and all of them
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -140,6 +140,10 @@
 		Zone string
 		// Host is the name of this host.
 		Host string
+		// ColdOverage and ColdSlack give the bound on the requests of all hosts to a
+		// cold upstream within any second: its rate times ColdOverage, plus ColdSlack. If
+		// both are zero, they are 1.5 and 5.
+		ColdOverage, ColdSlack float64
 	}
 
 	// VersionFilter restricts the versions of a service that may be used.
@@ -226,6 +230,7 @@
 		// hosts is the number of hosts that share rate limits, and rank this host's
 		// rank among them.
 		hosts, rank int
+		cold        coldState
 	}
 
 	// pool holds the upstreams of a service.
@@ -265,6 +270,7 @@
 		limit      rateLimit
 		withdrawal withdrawal
 		brittle    brittleness
+		cold       coldness
 	}
 
 	// Ticket is an attempt in progress. It must be ended with Done.
@@ -280,11 +286,18 @@
 		// value means nothing.
 		placement Placement
 		pool      *pool
+		// sentAt is when the attempt was placed, and receivedAt when data last arrived.
+		sentAt, receivedAt time.Time
+		// cold means that the upstream counted as cold at sentAt.
+		cold bool
 	}
 )
 
 // New returns a placer without upstreams.
 func New(s Settings) *Placer {
+	if s.ColdOverage == 0 && s.ColdSlack == 0 {
+		s.ColdOverage, s.ColdSlack = defaultColdOverage, defaultColdSlack
+	}
 	return &Placer{settings: s, pools: make(map[string]*pool), zonePaths: make(map[string]*zonePath)}
 }
 
@@ -309,6 +322,7 @@
 				// It has not said so yet, and gets the requests of the one that it replaces.
 				u.brittle.begin(p.settings.Clock.Now(), listed.Slots, newPlaces, rampPerSecond)
 			}
+			p.beginCold(u, listed, oldPools[listed.Service])
 		}
 		u.Upstream = listed
 		pl := p.pools[listed.Service]
@@ -343,6 +357,7 @@
 	if u.limit.named {
 		u.limit.pace.Take()
 	}
+	p.countCold(t, p.settings.Clock.Now())
 	u.running++
 	u.work += t.work
 	p.zonePath(u.Zone).recordSent(p.settings.Clock.Now())
@@ -395,6 +410,7 @@
 			l, ok := p.remoteLoads[u.loadID()]
 			if at := p.remoteLoadsAt.Add(-l.SinceReceived); ok && at.After(u.lastReceivedElsewhere) {
 				u.lastReceivedElsewhere = at
+				u.cold.recordElsewhere(at, now)
 			}
 		}
 	}
@@ -494,6 +510,9 @@
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			replaced, ok := misdirected[u.loadID()]
+			if ok {
+				u.suspectTold(now)
+			}
 			switch {
 			case !ok || now.Sub(u.lastReceived) <= baseEjection:
 			case replaced:
@@ -531,6 +550,7 @@
 	defer t.p.mu.Unlock()
 	t.up.lastReceived = t.p.settings.Clock.Now()
 	t.p.recordReceived(t.up)
+	t.recordColdReceived(t.up.lastReceived)
 	if t.work > generationWork && !t.done {
 		t.up.work -= t.work - generationWork
 		t.work = generationWork
@@ -571,6 +591,7 @@
 	case Succeeded, Failed, Broken, Silent, Stale, Abandoned:
 	}
 	now := t.p.settings.Clock.Now()
+	t.recordColdOutcome(outcome, now)
 	switch outcome {
 	case Refused, NotListening, Silent, Stale:
 		t.p.reach.recordUnreached(u, now)
@@ -583,6 +604,10 @@
 	case Broken, Abandoned:
 		// A reset may come from either side of a partition, so it proves nothing.
 	}
+	if t.cold {
+		// It responds late because it is cold.
+		firstByte = 0
+	}
 	u.recordOutcome(outcome, firstByte, now)
 	switch outcome {
 	case Misdirected:
@@ -592,7 +617,11 @@
 	case Silent, Stale:
 		// The path within the own zone is never considered unreachable.
 		if u.Zone != t.p.settings.Zone {
-			t.p.zonePath(u.Zone).recordSilent(u.hash, now)
+			path := t.p.zonePath(u.Zone)
+			path.recordSilent(u.hash, now)
+			if path.unreachable() {
+				t.p.suspectAll(u.Zone, now)
+			}
 		}
 	case Succeeded, Failed, Busy, Broken, Refused, Abandoned:
 	}
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -112,8 +112,14 @@
 
 // recordReceived records that data was received from an upstream. The caller holds mu.
 func (p *Placer) recordReceived(u *upstream) {
+	now := p.settings.Clock.Now()
+	if p.reach.partitioned {
+		p.suspectAll("", now)
+	} else if path := p.zonePath(u.Zone); path.unreachable() {
+		p.suspectAll(u.Zone, now)
+	}
 	p.zonePath(u.Zone).recordReceived()
-	p.reach.recordReceived(p.settings.Clock.Now())
+	p.reach.recordReceived(now)
 }
 
 // forgive ends the ejections of the upstreams to which this host has lost its path, and
@@ -136,15 +142,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Clock.Now()
-	var all []*upstream
+	var all, withheld []*upstream
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			if !u.Leaving && !p.evacuated[u.Zone] && !u.withdrawal.refuses(now) && !p.throttled(u, now) {
+			switch {
+			case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || p.throttled(u, now):
+			case p.withheld(u, now):
+				withheld = append(withheld, u)
+			default:
 				all = append(all, u)
 			}
 		}
 	}
 	if len(all) == 0 {
+		if trial := p.coldTrial(withheld, now); trial != nil {
+			p.takeColdPermit(trial, now)
+			return trial.Upstream, true
+		}
 		return tracker.Upstream{}, false
 	}
 	failed := make(map[string]bool)
@@ -164,6 +178,7 @@
 	if chosen.limit.named {
 		chosen.limit.pace.Take()
 	}
+	p.takeColdPermit(chosen, now)
 	return chosen.Upstream, true
 }
 
@@ -184,5 +199,9 @@
 func (p *Placer) RecordReached() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.reach.recordReceived(p.settings.Clock.Now())
+	now := p.settings.Clock.Now()
+	if p.reach.partitioned {
+		p.suspectAll("", now)
+	}
+	p.reach.recordReceived(now)
 }
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -62,6 +62,7 @@
 	RateLimited        Code = "rateLimited"
 	UpstreamsPaused    Code = "upstreamsPaused"
 	UpstreamsFull      Code = "upstreamsFull"
+	UpstreamsCold      Code = "upstreamsCold"
 	StreamCut          Code = "streamCut"
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
@@ -118,6 +119,7 @@
 	RateLimited:        http.StatusServiceUnavailable,
 	UpstreamsPaused:    http.StatusServiceUnavailable,
 	UpstreamsFull:      http.StatusServiceUnavailable,
+	UpstreamsCold:      http.StatusServiceUnavailable,
 	StreamCut:          http.StatusBadGateway,
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -79,11 +79,13 @@
 	publishedVersion uint64
 	documentVersion  uint64
 	// listName is empty if the list is not from the leader.
-	listName   string
-	listReadAt time.Time
-	inventory  tracker.Inventory
-	hosts      hostCount
-	rollouts   []controller.OrderedRollout
+	listName string
+	// coldVersion is the syncer.ColdTimes.Version last received.
+	coldVersion int64
+	listReadAt  time.Time
+	inventory   tracker.Inventory
+	hosts       hostCount
+	rollouts    []controller.OrderedRollout
 	// newest is the newest configuration, which becomes active once there is a
 	// list of upstreams.
 	newest forwarder.ActiveConfig
@@ -98,7 +100,9 @@
 	s.limitMemory()
 	e := &entry{opts: o, startedAt: o.Clock.Now()}
 	e.settings.Store(&s)
-	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone, Host: s.Name})
+	e.placer = placer.New(placer.Settings{
+		Clock: o.Clock, Zone: s.Zone, Host: s.Name, ColdOverage: s.ColdOverage, ColdSlack: s.ColdSlack,
+	})
 	e.retryBudget = budgeter.New(budgeter.Settings{
 		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
 	})
@@ -164,6 +168,7 @@
 	p.Go(func() error { e.exchangeLoads(runCtx); return nil })
 	p.Go(func() error { e.runListFallback(runCtx); return nil })
 	p.Go(func() error { e.watchReach(runCtx); return nil })
+	p.Go(func() error { e.watchCold(runCtx); return nil })
 	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts); return nil })
 	p.Go(func() error { reloadSettings(runCtx, &e.opts, &e.settings); return nil })
 	p.Go(func() error {
@@ -234,13 +239,14 @@
 	report := syncer.Report{
 		Host: settings.Name, Zone: settings.Zone, Started: e.startedAt.UnixNano(), Leaving: e.draining.Load(),
 		Delegated: settings.Delegated, Partitioned: e.placer.Partitioned(), Brittle: e.placer.BrittleServices(), Evidence: e.forwarder.Evidence(e.syncClient.Leader()),
+		Outages: e.placer.Outages(),
 	}
 	for line, count := range e.forwarder.Counts() {
 		report.Counts = append(report.Counts, syncer.AnswerCount{Line: line, Count: count})
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report.Published, report.List = e.publishedVersion, e.listName
+	report.Published, report.List, report.Cold = e.publishedVersion, e.listName, max(e.coldVersion, syncer.NoColdVersion)
 	report.Running = make(map[string]int)
 	for _, r := range e.rollouts {
 		if r.State == controller.RolloutRunning {
@@ -277,6 +283,7 @@
 		e.listName = u.Upstreams.Name
 		e.applyList(u.Upstreams.Upstreams)
 	}
+	e.applyCold(u)
 }
 
 // applyPublished activates a configuration and rollouts. The caller holds mu.
@@ -334,6 +341,7 @@
 // known. The caller holds mu.
 func (e *entry) activateNewest() {
 	if e.inventory.Known() && e.newest.Table != nil {
+		e.placer.SetColdRates(coldRates(e.newest.Table))
 		e.forwarder.SetConfig(e.newest)
 	}
 }
@@ -346,6 +354,7 @@
 		if !schedule.due(e.opts.Clock.Now(), e.listStatus(), rand.Float64()) {
 			continue
 		}
+		readAt := e.opts.Clock.Now()
 		list, err := e.opts.Protocol.List(ctx)
 		if err != nil {
 			e.opts.Log.Info().AnErr("cause", err).Msg("cannot read the list of upstreams")
@@ -354,6 +363,7 @@
 		e.mu.Lock()
 		e.listName = ""
 		e.applyList(list)
+		e.placer.SetColdTimes(placer.ColdTimes(e.inventory.List()), readAt)
 		e.mu.Unlock()
 	}
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -85,6 +85,10 @@
 		Retries Retries
 		// SessionTimeout is how long after its last request a session ends.
 		SessionTimeout time.Duration
+		// ColdOverage and ColdSlack bound the requests that all hosts together send a
+		// cold upstream within any second: the rate of its service times ColdOverage,
+		// plus ColdSlack.
+		ColdOverage, ColdSlack float64
 	}
 
 	// Retries is the budget of retries at another upstream.
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -70,6 +70,8 @@
 		// changes has the newest changes of the list, oldest first.
 		changes     []Change
 		listChanged chan struct{}
+		cold        coldClock
+		outages     outageLog
 		// listBlob is the encoding of list, nil until a host needs it.
 		listBlob *blob
 		// documents has the newest documents, oldest first.
@@ -159,16 +161,26 @@
 	}
 	h.list, h.listBlob = list, nil
 	h.readAt = h.set.Clock.Now()
-	close(h.listChanged)
-	h.listChanged = make(chan struct{})
+	h.cold.update(ups, h.readAt)
+	h.wakeWatchers()
 	return nil
 }
 
-// ConfirmList records that the list was read again and is unchanged.
-func (h *Hub) ConfirmList() {
+// ConfirmList records that the list was read again and is unchanged but for the times for
+// which upstreams stay cold.
+func (h *Hub) ConfirmList(ups []tracker.Upstream) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.readAt = h.set.Clock.Now()
+	if h.cold.update(ups, h.readAt) {
+		h.wakeWatchers()
+	}
+}
+
+// wakeWatchers lets the waiting calls see what has changed. The caller holds mu.
+func (h *Hub) wakeWatchers() {
+	close(h.listChanged)
+	h.listChanged = make(chan struct{})
 }
 
 // ClearList drops the list, because this host no longer reads it.
@@ -176,6 +188,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.list, h.listBlob, h.changes, h.readAt = List{}, nil, nil, time.Time{}
+	h.cold = coldClock{}
 }
 
 // Watch records the report and waits until there is state that the reporting
@@ -193,7 +206,7 @@
 			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
 		}
 		u := h.newUpdate(r)
-		if u.Published != nil || u.Part != nil || u.Upstreams != nil || u.Change != nil {
+		if u.Published != nil || u.Part != nil || u.Upstreams != nil || u.Change != nil || u.Cold != nil && r.Cold != 0 && u.Cold.Version != r.Cold {
 			return u
 		}
 		select {
@@ -231,6 +244,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	k := hostKey{r.Host, r.Started}
+	h.outages.add(r.Outages, h.set.Clock.Now())
 	h.countExcluded(h.reports[k].excluded, -1)
 	h.countExcluded(r.Excluded, 1)
 	report := hostReport{
@@ -285,7 +299,10 @@
 	}
 	if !h.readAt.IsZero() {
 		u.ListAge = h.set.Clock.Since(h.readAt)
+		u.Cold = h.cold.times(h.set.Clock.Now())
 	}
+	u.Outages = h.outages.newest(h.set.Clock.Now())
+	u.Turn = int(h.set.Clock.Since(h.leadingSince) / turnTime)
 	if r.PartBytes > 0 {
 		h.addParts(u, r, p)
 		return u
--- a/syncer/syncer.go
+++ b/syncer/syncer.go
@@ -26,6 +26,7 @@
 	"foxtailwall/controller"
 	"foxtailwall/isolator"
 	"foxtailwall/messenger"
+	"foxtailwall/placer"
 	"foxtailwall/stager"
 )
 
@@ -50,6 +51,12 @@
 		// name of the list that the host has.
 		Published uint64 `cbor:"published"`
 		List      string `cbor:"list"`
+		// Cold is the newest ColdTimes.Version that the host has, at least NoColdVersion;
+		// zero, from hosts of an earlier release, means that it needs none at once.
+		Cold int64 `cbor:"cold,omitempty"`
+		// Outages are the upstreams of services with cold upstreams that the host could
+		// not reach lately.
+		Outages []placer.Outage `cbor:"outages,omitempty"`
 		// Leaving says that the host stops soon and takes few requests.
 		Leaving bool `cbor:"leaving,omitempty"`
 		// Delegated is the address at which the host takes requests of other hosts,
@@ -128,6 +135,13 @@
 		// ListAge is the time since the leader last read the list of upstreams,
 		// negative if it never has.
 		ListAge time.Duration `cbor:"listAge"`
+		// Cold has the cold upstreams of the list that the leader last read, nil from
+		// control hosts of an earlier release and if none was read.
+		Cold *ColdTimes `cbor:"cold,omitempty"`
+		// Turn rotates the ranks of the hosts that send to cold upstreams.
+		Turn int `cbor:"turn,omitempty"`
+		// Outages are those that any host has reported.
+		Outages []placer.Outage `cbor:"outages,omitempty"`
 		// Suspects are the prompt parts and requests of which the host should report
 		// the last success.
 		Suspects []controller.PromptPart `cbor:"suspects,omitempty"`
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -5,8 +5,13 @@
 // at regular intervals. All hosts are senders if they are few. Of many, only as
 // many are that their permits cannot exceed the bound whenever they come; which
 // ones follows from the ranks that the leader of the control group gives to hosts,
-// and differs between upstreams. Unused permits expire after PermitTTL: if they
-// were kept, the senders could send at once after a quiet time.
+// and differs between upstreams. Unused permits expire after an eighth of the
+// limit's window, so that senders rarely send at once after a quiet time; if
+// Limit.Hold is set, each sender keeps one.
+//
+// The bound, the window in which it holds and the permits' lifetime are part of the
+// Limit, so that limits which upstreams name and those of cold upstreams are kept in
+// the same way.
 //
 // Package limiter admits callers' requests, and package budgeter limits retries;
 // this package protects a single upstream.
@@ -29,14 +34,14 @@
 )
 
 const (
-	// PermitTTL is how long a permit may be used.
-	PermitTTL = 500 * time.Millisecond
+	// The bound of a Limit that has none.
+	defaultWindow = 4 * time.Second
+	defaultFactor = 1.5
+	defaultSlack  = 5
 
-	// The hosts together may send burstFactor times the limit and burstExtra
-	// requests within burstWindow.
-	burstWindow = 4 * time.Second
-	burstFactor = 1.5
-	burstExtra  = 5
+	// permitFraction is the part of the window for which a permit may be used. With
+	// Limit.Hold it allows for requests that take unequal times to the upstream.
+	permitFraction = 0.125
 	// minPerSecond is the lowest rate that is used. It lets hosts notice that a
 	// limit of zero has ended.
 	minPerSecond = 0.25
@@ -52,6 +57,14 @@
 		// Rank is this host's position among them, from 0, rotated by a number that
 		// differs between upstreams; negative if unknown.
 		Rank int
+		// Window, Factor and Slack give the bound: the hosts together send at most
+		// Factor times PerSecond times the seconds of Window, plus Slack requests,
+		// within any Window. If Window is zero, they are 4 s, 1.5 and 5.
+		Window        time.Duration
+		Factor, Slack float64
+		// Hold says that an unused permit does not expire. No further one is added to it.
+		// Senders with a small share could otherwise rarely use theirs.
+		Hold bool
 	}
 
 	// Pace counts the permits of one host for one upstream. Its zero value is ready
@@ -83,10 +96,15 @@
 	if p.updated.IsZero() {
 		p.updated = now
 	}
+	l = l.withDefaults()
 	perSecond := l.share()
 	p.permits += perSecond * max(now.Sub(p.updated), 0).Seconds()
 	p.updated = now
-	if extra := p.permits - 1 - perSecond*PermitTTL.Seconds(); extra > 0 {
+	if l.Hold {
+		p.permits = min(p.permits, 1)
+		return p.permits >= 1 && perSecond > 0
+	}
+	if extra := p.permits - 1 - perSecond*l.permitTTL().Seconds(); extra > 0 {
 		p.permits -= math.Ceil(extra)
 	}
 	return p.permits >= 1
@@ -95,14 +113,33 @@
 // Take uses a permit. Allows must have returned true.
 func (p *Pace) Take() { p.permits-- }
 
+// withDefaults returns the limit with the default bound, if it has none, and the lowest
+// rate that is used for limits whose end hosts must notice.
+func (l Limit) withDefaults() Limit {
+	if l.Window <= 0 {
+		l.Window, l.Factor, l.Slack = defaultWindow, defaultFactor, defaultSlack
+	}
+	if !l.Hold {
+		l.PerSecond = max(l.PerSecond, minPerSecond)
+	}
+	return l
+}
+
+// permitTTL returns how long a permit may be used.
+func (l Limit) permitTTL() time.Duration {
+	return time.Duration(permitFraction * float64(l.Window))
+}
+
 // share returns the number of permits per second of this host, zero if it is not a
 // sender.
 func (l Limit) share() float64 {
-	perSecond, hosts := max(l.PerSecond, minPerSecond), max(l.Hosts, 1)
+	perSecond, hosts := l.PerSecond, max(l.Hosts, 1)
 	// Each sender may send one request more than its share of a window, because its
-	// permits need not begin with the window and are kept for PermitTTL.
-	bound := burstFactor*perSecond*burstWindow.Seconds() + burstExtra
-	spare := bound - perSecond*(burstWindow+PermitTTL).Seconds()
+	// permits need not begin with the window and are kept for permitTTL.
+	bound := l.Factor*perSecond*l.Window.Seconds() + l.Slack
+	// A small bound leaves less than PerSecond to a single sender.
+	perSecond = max(0, min(perSecond, (bound-1)/(l.Window+l.permitTTL()).Seconds()))
+	spare := bound - perSecond*(l.Window+l.permitTTL()).Seconds()
 	if float64(hosts) <= spare {
 		return perSecond / float64(hosts)
 	}
