Count a host as partitioned whose connections to upstreams are reset

Cause: a host whose new connections to all upstreams are accepted and then reset answered 502 to everything. Refused and silent connections were signs of a partition and resets were not, since a request that crashes upstreams causes resets as well.

Change: resets of two requests without data in between make the host probe upstreams over new connections; three failed probes make it count as partitioned, one response ends the suspicion. Broken attempts count against an upstream only once data shows that the path works. placer has the outcomes Reset and Unsent, and router.AttemptError says whether a part of a response was received. sendOnce of the partition specs gives each request an ID of its own, because copies of one request do not make a host suspect its path.

--- a/dialer/checkout.go
+++ b/dialer/checkout.go
@@ -33,6 +33,7 @@
 		return checkout{}, markCancelled(ctx, err)
 	}
 	c.raw.bytesSent.Store(0)
+	c.headerLimit.received = 0
 	co := checkout{dialer: d, conn: c, watch: d.watcher.addExtendable(c.abandon, extend)}
 	co.watch.setDeadline(deadline)
 	co.stopCancelHook = context.AfterFunc(ctx, c.abandon)
@@ -111,5 +112,5 @@
 	if !co.conn.raw.mayHaveSent() {
 		out = refuser.NotRun
 	}
-	return &router.AttemptError{Kind: kind, Outcome: out, Err: errors.Wrapf(err, "upstream %s", upstream)}
+	return &router.AttemptError{Kind: kind, Outcome: out, Begun: co.conn.headerLimit.received > 0, Err: errors.Wrapf(err, "upstream %s", upstream)}
 }
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -62,7 +62,9 @@
 	// headerLimitReader limits the bytes read while it is enabled, which is
 	// during the reading of a header.
 	headerLimitReader struct {
-		r         io.Reader
+		r io.Reader
+		// received is the number of bytes read since the connection was checked out.
+		received  int64
 		remaining int64
 		enabled   bool
 	}
@@ -86,13 +88,16 @@
 // Read implements io.Reader.
 func (l *headerLimitReader) Read(b []byte) (int, error) {
 	if !l.enabled {
-		return l.r.Read(b)
+		n, err := l.r.Read(b)
+		l.received += int64(n)
+		return n, err
 	}
 	if l.remaining <= 0 {
 		return 0, errHeaderTooLarge
 	}
 	n, err := l.r.Read(b[:min(int64(len(b)), l.remaining)])
 	l.remaining -= int64(n)
+	l.received += int64(n)
 	return n, err
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -67,8 +67,13 @@
 		// delivered counts the finished attempts that reached an upstream, mayHaveRun
 		// those of them that may have run.
 		delivered, mayHaveRun int
-		// unreached counts the finished attempts for which no connection could be opened.
+		// unreached counts the finished attempts for which no connection could be opened,
+		// or whose connection was reset before a byte was sent.
 		unreached int
+		// resets counts the finished attempts that may have run and whose connection was
+		// reset before the first byte of a response; the first was sent at resetAt.
+		resets  int
+		resetAt time.Time
 		// placeWaits counts the waits for a place at a brittle upstream.
 		placeWaits int
 		// misdirected counts the finished attempts that reached another upstream than
@@ -324,7 +329,7 @@
 func (c *call) handleFailure(t ticket, err error) bool {
 	var attemptErr *router.AttemptError
 	if !errors.As(err, &attemptErr) {
-		attemptErr = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Err: err}
+		attemptErr = &router.AttemptError{Kind: router.FailReset, Outcome: refuser.Unknown, Begun: true, Err: err}
 	}
 	switch {
 	case attemptErr.Outcome != refuser.NotRun:
@@ -333,10 +338,11 @@
 		// The retry reached no upstream, so it is not charged.
 		c.f.settings.Budget.ReturnRetry(c.service.Name)
 	}
-	if attemptErr.Kind == router.FailRefused && c.stats != nil {
-		c.unreached++
+	outcome := placerOutcome(attemptErr)
+	if c.stats != nil {
+		c.countUnreached(outcome)
 	}
-	t.Done(placerOutcome(attemptErr), 0)
+	t.Done(outcome, 0)
 	c.recordBroken(attemptErr)
 	c.logAttempt(c.upstream, string(attemptErr.Kind), attemptErr.Outcome, attemptErr.Err)
 	if ref := c.interruption(); ref != nil {
@@ -354,6 +360,21 @@
 	return true
 }
 
+// countUnreached counts an attempt of this host that has received nothing from an
+// upstream, since it opened no connection or the connection was reset.
+func (c *call) countUnreached(o placer.Outcome) {
+	switch o {
+	case placer.Refused, placer.NotListening, placer.Unsent:
+		c.unreached++
+	case placer.Reset:
+		if c.resets == 0 {
+			c.resetAt = c.stats.sentAt
+		}
+		c.resets++
+	case placer.Succeeded, placer.Failed, placer.Broken, placer.Silent, placer.Stale, placer.Busy, placer.Misdirected, placer.Abandoned:
+	}
+}
+
 // placerOutcome maps the failure of an attempt to an outcome for the placer.
 func placerOutcome(err *router.AttemptError) placer.Outcome {
 	switch err.Kind {
@@ -368,7 +389,15 @@
 		return placer.Stale
 	case router.FailCancelled, router.FailDeadline:
 		return placer.Abandoned
-	case router.FailReset, router.FailCut, router.FailMismatch, router.FailMalformed:
+	case router.FailReset:
+		switch {
+		case err.Outcome == refuser.NotRun:
+			return placer.Unsent
+		case err.Begun:
+			return placer.Broken
+		}
+		return placer.Reset
+	case router.FailCut, router.FailMismatch, router.FailMalformed:
 		if err.Outcome == refuser.NotRun {
 			return placer.Abandoned
 		}
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -82,12 +82,24 @@
 	if c.isDelegated() || c.f.settings.Hosts == nil || len(c.hosts) >= maxDelegations {
 		return nil, false
 	}
-	if !c.f.settings.Placer.PartitionedFrom(c.service.Name) && c.unreached < maxUnreached {
+	p := c.f.settings.Placer
+	if !p.PartitionedFrom(c.service.Name) && !p.SuspectedFrom(c.service.Name) && c.unreached < maxUnreached && !c.needsOtherRoute() {
 		return nil, false
 	}
 	return c.f.settings.Hosts.Pick(c.hosts)
 }
 
+// needsOtherRoute reports whether the request has one attempt left, the connections of
+// earlier ones were reset, and no data came from any upstream since: another host may
+// reach upstreams that this one does not.
+func (c *call) needsOtherRoute() bool {
+	if c.resets == 0 || c.delivered+1 < c.maxAttempts() {
+		return false
+	}
+	receivedAt, _ := c.f.settings.Placer.Path()
+	return receivedAt.Before(c.resetAt)
+}
+
 // refusePartitioned refuses a request that this host cannot send to an upstream: one
 // that another host has passed to it, and one that other hosts have refused.
 func (c *call) refusePartitioned() *refusal {
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailwall/controller"
 	"foxtailwall/placer"
 	"foxtailwall/refuser"
@@ -50,6 +52,7 @@
 	c.excludeNewRollout()
 	req := placer.Request{
 		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
+		ID: xxhash.Sum64String(c.envelope.ID),
 	}
 	if c.service.Engine != nil {
 		req.Group = c.prefixGroup()
--- a/forwarder/probe.go
+++ b/forwarder/probe.go
@@ -15,11 +15,26 @@
 	// defaultHealthPath is the path of the health check of a service without one; any
 	// response will do.
 	defaultHealthPath = "/"
+	// maxCheckProbes bounds the probes of one check.
+	maxCheckProbes = 4
 )
 
+// CheckUpstreams probes upstreams while this host is suspected to be partitioned, until
+// one responds or so many have not that it counts as partitioned. Resets alone may be due
+// to the requests.
+func (f *Forwarder) CheckUpstreams(ctx context.Context) {
+	for range maxCheckProbes {
+		if !f.settings.Placer.Suspected() {
+			return
+		}
+		f.settings.Scope.Counter("forwarder.pathChecks").Inc(1)
+		f.ProbeUpstream(ctx)
+	}
+}
+
 // ProbeUpstream asks one upstream for its health, each time another one. Any response
 // shows that this host reaches upstreams. It is for hosts that are partitioned from all
-// upstreams, whose requests other hosts send.
+// upstreams, or may be, whose requests other hosts send.
 func (f *Forwarder) ProbeUpstream(ctx context.Context) {
 	table := f.ActiveConfig().Table
 	upstream, ok := f.settings.Placer.NextProbed()
--- a/placer/health.go
+++ b/placer/health.go
@@ -19,7 +19,7 @@
 		u.updateFirstByte(firstByte)
 		u.probing = false
 		u.lastReceived = now
-	case Broken:
+	case Broken, Reset:
 		u.updateFailureRate(1)
 	case Refused, NotListening, Silent:
 		u.updateFailureRate(1)
@@ -31,7 +31,7 @@
 		u.brittle.reject(now, u.Slots)
 	case Misdirected:
 		u.recordMisdirected(now)
-	case Stale, Abandoned:
+	case Unsent, Stale, Abandoned:
 	}
 }
 
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -41,6 +41,12 @@
 	Failed
 	// Broken means that the response broke off or was invalid.
 	Broken
+	// Reset means that the connection ended before the first byte of the response. The
+	// request may have run.
+	Reset
+	// Unsent means that the connection ended before the first byte of the request was
+	// sent, which says nothing about the upstream.
+	Unsent
 	// Refused means that no connection could be opened.
 	Refused
 	// NotListening means that the upstream's host refused the connection, since no
@@ -166,6 +172,8 @@
 		// MaxConns is the number of connections that an upstream accepts from all
 		// hosts together, zero for no bound.
 		MaxConns int
+		// ID is the hash of the request's ID.
+		ID uint64
 		// Tried lists the upstreams to exclude because the request was sent to them.
 		Tried []tracker.Key
 	}
@@ -274,8 +282,10 @@
 		// listed is the upstream as it was listed when it was chosen; that of up changes
 		// with the list.
 		listed tracker.Upstream
-		work   float64
-		done   bool
+		// request is the hash of the request's ID.
+		request uint64
+		work    float64
+		done    bool
 		// placement is what this attempt has added to the caches of pool; its zero
 		// value means nothing.
 		placement Placement
@@ -335,7 +345,7 @@
 	if u == nil {
 		return nil, false
 	}
-	t = &Ticket{p: p, up: u, listed: u.Upstream, work: r.Work}
+	t = &Ticket{p: p, up: u, listed: u.Upstream, request: r.ID, work: r.Work}
 	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.loadID()) {
 		t.work += r.SharedWork
 		t.pool, t.placement = pl, p.recordPlacement(pl, r.Group, u)
@@ -568,7 +578,7 @@
 	switch outcome {
 	case Refused, NotListening, Misdirected, Busy:
 		t.removePlacement()
-	case Succeeded, Failed, Broken, Silent, Stale, Abandoned:
+	case Succeeded, Failed, Broken, Reset, Unsent, Silent, Stale, Abandoned:
 	}
 	now := t.p.settings.Clock.Now()
 	switch outcome {
@@ -580,8 +590,12 @@
 		}
 	case Succeeded, Failed, Busy, Misdirected:
 		t.p.recordReceived(u)
-	case Broken, Abandoned:
-		// A reset may come from either side of a partition, so it proves nothing.
+	case Broken, Reset, Unsent:
+		// A reset may come from either side of a partition, so what it says about the
+		// upstream is decided when data arrives or the host counts as partitioned.
+		t.p.reach.recordBroken(u, outcome, t.request)
+		return
+	case Abandoned:
 	}
 	u.recordOutcome(outcome, firstByte, now)
 	switch outcome {
@@ -594,9 +608,9 @@
 		if u.Zone != t.p.settings.Zone {
 			t.p.zonePath(u.Zone).recordSilent(u.hash, now)
 		}
-	case Succeeded, Failed, Busy, Broken, Refused, Abandoned:
+	case Succeeded, Failed, Busy, Broken, Reset, Unsent, Refused, Abandoned:
 	}
-	if outcome == Succeeded || outcome == Failed || outcome == Broken {
+	if outcome == Succeeded || outcome == Failed {
 		t.p.ejectOutlier(u)
 	}
 }
--- a/router/upstream.go
+++ b/router/upstream.go
@@ -136,7 +136,9 @@
 		Body []byte
 		// RetryAfter is the delay that the upstream asked for, zero if none.
 		RetryAfter time.Duration
-		Err        error
+		// Begun means that a part of a response was received.
+		Begun bool
+		Err   error
 	}
 )
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -363,6 +363,7 @@
 func (e *entry) watchReach(ctx context.Context) {
 	partitioned := false
 	for timekeeper.Sleep(ctx, e.opts.Clock, reachCheckInterval) == nil {
+		e.forwarder.CheckUpstreams(ctx)
 		if e.placer.Partitioned() {
 			if !partitioned {
 				e.opts.Scope.Counter("entry.partitions").Inc(1)
--- a/starter/partition_test.go
+++ b/starter/partition_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -30,6 +31,8 @@
 	hanging
 	// refusingNew keeps open connections and refuses new ones.
 	refusingNew
+	// resetting resets open connections, and new ones once a request was written to them.
+	resetting
 )
 
 type (
@@ -40,6 +43,8 @@
 		mode  atomic.Int32
 		mu    sync.Mutex
 		conns []*partitionedConn
+		// resetter is the address to which connections are opened that are reset.
+		resetter string
 	}
 
 	// partitionedConn is a connection that is lost with its partition.
@@ -57,7 +62,7 @@
 	p.mode.Store(int32(m))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m == refusing {
+	if m == refusing || m == resetting {
 		for _, c := range p.conns {
 			c.Close()
 		}
@@ -83,6 +88,9 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	if p.is(resetting) {
+		address = p.resetter
+	}
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, network, address)
 	if err != nil {
@@ -123,7 +131,8 @@
 // startPartitionable starts a deployment of three entries, the first of which is the
 // deployment's own, and returns the settings and partitions of all.
 func startPartitionable(upstreams ...http.HandlerFunc) ([]starter.Settings, []*partition, *deployment) {
-	partitions := []*partition{{}, {}, {}}
+	resetter := startResetter()
+	partitions := []*partition{{resetter: resetter}, {resetter: resetter}, {resetter: resetter}}
 	d := newDeployment(upstreams...)
 	d.opts.DialUpstream = partitions[0].dial
 	d.start()
@@ -136,25 +145,61 @@
 	return entries, partitions, d
 }
 
-// sendOnce sends one request on a connection of its own and returns the status, or 0.
+// startResetter starts a stand-in that accepts connections and resets each one after it
+// has received a part of a request, and returns its address.
+func startResetter() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = c.Read(make([]byte, 1))    // The host may have closed the connection.
+				_ = c.(*net.TCPConn).SetLinger(0) // Fails only on a closed connection.
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// sentRequests numbers the requests of sendOnce.
+var sentRequests atomic.Int64
+
+// sendOnce sends one request with an ID of its own on a connection of its own and returns
+// the status, or 0.
 func sendOnce(addr netip.AddrPort, method string) int {
+	status, _ := sendWithID(addr, method, fmt.Sprint("r", sentRequests.Add(1)))
+	return status
+}
+
+// sendWithID is sendOnce with the given ID; it also returns the body.
+func sendWithID(addr netip.AddrPort, method, id string) (status int, body string) {
 	req, err := http.NewRequest(method, "http://"+addr.String()+"/a/x", strings.NewReader("body"))
 	Expect(err).NotTo(HaveOccurred())
 	req.GetBody = nil // The client must not send it again by itself.
-	req.Header.Set("X-Id", "1")
+	req.Header.Set("X-Id", id)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		return 0
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
 	}
-	resp.Body.Close()
-	return resp.StatusCode
+	return resp.StatusCode, string(b)
 }
 
 // Guards against hosts that refuse or fail all requests while they are partitioned from
 // all upstreams, although callers and hosts that reach upstreams reach them.
 var _ = Describe("Hosts that are partitioned from all upstreams", func() {
-	modes := []string{connected: "", refusing: "reset connections", hanging: "silent connections", refusingNew: "only new connections refused"}
+	modes := []string{connected: "", refusing: "reset connections", hanging: "silent connections", refusingNew: "only new connections refused", resetting: "new connections accepted and reset"}
 	for mode, name := range modes[refusing:] {
 		mode := refusing + partitionMode(mode)
 		kinds := []string{matcher.NonIdempotent: "requests that may run once", matcher.Idempotent: "idempotent requests"}
@@ -201,3 +246,93 @@
 		}
 	}
 })
+
+// Guards against hosts that answer 502 to all requests while each new connection to an
+// upstream is accepted and then reset, since a reset alone may be a crash of the upstream.
+var _ = Describe("A host whose connections to all upstreams are accepted and reset", func() {
+	const event = "id: 1\ndata: e1\n\n"
+	var mu sync.Mutex
+	var runs map[string]int
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("X-Id"); id != "" {
+			mu.Lock()
+			runs[id]++
+			mu.Unlock()
+			w.Header().Set("X-Id", id)
+		}
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, event) // The host may have closed the connection.
+	}
+	start := func(route matcher.Route) ([]starter.Settings, []*partition, *deployment) {
+		runs = make(map[string]int)
+		entries, partitions, d := startPartitionable(serve, serve, serve, serve)
+		conf := config(1, "/a/")
+		conf.Routes[0].Kind, conf.Routes[0].Resumable = route.Kind, route.Resumable
+		if route.Kind == matcher.Stream {
+			conf.Services[0].Engine = &matcher.Engine{Slots: 8, Models: []matcher.Model{{Name: "m", Cost: 1}}}
+		}
+		d.putConfig(conf)
+		for _, e := range entries {
+			d.eventually(status(e.Ready, "/ready")).Should(Equal(200))
+			d.eventually(func() int { return sendOnce(e.Callers, http.MethodPost) }).Should(Equal(200))
+		}
+		return entries, partitions, d
+	}
+	routes := map[string]matcher.Route{
+		"requests that may run once": {Kind: matcher.NonIdempotent}, "idempotent requests": {Kind: matcher.Idempotent},
+		"resumable streams": {Kind: matcher.Stream, Resumable: true}, "streams that run once": {Kind: matcher.Stream},
+	}
+	for name, route := range routes {
+		It("has "+name+" served by other hosts, until its connections work again", func() {
+			const inRow = 20
+			entries, partitions, d := start(route)
+			partitions[0].set(resetting)
+			repeatable := route.Kind == matcher.Idempotent || route.Resumable
+			served := func(e starter.Settings) func(g Gomega) {
+				return func(g Gomega) {
+					for range inRow {
+						id := fmt.Sprint("r", sentRequests.Add(1))
+						status, body := sendWithID(e.Callers, http.MethodPost, id)
+						// A request that may have run is never answered as one that has not.
+						Expect(status).To(BeElementOf(http.StatusOK, http.StatusBadGateway), id)
+						mu.Lock()
+						n := runs[id]
+						mu.Unlock()
+						if !repeatable {
+							Expect(n).To(BeNumerically("<=", 1), id)
+						}
+						g.Expect(status).To(Equal(http.StatusOK))
+						Expect(body).To(Equal(event), id)
+					}
+				}
+			}
+			d.eventually(served(entries[0])).Should(Succeed())
+			partitions[0].set(connected)
+			partitions[1].set(resetting)
+			partitions[2].set(resetting)
+			for _, e := range entries {
+				d.eventually(served(e)).Should(Succeed())
+			}
+		})
+	}
+
+	// Guards against a repeatable request that uses up its attempts on the connections that
+	// are reset, before the host knows that all of them are.
+	It("has a repeatable request served that comes before it counts as partitioned", func() {
+		entries, partitions, d := start(matcher.Route{Kind: matcher.Idempotent})
+		partitions[0].set(resetting)
+		d.eventually(func() int { return sendOnce(entries[0].Callers, http.MethodPost) }).Should(Equal(200))
+		for range 3 {
+			partitions[0].set(connected)
+			d.eventually(func() int {
+				mu.Lock()
+				clear(runs)
+				mu.Unlock()
+				return sendOnce(entries[0].Callers, http.MethodPost)
+			}).Should(Equal(200))
+			partitions[0].set(resetting)
+			Expect(sendOnce(entries[0].Callers, http.MethodPost)).To(Equal(200))
+		}
+	})
+})
