Estimate the chance of a break over ten seconds as well

Cause: with few breaks, the 2 s around a break may have none of other requests by chance, and parts were compared only with the crashes after their first one; reports of crashes at the same time arrive apart.

Change: a request's break has the greater of the chances over 2 and 10 s, and a part's crashes are compared with those from 1.5 s before its first one on.

--- a/isolator/requests.go
+++ b/isolator/requests.go
@@ -34,6 +34,9 @@
 	// and maxRequestBreaks the breaks of each.
 	maxRequests      = 4096
 	maxRequestBreaks = 32
+	// baseTime is the time before a break in which breaks of others count as well: with
+	// few of them, a shorter one may have none by chance.
+	baseTime = 10 * time.Second
 	// settleTime is the time after a break in which hosts report the attempts and breaks
 	// of that time.
 	settleTime = 2 * time.Second
@@ -230,22 +233,29 @@
 		if b.settled {
 			continue
 		}
-		from, to := b.at.Add(-attemptLead), b.at.Add(tallySlot)
-		elsewhere := 0
-		for k, n := range j.broken {
-			if k.service == request.Service && !own[k.upstream] && k.interval >= interval(from) && k.interval <= interval(to) {
-				elsewhere += n
-			}
-		}
-		b.chance = 0
-		if sent := t.between(whole(request.Service), from, to).sent; sent > 0 {
-			b.chance = breakProbability(elsewhere, sent)
-		}
+		b.chance = max(j.chance(request.Service, own, t, b.at, attemptLead), j.chance(request.Service, own, t, b.at, baseTime))
 		b.settled = now.Sub(b.at) > settleTime
 		e.breaks[attempt] = b
 	}
 }
 
+// chance returns the share of a service's attempts that upstreams but some broke off in a
+// time until just after another, zero if hosts have not reported the attempts.
+func (j *requestJudge) chance(service string, but map[uint64]bool, t *tallies, at time.Time, lead time.Duration) float64 {
+	from, to := at.Add(-lead), at.Add(tallySlot)
+	sent := t.between(whole(service), from, to).sent
+	if sent == 0 {
+		return 0
+	}
+	broken := 0
+	for k, n := range j.broken {
+		if k.service == service && !but[k.upstream] && k.interval >= interval(from) && k.interval <= interval(to) {
+			broken += n
+		}
+	}
+	return breakProbability(broken, sent)
+}
+
 // isSurprising reports whether a request's breaks in a row are more than chance gives any
 // of the requests that were broken off of late. The first break made it one of them.
 func (j *requestJudge) isSurprising(e *requestEvidence, row []uint64, candidates int) bool {
--- a/isolator/surprise.go
+++ b/isolator/surprise.go
@@ -62,7 +62,7 @@
 	present, expected, all := 0, 0.0, 0
 	elsewhere, broken := 0, 0
 	for upstream, c := range j.crashed {
-		if c.service != part.Service || c.at.Before(first) || c.at.After(until) {
+		if c.service != part.Service || c.at.Before(first.Add(-attemptLead)) {
 			continue
 		}
 		own := s.crashes[upstream] != nil
@@ -70,7 +70,8 @@
 		if !own {
 			elsewhere += len(c.requests)
 		}
-		if own && !fresh[upstream] {
+		// Reports of crashes at the same time arrive within crashSpread.
+		if own && !fresh[upstream] || c.at.Before(first.Add(-crashSpread)) || c.at.After(until) {
 			continue
 		}
 		if own {
