--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -273,6 +273,7 @@
 	sentAt := c.f.settings.Clock.Now()
 	g := newProgressGuard(c, t, sentAt)
 	c.beginAttempt(upstream, t.Cold(), sentAt)
+	c.recordSent()
 	defer func() {
 		c.endAttempt()
 		c.hasRetry = c.hasRetry || g.hasRetry.Load()
@@ -492,7 +493,7 @@
 	resp.Finish()
 	c.answered = append(c.answered, c.upstream.Address)
 	c.countDelivered(true)
-	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
+	c.recordUnbroken()
 	a := &response{status: resp.Status, header: resp.Header, body: body}
 	c.recordResponse(v == verdictFailure, firstByte)
 	if v == verdictAnswer {
