Take a response for cut off if the write of its request was reset

Cause: the kernel reports a reset once. If the goroutine that writes a long body was told of it, the reading of a response without a length ended as if the body were complete, and the caller got a part as a complete response.

Change: at the end of a body that ends with the connection, the read waits for the end of the write; if that failed, the response is cut off and the request may have run.

--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -81,10 +81,11 @@
 		checkout
 		req  *ForwardRequest
 		resp *http.Response
-		// bodySent is closed when a body sent concurrently has been sent; nil
-		// if the body was sent before the response was read.
-		bodySent chan struct{}
-		sawStray bool
+		// sendEnded is closed when the writing of a body sent concurrently has ended,
+		// with sendErr; nil if the body was sent before the response was read.
+		sendEnded chan struct{}
+		sendErr   error
+		sawStray  bool
 	}
 )
 
@@ -117,16 +118,33 @@
 // further call of ExpectWithin or the end of the response.
 func (r *ForwardResponse) ExpectWithin(d time.Duration) { r.watch.expectProgressWithin(d) }
 
-// Read reads the body. It returns io.EOF only at its end; any other error is
-// an *router.AttemptError, which ends the response.
+// Read reads the body. It returns io.EOF only at its end, which is known of a body
+// that ends with the connection once the request has been written; any other error is an
+// *router.AttemptError, which ends the response.
 func (r *ForwardResponse) Read(b []byte) (int, error) {
 	n, err := r.resp.Body.Read(b)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return n, r.fail(router.FailCut, err)
 	}
+	if err != nil && !r.Framed && r.resp.Body != http.NoBody {
+		if sendErr := r.waitSent(); sendErr != nil {
+			return n, r.fail(router.FailCut, errors.Wrap(sendErr, "the connection was lost while the request was written, so the response may be incomplete"))
+		}
+	}
 	return n, err
 }
 
+// waitSent waits until the writing of the request has ended, at the latest when the
+// exchange is stopped, and returns its error. A reset is reported once: if the write was
+// told of it, the read ends as if the peer had closed the connection properly.
+func (r *ForwardResponse) waitSent() error {
+	if r.sendEnded == nil {
+		return nil
+	}
+	<-r.sendEnded
+	return r.sendErr
+}
+
 // Finish ends a response whose body was read to its end, and returns the
 // connection to the pool if it is reusable.
 func (r *ForwardResponse) Finish() {
@@ -158,24 +176,22 @@
 	if err := r.allowLateReading(len(r.req.Body), r.req.Deadline); err != nil {
 		return err
 	}
-	r.bodySent = make(chan struct{})
+	r.sendEnded = make(chan struct{})
 	r.dialer.wg.Go(func() {
-		// A failed write also fails the reading of the response.
-		if err := r.conn.writeRequest(head, r.req.Body); err == nil {
-			close(r.bodySent)
-		}
+		defer close(r.sendEnded)
+		r.sendErr = r.conn.writeRequest(head, r.req.Body)
 	})
 	return nil
 }
 
 // requestSent reports whether the whole request has been sent.
 func (r *ForwardResponse) requestSent() bool {
-	if r.bodySent == nil {
+	if r.sendEnded == nil {
 		return true
 	}
 	select {
-	case <-r.bodySent:
-		return true
+	case <-r.sendEnded:
+		return r.sendErr == nil
 	default:
 		return false
 	}
