Treat responses with a status that HTTP does not define as invalid

Cause: http.ReadResponse accepts any three digits. Statuses below 200, also 000, passed for informational responses; the verdict on a response and the check of chat answers listed what is invalid, so 600 to 999 reached callers and a chat answer with another status than 200 was delivered unchecked.

Change: the dialer accepts 100 to 599 except 101; anything else, and too many informational responses, is an InvalidResponseError, of an attempt that may have run, and no evidence of a crash. Verdicts name the valid classes. 205 with a body is invalid; a connection is not used again after a 204 or 304 that announces a body. A chat answer has status 200. The body of a refused response that ends with the connection is no longer read.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -28,6 +29,8 @@
 	readBufferBytes = 4 << 10
 	// maxInformationalResponses limits the 1xx responses before the final one.
 	maxInformationalResponses = 8
+	// minStatus and maxStatus bound the statuses that HTTP defines.
+	minStatus, maxStatus = 100, 599
 	// keepAliveProbes is the number of unanswered probes after which an idle
 	// connection is closed.
 	keepAliveProbes = 3
@@ -68,10 +71,24 @@
 		remaining int64
 		enabled   bool
 	}
+
+	// InvalidResponseError reports a response that HTTP does not allow. It is the cause
+	// of a router.AttemptError.
+	InvalidResponseError struct {
+		// Status is the status of the response.
+		Status int
+		// Reason says what is wrong with it.
+		Reason string
+	}
 )
 
 var errHeaderTooLarge = errors.Newf("the response header exceeds %d bytes", maxHeaderBytes)
 
+// Error implements error.
+func (e *InvalidResponseError) Error() string {
+	return fmt.Sprintf("the upstream sent an invalid response with status %03d: %s", e.Status, e.Reason)
+}
+
 // Write implements net.Conn.
 func (c *countingConn) Write(b []byte) (int, error) {
 	c.writing.Add(1)
@@ -238,6 +255,7 @@
 // its body.
 func (c *conn) readHeader(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
+	last := 0
 	for range maxInformationalResponses {
 		c.headerLimit.enabled, c.headerLimit.remaining = true, maxHeaderBytes
 		resp, err := http.ReadResponse(c.br, req)
@@ -245,14 +263,40 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch status := resp.StatusCode; {
+		case status == http.StatusSwitchingProtocols:
+			return nil, &InvalidResponseError{Status: status, Reason: "the request did not ask for another protocol"}
+		case status < minStatus || status > maxStatus:
+			// http.ReadResponse accepts any three digits.
+			return nil, &InvalidResponseError{Status: status, Reason: "the status is not between 100 and 599"}
+		case status >= http.StatusOK:
 			return resp, nil
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.Newf("the upstream switched protocols without being asked")
-		}
+		last = resp.StatusCode
+	}
+	return nil, &InvalidResponseError{
+		Status: last, Reason: fmt.Sprintf("%d informational responses came and no final one", maxInformationalResponses),
+	}
+}
+
+// headerFailure returns the kind of a failure to read the header of a response.
+func headerFailure(err error) router.FailKind {
+	var invalid *InvalidResponseError
+	if errors.As(err, &invalid) {
+		return router.FailMalformed
+	}
+	return router.FailReset
+}
+
+// announcesMissingBody reports whether the header announces a body that a response with
+// its status does not have. If the upstream sends it all the same, it would be read as
+// the next response on the connection.
+func announcesMissingBody(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified {
+		return false
 	}
-	return nil, errors.Newf("the upstream sent %d informational responses and no final one", maxInformationalResponses)
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || length != "" && length != "0"
 }
 
 // idleExpired reports whether the connection has been idle for as long as the
--- a/dialer/exchange.go
+++ b/dialer/exchange.go
@@ -61,7 +61,7 @@
 		return nil, x.fail(router.FailReset, err)
 	}
 	if err := x.readHeader(); err != nil {
-		return nil, x.fail(router.FailReset, err)
+		return nil, x.fail(headerFailure(err), err)
 	}
 	x.headerDelay = d.opts.Clock.Since(x.startedAt)
 	if err := x.verify(); err != nil {
@@ -231,8 +231,9 @@
 // finish ends an exchange whose body was read to its end, and returns the
 // connection to the pool unless unread data follows the body.
 func (x *exchange) finish() {
-	reusable := !x.resp.Close && x.conn.br.Buffered() == 0
-	if !reusable && !x.resp.Close {
+	closing := x.resp.Close || announcesMissingBody(x.resp)
+	reusable := !closing && x.conn.br.Buffered() == 0
+	if !reusable && !closing {
 		x.dialer.opts.Scope.Counter("dialer.unread").Inc(1)
 	}
 	x.returnConn(reusable, 0)
--- a/dialer/forward.go
+++ b/dialer/forward.go
@@ -151,7 +151,7 @@
 	if r.ended {
 		return
 	}
-	reusable := r.Framed && !r.sawStray && !r.resp.Close && r.conn.br.Buffered() == 0 && r.requestSent()
+	reusable := r.Framed && !r.sawStray && !r.resp.Close && !announcesMissingBody(r.resp) && r.conn.br.Buffered() == 0 && r.requestSent()
 	if timeout, ok := keepAliveTimeout(r.Header); ok && reusable {
 		r.conn.keepAlive = max(timeout-keepAliveMargin, time.Millisecond)
 	}
@@ -211,7 +211,7 @@
 	for range maxStrayResponses + 1 {
 		resp, err := r.conn.readHeader(r.req.Method) //nolint:bodyclose // The body is read to its end or the connection is closed.
 		if err != nil {
-			return r.fail(router.FailReset, err)
+			return r.fail(headerFailure(err), err)
 		}
 		id := resp.Header.Get(r.req.IDField)
 		if id == r.req.ID || id == "" {
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -60,7 +60,7 @@
 				}
 				Expect(err).To(HaveOccurred(), "%s, %d of %d bytes: %q", name, n, len(head), head[:n])
 				attemptErr := expectAttemptError(err)
-				Expect(attemptErr.Kind).To(Equal(router.FailReset), name)
+				Expect(attemptErr.Kind).To(Equal(router.FailReset), "%s: %v", name, err)
 				Expect(d.Do(ctx, u.newAttempt("a"))).Error().To(HaveOccurred(), "%s, %d bytes", name, n)
 				stream, err := d.Open(ctx, u.newAttempt("a"))
 				if err == nil {
--- a/dialer/response.go
+++ b/dialer/response.go
@@ -40,6 +40,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if x.resp.StatusCode == http.StatusResetContent && len(body) > 0 {
+		return nil, x.fail(router.FailMalformed, &InvalidResponseError{Status: x.resp.StatusCode, Reason: "it has a body"})
+	}
 	ans := &router.Answer{
 		Status: x.resp.StatusCode, Header: x.resp.Header, Body: body,
 		FirstByte: x.headerDelay, RetryAfter: retryAfter(x.resp.Header),
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -463,9 +463,12 @@
 // discardBody reads the rest of a response that is not forwarded, so that its
 // connection can be used again.
 func (c *call) discardBody(resp *dialer.ForwardResponse) {
-	if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
-		resp.Finish()
-		c.answered = append(c.answered, c.upstream.Address)
+	// Without a length, the connection ends with the body.
+	if resp.Framed {
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp, maxResponseBytes)); err == nil {
+			resp.Finish()
+			c.answered = append(c.answered, c.upstream.Address)
+		}
 	}
 	resp.Abort()
 }
@@ -489,6 +492,12 @@
 		resp.Abort()
 		return c.handleFailure(t, err)
 	}
+	if resp.Status == http.StatusResetContent && len(body) > 0 {
+		// A caller might take the body for its next response.
+		resp.Abort()
+		c.countDelivered(true)
+		return c.handleInvalid(t, &dialer.InvalidResponseError{Status: resp.Status, Reason: "it has a body"})
+	}
 	resp.Finish()
 	c.answered = append(c.answered, c.upstream.Address)
 	c.countDelivered(true)
--- a/forwarder/verdict.go
+++ b/forwarder/verdict.go
@@ -52,7 +52,7 @@
 // caller has received a part of a stream, only the rest of the stream is of use.
 func judge(f responseFacts) verdict {
 	switch {
-	case !f.own:
+	case !f.own, !isFinal(f.status):
 		return verdictInvalid
 	case f.notRun, f.status == http.StatusMisdirectedRequest:
 		return verdictNotRun
@@ -62,12 +62,21 @@
 		return verdictInvalid
 	case f.stream && f.status == http.StatusOK:
 		return verdictStream
-	case f.status >= http.StatusInternalServerError, promisesNotRun(f.status):
+	case promisesNotRun(f.status):
 		return verdictFailure
 	}
-	return verdictAnswer
+	switch f.status / 100 {
+	case 2, 3, 4:
+		return verdictAnswer
+	case 5:
+		return verdictFailure
+	}
+	return verdictInvalid
 }
 
+// isFinal reports whether the status is one of a final response.
+func isFinal(status int) bool { return status >= 200 && status <= 599 }
+
 // judgeResponse returns the verdict on the response to the current attempt.
 func (c *call) judgeResponse(resp *dialer.ForwardResponse, reply Reply) verdict {
 	return judge(responseFacts{
--- a/router/attempts.go
+++ b/router/attempts.go
@@ -190,19 +190,18 @@
 	return t.newRefusal(refuser.UpstreamFailed, "the upstream failed before the answer was complete (%s)", ae.Kind)
 }
 
-// statusError returns the error for the HTTP status of a complete answer: nil
-// for a success, a *RejectedError if the request is at fault, and an
-// *AttemptError if the upstream is.
+// statusError returns the error for the HTTP status of a complete answer of an engine:
+// nil for 200, a *RejectedError if the request is at fault, and an *AttemptError for any
+// other status, which is the upstream's fault.
 func statusError(status int, contentType string, body []byte, retryAfter time.Duration) error {
 	switch {
-	case status < http.StatusBadRequest:
+	case status == http.StatusOK:
 		return nil
-	case status >= http.StatusInternalServerError, status == http.StatusTooManyRequests, status == http.StatusRequestTimeout:
-		return &AttemptError{
-			Kind: FailStatus, Outcome: refuser.Unknown, Status: status, RetryAfter: retryAfter,
-			Err: errors.Newf("the upstream returned status %d", status),
-		}
-	default:
+	case status/100 == 4 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout:
 		return &RejectedError{Status: status, ContentType: contentType, Body: body}
 	}
+	return &AttemptError{
+		Kind: FailStatus, Outcome: refuser.Unknown, Status: status, RetryAfter: retryAfter,
+		Err: errors.Newf("the upstream returned status %d", status),
+	}
 }
--- a/router/chat_test.go
+++ b/router/chat_test.go
@@ -150,6 +150,24 @@
 		Expect(r.upstreams.recordedAttempts()).To(HaveLen(1))
 	})
 
+	// Guards against a response with another status than 200 that is delivered and billed
+	// as an answer, although its text and ID were not checked.
+	It("takes an answer only with status 200", func(ctx context.Context) {
+		for _, status := range []int{0, 100, 201, 204, 205, 302, 304, 500, 599, 600, 999} {
+			r := newFixture()
+			r.upstreams.do = func(context.Context, *router.Attempt) (*router.Answer, error) {
+				a := answer("other")
+				a.Status = status
+				return a, nil
+			}
+			_, err := r.Chat(ctx, r.newChat())
+			refusal, ok := refuser.As(err)
+			Expect(ok).To(BeTrue(), "status %d: %v", status, err)
+			Expect(refusal.Code).To(Equal(refuser.UpstreamFailed), "status %d", status)
+			Expect(refusal.Outcome).NotTo(Equal(refuser.NotRun), "status %d", status)
+		}
+	})
+
 	// Guards against a slow or dead second host that blocks all answers.
 	It("delivers the answer when no second host holds the bill in time", func(ctx context.Context) {
 		clock := timekeeper.NewFake(time.Unix(1000, 0))
