Specs of cold upstreams with running hosts; wait for a permit

Cause: the bound was only simulated, and a host whose permit was due within milliseconds refused the request.

--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -64,9 +64,10 @@
 	if !ok && c.f.settings.Placer.RateLimited(c.service.Name) {
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.RateLimited, limitedRetryAfter)
 	}
-	if brittle, _ := c.f.settings.Placer.Brittle(c.service.Name); !ok && !brittle && c.f.settings.Placer.Cold(c.service.Name) {
-		c.f.settings.Scope.Counter("forwarder.coldRefused").Inc(1)
-		return nil, newRefusal(http.StatusServiceUnavailable, refuser.UpstreamsCold, coldRetryAfter)
+	if !ok {
+		if wait, ref := c.refuseCold(); wait || ref != nil {
+			return nil, ref
+		}
 	}
 	if !ok {
 		if left := c.f.settings.Placer.PauseLeft(c.service.Name); left > 0 {
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"foxtailwall/throttler"
@@ -182,14 +181,23 @@
 }
 
 // Cold reports whether an upstream of the service counts as cold, so that a request
-// without an upstream may have been withheld from it.
-func (p *Placer) Cold(service string) bool {
+// without an upstream may have been withheld from it. next is the time until this host
+// has a permit for one, negative if it gets none.
+func (p *Placer) Cold(service string) (cold bool, next time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Clock.Now()
-	return slices.ContainsFunc(p.pools[service].members(), func(u *upstream) bool {
-		return !u.Leaving && !u.withdrawal.leaving && !p.evacuated[u.Zone] && p.isCold(u, now)
-	})
+	next = -1
+	for _, u := range p.pools[service].members() {
+		if u.Leaving || u.withdrawal.refuses(now) || p.evacuated[u.Zone] || !p.isCold(u, now) {
+			continue
+		}
+		cold = true
+		if d, ok := u.cold.pace.Wait(p.coldLimit(u), now); ok && p.rank >= 0 && (next < 0 || d < next) {
+			next = d
+		}
+	}
+	return cold, next
 }
 
 // TakeColdChanges returns what has changed since the last call.
@@ -237,11 +245,7 @@
 	if !p.isCold(u, now) {
 		return false
 	}
-	limit := throttler.Limit{
-		PerSecond: p.cold.rates[u.Service].PerSecond, Hosts: p.hosts, Rank: p.coldRankAt(u),
-		Window: coldWindow, Factor: p.settings.ColdOverage, Slack: p.settings.ColdSlack, Hold: true,
-	}
-	if p.rank >= 0 && u.cold.pace.Allows(limit, now) {
+	if p.rank >= 0 && u.cold.pace.Allows(p.coldLimit(u), now) {
 		p.cold.nextTrial = time.Time{}
 		return false
 	}
@@ -249,6 +253,14 @@
 	return true
 }
 
+// coldLimit returns the limit that the hosts share for the upstream while it is cold.
+func (p *Placer) coldLimit(u *upstream) throttler.Limit {
+	return throttler.Limit{
+		PerSecond: p.cold.rates[u.Service].PerSecond, Hosts: p.hosts, Rank: p.coldRankAt(u),
+		Window: coldWindow, Factor: p.settings.ColdOverage, Slack: p.settings.ColdSlack, Hold: true,
+	}
+}
+
 // coldRankAt is rankAt, rotated by the leader's turn.
 func (p *Placer) coldRankAt(u *upstream) int {
 	rank := p.rankAt(u)
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -360,6 +360,267 @@
 	return out
 }
 
+var _ = Describe("A cold upstream", func() {
+	const start = 10 * time.Second
+	var (
+		clock *timekeeper.Fake
+		p     *placer.Placer
+		list  []tracker.Upstream
+	)
+	// listed says that a list that was just read has the upstream's cold time.
+	listed := func(left time.Duration) {
+		list[0].ColdLeft = left
+		p.SetColdTimes(placer.ColdTimes(list), clock.Now())
+	}
+	// cold reports whether the only upstream counts as cold.
+	cold := func() bool {
+		cold, _ := p.Cold("s")
+		return cold
+	}
+	pick := func() *placer.Ticket {
+		t, ok := p.Pick(placer.Request{Service: "s"})
+		ExpectWithOffset(1, ok).To(BeTrue())
+		return t
+	}
+	serve := func() {
+		t := pick()
+		t.RecordReceived()
+		t.Done(placer.Succeeded, time.Millisecond)
+	}
+	BeforeEach(func() {
+		clock = timekeeper.NewFake(time.Unix(1000, 0))
+		p = placer.New(placer.Settings{Clock: clock, Host: "a"})
+		p.SetHosts(1, 0)
+		p.SetColdRates(map[string]placer.ColdRate{"s": {PerSecond: 11, Start: start}})
+		list = fleet(1, 8)[:1]
+		p.Update(list)
+	})
+
+	// Guards against a host that has just started and takes all upstreams for warm, and
+	// against a new deployment that gets no requests.
+	It("is any upstream until the list says how long it stays cold", func() {
+		Expect(cold()).To(BeTrue())
+		listed(0)
+		Expect(cold()).To(BeFalse())
+		listed(2 * time.Second)
+		Expect(cold()).To(BeTrue())
+		clock.Advance(2 * time.Second)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against effects on services that set no rate.
+	It("does not exist in a service without a rate", func() {
+		listed(2 * time.Second)
+		p.SetColdRates(nil)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against an upstream that stays cold although the list cannot be read.
+	It("is warm after its start-up time without a list", func() {
+		clock.Advance(start)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against a stale list that says that an upstream, which has just restarted, is
+	// not cold.
+	It("is one that was found stopped, until a list that was read well after it answered", func() {
+		listed(0)
+		pick().Done(placer.NotListening, 0)
+		Expect(cold()).To(BeTrue())
+		listed(0)
+		clock.Advance(time.Second)
+		listed(0)
+		Expect(cold()).To(BeTrue(), "no list tells before it has answered")
+		serve()
+		clock.Advance(time.Second)
+		listed(0)
+		Expect(cold()).To(BeTrue(), "the list lags")
+		listed(8 * time.Second)
+		clock.Advance(3 * time.Second)
+		listed(5 * time.Second)
+		Expect(cold()).To(BeTrue())
+		clock.Advance(5 * time.Second)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against an upstream that stays cold for good because nothing lists it.
+	It("is warm a start-up time after it has answered again", func() {
+		listed(0)
+		pick().Done(placer.NotListening, 0)
+		clock.Advance(2 * start)
+		Expect(cold()).To(BeTrue())
+		serve()
+		clock.Advance(start)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against an upstream that serves nothing for seconds because one of many
+	// connections failed.
+	DescribeTable("is not one that lost a connection and answers",
+		func(outcome placer.Outcome) {
+			listed(0)
+			failing := pick()
+			clock.Advance(100 * time.Millisecond)
+			failing.Done(outcome, 0)
+			Expect(cold()).To(BeTrue())
+			clock.Advance(time.Second)
+			serve()
+			clock.Advance(500 * time.Millisecond)
+			listed(0)
+			Expect(cold()).To(BeFalse())
+		},
+		Entry("refused", placer.Refused), Entry("silent", placer.Silent), Entry("broken", placer.Broken), Entry("stale", placer.Stale),
+	)
+
+	// Guards against the same while older requests still run there: the process is the one
+	// that it was.
+	It("is not one that goes on with an earlier request", func() {
+		listed(0)
+		running := pick()
+		clock.Advance(time.Second)
+		failing := pick()
+		running.RecordReceived()
+		failing.Done(placer.Silent, 0)
+		Expect(cold()).To(BeTrue())
+		clock.Advance(100 * time.Millisecond)
+		running.RecordReceived()
+		Expect(cold()).To(BeTrue(), "the data may have been sent before")
+		clock.Advance(300 * time.Millisecond)
+		running.RecordReceived()
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against a process that is taken for the earlier one because a request that
+	// was sent to its successor goes on.
+	It("is one whose connection was lost before a request that goes on", func() {
+		listed(0)
+		failing := pick()
+		clock.Advance(time.Second)
+		later := pick()
+		clock.Advance(time.Second)
+		failing.Done(placer.Silent, 0)
+		clock.Advance(time.Second)
+		later.RecordReceived()
+		Expect(cold()).To(BeTrue())
+	})
+
+	// Guards against hosts that learn of an outage only when they send something.
+	It("is one that other hosts could not reach, also before this host has started", func() {
+		listed(0)
+		other := placer.New(placer.Settings{Clock: clock, Host: "b"})
+		other.SetColdRates(map[string]placer.ColdRate{"s": {PerSecond: 11, Start: start}})
+		other.Update(list)
+		other.SetHosts(2, 1)
+		other.SetColdTimes(nil, clock.Now())
+		t, ok := other.Pick(placer.Request{Service: "s"})
+		Expect(ok).To(BeTrue())
+		t.Done(placer.NotListening, 0)
+		clock.Advance(4 * time.Second)
+		p.AddOutages(other.Outages())
+		Expect(cold()).To(BeTrue())
+		serve()
+		clock.Advance(4 * time.Second)
+		listed(0)
+		Expect(cold()).To(BeFalse())
+		p.AddOutages(other.Outages())
+		Expect(cold()).To(BeFalse(), "it is the same outage")
+	})
+
+	// Guards against a host with a failed path that makes other hosts avoid upstreams
+	// from which they receive data.
+	It("is not one that only another host does not reach", func() {
+		listed(0)
+		clock.Advance(time.Second)
+		serve()
+		p.AddOutages([]placer.Outage{{Upstream: list[0].Key().Hash(), Age: 200 * time.Millisecond}})
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against a new upstream, or one with a new start, that gets its full share
+	// before the list says how long it is cold.
+	It("is one that appears in the list while traffic runs", func() {
+		listed(0)
+		serve()
+		list[0].StartedAt = 7
+		p.Update(list)
+		p.SetColdTimes(nil, clock.Now())
+		Expect(cold()).To(BeTrue())
+		clock.Advance(time.Second)
+		serve()
+		clock.Advance(500 * time.Millisecond)
+		listed(0)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against an evacuated zone that is filled at once when its evacuation ends.
+	It("is one of a zone whose evacuation has ended", func() {
+		listed(0)
+		p.SetEvacuated([]string{"a"})
+		clock.Advance(time.Minute)
+		p.SetEvacuated(nil)
+		Expect(cold()).To(BeTrue())
+	})
+
+	// Guards against a health response that is not heeded.
+	It("is what it says itself", func() {
+		listed(0)
+		p.RecordColdTime(list[0].Key(), time.Second)
+		Expect(cold()).To(BeTrue())
+		listed(0)
+		Expect(cold()).To(BeTrue(), "the list lags")
+		clock.Advance(time.Second)
+		Expect(cold()).To(BeFalse())
+		pick().Done(placer.NotListening, 0)
+		p.RecordColdTime(list[0].Key(), 0)
+		Expect(cold()).To(BeFalse())
+	})
+
+	// Guards against a host that does not know its rank and sends as if it were alone.
+	It("gets nothing from a host without a rank", func() {
+		listed(5 * time.Second)
+		p.SetHosts(1, -1)
+		for range 100 {
+			clock.Advance(50 * time.Millisecond)
+			_, ok := p.Pick(placer.Request{Service: "s"})
+			Expect(ok).To(BeFalse())
+			listed(5 * time.Second)
+		}
+	})
+
+	// Guards against a cold upstream that is ejected because it is slow.
+	It("is not ejected as an outlier for slow responses", func() {
+		list = fleet(1, 8)
+		p.Update(list)
+		left := map[uint64]time.Duration{list[0].Key().Hash(): time.Minute}
+		p.SetColdTimes(left, clock.Now())
+		sent := 0
+		for range 3000 {
+			clock.Advance(10 * time.Millisecond)
+			t := pick()
+			t.RecordReceived()
+			if t.Upstream().ID == list[0].ID {
+				Expect(t.Cold()).To(BeTrue())
+				sent++
+				t.Done(placer.Succeeded, time.Second)
+			} else {
+				t.Done(placer.Succeeded, 50*time.Millisecond)
+			}
+		}
+		Expect(sent).To(BeNumerically(">", 100))
+	})
+
+	// Guards against log lines that do not end.
+	It("is named once in the changes", func() {
+		listed(time.Second)
+		Expect(p.TakeColdChanges().Became).To(Equal([]string{list[0].ID}))
+		clock.Advance(500 * time.Millisecond)
+		serve()
+		Expect(p.TakeColdChanges()).To(Equal(placer.ColdChanges{Sent: 1}))
+		clock.Advance(time.Second)
+		Expect(p.TakeColdChanges().Ceased).To(Equal([]string{list[0].ID}))
+	})
+})
+
 // Guards against hosts that together send a cold upstream more than it tolerates, because
 // they do not know that it has restarted, or divide its rate without regard to the others.
 var _ = Describe("Hosts with cold upstreams", func() {
@@ -454,6 +715,31 @@
 		}
 	}, sizes)
 
+	DescribeTable("fill a zone that was down for a moment", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(3 * time.Second)
+			f.stop(false, f.zone("b")...)
+			f.run(800 * time.Millisecond)
+			f.restart(f.zone("b")...)
+			f.run(4 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
+	DescribeTable("fill all upstreams when all return cold", func(hosts, upstreams int, rate, perSecond float64) {
+		for seed := range uint64(coldSeeds()) {
+			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+			f.run(time.Second)
+			f.stop(false, f.ups...)
+			f.run(1500 * time.Millisecond)
+			f.restart(f.ups...)
+			f.served, f.refused = 0, 0
+			f.run(10 * time.Second)
+			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		}
+	}, sizes)
+
 	DescribeTable("fill single upstreams that restart in turn", func(hosts, upstreams int, rate, perSecond float64) {
 		for seed := range uint64(coldSeeds()) {
 			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -110,6 +110,19 @@
 	return p.permits >= 1
 }
 
+// Wait returns the time until Allows returns true, if no other request takes the permit;
+// ok is false if the host is no sender.
+func (p *Pace) Wait(l Limit, now time.Time) (d time.Duration, ok bool) {
+	if p.Allows(l, now) {
+		return 0, true
+	}
+	perSecond := l.withDefaults().share()
+	if perSecond <= 0 {
+		return 0, false
+	}
+	return time.Duration((1 - p.permits) / perSecond * float64(time.Second)), true
+}
+
 // Take uses a permit. Allows must have returned true.
 func (p *Pace) Take() { p.permits-- }
 
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -106,6 +106,76 @@
 		}
 	})
 
+	// Guards against a bound within a second, for cold upstreams, that is exceeded by hosts
+	// whose permits come at the same time, after a quiet time and while the senders change.
+	DescribeTable("keeps the bound of a short window", func(hosts int, perSecond float64) {
+		const window, quiet, turn = time.Second, 7 * time.Second, 4 * time.Second
+		const step, length = 10 * time.Millisecond, 30 * time.Second
+		limit := throttler.Limit{PerSecond: perSecond, Hosts: hosts, Window: window, Factor: 1.5, Slack: 5, Hold: true}
+		most := 0
+		for upstream := range upstreams() {
+			paces := make([]throttler.Pace, hosts)
+			for i := range paces {
+				paces[i].Reset(throttler.Phase(fmt.Sprint("host-", i), fmt.Sprint("upstream-", upstream)), start)
+			}
+			var sentAt []time.Duration
+			sent := 0
+			for at := time.Duration(0); at < length; at += step {
+				if at%(2*quiet) < quiet/2 {
+					continue
+				}
+				for i := range paces {
+					// Hosts learn of a turn up to half a second apart.
+					delay := time.Duration(i%50) * 10 * time.Millisecond
+					limit.Rank = i + upstream + int((at+delay)/turn)
+					for paces[i].Allows(limit, start.Add(at)) {
+						paces[i].Take()
+						sentAt = append(sentAt, at)
+						sent++
+					}
+				}
+				for len(sentAt) > 0 && sentAt[0] <= at-window {
+					sentAt = sentAt[1:]
+				}
+				most = max(most, len(sentAt))
+				Expect(float64(len(sentAt))).To(BeNumerically("<=", 1.5*perSecond+5), "upstream %d at %s", upstream, at)
+			}
+			Expect(float64(sent)).To(BeNumerically(">=", 0.6*perSecond*length.Seconds()), "the rate is used")
+		}
+		AddReportEntry(fmt.Sprintf("at most %d within a second", most))
+	},
+		Entry("1 host, 11 a second", 1, 11.0),
+		Entry("6 hosts, 11 a second", 6, 11.0),
+		Entry("6 hosts, 2 a second", 6, 2.0),
+		Entry("6 hosts, 0.5 a second", 6, 0.5),
+		Entry("78 hosts, 11 a second", 78, 11.0),
+		Entry("78 hosts, 2 a second", 78, 2.0),
+		Entry("78 hosts, 0.5 a second", 78, 0.5),
+		Entry("300 hosts, 11 a second", 300, 11.0),
+		Entry("300 hosts, 2 a second", 300, 2.0),
+		Entry("300 hosts, 0.5 a second", 300, 0.5),
+	)
+
+	// Guards against settings that leave no slack for one request of each sender.
+	It("keeps a bound with little slack", func() {
+		limit := throttler.Limit{PerSecond: 2, Hosts: 6, Window: time.Second, Factor: 1, Hold: true}
+		paces := make([]throttler.Pace, 6)
+		var sentAt []time.Duration
+		for at := time.Duration(0); at < length; at += step {
+			for i := range paces {
+				limit.Rank = i
+				for paces[i].Allows(limit, start.Add(at)) {
+					paces[i].Take()
+					sentAt = append(sentAt, at)
+				}
+			}
+			for len(sentAt) > 0 && sentAt[0] <= at-time.Second {
+				sentAt = sentAt[1:]
+			}
+			Expect(len(sentAt)).To(BeNumerically("<=", 2))
+		}
+	})
+
 	// Guards against a burst of all hosts after a time without requests.
 	It("keeps no permits of a quiet time", func() {
 		const hosts = 300
