--- a/placer/cold.go
+++ b/placer/cold.go
@@ -149,7 +149,7 @@
 	defer p.mu.Unlock()
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			u.cold.list(left[u.Key().Hash()], readAt)
+			u.cold.list(left[u.key], readAt)
 		}
 	}
 }
@@ -401,7 +401,7 @@
 		for _, u := range pl.upstreams {
 			for ended, at := range map[bool]time.Time{false: u.cold.failedAt, true: u.cold.endedAt} {
 				if age := now.Sub(at); !at.IsZero() && age <= outageMemory {
-					out = append(out, Outage{Upstream: u.Key().Hash(), Ended: ended, Age: age})
+					out = append(out, Outage{Upstream: u.key, Ended: ended, Age: age})
 				}
 			}
 		}
@@ -423,7 +423,7 @@
 	}
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
-			for _, o := range told[u.Key().Hash()] {
+			for _, o := range told[u.key] {
 				at := now.Add(-o.Age)
 				// The path of the reporting host may have failed.
 				if at.Sub(u.cold.outageAt) > outageError && (o.Ended || later(u.lastReceived, u.lastReceivedElsewhere).Before(at)) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -245,7 +245,8 @@
 	upstream struct {
 		tracker.Upstream
 		hash uint64
-		// incarnation is the hash of Key.
+		// key is the hash of Key, and incarnation its lower half.
+		key         uint64
 		incarnation uint32
 		// running is the number of requests in progress, and work their work in
 		// tokens of the largest model.
@@ -317,7 +318,8 @@
 	for _, listed := range list {
 		u := known[listed.Key()]
 		if u == nil || u.Service != listed.Service {
-			u = &upstream{hash: hashString(listed.ID), incarnation: uint32(listed.Key().Hash())}
+			key := listed.Key().Hash()
+			u = &upstream{hash: hashString(listed.ID), key: key, incarnation: uint32(key)}
 			if oldPool := oldPools[listed.Service]; oldPool != nil && oldPool.isBrittle() {
 				// It has not said so yet, and gets the requests of the one that it replaces.
 				u.brittle.begin(p.settings.Clock.Now(), listed.Slots, newPlaces, rampPerSecond)
