Ask a larger model only where its estimate is in time

Cause: an answer with low confidence was given up for a larger model by the mean time to the first byte of all engines, also while every engine was full or other requests waited for room.

Change: sizer.NextSize keeps the answer if the larger model has no room now, if requests wait, or if its expected first byte is after the route's target. Models whose time is not known are asked as before. Loads of other hosts are kept with each upstream, so that a choice looks each up less often.

Result: new specs of sizer and placer pass; the specs of admitter, placer, forwarder and sizer pass. Not yet measured on real load.

--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -136,6 +136,16 @@
 	return m
 }
 
+// FirstByte returns the expected time to the first byte at a candidate that has room;
+// zero if it is not known.
+func (s *Service) FirstByte(c *Candidate, r *Request) time.Duration {
+	m := s.models[r.Model]
+	if m == nil {
+		return 0
+	}
+	return fromMilliseconds(m.firstByte.at((c.Work + c.Reading) / c.Speed))
+}
+
 // QueuedIn returns the expected times until the first byte and the complete answer of a
 // candidate that has no room for the request and queues it; zero if they are not known.
 func (s *Service) QueuedIn(c *Candidate, r *Request) (firstByte, answer time.Duration) {
--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -28,6 +28,7 @@
 		Size: c.sizeIndex, Sizes: len(c.route.Sizes), Confidence: c.confidence,
 		RetryBudget:  budget,
 		LatencyRatio: c.f.latency.LatencyRatio(largest, c.route.Target, c.f.settings.Clock.Now()) + c.elapsedRatio(),
+		InTime:       c.inTime,
 	})
 	if !ok {
 		return false
@@ -45,6 +46,26 @@
 	return true
 }
 
+// inTime reports whether the model of a size can answer by the route's target latency
+// without delaying other requests. It is not known to be late if nothing is known of it.
+func (c *call) inTime(size int) bool {
+	smaller := c.model
+	c.model = c.route.Sizes[size]
+	req := c.placementRequest()
+	c.model = smaller
+	req.Tried = nil
+	e := c.f.settings.Placer.Expect(req)
+	if !e.Known {
+		return true
+	}
+	end := c.startedAt.Add(c.route.Target)
+	inTime := e.Room && (c.route.Target <= 0 || !c.f.settings.Clock.Now().Add(e.FirstByte).After(end))
+	if !inTime {
+		c.f.settings.Scope.Counter("forwarder.notEscalated", "to", c.route.Sizes[size]).Inc(1)
+	}
+	return inTime
+}
+
 // elapsedRatio returns the time since the request began as a fraction of the
 // route's target latency.
 func (c *call) elapsedRatio() float64 {
--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -48,14 +48,7 @@
 		return nil, ref
 	}
 	c.excludeNewRollout()
-	req := placer.Request{
-		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
-	}
-	if c.service.Engine != nil {
-		req.Group = c.prefixGroup()
-		req.Work, req.SharedWork, req.SharedTokens = c.promptWork()
-		req.Admission = c.admissionRequest()
-	}
+	req := c.placementRequest()
 	t, ref := c.pickUpstream(req)
 	if t == nil && ref == nil && len(c.tried) > 0 {
 		// All upstreams were tried; retrying one is better than failing.
@@ -94,6 +87,19 @@
 	return t, nil
 }
 
+// placementRequest returns what the placement of the next attempt depends on.
+func (c *call) placementRequest() placer.Request {
+	req := placer.Request{
+		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
+	}
+	if c.service.Engine != nil {
+		req.Group = c.prefixGroup()
+		req.Work, req.SharedWork, req.SharedTokens = c.promptWork()
+		req.Admission = c.admissionRequest()
+	}
+	return req
+}
+
 // waitForPlace waits until this host may have a place at a brittle upstream. It reports
 // whether the time for it is not used up.
 func (c *call) waitForPlace() bool {
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -78,6 +78,15 @@
 		Refusal admitter.Decision
 	}
 
+	// Expectation is what is expected of a request that is sent now.
+	Expectation struct {
+		// Known means that the time to the first byte of such requests is known.
+		Known bool
+		// Room means that an upstream has room for the request and no other request waits.
+		Room      bool
+		FirstByte time.Duration
+	}
+
 	// Place is the place of a request that waits. It must be ended with Leave.
 	Place struct {
 		p         *Placer
@@ -102,12 +111,16 @@
 		// candidates and upstreams are the memory of earliestFirstByte.
 		candidates []admitter.Candidate
 		upstreams  []*upstream
+		// chosen is the expected time to the first byte at the upstream that
+		// earliestFirstByte returned last.
+		chosen time.Duration
 	}
 
-	// upstreamAdmission adds to an upstream the token memory of this host's requests and
-	// its relative speed.
+	// upstreamAdmission adds to an upstream the token memory of this host's requests, the
+	// loads of the other hosts as last received, and its relative speed.
 	upstreamAdmission struct {
 		tokens float64
+		remote Load
 		speed  admitter.Speed
 	}
 
@@ -181,6 +194,23 @@
 	return Admission{Refusal: d}
 }
 
+// Expect returns what is expected of a request without sending it.
+func (p *Placer) Expect(r Request) Expectation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl := p.pools[r.Service]
+	if pl == nil || !pl.estimates(r) {
+		return Expectation{}
+	}
+	r.Admission.room = &missingRoom{}
+	pl.admission.chosen = 0
+	u := p.chooseUpstream(pl, r)
+	if u == nil {
+		return Expectation{Known: true}
+	}
+	return Expectation{Known: true, Room: pl.admission.queue.Len() == 0, FirstByte: pl.admission.chosen}
+}
+
 // Ready returns a channel that delivers once the request is to leave its place.
 func (w *Place) Ready() <-chan struct{} { return w.ready }
 
@@ -267,7 +297,7 @@
 		free, slots := 0, pl.admission.queue.First().Value.(*Place).request.Admission.Slots
 		slots += pl.admission.service.Ended(slots, p.remoteLoadsInterval)
 		for _, u := range pl.upstreams {
-			free += max(0, slots-u.running-int(p.remoteLoads[u.loadID()].Running))
+			free += max(0, slots-u.running-int(u.admitted.remote.Running))
 		}
 		share := float64(free)/float64(max(p.hosts, 1)) + p.random()
 		p.drain(pl, int(share), now)
@@ -289,7 +319,10 @@
 	}
 	a.candidates, a.upstreams = a.candidates[:0], a.upstreams[:0]
 	add := func(u *upstream, local bool) {
-		l := loads[u.loadID()]
+		var l Load
+		if loads != nil {
+			l = u.admitted.remote
+		}
 		c := admitter.Candidate{
 			Work: u.work + float64(l.Work), Running: u.running + int(l.Running), Slots: slots,
 			Tokens: u.admitted.tokens + float64(l.Running)*a.service.MeanTokens(), Memory: memory,
@@ -321,13 +354,15 @@
 	for _, u := range remote {
 		add(u, false)
 	}
-	best, fits := admitter.Choose(a.candidates, p.admitted(&r), &a.service, now, p.spread(a, loads, now))
+	req := p.admitted(&r)
+	best, fits := admitter.Choose(a.candidates, req, &a.service, now, p.spread(a, loads, now))
 	if !fits && r.Admission.room != nil {
 		*r.Admission.room = missingRoom{full: true, room: p.room(a, hosts)}
 		room := &r.Admission.room.room
-		room.FirstByteIn, room.AnswerIn = a.service.QueuedIn(&a.candidates[best], p.admitted(&r))
+		room.FirstByteIn, room.AnswerIn = a.service.QueuedIn(&a.candidates[best], req)
 		return nil
 	}
+	a.chosen = a.service.FirstByte(&a.candidates[best], req)
 	return a.upstreams[best]
 }
 
@@ -355,6 +390,15 @@
 	return room
 }
 
+// remoteRunning returns the number of requests of other hosts, zero if loads, what is known
+// of them, is nil. It looks nothing up, since it is called for each upstream.
+func (u *upstream) remoteRunning(loads map[uint32]Load) int {
+	if loads == nil {
+		return 0
+	}
+	return int(u.admitted.remote.Running)
+}
+
 func (p *Placer) random() float64 {
 	if p.settings.Admission.Random != nil {
 		return p.settings.Admission.Random()
@@ -394,7 +438,7 @@
 	t.admitted = admittedAttempt{admission: a, request: r.Admission, sentAt: now}
 	var l Load
 	if now.Sub(p.remoteLoadsAt) <= remoteLoadsTTL {
-		l = p.remoteLoads[t.up.loadID()]
+		l = t.up.admitted.remote
 	}
 	t.admitted.work = t.up.work + float64(l.Work)
 	t.admitted.hadRoom = t.up.running+int(l.Running) <= r.Admission.Slots
@@ -412,7 +456,7 @@
 		return
 	}
 	a.firstByteAt = t.p.settings.Clock.Now()
-	a.batch = t.up.running + int(t.p.remoteLoads[t.up.loadID()].Running)
+	a.batch = t.up.running + int(t.up.admitted.remote.Running)
 }
 
 // DiscardGeneration records that the answer is not read to its end, so that the duration
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -133,6 +133,21 @@
 		Expect(p.Admit(r).Ticket).NotTo(BeNil())
 	})
 
+	// Guards against a larger model that is asked although it answers too late or takes the
+	// room of others.
+	It("says what is expected of a request", func() {
+		Expect(p.Expect(request())).To(Equal(placer.Expectation{}))
+		learn()
+		r := request()
+		e := p.Expect(r)
+		Expect(e.Room).To(BeTrue())
+		Expect(e.FirstByte).To(BeNumerically("~", 25*time.Millisecond, time.Millisecond))
+		r.Work *= 10
+		Expect(p.Expect(r).FirstByte).To(BeNumerically("~", 250*time.Millisecond, 5*time.Millisecond))
+		fill()
+		Expect(p.Expect(r)).To(Equal(placer.Expectation{Known: true}))
+	})
+
 	It("bounds the queue", func() {
 		p = placer.New(placer.Settings{Clock: clock, Zone: "a", Admission: placer.AdmissionSettings{MaxWaiting: 2}})
 		p.Update(fleet(1, 4))
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -28,7 +28,7 @@
 	for _, u := range pl.upstreams {
 		switch {
 		case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !r.Versions.allows(u.Version) || slices.Contains(r.Tried, u.Key()) || p.throttled(u, now) || !p.hasPlace(u, now):
-		case r.MaxConns > 0 && float64(u.running+int(loads[u.loadID()].Running)) >= usableConnFraction*float64(r.MaxConns):
+		case r.MaxConns > 0 && float64(u.running+u.remoteRunning(loads)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
 		case now.Sub(u.misdirectedAt) < misdirectedProbeInterval:
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -314,6 +314,7 @@
 		u := known[listed.Key()]
 		if u == nil || u.Service != listed.Service {
 			u = &upstream{hash: hashString(listed.ID), incarnation: uint32(listed.Key().Hash())}
+			u.admitted.remote = p.remoteLoads[u.loadID()]
 			if oldPool := oldPools[listed.Service]; oldPool != nil && oldPool.isBrittle() {
 				// It has not said so yet, and gets the requests of the one that it replaces.
 				u.brittle.begin(p.settings.Clock.Now(), listed.Slots, newPlaces, rampPerSecond)
@@ -412,6 +413,7 @@
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			l, ok := p.remoteLoads[u.loadID()]
+			u.admitted.remote = l
 			if at := p.remoteLoadsAt.Add(-l.SinceReceived); ok && at.After(u.lastReceivedElsewhere) {
 				u.lastReceivedElsewhere = at
 			}
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -5,7 +5,8 @@
 // byte reaches the caller; if that is too low, the response is discarded and a
 // larger model is asked. The required confidence falls as the engines get
 // busier: larger models take several times as much engine time, and a late
-// response is of no use.
+// response is of no use. Where the time that a larger model takes is known, it is
+// asked only if that is in time.
 //
 // # Usage
 //
@@ -64,6 +65,9 @@
 		LatencyRatio float64
 		// RetryBudget is the fraction of the retry budget that is left.
 		RetryBudget float64
+		// InTime reports whether the model of a size has room now and can answer in time;
+		// nil if that is not known.
+		InTime func(size int) bool
 	}
 
 	// LatencyTracker keeps a moving average of the time to the first byte by key.
@@ -92,10 +96,14 @@
 	if resp.Confidence < 0 || resp.Size+1 >= resp.Sizes || resp.Confidence >= threshold {
 		return resp.Size, false
 	}
+	next := resp.Sizes - 1
 	if resp.Confidence >= lowConfidence {
-		return resp.Size + 1, true
+		next = resp.Size + 1
 	}
-	return resp.Sizes - 1, true
+	if resp.InTime != nil && !resp.InTime(next) {
+		return resp.Size, false
+	}
+	return next, true
 }
 
 // keepThreshold returns the confidence from which a response is kept. It falls
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -44,6 +44,10 @@
 	// Guards against escalations that slow down busy engines further.
 	Entry("fair confidence on busy engines", sizer.Response{Confidence: 40, LatencyRatio: 0.6}, 0, false),
 	Entry("very low confidence on busy engines", sizer.Response{Confidence: 5, LatencyRatio: 0.6}, 2, true),
+	// Guards against an answer that is given up for one that comes too late, or that takes
+	// the room of other requests.
+	Entry("largest model too late", sizer.Response{Confidence: 20, InTime: func(size int) bool { return size < 2 }}, 0, false),
+	Entry("next model in time", sizer.Response{Confidence: 55, InTime: func(size int) bool { return size < 2 }}, 1, true),
 	Entry("overloaded engines", sizer.Response{Confidence: 0, LatencyRatio: 1.2}, 0, false),
 )
 
