--- a/placer/admission.go
+++ b/placer/admission.go
@@ -12,6 +12,8 @@
 const (
 	// DefaultMaxWaiting is the number of requests of a service that may wait at a host.
 	DefaultMaxWaiting = 256
+	// MaxMaxWaiting is the largest number that a setting may allow.
+	MaxMaxWaiting = 10_000
 	// DefaultMaxWaitingBytes bounds the memory of the bodies of the requests that wait.
 	DefaultMaxWaitingBytes = 16 << 20
 
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,7 +100,7 @@
 	s.limitMemory()
 	e := &entry{opts: o, startedAt: o.Clock.Now()}
 	e.settings.Store(&s)
-	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone, Host: s.Name})
+	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone, Host: s.Name, Admission: s.Admission})
 	e.retryBudget = budgeter.New(budgeter.Settings{
 		Ratio: s.Retries.Ratio, Window: s.Retries.Window, Slack: s.Retries.Slack, Clock: o.Clock,
 	})
@@ -140,6 +142,10 @@
 		return validator.NewSettingError("ready", s.Ready.String(), "an IP address and a port")
 	case s.Retries.Window <= 0:
 		return validator.NewSettingError("retries.window", s.Retries.Window.String(), "above 0")
+	case s.Admission.MaxWaiting < 0 || s.Admission.MaxWaiting > placer.MaxMaxWaiting:
+		return validator.NewSettingError("admission.maxWaiting", strconv.Itoa(s.Admission.MaxWaiting), fmt.Sprintf("from 0 (the default, %d) to %d", placer.DefaultMaxWaiting, placer.MaxMaxWaiting))
+	case s.Admission.MaxWaitingBytes < 0 || s.Memory > 0 && s.Admission.MaxWaitingBytes > s.Memory/2:
+		return validator.NewSettingError("admission.maxWaitingBytes", strconv.FormatInt(s.Admission.MaxWaitingBytes, 10), fmt.Sprintf("from 0 (the default, %d) to half of the memory", placer.DefaultMaxWaitingBytes))
 	}
 	return s.checkCommon()
 }
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -30,6 +30,7 @@
 	"foxtailwall/counter"
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
+	"foxtailwall/placer"
 	"foxtailwall/server"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -85,6 +86,9 @@
 		Retries Retries
 		// SessionTimeout is how long after its last request a session ends.
 		SessionTimeout time.Duration
+		// Admission bounds the requests to engines that wait at an entry; its zero value
+		// means the defaults.
+		Admission placer.AdmissionSettings
 	}
 
 	// Retries is the budget of retries at another upstream.
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -427,5 +427,7 @@
 	Entry("no address for peers", func(s *starter.Settings) { s.Peers = netip.AddrPort{} }, "peers"),
 	Entry("no seeds", func(s *starter.Settings) { s.Seeds = nil }, "seeds"),
 	Entry("no grace period", func(s *starter.Settings) { s.Grace = 0 }, "grace"),
+	Entry("too many waiting requests", func(s *starter.Settings) { s.Admission.MaxWaiting = 10_001 }, "admission.maxWaiting"),
+	Entry("negative bytes of waiting requests", func(s *starter.Settings) { s.Admission.MaxWaitingBytes = -1 }, "admission.maxWaitingBytes"),
 	Entry("no retry window", func(s *starter.Settings) { s.Retries.Window = 0 }, "retries.window"),
 )
