Let requests with room pass those that lack token memory

Cause: a waiting request that had no token memory and was past half of its wait held back all others, and a new request with room waited behind those without until the next report of loads. Nothing should wait while an upstream has room for it.

Change: requests past half of their wait are tried first and hold back none; a new request that meets a queue while there is room is tried at once in the queue's order.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -112,24 +112,23 @@
 	q.bytes += e.Request.Bytes
 }
 
-// Take removes and returns the entry that goes first, nil if there is none, and whether
-// it has waited for half of its time: then no other may go before it.
-func (q *Queue) Take(now time.Time) (e *Entry, overdue bool) {
+// Take removes and returns the entry that goes first, nil if there is none.
+func (q *Queue) Take(now time.Time) *Entry {
 	if q.Len() == 0 {
-		return nil, false
+		return nil
 	}
-	if e = q.all.items[0]; !now.Before(e.overdueAt) {
+	if e := q.all.items[0]; !now.Before(e.overdueAt) {
 		q.Remove(e)
-		return e, true
+		return e
 	}
 	for i := range q.classes {
 		if c := &q.classes[i]; c.entries > 0 {
-			e = c.active.items[0].entries.items[0]
+			e := c.active.items[0].entries.items[0]
 			q.Remove(e)
-			return e, false
+			return e
 		}
 	}
-	return nil, false
+	return nil
 }
 
 // Charge counts the work of an entry that was taken and sent against its workspace.
--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -93,6 +93,8 @@
 		reread                                         float64
 		// longestWait is the longest wait by second of the objective.
 		longestWait time.Duration
+		// firstBytes is the sum of the times to the first bytes.
+		firstBytes time.Duration
 		// freeAtRefusal is the largest number of slots known to be free at a refusal.
 		freeAtRefusal int
 		// by counts the requests served and all, by kind, workspace, zone and size.
@@ -424,6 +426,7 @@
 	r.open = slices.DeleteFunc(r.open, func(o *job) bool { return o == j })
 	inTime := served && j.firstAt.Sub(j.arrivedAt) <= j.kind.objective
 	if served {
+		r.firstBytes += j.firstAt.Sub(j.arrivedAt)
 		r.served++
 	}
 	if inTime {
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -184,6 +184,11 @@
 		w := &Place{p: p, admission: a, service: r.Service, request: r, queued: true, ready: make(chan struct{}, 1)}
 		w.entry = admitter.Entry{Request: *req, Until: d.Until, Value: w}
 		if a.queue.Push(&w.entry, now) {
+			if !r.Admission.room.full {
+				// Those that wait need more token memory, or wait for this host's share of the
+				// free slots.
+				p.drain(pl, 1, now)
+			}
 			return Admission{Place: w}
 		}
 		d = d.Refused(admitter.QueueFull)
@@ -257,7 +262,7 @@
 	a := pl.admission
 	var skipped []*admitter.Entry
 	for limit > 0 && len(skipped) < maxSkipped {
-		e, overdue := a.queue.Take(now)
+		e := a.queue.Take(now)
 		if e == nil {
 			break
 		}
@@ -274,7 +279,7 @@
 			continue
 		}
 		skipped = append(skipped, e)
-		if overdue || w.request.Admission.room.room.Free == 0 {
+		if w.request.Admission.room.room.Free == 0 {
 			break
 		}
 	}
