--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -50,20 +50,17 @@
 		return nil, ref
 	}
 	c.excludeNewRollout()
-	req := placer.Request{
-		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
-		ID: xxhash.Sum64String(c.envelope.ID),
-	}
-	if c.service.Engine != nil {
-		req.Group = c.prefixGroup()
-		req.Work, req.SharedWork, req.SharedTokens = c.promptWork()
-	}
-	t, ok := c.f.settings.Placer.Pick(req)
-	if !ok && len(c.tried) > 0 {
+	req := c.placementRequest()
+	t, ref := c.pickUpstream(req)
+	if t == nil && ref == nil && len(c.tried) > 0 {
 		// All upstreams were tried; retrying one is better than failing.
 		req.Tried = nil
-		t, ok = c.f.settings.Placer.Pick(req)
+		t, ref = c.pickUpstream(req)
+	}
+	if ref != nil {
+		return nil, ref
 	}
+	ok := t != nil
 	if !ok && c.f.settings.Placer.RateLimited(c.service.Name) {
 		return nil, newRefusal(http.StatusServiceUnavailable, refuser.RateLimited, limitedRetryAfter)
 	}
@@ -97,6 +94,20 @@
 	return t, nil
 }
 
+// placementRequest returns what the placement of the next attempt depends on.
+func (c *call) placementRequest() placer.Request {
+	req := placer.Request{
+		Service: c.service.Name, Versions: c.versionFilter(), MaxConns: c.service.MaxConns, Tried: c.tried,
+		ID: xxhash.Sum64String(c.envelope.ID),
+	}
+	if c.service.Engine != nil {
+		req.Group = c.prefixGroup()
+		req.Work, req.SharedWork, req.SharedTokens = c.promptWork()
+		req.Admission = c.admissionRequest()
+	}
+	return req
+}
+
 // waitForPlace waits until this host may have a place at a brittle upstream. It reports
 // whether the time for it is not used up.
 func (c *call) waitForPlace() bool {
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -30,7 +30,7 @@
 		case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !r.Versions.allows(u.Version) || slices.Contains(r.Tried, u.Key()) || p.throttled(u, now) || !p.hasPlace(u, now):
 		case p.withheld(u, now):
 			withheld = append(withheld, u)
-		case r.MaxConns > 0 && float64(u.running+int(loads[u.loadID()].Running)) >= usableConnFraction*float64(r.MaxConns):
+		case r.MaxConns > 0 && float64(u.running+u.remoteRunning(loads)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
 		case now.Sub(u.misdirectedAt) < misdirectedProbeInterval:
@@ -54,6 +54,9 @@
 		if loads != nil && p.remoteLoadsInterval <= maxCoordinationInterval {
 			firstHomes = maxFirstHomes
 		}
+		if pl.estimates(r) {
+			return p.earliestFirstByte(pl, local, remote, loads, firstHomes, r)
+		}
 		return pl.leastWork(local, remote, loads, firstHomes, r)
 	}
 	return shortestWait(local, remote, loads)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -150,6 +150,8 @@
 		// cold upstream within any second: its rate times ColdOverage, plus ColdSlack. If
 		// both are zero, they are 1.5 and 5.
 		ColdOverage, ColdSlack float64
+		// Admission bounds the requests that wait for room.
+		Admission AdmissionSettings
 	}
 
 	// VersionFilter restricts the versions of a service that may be used.
@@ -180,6 +182,8 @@
 		ID uint64
 		// Tried lists the upstreams to exclude because the request was sent to them.
 		Tried []tracker.Key
+		// Admission is what the admission of requests to engines depends on.
+		Admission AdmissionRequest
 	}
 
 	// Load is the load that a host puts on an upstream.
@@ -247,6 +251,9 @@
 		// prefixCaches maps the hash of each group to those of the upstreams that were
 		// sent its requests by any host, and so should have its prefix cached.
 		prefixCaches *buffer.LRU[uint32, []uint32]
+		// admission is nil until the service gets a request that states the slots of its
+		// engines.
+		admission *admission
 	}
 
 	// upstream adds this host's requests, statistics and ejections to an upstream.
@@ -280,6 +287,7 @@
 		withdrawal withdrawal
 		brittle    brittleness
 		cold       coldness
+		admitted   upstreamAdmission
 	}
 
 	// Ticket is an attempt in progress. It must be ended with Done.
@@ -300,7 +308,8 @@
 		// sentAt is when the attempt was placed, and receivedAt when data last arrived.
 		sentAt, receivedAt time.Time
 		// cold means that the upstream counted as cold at sentAt.
-		cold bool
+		cold     bool
+		admitted admittedAttempt
 	}
 )
 
@@ -330,6 +339,7 @@
 		if u == nil || u.Service != listed.Service {
 			key := listed.Key().Hash()
 			u = &upstream{hash: hashString(listed.ID), key: key, incarnation: uint32(key)}
+			u.admitted.remote = p.remoteLoads[u.loadID()]
 			if oldPool := oldPools[listed.Service]; oldPool != nil && oldPool.isBrittle() {
 				// It has not said so yet, and gets the requests of the one that it replaces.
 				u.brittle.begin(p.settings.Clock.Now(), listed.Slots, newPlaces, rampPerSecond)
@@ -342,6 +352,7 @@
 			pl = &pool{prefixCaches: buffer.NewLRU[uint32, []uint32](maxGroups)}
 			if oldPool := oldPools[listed.Service]; oldPool != nil {
 				pl.prefixCaches = oldPool.prefixCaches
+				pl.admission = oldPool.admission
 			}
 			p.pools[listed.Service] = pl
 		}
@@ -357,11 +368,18 @@
 	if pl == nil {
 		return nil, false
 	}
+	t = p.pick(pl, r)
+	return t, t != nil
+}
+
+// pick chooses an upstream and records the attempt; it returns nil if none is
+// available.
+func (p *Placer) pick(pl *pool, r Request) *Ticket {
 	u := p.chooseUpstream(pl, r)
 	if u == nil {
-		return nil, false
+		return nil
 	}
-	t = &Ticket{p: p, up: u, listed: u.Upstream, request: r.ID, work: r.Work}
+	t := &Ticket{p: p, up: u, listed: u.Upstream, request: r.ID, work: r.Work}
 	if r.Work > 0 && !slices.Contains(pl.prefixCachesOf(r.Group), u.loadID()) {
 		t.work += r.SharedWork
 		t.pool, t.placement = pl, p.recordPlacement(pl, r.Group, u)
@@ -373,7 +391,8 @@
 	u.running++
 	u.work += t.work
 	p.zonePath(u.Zone).recordSent(p.settings.Clock.Now())
-	return t, true
+	p.recordAdmitted(t, pl, r)
+	return t
 }
 
 // zonePath returns the reachability state of a zone, creating it if needed.
@@ -417,9 +436,11 @@
 	now := p.settings.Clock.Now()
 	p.remoteLoadsInterval, p.remoteLoadsAt = now.Sub(p.remoteLoadsAt), now
 	p.dividePlaces(now)
+	defer p.drainFree(now)
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			l, ok := p.remoteLoads[u.loadID()]
+			u.admitted.remote = l
 			if at := p.remoteLoadsAt.Add(-l.SinceReceived); ok && at.After(u.lastReceivedElsewhere) {
 				u.lastReceivedElsewhere = at
 				u.cold.recordElsewhere(at, now)
@@ -563,6 +584,7 @@
 	t.up.lastReceived = t.p.settings.Clock.Now()
 	t.p.recordReceived(t.up)
 	t.recordColdReceived(t.up.lastReceived)
+	t.recordFirstByte()
 	if t.work > generationWork && !t.done {
 		t.up.work -= t.work - generationWork
 		t.work = generationWork
@@ -597,6 +619,7 @@
 	u := t.up
 	u.running--
 	u.work -= t.work
+	defer t.endAdmitted(outcome, firstByte)
 	switch outcome {
 	case Refused, NotListening, Misdirected, Busy:
 		t.removePlacement()
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -30,6 +30,7 @@
 	"foxtailwall/counter"
 	"foxtailwall/forwarder"
 	"foxtailwall/matcher"
+	"foxtailwall/placer"
 	"foxtailwall/server"
 	"foxtailwall/timekeeper"
 	"foxtailwall/tracker"
@@ -89,6 +90,9 @@
 		// cold upstream within any second: the rate of its service times ColdOverage,
 		// plus ColdSlack.
 		ColdOverage, ColdSlack float64
+		// Admission bounds the requests to engines that wait at an entry; its zero value
+		// means the defaults.
+		Admission placer.AdmissionSettings
 	}
 
 	// Retries is the budget of retries at another upstream.
