Take no speed from short times; replay ordinary load several times

Cause: a first byte after 10 to 20 ms is mostly the network and a step of the engine, so upstreams that answered short prompts looked slow. A single replay of ordinary load says little about prefixes read again: where the first requests of a group go decides about several percent.

Change: samples count for the speed of an upstream from an expected 40 ms. A zone's path is looked up once instead of twice for each upstream.

--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -157,6 +157,14 @@
 		Expect(speed.At(now.Add(12 * time.Second))).To(BeNumerically(">", 0.9))
 	})
 
+	// Guards against upstreams that look slow because they have answered short prompts,
+	// whose time is that of the network.
+	It("takes no speed from short times", func() {
+		var speed admitter.Speed
+		learned().RecordFirstByte("m", 400, 20*time.Millisecond, &speed, epoch)
+		Expect(speed.At(epoch)).To(Equal(1.0))
+	})
+
 	It("expects some requests to have ended since loads were reported", func() {
 		Expect(learned().Ended(16, 100*time.Millisecond)).To(Equal(2))
 		Expect(learned().Ended(16, 10*time.Second)).To(Equal(8))
--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -18,6 +18,10 @@
 	speedHalfLife = 3 * time.Second
 	// minSpeed and maxSpeed bound the speed of an upstream.
 	minSpeed, maxSpeed = 0.25, 2
+	// minSpeedSample is the expected time to the first byte in ms from which a sample says
+	// something about the speed: the network and a step of the engine take about 10 ms,
+	// whatever the work.
+	minSpeedSample = 40.0
 	// maxSurprise bounds a sample as a multiple of its expected value: a response may be
 	// late for reasons other than the work.
 	maxSurprise = 4.0
@@ -99,7 +103,9 @@
 	if m.firstByte.n >= minSamples {
 		expected := m.firstByte.at(work)
 		ms = min(ms, maxSurprise*expected)
-		speed.add(expected/max(ms, 1e-3), now)
+		if expected >= minSpeedSample {
+			speed.add(expected/max(ms, minDivisor), now)
+		}
 	}
 	m.firstByte.add(work, ms)
 }
--- a/admitter/patterns_test.go
+++ b/admitter/patterns_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"strings"
 	"testing"
 	"time"
 
@@ -17,7 +16,8 @@
 }
 
 const (
-	ordinary = "ordinary load"
+	// ordinarySeeds is the number of replays of an ordinary load.
+	ordinarySeeds = 4
 	// leastShare is the part of what the current rule serves that admission must serve in
 	// each pattern. During an outage, refused callers may return late.
 	leastShare = 0.97
@@ -28,6 +28,12 @@
 		f.offered, f.served, f.inTime, f.refused, f.late, f.failed, f.queued, f.crossZone, f.reread, f.meanFirstByte())
 }
 
+func (f *figures) add(o figures) {
+	f.offered, f.served, f.inTime, f.refused, f.late = f.offered+o.offered, f.served+o.served, f.inTime+o.inTime, f.refused+o.refused, f.late+o.late
+	f.failed, f.queued, f.crossZone, f.reread = f.failed+o.failed, f.queued+o.queued, f.crossZone+o.crossZone, f.reread+o.reread
+	f.firstBytes += o.firstBytes
+}
+
 func (f figures) meanFirstByte() time.Duration { return f.firstBytes / time.Duration(f.served) }
 
 // deployedKinds returns the kinds of docs/hard-load.md.
@@ -51,8 +57,22 @@
 	return at.Seconds() >= from && at.Seconds() < to
 }
 
+// ordinaryLoads are those of the two deployments, and that of fewer engines.
+var ordinaryLoads = func() []pattern {
+	few := tickets("ordinary load", 1)
+	tickets := pattern{
+		name: "ordinary load of 60 engines", zones: 3, engines: 60, hosts: 78, slots: 64, memory: 323_302, seconds: 4,
+		kinds: deployedKinds(61.2, 130, 69, [3]time.Duration{2 * time.Second, 4 * time.Second, 1500 * time.Millisecond}, 878),
+	}
+	results := pattern{
+		name: "ordinary load of 140 engines", zones: 3, engines: 140, hosts: 65, slots: 16, memory: 244_981, seconds: 4,
+		kinds: deployedKinds(176, 136, 87.7, [3]time.Duration{3 * time.Second, 2 * time.Second, 1500 * time.Millisecond}, 4),
+		speed: func(i int, _ time.Duration) float64 { return []float64{0.6, 0.8, 1, 1.2, 1.6}[i%5] },
+	}
+	return []pattern{few, tickets, results}
+}()
+
 var patterns = func() []pattern {
-	usual := tickets(ordinary, 1)
 	burst := tickets("a burst of the short kind beside more expensive ones", 3)
 	burst.rate = func(k kind, _ int, at time.Duration) float64 {
 		if k.name == "short" && between(at, 4, 8) {
@@ -92,21 +112,36 @@
 	for _, p := range []*pattern{&burst, &speeds, &hot, &tenant, &retries, &outage, &zone, &many} {
 		p.better = true
 	}
-	allTickets := many
-	allTickets.name, allTickets.better, allTickets.seconds = ordinary+" of 60 engines", false, 5
-	allTickets.kinds = deployedKinds(61.2, 130, 69, [3]time.Duration{2 * time.Second, 4 * time.Second, 1500 * time.Millisecond}, 878)
-	results := allTickets
-	results.name, results.engines, results.hosts, results.slots, results.memory = ordinary+" of 140 engines", 140, 65, 16, 244_981
-	results.kinds = deployedKinds(176, 136, 87.7, [3]time.Duration{3 * time.Second, 2 * time.Second, 1500 * time.Millisecond}, 4)
-	results.speed = func(i int, _ time.Duration) float64 { return []float64{0.6, 0.8, 1, 1.2, 1.6}[i%5] }
-	return []pattern{usual, allTickets, results, burst, waves, speeds, memory, hot, tenant, retries, outage, zone, backlog, many}
+	return []pattern{burst, waves, speeds, memory, hot, tenant, retries, outage, zone, backlog, many}
 }()
 
 var _ = Describe("Load patterns", func() {
+	for _, p := range ordinaryLoads {
+		// Guards against admission that makes ordinary load more expensive: prefixes that are
+		// read again, and requests to other zones. Where the first requests of a group go by
+		// chance decides about several percent, so loads are replayed several times.
+		It(p.name, func() {
+			var sum [2]figures
+			for p.seed = range uint64(ordinarySeeds) {
+				for i, f := range []figures{p.run(false), p.run(true)} {
+					sum[i].add(f)
+				}
+			}
+			current, admitted := sum[0], sum[1]
+			fmt.Fprintf(GinkgoWriter, "pattern %s\n  current  %s\n  admitted %s\n", p.name, current, admitted)
+			Expect(admitted.served).To(Equal(admitted.offered))
+			Expect(admitted.inTime).To(BeNumerically(">=", 0.998*float64(current.inTime)))
+			Expect(admitted.queued + admitted.refused).To(BeZero())
+			Expect(admitted.crossZone).To(BeNumerically("<=", 1.03*float64(current.crossZone)))
+			Expect(admitted.reread).To(BeNumerically("<=", 1.03*current.reread))
+			Expect(admitted.meanFirstByte()).To(BeNumerically("<=", current.meanFirstByte()+tick))
+		})
+	}
 	for _, p := range patterns {
 		// Guards against admission that serves less than sending each request at once to
 		// the upstream with the least work, or serves some callers at the cost of others.
 		It(p.name, func() {
+			p.seed = 1
 			current, admitted := p.run(false), p.run(true)
 			fmt.Fprintf(GinkgoWriter, "pattern %s\n  current  %s\n  admitted %s\n", p.name, current, admitted)
 			Expect(admitted.offered).To(Equal(current.offered))
@@ -124,12 +159,6 @@
 			if p.memory > 200_000 {
 				Expect(admitted.freeAtRefusal).To(BeZero())
 			}
-			if strings.HasPrefix(p.name, ordinary) {
-				Expect(admitted.queued + admitted.refused).To(BeZero())
-				Expect(admitted.crossZone).To(BeNumerically("<=", 1.05*float64(current.crossZone)))
-				Expect(admitted.reread).To(BeNumerically("<=", 1.02*current.reread))
-				Expect(admitted.meanFirstByte()).To(BeNumerically("<=", current.meanFirstByte()+tick))
-			}
 		})
 	}
 })
--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -39,6 +39,7 @@
 	// pattern is a load pattern. Its functions may be nil.
 	pattern struct {
 		name           string
+		seed           uint64
 		zones          int
 		engines, hosts int
 		slots, memory  int
@@ -120,7 +121,7 @@
 
 // run replays the pattern with or without admission.
 func (p pattern) run(admits bool) figures {
-	r := &replay{pattern: p, admits: admits, arrivals: rand.New(rand.NewPCG(1, 2)), random: rand.New(rand.NewPCG(3, 4)), start: time.Unix(1000, 0)}
+	r := &replay{pattern: p, admits: admits, arrivals: rand.New(rand.NewPCG(p.seed, 2)), random: rand.New(rand.NewPCG(3, 4)), start: time.Unix(1000, 0)}
 	r.clock = timekeeper.NewFake(r.start)
 	r.by = make(map[string][2]int)
 	for i := range p.engines {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -370,10 +370,12 @@
 
 // zonePath returns the reachability state of a zone, creating it if needed.
 func (p *Placer) zonePath(zone string) *zonePath {
-	if p.zonePaths[zone] == nil {
-		p.zonePaths[zone] = &zonePath{}
+	path := p.zonePaths[zone]
+	if path == nil {
+		path = &zonePath{}
+		p.zonePaths[zone] = path
 	}
-	return p.zonePaths[zone]
+	return path
 }
 
 // Loads returns the load that this host puts on each upstream in use.
