Suspect a zone sooner at hosts that are cut off from the leader

Change: such a host takes one upstream that it could not reach as a sign for the others of the zone that it has not heard of for a second.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -49,6 +49,10 @@
 	// sent data to any host for silentZoneTime.
 	minFailedUpstreams = 2
 	silentZoneTime     = 300 * time.Millisecond
+	// A host that has not exchanged loads for isolatedTime does not learn of other hosts'
+	// failures. One of its own suffices there, and counts for the upstreams of the zone
+	// that have not sent it data for as long.
+	isolatedTime = time.Second
 	// maxColdChanges bounds the upstreams that TakeColdChanges names.
 	maxColdChanges = 8
 )
@@ -235,6 +239,9 @@
 
 // isCold reports whether the upstream counts as cold. The caller holds mu.
 func (p *Placer) isCold(u *upstream, now time.Time) bool {
+	if c := &u.cold; c.suspectedAt.IsZero() && c.unlistedSince.IsZero() && c.until.IsZero() {
+		return false
+	}
 	rate, ok := p.cold.rates[u.Service]
 	return ok && rate.PerSecond > 0 && u.cold.isCold(rate.Start, now)
 }
@@ -376,11 +383,17 @@
 			}
 		}
 	}
-	if failed < minFailedUpstreams || now.Sub(first) < silentZoneTime || receivedAt.After(first) {
+	isolated := now.Sub(p.remoteLoadsAt) > isolatedTime
+	switch {
+	case receivedAt.After(first):
+		return
+	case !isolated && (failed < minFailedUpstreams || now.Sub(first) < silentZoneTime):
 		return
 	}
 	for _, u := range others {
-		u.cold.suspect(now, first, false)
+		if !isolated || now.Sub(u.lastReceived) > isolatedTime {
+			u.cold.suspect(now, first, false)
+		}
 	}
 }
 
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -690,7 +690,7 @@
 			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
 			f.run(3 * time.Second)
 			for i, h := range f.hosts {
-				h.cut = i%6 == 1
+				h.cut = i%3 == 1
 			}
 			f.stop(false, f.zone("b")...)
 			f.run(2500 * time.Millisecond)
