End a wrong isolation by a trial of one request

Cause: an isolation that is wrong lasted ten minutes, and the second one of a part followed after one crash.

Change: hosts report which isolated parts and requests their callers send. The leader names one of these hosts in the replicated log, 1 s and 15 s after the start of the isolation and never more than twice; that host lets one request through for one attempt. If it is served, the isolation ends and is forgotten. A leader starts no trial before it has received reports for 1 s.

--- a/controller/isolation.go
+++ b/controller/isolation.go
@@ -13,6 +13,8 @@
 	maxIsolation   = 24 * time.Hour
 	// isolationMemory is how long an isolation that has ended is remembered.
 	isolationMemory = 24 * time.Hour
+	// MaxIsolationTrials is the number of trials that an isolation may have.
+	MaxIsolationTrials = 2
 	// maxIsolations bounds the isolations, including those that have ended.
 	maxIsolations = 256
 )
@@ -31,6 +33,12 @@
 	IsolationStep struct {
 		Part PromptPart `cbor:"part"`
 		End  bool       `cbor:"end,omitempty"`
+		// Served says that an isolation ends because a trial request was served. It is
+		// then forgotten; machines of an earlier release remember it as any other.
+		Served bool `cbor:"served,omitempty"`
+		// Trial starts a trial during an isolation: the host whose isolator.Recorder has
+		// this ID lets one request through. Machines of an earlier release ignore it.
+		Trial uint64 `cbor:"trial,omitempty"`
 	}
 
 	// Isolation says that requests with a prompt part crashed engines, or that a
@@ -45,6 +53,12 @@
 		// Until is the leader's time at which the isolation should end or, once it
 		// has ended, at which it is forgotten.
 		Until time.Time `cbor:"until"`
+		// Since is the leader's time at which the isolation began, zero in entries of
+		// an earlier release. Trials counts its trials, and TrialBy is the ID of the
+		// recorder of the host that makes the latest one.
+		Since   time.Time `cbor:"since,omitzero"`
+		Trials  int       `cbor:"trials,omitempty"`
+		TrialBy uint64    `cbor:"trialBy,omitempty"`
 	}
 )
 
@@ -57,15 +71,22 @@
 	return p.Service + "/" + id
 }
 
-// stepIsolation starts or ends an isolation and reports whether that had an
-// effect.
+// stepIsolation starts or ends an isolation, or starts a trial, and reports whether that
+// had an effect.
 func (m *Machine) stepIsolation(at time.Time, st *IsolationStep) bool {
 	// Readers may still use the old list.
 	next := slices.DeleteFunc(slices.Clone(m.isolations), func(i Isolation) bool { return !i.Active && i.Until.Before(at) })
 	index := slices.IndexFunc(next, func(i Isolation) bool { return i.Part == st.Part })
 	switch {
+	case st.Trial != 0:
+		if index < 0 || !next[index].Active || next[index].Trials >= MaxIsolationTrials {
+			return false
+		}
+		next[index].Trials, next[index].TrialBy = next[index].Trials+1, st.Trial
 	case st.End && (index < 0 || !next[index].Active):
 		return false
+	case st.End && st.Served:
+		next = slices.Delete(next, index, index+1)
 	case st.End:
 		next[index].Active, next[index].Until = false, at.Add(isolationMemory)
 	case index >= 0 && next[index].Active:
@@ -90,6 +111,7 @@
 		duration = min(2*duration, maxIsolation)
 	}
 	i.Active, i.Times, i.Until = true, i.Times+1, at.Add(duration)
+	i.Since, i.Trials, i.TrialBy = at, 0, 0
 	return i
 }
 
--- a/controller/isolation_test.go
+++ b/controller/isolation_test.go
@@ -70,4 +70,24 @@
 		Expect(c.Restore(data)).To(Succeed())
 		Expect(c.Published()).To(Equal(b.Published()))
 	})
+
+	// Guards against trials that are not counted, and against a harmless part that is
+	// isolated again after one crash because it was isolated by mistake before.
+	It("count their trials and are forgotten once one was served", func() {
+		b := newLoggedMachine(nil)
+		trial := controller.Item{Isolation: &controller.IsolationStep{Part: part(7), Trial: 9}}
+		Expect(b.applyEntry(trial)[0].OK).To(BeFalse(), "no isolation")
+		Expect(step(b, 7, false)).To(BeTrue())
+		Expect(b.Published().Isolations[0].Since).To(BeTemporally("==", b.at))
+		for n := 1; n <= controller.MaxIsolationTrials; n++ {
+			Expect(b.applyEntry(trial)[0].OK).To(BeTrue())
+			Expect(b.Published().Isolations[0].Trials).To(Equal(n))
+			Expect(b.Published().Isolations[0].TrialBy).To(Equal(uint64(9)))
+		}
+		Expect(b.applyEntry(trial)[0].OK).To(BeFalse(), "too many")
+		served := controller.Item{Isolation: &controller.IsolationStep{Part: part(7), End: true, Served: true}}
+		Expect(b.applyEntry(served)[0].OK).To(BeTrue())
+		Expect(b.Published().Isolations).To(BeEmpty())
+		Expect(b.applyEntry(served)[0].OK).To(BeFalse())
+	})
 })
--- a/coordinator/isolate.go
+++ b/coordinator/isolate.go
@@ -20,6 +20,9 @@
 		for _, part := range c.judge.Next() {
 			c.stepIsolation(ctx, controller.IsolationStep{Part: part})
 		}
+		for _, st := range c.judge.Trials() {
+			c.stepIsolation(ctx, st)
+		}
 		now := c.set.Clock.Now()
 		for _, i := range isolations {
 			if i.Active && i.Until.Before(now) {
@@ -29,7 +32,7 @@
 	}
 }
 
-// stepIsolation proposes the start or end of an isolation. A failure is only
+// stepIsolation proposes the start, a trial or the end of an isolation. A failure is only
 // logged: the next turn proposes it again.
 func (c *Coordinator) stepIsolation(ctx context.Context, st controller.IsolationStep) {
 	a, err := c.propose(ctx, controller.Item{Isolation: &st})
@@ -38,6 +41,6 @@
 			Msg("cannot propose the isolation of a prompt part or request")
 		return
 	}
-	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("changed", a.OK).
+	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("trial", st.Trial != 0).Bool("served", st.Served).Bool("changed", a.OK).
 		Msg("isolation of a prompt part or request that crashes upstreams")
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -46,6 +46,10 @@
 		body      []byte
 		// memory is that of the response which is being read and of lastFailure.
 		memory allotter.Share
+		// trial is the isolated part or request that this request tries out, sent after
+		// trialAttempts attempts, or nil.
+		trial         *controller.PromptPart
+		trialAttempts int
 		// content is the hash that contentID returns, zero until it is needed.
 		content  uint64
 		deadline time.Time
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -28,24 +28,50 @@
 // success.
 func (f *Forwarder) SetSuspects(suspects []controller.PromptPart) { f.isolation.SetSuspects(suspects) }
 
+// SetIsolations sets the isolations, of which this host may make trials.
+func (f *Forwarder) SetIsolations(list []controller.Isolation) { f.isolation.SetIsolations(list) }
+
 // refuseIsolated refuses the request if it is isolated or its prompt has an isolated
-// part.
+// part, unless it is the single request of a trial.
 func (c *call) refuseIsolated() *refusal {
 	isolated := c.f.ActiveConfig().Isolated
 	if len(isolated) == 0 {
 		return nil
 	}
+	var found []controller.PromptPart
 	for _, id := range c.sharedParts() {
-		if isolated[controller.PromptPart{Service: c.service.Name, ID: id}] {
-			c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
-			return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, isolatedRetryAfter)
+		if part := (controller.PromptPart{Service: c.service.Name, ID: id}); isolated[part] {
+			found = append(found, part)
 		}
 	}
-	if isolated[isolator.Request(c.service.Name, c.contentID())] {
-		c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
+	if request := isolator.Request(c.service.Name, c.contentID()); isolated[request] {
+		found = append(found, request)
+	}
+	if len(found) == 0 || c.isTrial(found) {
+		return nil
+	}
+	c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
+	if found[0].Request {
 		return newRefusal(http.StatusServiceUnavailable, refuser.RequestIsolated, isolatedRetryAfter)
 	}
-	return nil
+	return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, isolatedRetryAfter)
+}
+
+// isTrial reports whether the next attempt is a trial of the only isolated part of the
+// request. A trial has one attempt.
+func (c *call) isTrial(found []controller.PromptPart) bool {
+	if len(found) > 1 {
+		return false
+	}
+	if c.trial != nil {
+		return *c.trial == found[0] && c.trialAttempts == c.attempts
+	}
+	if !c.f.isolation.TakeTrial(found[0]) {
+		return false
+	}
+	c.trial, c.trialAttempts = &found[0], c.attempts
+	c.f.settings.Scope.Counter("forwarder.isolationTrials").Inc(1)
+	return true
 }
 
 // sharedParts returns the IDs of the prompt's parts that other requests may share,
@@ -85,11 +111,19 @@
 		return
 	}
 	a.served = true
+	c.recordTrial()
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordSuccess(c.service.Name, parts)
 	}
 }
 
+// recordTrial records that the request of a trial was served.
+func (c *call) recordTrial() {
+	if c.trial != nil {
+		c.f.isolation.RecordTrial(*c.trial)
+	}
+}
+
 // recordSent records that an attempt is being sent to an upstream.
 func (c *call) recordSent() { c.f.isolation.RecordSent(c.service.Name, c.sharedParts()) }
 
@@ -98,6 +132,7 @@
 	if c.stats != nil {
 		c.f.isolation.RecordAnswered(c.service.Name, c.stats.sentAt)
 	}
+	c.recordTrial()
 	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordSuccess(c.service.Name, parts)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -15,6 +15,10 @@
 // answered, and how many had each suspect. A part or request is isolated only if the
 // crashes could hardly be explained by its share of the attempts.
 //
+// The evidence may still be wrong. After an isolation starts, the leader names one host
+// that lets a single request with the part through, at most twice; if it is served, the
+// isolation ends.
+//
 // A whole request is judged by its content: each time that it is sent it is broken
 // off, by one upstream after the other, while one that only shared an upstream with
 // it is served when it is sent again.
@@ -33,6 +37,11 @@
 //	r.RecordBrokenRequest(isolator.BrokenRequest{Service: service, Content: hash, Upstream: upstream, ID: requestID, Attempt: 1})
 //	r.RecordRequestSuccess(service, hash)
 //	r.SetSuspects(suspects) // from the leader
+//	r.SetIsolations(isolations) // from the replicated log
+//	if r.TakeTrial(part) {
+//		// Send the request, although its part is isolated.
+//		r.RecordTrial(part) // if it was served
+//	}
 //	r.SetPath(isolator.Path{ReceivedAt: receivedAt})
 //	evidence := r.Evidence() // to the leader
 //
@@ -44,6 +53,9 @@
 //	for _, part := range j.Next() {
 //		// Isolate the part, or the request.
 //	}
+//	for _, step := range j.Trials() {
+//		// Start a trial, or end the isolation.
+//	}
 package isolator
 
 import (
@@ -100,5 +112,9 @@
 		// earlier release report neither.
 		Recorder uint64  `cbor:"recorder,omitempty"`
 		Tallies  []Tally `cbor:"tallies,omitempty"`
+		// Refused are the isolated parts and requests that callers have sent of late,
+		// and Served those with which the host's trial request was served.
+		Refused []controller.PromptPart `cbor:"refused,omitempty"`
+		Served  []controller.PromptPart `cbor:"served,omitempty"`
 	}
 )
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -62,6 +62,7 @@
 		isolated map[controller.PromptPart]bool
 		requests requestJudge
 		tallies  tallies
+		trials   leaderTrials
 		// announcement is what Suspects returned at announcedAt.
 		announcement []controller.PromptPart
 		announcedAt  time.Time
@@ -80,6 +81,8 @@
 		announced time.Time
 		// listed is since when Suspects has returned it, zero if it does not.
 		listed time.Time
+		// candidates is the greatest number of suspects while it was judged.
+		candidates int
 	}
 
 	// serviceCrash is the crash of an upstream of a service, with the requests that
@@ -114,6 +117,7 @@
 	j.isolated = make(map[controller.PromptPart]bool)
 	j.requests = requestJudge{}
 	j.tallies = tallies{}
+	j.trials = leaderTrials{}
 	j.announcement, j.announcedAt = nil, time.Time{}
 }
 
@@ -138,6 +142,7 @@
 		}
 	}
 	j.isolated = isolated
+	j.trials.setIsolations(list)
 	j.requests.setIsolations(requests, j.clock.Now())
 }
 
@@ -155,12 +160,10 @@
 
 // Add adds the evidence of a host.
 func (j *Judge) Add(e Evidence) {
-	if len(e.Crashes) == 0 && len(e.Breaks) == 0 && len(e.Successes) == 0 && len(e.Tallies) == 0 {
-		return
-	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := j.clock.Now()
+	j.trials.add(e, now)
 	for _, t := range e.Tallies {
 		j.tallies.add(e.Recorder, t, now)
 	}
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -45,6 +45,7 @@
 
 		mu      sync.Mutex
 		tallies hostTallies
+		trials  hostTrials
 		crashes []recordedCrash
 		// succeeded is when a request with the part last succeeded.
 		succeeded *buffer.LRU[controller.PromptPart, time.Time]
@@ -263,6 +264,10 @@
 			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(at)})
 		}
 	}
+	r.trials.report(&e, now)
+	if len(e.Refused) > 0 || len(e.Served) > 0 {
+		e.Recorder = r.id
+	}
 	if len(r.crashes) > 0 || len(e.Breaks) > 0 || len(r.suspects) > 0 {
 		e.Recorder, e.Tallies = r.id, r.tallies.report(now.Sub(r.createdAt), r.suspects)
 	}
--- a/isolator/requests.go
+++ b/isolator/requests.go
@@ -77,6 +77,9 @@
 		reported, announced time.Time
 		// listed is since when Judge.Suspects has returned it, zero if it does not.
 		listed time.Time
+		// candidates is the greatest number of requests that were broken off at a time
+		// since the first of the breaks.
+		candidates int
 	}
 
 	brokenAttempt struct {
@@ -193,6 +196,9 @@
 	}
 	e.succeeded = at
 	maps.DeleteFunc(e.breaks, func(_ uint64, b brokenAttempt) bool { return !b.at.After(at) })
+	if len(e.breaks) == 0 {
+		e.candidates = 0
+	}
 	j.announce(request, e, now)
 }
 
@@ -258,8 +264,8 @@
 
 // isSurprising reports whether a request's breaks in a row are more than chance gives any
 // of the requests that were broken off of late. The first break made it one of them.
-func (j *requestJudge) isSurprising(e *requestEvidence, row []uint64, candidates int) bool {
-	expected := float64(candidates)
+func (j *requestJudge) isSurprising(e *requestEvidence, row []uint64) bool {
+	expected := float64(max(e.candidates, 1))
 	for _, attempt := range row[1:] {
 		expected *= e.breaks[attempt].chance
 	}
@@ -315,13 +321,14 @@
 	for _, request := range j.suspects(until) {
 		e := j.requests[request]
 		j.settle(request, e, t, now)
+		e.candidates = max(e.candidates, candidates[request.Service])
 		if e.listed.IsZero() || e.listed.After(until) || j.isolated[request] {
 			continue
 		}
 		row := j.row(e, until)
 		n := len(row)
 		_, before := j.isolated[request]
-		found := n >= minBreaks && j.isSurprising(e, row, candidates[request.Service]) && (n >= decisiveBreaks || !j.hasEqual(request, n, until))
+		found := n >= minBreaks && j.isSurprising(e, row) && (n >= decisiveBreaks || !j.hasEqual(request, n, until))
 		if found || before && n > 0 {
 			out = append(out, request)
 		}
--- a/isolator/surprise.go
+++ b/isolator/surprise.go
@@ -153,5 +153,10 @@
 // isSurprising reports whether the evidence against a part is more than chance gives any
 // of the suspects.
 func (j *Judge) isSurprising(part controller.PromptPart, s *suspect, until time.Time) bool {
-	return j.surprise(part, s, until) >= math.Log(float64(max(len(j.suspects), 1))/falsePositives)
+	// The tallies of the time of older crashes are forgotten.
+	if j.clock.Now().Sub(s.reported) > baseTime {
+		return false
+	}
+	s.candidates = max(s.candidates, len(j.suspects))
+	return j.surprise(part, s, until) >= math.Log(float64(s.candidates)/falsePositives)
 }
--- a/isolator/traffic_test.go
+++ b/isolator/traffic_test.go
@@ -57,6 +57,7 @@
 		crashing  map[uint64]bool
 		late      int
 		startedAt time.Time
+		trials    int
 		sound     int
 		refused   int
 	}
@@ -78,6 +79,8 @@
 		retries  int
 		last     *engine
 		crashing bool
+		// trial is the isolated part or request that it tries out, or nil.
+		trial *controller.PromptPart
 	}
 
 	// isolatedCounts are the numbers of isolated first parts, subjects and requests.
@@ -140,11 +143,37 @@
 	return &sentRequest{id: fmt.Sprint("r", t.newID()), host: t.rng.IntN(len(t.hosts)), content: content, parts: parts, retries: 1}
 }
 
-// isRefused reports whether a part of the request or the request is isolated.
+// isRefused reports whether a part of the request or the request is isolated, and it is
+// not the request of a trial.
 func (t *traffic) isRefused(r *sentRequest) bool {
-	return slices.ContainsFunc(t.active, func(i controller.Isolation) bool {
-		return i.Active && (i.Part.Request && i.Part.ID == r.content || !i.Part.Request && slices.Contains(r.parts, i.Part.ID))
-	})
+	var found []controller.PromptPart
+	for _, i := range t.active {
+		if i.Part.Request && i.Part.ID == r.content || !i.Part.Request && slices.Contains(r.parts, i.Part.ID) {
+			found = append(found, i.Part)
+		}
+	}
+	if len(found) == 1 && r.trial == nil && t.hosts[r.host].TakeTrial(found[0]) {
+		t.trials++
+		r.trial = &found[0]
+		return false
+	}
+	return len(found) > 0
+}
+
+// isolate starts an isolation.
+func (t *traffic) isolate(p controller.PromptPart) {
+	t.active = append(slices.Clone(t.active), controller.Isolation{Part: p, Active: true, Since: t.clock.Now()})
+}
+
+// stepTrial starts a trial or ends an isolation, as the replicated log does.
+func (t *traffic) stepTrial(st controller.IsolationStep) {
+	t.active = slices.Clone(t.active)
+	i := slices.IndexFunc(t.active, func(i controller.Isolation) bool { return i.Part == st.Part })
+	if st.End {
+		t.active = slices.Delete(t.active, i, i+1)
+		return
+	}
+	t.active[i].Trials, t.active[i].TrialBy = t.active[i].Trials+1, st.Trial
 }
 
 func (t *traffic) dispatch(r *sentRequest) {
@@ -244,6 +273,9 @@
 				crashed = true
 				return false
 			}
+			if r.trial != nil {
+				t.hosts[r.host].RecordTrial(*r.trial)
+			}
 			t.hosts[r.host].RecordAnswered("s", r.sentAt)
 			t.hosts[r.host].RecordSuccess("s", r.parts)
 			t.hosts[r.host].RecordRequestSuccess("s", r.content)
@@ -273,12 +305,16 @@
 		}
 		t.judge.Add(r.evidence)
 		t.hosts[r.host].SetSuspects(t.judge.Suspects())
+		t.hosts[r.host].SetIsolations(t.active)
 		return true
 	})
 	if turn%5 == 0 {
 		t.judge.SetIsolations(t.active)
 		for _, p := range t.judge.Next() {
-			t.active = append(t.active, controller.Isolation{Part: p, Active: true})
+			t.isolate(p)
+		}
+		for _, st := range t.judge.Trials() {
+			t.stepTrial(st)
 		}
 	}
 }
@@ -376,6 +412,63 @@
 		}
 	}
 
+	// Guards against harmless parts and requests that stay isolated for minutes.
+	It("ends a wrong isolation with one trial", func() {
+		for seed := range 5 * seedFactor() {
+			for _, p := range []controller.PromptPart{part(2), isolator.Request("s", 7)} {
+				t := newTraffic(seed, results)
+				t.run(2*time.Second, nil)
+				t.isolate(p)
+				t.run(12*time.Second, func(at time.Duration) {
+					if p.Request {
+						t.dispatch(t.newRequest(7, []uint64{1, subjectBase}))
+					} else if at > 8*time.Second {
+						Expect(t.active).To(BeEmpty(), "seed %d, %v", seed, at)
+					}
+				})
+				Expect(t.active).To(BeEmpty(), "seed %d, %v", seed, p)
+				Expect(t.trials).To(Equal(1))
+			}
+		}
+	})
+
+	// Guards against a second trial that is missing although the host of the first one
+	// stopped, against more than two, and against trials beside those of the leader before.
+	It("makes two trials at most, the second at another host", func() {
+		g := newGroup(2)
+		list := []controller.Isolation{{Part: part(7), Active: true, Since: g.clock.Now()}}
+		var by []uint64
+		var at []time.Duration
+		for range 700 {
+			for _, h := range g.hosts {
+				h.SetIsolations(list)
+				h.TakeTrial(part(7))
+				g.judge.Add(h.Evidence())
+			}
+			g.judge.SetIsolations(list)
+			for _, st := range g.judge.Trials() {
+				list = slices.Clone(list)
+				list[0].Trials, list[0].TrialBy = list[0].Trials+1, st.Trial
+				by, at = append(by, st.Trial), append(at, g.clock.Now().Sub(list[0].Since))
+				g.judge.Reset()
+			}
+			g.clock.Advance(100 * time.Millisecond)
+		}
+		Expect(at).To(Equal([]time.Duration{time.Second, 15 * time.Second}))
+		Expect(by[0]).NotTo(Equal(by[1]))
+
+		By("a new leader")
+		list[0].Trials = 0
+		g.judge.Reset()
+		list[0].Since = g.clock.Now().Add(-2 * time.Second)
+		g.judge.SetIsolations(list)
+		g.hosts[0].TakeTrial(part(7))
+		g.judge.Add(g.hosts[0].Evidence())
+		Expect(g.judge.Trials()).To(BeEmpty())
+		g.clock.Advance(time.Second)
+		Expect(g.judge.Trials()).To(HaveLen(1))
+	})
+
 	type crashing struct {
 		size     fleetSize
 		interval time.Duration
@@ -390,7 +483,7 @@
 				t.knownCrashes = 3
 			}
 			t.run(2*time.Second, nil)
-			t.run(12*time.Second, func(time.Duration) {
+			t.run(20*time.Second, func(time.Duration) {
 				if t.rng.Float64() >= trafficStep.Seconds()/c.interval.Seconds() {
 					return
 				}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -287,6 +287,7 @@
 		next.Rollouts[r.Service] = r
 	}
 	e.rollouts = p.Rollouts
+	e.forwarder.SetIsolations(p.Isolations)
 	next.Isolated = make(map[controller.PromptPart]bool, len(p.Isolations))
 	for _, i := range p.Isolations {
 		if i.Active {
