Ask larger models by the deadline on nearly idle engines

Cause: with estimates, a larger model was asked only if its first byte was expected by the route's target latency.

Change: the deadline applies where the wait is at most a quarter of the request's own time.

--- a/forwarder/cascade.go
+++ b/forwarder/cascade.go
@@ -46,8 +46,8 @@
 	return true
 }
 
-// inTime reports whether the model of a size can answer by the route's target latency
-// without delaying other requests. It is not known to be late if nothing is known of it.
+// inTime reports whether the model of a size can answer in time without delaying other
+// requests. It is not known to be late if nothing is known of it.
 func (c *call) inTime(size int) bool {
 	smaller := c.model
 	c.model = c.route.Sizes[size]
@@ -58,8 +58,7 @@
 	if !e.Known {
 		return true
 	}
-	end := c.startedAt.Add(c.route.Target)
-	inTime := e.Room && (c.route.Target <= 0 || !c.f.settings.Clock.Now().Add(e.FirstByte).After(end))
+	inTime := e.Room && e.InTime(c.f.settings.Clock.Now(), req.Admission.Objective, c.deadline)
 	if !inTime {
 		c.f.settings.Scope.Counter("forwarder.notEscalated", "to", c.route.Sizes[size]).Inc(1)
 	}
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -20,6 +20,9 @@
 	// maxSkipped is the number of waiting requests without room that others may pass at a
 	// time because they need less token memory.
 	maxSkipped = 8
+	// idleWaitFactor is the multiple of a request's own time to the first byte up to which
+	// an upstream counts as nearly idle.
+	idleWaitFactor = 1.25
 	// sentWorkHalfLife is the half-life of the rate at which this host sends work.
 	sentWorkHalfLife = time.Second
 )
@@ -87,6 +90,8 @@
 		// Room means that an upstream has room for the request and no other request waits.
 		Room      bool
 		FirstByte time.Duration
+		// Alone is FirstByte without the work that is known at the upstream.
+		Alone time.Duration
 	}
 
 	// Place is the place of a request that waits. It must be ended with Leave.
@@ -113,9 +118,10 @@
 		// candidates and upstreams are the memory of earliestFirstByte.
 		candidates []admitter.Candidate
 		upstreams  []*upstream
-		// chosen is the expected time to the first byte at the upstream that
+		// chosen and alone are the expected times to the first byte, with and without the
+		// work that is known there, at the upstream that
 		// earliestFirstByte returned last.
-		chosen time.Duration
+		chosen, alone time.Duration
 	}
 
 	// upstreamAdmission adds to an upstream the token memory of this host's requests, the
@@ -210,12 +216,22 @@
 		return Expectation{}
 	}
 	r.Admission.room = &missingRoom{}
-	pl.admission.chosen = 0
+	pl.admission.chosen, pl.admission.alone = 0, 0
 	u := p.chooseUpstream(pl, r)
 	if u == nil {
 		return Expectation{Known: true}
 	}
-	return Expectation{Known: true, Room: pl.admission.queue.Len() == 0, FirstByte: pl.admission.chosen}
+	return Expectation{Known: true, Room: pl.admission.queue.Len() == 0, FirstByte: pl.admission.chosen, Alone: pl.admission.alone}
+}
+
+// InTime reports whether the first byte is expected in time. That is by the objective or,
+// where the upstream is nearly idle, by the deadline: by the objective alone, the longest
+// prompts would never get a larger model's answer.
+func (e Expectation) InTime(now, objective, deadline time.Time) bool {
+	if float64(e.FirstByte) <= idleWaitFactor*float64(e.Alone) {
+		objective = deadline
+	}
+	return now.Add(e.FirstByte).Before(objective)
 }
 
 // Ready returns a channel that delivers once the request is to leave its place.
@@ -369,7 +385,9 @@
 		room.FirstByteIn, room.AnswerIn = a.service.QueuedIn(&a.candidates[best], req)
 		return nil
 	}
-	a.chosen = a.service.FirstByte(&a.candidates[best], req)
+	idle := a.candidates[best]
+	idle.Work = 0
+	a.chosen, a.alone = a.service.FirstByte(&a.candidates[best], req), a.service.FirstByte(&idle, req)
 	return a.upstreams[best]
 }
 
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -143,11 +143,32 @@
 		Expect(e.Room).To(BeTrue())
 		Expect(e.FirstByte).To(BeNumerically("~", 25*time.Millisecond, time.Millisecond))
 		r.Work *= 10
-		Expect(p.Expect(r).FirstByte).To(BeNumerically("~", 250*time.Millisecond, 5*time.Millisecond))
+		idle := p.Expect(r)
+		Expect(idle.FirstByte).To(BeNumerically("~", 250*time.Millisecond, 5*time.Millisecond))
+		Expect(idle.Alone).To(Equal(idle.FirstByte))
+		for range 3 {
+			Expect(p.Admit(r).Ticket).NotTo(BeNil())
+		}
+		busy := p.Expect(r)
+		Expect(busy.Alone).To(Equal(idle.Alone))
+		Expect(busy.FirstByte).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond))
 		fill()
 		Expect(p.Expect(r)).To(Equal(placer.Expectation{Known: true}))
 	})
 
+	// Guards against the longest prompts getting the smallest model's answer on idle
+	// upstreams, and against late ones that take the time of others on busy ones.
+	DescribeTable("expects a first byte in time", func(firstByte, alone time.Duration, inTime bool) {
+		now := clock.Now()
+		e := placer.Expectation{Known: true, Room: true, FirstByte: firstByte, Alone: alone}
+		Expect(e.InTime(now, now.Add(2*time.Second), now.Add(10*time.Second))).To(Equal(inTime))
+	},
+		Entry("by the objective", 1900*time.Millisecond, time.Second, true),
+		Entry("after the objective, behind other work", 3*time.Second, 2*time.Second, false),
+		Entry("after the objective, on a nearly idle upstream", 3*time.Second, 2500*time.Millisecond, true),
+		Entry("after the deadline", 11*time.Second, 11*time.Second, false),
+	)
+
 	It("bounds the queue", func() {
 		p = placer.New(placer.Settings{Clock: clock, Zone: "a", Admission: placer.AdmissionSettings{MaxWaiting: 2}})
 		p.Update(fleet(1, 4))
