Bound what all callers together hold at entries and control hosts

Cause: bodies, headers and connections had limits for each caller only, so 40 unfinished uploads, a few hundred headers of short fields or some hundred connections exceeded the memory or the descriptors of a host. A response to a request whose body was not read waited for the rest of it without a time limit. Change: allotter.Upload counts the memory of requests that are received, at most two thirds of the common memory, and cancels the oldest incomplete one of the holder with most memory if there is no room. Package accepter bounds connections, replaces those that wait for or receive a request, counts header fields before net/http stores them, bounds the time of each 64 KiB written, and does not wait for unread bodies. It guards the ports for callers, readiness, other hosts, operators, peers and metrics. The bounds follow from limits.memoryMb and limits.maxFds and can be set. The forwarder takes one allotter.Memory for bodies and responses (Settings.Memory replaces ResponseMemory; its spec sets the new field), refuses requests beyond a number of received ones and bounds the time to write a response to the caller's deadline plus the write timeout.

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -1,5 +1,5 @@
-// Package allotter divides the memory for large responses among the requests that
-// read one.
+// Package allotter divides the memory for requests and for large responses among the
+// requests that hold them.
 //
 // An upstream in trouble may send bytes without end. A limit for each response does
 // not bound them all together, and a common limit alone would let those without end
@@ -7,12 +7,23 @@
 // most its equal share of the memory; responses up to FreeBytes, which nearly all
 // are, need none.
 //
+// Callers may send bodies or headers that never end. Those that are being received are
+// an Upload. Uploads use at most two thirds of the memory, so that responses find some,
+// and those of one holder, which is an address or a workspace, at most three quarters
+// of that. If there is no room for an upload, the oldest one of the holder that holds
+// most is cancelled: it has not run yet, and those of ordinary callers are received
+// within moments. Uploads that are complete are never cancelled.
+//
 // # Usage
 //
 //	memory := &allotter.Memory{Total: 64 << 20}
 //	share := memory.NewShare()
 //	defer share.Release()
 //	body, err := share.ReadAll(resp, allotter.Limits{Length: resp.Length, MaxBytes: 16 << 20})
+//
+//	upload := memory.NewUpload(allotter.Holder{Address: addr}, cancelRead)
+//	defer upload.Release()
+//	body, err := upload.ReadAll(r.Body, allotter.Limits{Length: r.ContentLength, MaxBytes: 4 << 20})
 package allotter
 
 import (
@@ -33,15 +44,27 @@
 )
 
 type (
-	// Memory is the memory for large responses. Its zero value is ready to use. It is
-	// safe for use by several goroutines.
+	// Memory is the memory for requests and large responses. Its zero value is ready to
+	// use. It is safe for use by several goroutines.
 	Memory struct {
-		// Total is in bytes; zero means 64 MiB.
+		// Total is in bytes; zero means 64 MiB. It must not change while the memory is
+		// in use.
 		Total int64
 
-		mu      sync.Mutex
-		used    int64
+		mu sync.Mutex
+		// used is what all requests hold, uploaded the part of it for uploads.
+		used, uploaded int64
+		// holders is the number of shares that hold memory.
 		holders int64
+
+		uploads map[*Upload]struct{}
+		// byHolder is what the uploads of each holder hold.
+		byHolder map[Holder]int64
+		// nextUpload is the number of the newest upload.
+		nextUpload uint64
+		// released is closed when an upload releases memory or is cancelled; nil if no
+		// upload waits for that.
+		released chan struct{}
 	}
 
 	// Share is the part of the memory that one request holds. It is used by one
@@ -95,10 +118,7 @@
 	m := s.memory
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total, holders := m.Total, m.holders
-	if total <= 0 {
-		total = defaultTotal
-	}
+	total, holders := m.total(), m.holders
 	if s.bytes == 0 {
 		holders++
 	}
@@ -123,6 +143,13 @@
 	s.bytes = 0
 }
 
+func (m *Memory) total() int64 {
+	if m.Total > 0 {
+		return m.Total
+	}
+	return defaultTotal
+}
+
 // ReadAll reads r to its end. Memory grows with what has arrived, not with the
 // announced length. Errors are a *TooLongError, an *ExhaustedError or that of r.
 func (s *Share) ReadAll(r io.Reader, l Limits) ([]byte, error) {
@@ -134,12 +161,28 @@
 		// The read that meets the end needs space, too.
 		size = min(l.Length+1, FreeBytes)
 	}
+	return readAll(r, l, size, func(bytes int64) error {
+		if !s.Grow(l.Held + bytes) {
+			return &ExhaustedError{l.Held + bytes}
+		}
+		return nil
+	})
+}
+
+// readAll reads r to its end into a slice that has the given size at first. The slice
+// grows only if grow, which gets its new size, returns no error.
+func readAll(r io.Reader, l Limits, size int64, grow func(bytes int64) error) ([]byte, error) {
 	body := make([]byte, 0, size)
 	for {
 		if len(body) == cap(body) {
 			size = min(2*int64(cap(body)), l.MaxBytes+1)
-			if !s.Grow(l.Held + size) {
-				return nil, &ExhaustedError{l.Held + size}
+			if l.Length >= 0 {
+				size = min(size, l.Length+1)
+			}
+			// A body may exceed its announced length.
+			size = max(size, int64(cap(body))+1)
+			if err := grow(size); err != nil {
+				return nil, err
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -80,7 +81,10 @@
 		// Seeds returns the peer addresses of control hosts.
 		Seeds func() []netip.AddrPort
 		// List reads the list of upstreams from the platform.
-		List  func(ctx context.Context) ([]tracker.Upstream, error)
+		List func(ctx context.Context) ([]tracker.Upstream, error)
+		// Guard protects the server at Peers and returns the listener that it serves;
+		// nil leaves both as they are.
+		Guard func(*http.Server, net.Listener) net.Listener
 		Clock timekeeper.Clock
 		Scope counter.Scope
 		Log   zerolog.Logger
@@ -154,6 +158,9 @@
 	syncer.Handle(mux, c.hub)
 	c.handleForwardedCalls(mux)
 	srv := messenger.NewServer(mux, nil)
+	if c.set.Guard != nil {
+		l = c.set.Guard(srv, l)
+	}
 	transport := messenger.NewGroupTransport(nil, c.set.Scope)
 	defer transport.Close()
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -46,6 +46,10 @@
 		body      []byte
 		// memory is that of the response which is being read and of lastFailure.
 		memory allotter.Share
+		// upload is the memory of body, nil if there is none.
+		upload *allotter.Upload
+		// received reports whether the request counts in Forwarder.received.
+		received bool
 		// content is the hash that contentID returns, zero until it is needed.
 		content  uint64
 		deadline time.Time
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -152,9 +152,15 @@
 		// SessionTimeout is the time after a session's last request at which it
 		// expires.
 		SessionTimeout time.Duration
-		// ResponseMemory is the memory in bytes for all responses of more than 64 KiB
-		// that are read before they are passed on; zero means 64 MiB.
-		ResponseMemory int64
+		// Memory is the memory for the bodies of requests and for responses of more than
+		// 64 KiB that are read before they are passed on; nil means 64 MiB of its own.
+		Memory *allotter.Memory
+		// MaxRunning bounds the requests that were received and not answered yet; zero
+		// means no bound.
+		MaxRunning int
+		// WriteTimeout is how long after its deadline a caller may read a response that
+		// is not a stream; zero means no bound.
+		WriteTimeout time.Duration
 	}
 
 	// ActiveConfig holds the routes, services and rollouts that apply to requests.
@@ -180,8 +186,10 @@
 		// configured is closed when the first configuration becomes active.
 		configured chan struct{}
 
-		// memory is divided among the requests that read a large response.
-		memory allotter.Memory
+		// memory is divided among the requests.
+		memory *allotter.Memory
+		// received is the number of requests that were received and not answered yet.
+		received atomic.Int64
 
 		// isolation collects evidence about prompt parts and requests that crash
 		// upstreams.
@@ -204,7 +212,10 @@
 		settings: s, started: s.Clock.Now(), configured: make(chan struct{}), isolation: isolator.NewRecorder(s.Clock),
 	}
 	f.base, f.cutOff = context.WithCancelCause(context.Background())
-	f.memory.Total = s.ResponseMemory
+	f.memory = s.Memory
+	if f.memory == nil {
+		f.memory = new(allotter.Memory)
+	}
 	f.requestLog = sampledLogger(s.Log)
 	f.assigner.SessionTimeout = s.SessionTimeout
 	f.stats = newResponseStats()
@@ -278,6 +289,7 @@
 		f: f, w: w, r: r, startedAt: f.settings.Clock.Now(), memory: f.memory.NewShare(), delegatedAttempts: delegatedAttempts,
 	}
 	defer c.memory.Release()
+	defer c.release()
 	if f.departure.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -20,6 +20,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/allotter"
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
 	"foxtailwall/dialer"
@@ -123,7 +124,7 @@
 // newTestbedWithMemory returns a testbed with a limit in bytes for large responses.
 func newTestbedWithMemory(limit int64) *testbed {
 	return newTestbedWithSettings(
-		budgeter.Settings{Ratio: 1, Window: 10 * time.Second, Slack: 50, Clock: timekeeper.System{}}, forwarder.Settings{ResponseMemory: limit},
+		budgeter.Settings{Ratio: 1, Window: 10 * time.Second, Slack: 50, Clock: timekeeper.System{}}, forwarder.Settings{Memory: &allotter.Memory{Total: limit}},
 	)
 }
 
--- a/forwarder/refusal.go
+++ b/forwarder/refusal.go
@@ -125,6 +125,7 @@
 	}
 	c.copyHeader(resp.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(resp.body)))
+	c.limitWrite()
 	c.w.WriteHeader(status)
 	if _, err := c.w.Write(resp.body); err != nil {
 		c.f.settings.Scope.Counter("forwarder.unsent").Inc(1)
--- a/starter/control.go
+++ b/starter/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -9,6 +10,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"foxtailwall/accepter"
 	"foxtailwall/coordinator"
 	"foxtailwall/validator"
 )
@@ -27,24 +29,33 @@
 	s.limitMemory()
 	var settings atomic.Pointer[Settings]
 	settings.Store(&s)
+	b := s.bounds()
 	c, err := coordinator.New(coordinator.Settings{
 		Name: s.Name, Peers: s.Peers, DataFolder: s.DataFolder, Bootstrap: s.Bootstrap,
 		LostDisks: s.LostDisks, Seeds: func() []netip.AddrPort { return peerSeeds(*settings.Load()) },
 		List: o.Protocol.List, Clock: o.Clock, Scope: o.Scope, Log: o.Log,
+		Guard: func(srv *http.Server, l net.Listener) net.Listener {
+			limits := b.limits(b.callerConns, &o)
+			limits.Binary = true
+			return accepter.Guard(srv, l, limits)
+		},
 	})
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: o.Protocol.Operators(c), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	srv := &http.Server{Handler: o.Protocol.Operators(c)}
 	// The components keep running while the host drains after the end of ctx.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	o.Log.Info().Str("zone", s.Zone).Bool("bootstrap", s.Bootstrap).Msg("control host started")
 	p := pool.New().WithErrors().WithFirstError()
 	p.Go(func() error { defer cancel(); return c.Run(runCtx) })
-	p.Go(func() error { defer cancel(); return serve(runCtx, "operators", s.Operators, srv) })
+	p.Go(func() error {
+		defer cancel()
+		return serve(runCtx, "operators", s.Operators, srv, b.limits(b.delegatedConns, &o))
+	})
 	p.Go(func() error { reloadSettings(runCtx, &o, &settings); return nil })
-	p.Go(func() error { serveMetrics(runCtx, &s, &o); return nil })
+	p.Go(func() error { serveMetrics(runCtx, &s, &o, b.limits(b.otherConns, &o)); return nil })
 	p.Go(func() error {
 		defer cancel()
 		select {
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"foxtailwall/accepter"
 	"foxtailwall/budgeter"
 	"foxtailwall/controller"
 	"foxtailwall/delegator"
@@ -59,6 +60,7 @@
 type entry struct {
 	settings atomic.Pointer[Settings]
 	opts     Options
+	bounds   bounds
 
 	placer      *placer.Placer
 	helpers     delegator.Pool
@@ -96,7 +98,7 @@
 		return err
 	}
 	s.limitMemory()
-	e := &entry{opts: o, startedAt: o.Clock.Now()}
+	e := &entry{opts: o, startedAt: o.Clock.Now(), bounds: s.bounds()}
 	e.settings.Store(&s)
 	e.placer = placer.New(placer.Settings{Clock: o.Clock, Zone: s.Zone, Host: s.Name})
 	e.retryBudget = budgeter.New(budgeter.Settings{
@@ -116,7 +118,7 @@
 	e.forwarder = forwarder.New(forwarder.Settings{
 		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Hosts: &e.helpers, HostDialer: hostDialer, Budget: e.retryBudget, Clock: o.Clock,
 		Scope: o.Scope, Log: o.Log, SessionTimeout: s.SessionTimeout,
-		ResponseMemory: int64(responseMemoryFraction * float64(s.Memory)),
+		Memory: e.bounds.memory, MaxRunning: e.bounds.requests, WriteTimeout: e.bounds.write,
 	})
 	e.syncClient = syncer.NewClient(syncer.ClientSettings{
 		Seeds: e.seeds, Report: e.newReport, Apply: e.applyUpdate, Clock: o.Clock, Log: o.Log,
@@ -146,25 +148,32 @@
 
 func (e *entry) run(ctx context.Context) error {
 	settings := e.settings.Load()
-	callers := &http.Server{Handler: e.forwarder, BaseContext: e.forwarder.BaseContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	delegated := &http.Server{
-		Handler: http.HandlerFunc(e.forwarder.ServeDelegated), BaseContext: e.forwarder.BaseContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-	}
-	ready := &http.Server{Handler: http.HandlerFunc(e.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	callers := &http.Server{Handler: e.forwarder, BaseContext: e.forwarder.BaseContext}
+	delegated := &http.Server{Handler: http.HandlerFunc(e.forwarder.ServeDelegated), BaseContext: e.forwarder.BaseContext}
+	ready := &http.Server{Handler: http.HandlerFunc(e.serveReadiness)}
+	limits := func(maxConns int) accepter.Limits { return e.bounds.limits(maxConns, &e.opts) }
+	callerLimits, delegatedLimits := limits(e.bounds.callerConns), limits(e.bounds.delegatedConns)
+	callerLimits.OwnBodies, delegatedLimits.OwnBodies = true, true
 	// The components keep running while the entry drains after the end of ctx.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	p := pool.New().WithErrors().WithFirstError()
-	p.Go(func() error { defer cancel(); return serve(runCtx, "callers", settings.Callers, callers) })
-	p.Go(func() error { defer cancel(); return serve(runCtx, "readiness", settings.Ready, ready) })
+	p.Go(func() error { defer cancel(); return serve(runCtx, "callers", settings.Callers, callers, callerLimits) })
+	p.Go(func() error {
+		defer cancel()
+		return serve(runCtx, "readiness", settings.Ready, ready, limits(e.bounds.otherConns))
+	})
 	if settings.Delegated.IsValid() {
-		p.Go(func() error { defer cancel(); return serve(runCtx, "other hosts", settings.Delegated, delegated) })
+		p.Go(func() error {
+			defer cancel()
+			return serve(runCtx, "other hosts", settings.Delegated, delegated, delegatedLimits)
+		})
 	}
 	p.Go(func() error { e.syncClient.Run(runCtx); return nil })
 	p.Go(func() error { e.exchangeLoads(runCtx); return nil })
 	p.Go(func() error { e.runListFallback(runCtx); return nil })
 	p.Go(func() error { e.watchReach(runCtx); return nil })
-	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts); return nil })
+	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts, limits(e.bounds.otherConns)); return nil })
 	p.Go(func() error { reloadSettings(runCtx, &e.opts, &e.settings); return nil })
 	p.Go(func() error {
 		select {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"foxtailwall/accepter"
 	"foxtailwall/coordinator"
 	"foxtailwall/counter"
 	"foxtailwall/forwarder"
@@ -40,17 +41,9 @@
 	// softMemoryFraction is the part of Settings.Memory at which the Go runtime
 	// limits further growth.
 	softMemoryFraction = 0.6
-	// responseMemoryFraction is the part of Settings.Memory for large responses of
-	// upstreams. Collected later, they take about twice as much.
-	responseMemoryFraction = 0.1
 	// gcPercent is the heap growth between garbage collections, in percent.
 	// It is below the default of 100, since hosts are small and memory is billed.
 	gcPercent = 60
-	// headerTimeout bounds the time to read the header of a request.
-	headerTimeout = 5 * time.Second
-	// idleTimeout is how long an unused connection of a caller stays open; it
-	// is longer than callers keep unused connections.
-	idleTimeout = time.Minute
 )
 
 type (
@@ -80,6 +73,8 @@
 		LostDisks int
 		// Memory is the memory limit of the process in bytes, 0 for none.
 		Memory int64
+		// Limits bound what callers that exceed the documented limits can use.
+		Limits Limits
 		// Grace is the time between SIGTERM and the end of the process.
 		Grace   time.Duration
 		Retries Retries
@@ -141,7 +136,7 @@
 	case s.Grace <= 0:
 		return validator.NewSettingError("grace", s.Grace.String(), "above 0")
 	}
-	return nil
+	return s.Limits.check()
 }
 
 // limitMemory sets the garbage collection percentage and, if there is a memory
@@ -162,13 +157,13 @@
 	return out
 }
 
-// serve runs srv at addr until it is closed; what names it in errors.
-func serve(ctx context.Context, what string, addr netip.AddrPort, srv *http.Server) error {
+// serve runs srv at addr within the limits until it is closed; what names it in errors.
+func serve(ctx context.Context, what string, addr netip.AddrPort, srv *http.Server, limits accepter.Limits) error {
 	l, err := server.Listen(ctx, addr)
 	if err != nil {
 		return err
 	}
-	if err = srv.Serve(l); errors.Is(err, http.ErrServerClosed) {
+	if err = srv.Serve(accepter.Guard(srv, l, limits)); errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Wrapf(err, "serve %s", what)
@@ -185,12 +180,13 @@
 	return p.Wait()
 }
 
-// serveMetrics serves the metrics until ctx ends. A failure is only logged.
-func serveMetrics(ctx context.Context, s *Settings, o *Options) {
+// serveMetrics serves the metrics within the limits until ctx ends. A failure is only
+// logged.
+func serveMetrics(ctx context.Context, s *Settings, o *Options, limits accepter.Limits) {
 	if o.MetricsPort == 0 {
 		return
 	}
-	srv := &http.Server{ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, Handler: http.HandlerFunc(
+	srv := &http.Server{Handler: http.HandlerFunc(
 		func(w http.ResponseWriter, r *http.Request) {
 			if r.URL.Path != "/metrics" {
 				w.WriteHeader(http.StatusNotFound)
@@ -200,7 +196,7 @@
 		})}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
-	if err := serve(ctx, "metrics", netip.AddrPortFrom(s.Peers.Addr(), o.MetricsPort), srv); err != nil {
+	if err := serve(ctx, "metrics", netip.AddrPortFrom(s.Peers.Addr(), o.MetricsPort), srv, limits); err != nil {
 		o.Log.Error().Err(err).Msg("metrics are not served")
 	}
 }
