--- a/accepter/conn.go
+++ b/accepter/conn.go
@@ -54,8 +54,10 @@
 		phase phase
 		// since is the time at which the phase began.
 		since time.Time
-		// size and fields are those of the header in the phase waiting.
-		size, fields int
+		// size and lines are those of the header in the phase waiting. inLine reports
+		// whether its last line has begun, and headerEnded whether it was read to its end.
+		size, lines         int
+		inLine, headerEnded bool
 		// served reports whether the connection has carried a whole request.
 		served  bool
 		closing bool
@@ -127,7 +129,7 @@
 	case http.StateIdle:
 		c.header.Release()
 		c.mu.Lock()
-		c.size, c.fields, c.served = 0, 0, true
+		c.size, c.lines, c.inLine, c.headerEnded, c.served = 0, 0, false, false, true
 		c.mu.Unlock()
 		c.enter(waiting)
 	case http.StateActive:
@@ -225,17 +227,19 @@
 		c.mu.Unlock()
 		return ""
 	}
-	c.size += len(b)
-	cost := int64(max(c.size-freeBinary, 0)) * binaryCost
-	if !c.g.limits.Binary {
-		c.fields += bytes.Count(b, []byte{'\n'})
-		cost = int64(c.size + c.fields*fieldCost - freeHeader)
+	var cost int64
+	if c.g.limits.Binary {
+		c.size += len(b)
+		cost = int64(max(c.size-freeBinary, 0)) * binaryCost
+	} else {
+		c.countLines(b)
+		cost = int64(c.size + c.lines*fieldCost - freeHeader)
 	}
-	fields := c.fields
+	lines := c.lines
 	c.mu.Unlock()
 	switch {
-	// The request line and the empty line are no fields.
-	case fields > c.g.limits.MaxFields+2:
+	// The first line is no field.
+	case lines > c.g.limits.MaxFields+1:
 		return refusal431
 	case cost > 0 && c.header.Grow(cost) != nil:
 		return refusal503
@@ -243,6 +247,30 @@
 	return ""
 }
 
+// countLines counts the lines of the header up to its end, the first empty line after
+// another one. What follows is a body or a further request. The caller holds mu.
+func (c *conn) countLines(b []byte) {
+	for len(b) > 0 && !c.headerEnded {
+		line, _, whole := bytes.Cut(b, []byte{'\n'})
+		n := len(line)
+		if whole {
+			n++
+		}
+		empty := !c.inLine && len(bytes.TrimSuffix(line, []byte{'\r'})) == 0
+		switch {
+		case !whole:
+			c.inLine = c.inLine || !empty
+		case !empty:
+			c.lines++
+			c.inLine = false
+		case c.lines > 0:
+			c.headerEnded = true
+		}
+		c.size += n
+		b = b[n:]
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.g.mu.Lock()
--- a/starter/control.go
+++ b/starter/control.go
@@ -36,7 +36,7 @@
 		List: o.Protocol.List, Clock: o.Clock, Scope: o.Scope, Log: o.Log,
 		Guard: func(srv *http.Server, l net.Listener) net.Listener {
 			limits := b.limits(b.callerConns, &o)
-			limits.Binary = true
+			limits.Binary, limits.Memory = true, b.peerMemory
 			return accepter.Guard(srv, l, limits)
 		},
 	})
--- a/starter/limits.go
+++ b/starter/limits.go
@@ -15,7 +15,11 @@
 	// requestMemoryFraction is the part of Settings.Memory for requests and for large
 	// responses of upstreams. Collected later, they take up to twice as much.
 	requestMemoryFraction = 0.3
-	// defaultRequestMemory is that memory in bytes if there is no memory limit.
+	// peerMemoryFraction is the part of Settings.Memory for messages that a control host
+	// receives from other hosts. It is separate, so that no call of operators delays the
+	// control group. Other hosts send up to 16 MiB ahead, in messages of 1 MiB.
+	peerMemoryFraction = 0.2
+	// defaultRequestMemory is each of the two in bytes if there is no memory limit.
 	defaultRequestMemory = 256 << 20
 
 	// connMemoryFraction is the part of Settings.Memory for callers' connections, and
@@ -64,7 +68,7 @@
 
 	// bounds are the bounds of one process.
 	bounds struct {
-		memory *allotter.Memory
+		memory, peerMemory *allotter.Memory
 		// callerConns, delegatedConns and otherConns bound the connections of a port.
 		callerConns, delegatedConns, otherConns int
 		requests, fields                        int
@@ -101,11 +105,13 @@
 	part := func(fraction float64) int { return max(int(fraction*float64(descriptors)), minConns) }
 	b := bounds{
 		memory:      &allotter.Memory{Total: defaultRequestMemory},
+		peerMemory:  &allotter.Memory{Total: defaultRequestMemory},
 		callerConns: part(callerConnFraction), delegatedConns: part(delegatedConnFraction), otherConns: part(otherConnFraction),
 		requests: part(requestFraction), fields: l.HeaderFields, write: l.WriteTimeout,
 	}
 	if s.Memory > 0 {
 		b.memory.Total = int64(requestMemoryFraction * float64(s.Memory))
+		b.peerMemory.Total = int64(peerMemoryFraction * float64(s.Memory))
 		b.callerConns = min(b.callerConns, max(int(connMemoryFraction*float64(s.Memory)/connMemory), minConns))
 	}
 	if l.RequestMemory > 0 {
