Bound what all callers together hold at hosts of the serve program

Cause: bodies of serve had a limit each only; uploads that do not end held the places of running requests; connections beyond the maximum waited unaccepted. Change: the ports for callers, operators and other hosts use package accepter; bodies are allotter.Uploads by workspace; a request takes its place among the running ones when its body was received. New flags with checked bounds. A body of allotter that ends within the read that exceeds MaxBytes is refused, which it was not (found by a spec of package server after it used allotter; new spec).

--- a/allotter/allotter.go
+++ b/allotter/allotter.go
@@ -189,12 +189,12 @@
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		switch {
+		case int64(len(body)) > l.MaxBytes:
+			return nil, &TooLongError{l.MaxBytes}
 		case errors.Is(err, io.EOF):
 			return body, nil
 		case err != nil:
 			return body, err
-		case int64(len(body)) > l.MaxBytes:
-			return nil, &TooLongError{l.MaxBytes}
 		}
 	}
 }
--- a/allotter/allotter_test.go
+++ b/allotter/allotter_test.go
@@ -76,6 +76,9 @@
 			_, err := s.ReadAll(io.LimitReader(endless{}, 101), limits)
 			var tooLong *allotter.TooLongError
 			Expect(errors.As(err, &tooLong)).To(BeTrue())
+			// The read that delivers the last bytes may also report the end.
+			_, err = s.ReadAll(iotest.DataErrReader(io.LimitReader(endless{}, 101)), limits)
+			Expect(errors.As(err, &tooLong)).To(BeTrue())
 		}
 	})
 })
--- a/cmd/foxtailwall/serve.go
+++ b/cmd/foxtailwall/serve.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"github.com/urfave/cli/v3"
 
+	"foxtailwall/accepter"
 	"foxtailwall/hoster"
 	"foxtailwall/timekeeper"
 	"foxtailwall/validator"
@@ -83,6 +84,13 @@
 		&cli.StringFlag{Name: "operator-keys", Usage: "file with the keys of operators, one per line", Sources: env("operator-keys")},
 		&cli.DurationFlag{Name: "drain", Usage: "time that a graceful shutdown allows for running requests", Value: hoster.DefaultDrain, Sources: env("drain")},
 		&cli.DurationFlag{Name: "grace", Usage: "part of the drain time in which the host is not ready but still accepts connections", Value: hoster.DefaultGrace, Sources: env("grace")},
+		&cli.Int64Flag{Name: "memory", Usage: "memory limit of the process in MiB, from which the limits on requests and connections follow; 0 for none", Sources: env("memory")},
+		&cli.IntFlag{Name: "descriptors", Usage: "limit on the descriptors of the process, from which those on connections and requests follow; 0 for that of the system", Sources: env("descriptors")},
+		&cli.IntFlag{Name: "max-connections", Usage: "open connections of callers, at most; 0 for half of the descriptors, as far as a quarter of the memory has room for 16 KiB each", Sources: env("max-connections")},
+		&cli.IntFlag{Name: "max-requests", Usage: "requests that were received and are running, at most; 0 for 15% of the descriptors", Sources: env("max-requests")},
+		&cli.Int64Flag{Name: "request-memory", Usage: "memory in MiB for the headers and bodies of all requests; 0 for 30% of the memory, or 256 MiB", Sources: env("request-memory")},
+		&cli.IntFlag{Name: "max-header-fields", Usage: "fields of a header, at most, counted without TLS; 0 for 4096", Sources: env("max-header-fields")},
+		&cli.DurationFlag{Name: "write-timeout", Usage: "time within which a caller must take 64 KiB of a response, or all of a shorter part", Value: accepter.DefaultWriteTimeout, Sources: env("write-timeout")},
 	}
 	for _, side := range []string{"caller", "peer", "upstream"} {
 		flags = append(flags, tlsFlags(side)...)
@@ -111,6 +119,11 @@
 	settings := hoster.Settings{
 		Name: c.String("name"), Zone: c.String("zone"), Entry: c.Bool("entry"),
 		Control: c.StringSlice("control"), DataFolder: c.String("data-folder"), Drain: c.Duration("drain"), Grace: c.Duration("grace"),
+		Limits: accepter.Settings{
+			ProcessMemory: c.Int64("memory") << 20, Descriptors: c.Int("descriptors"), Connections: c.Int("max-connections"),
+			Requests: c.Int("max-requests"), RequestMemory: c.Int64("request-memory") << 20, HeaderFields: c.Int("max-header-fields"),
+			WriteTimeout: c.Duration("write-timeout"),
+		},
 		CallerTLS: tlsFiles(c, "caller"), PeerTLS: tlsFiles(c, "peer"), UpstreamTLS: tlsFiles(c, "upstream"),
 	}
 	for _, text := range c.StringSlice("hosts") {
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -77,6 +77,8 @@
 		Clock: h.clock, Scope: h.scope, Views: readyViews{h.views, e.poller}, Router: e.router,
 		OperatorDigest: declarer.KeyDigest(h.settings.OperatorKeys[0]), Print: declarer.Print, Report: writeReport,
 		DrainTimeout: h.settings.Drain - h.settings.Grace, Grace: h.settings.Grace,
+		MaxConnections: h.bounds.CallerConns, MaxConcurrent: h.bounds.Requests, MaxFields: h.bounds.HeaderFields,
+		WriteTimeout: h.bounds.WriteTimeout, Memory: h.bounds.Memory,
 	})
 	h.entry = e
 	return err
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc/pool"
 
+	"foxtailwall/accepter"
 	"foxtailwall/counter"
 	"foxtailwall/messenger"
 	"foxtailwall/server"
@@ -38,6 +40,9 @@
 	// billDeliveryTimeout bounds the delivery of billing records at shutdown.
 	// Witnesses deliver the remaining records.
 	billDeliveryTimeout = 5 * time.Second
+	// softMemoryFraction is the part of the process's memory limit at which the Go
+	// runtime limits further growth.
+	softMemoryFraction = 0.6
 )
 
 type (
@@ -59,6 +64,7 @@
 		clock      timekeeper.Clock
 		log        zerolog.Logger
 		scope      counter.Scope
+		bounds     accepter.Bounds
 		tls        tlsConfigs
 		mux        *messenger.Mux
 		outbox     *diskOutbox
@@ -96,7 +102,10 @@
 	}
 	h := &Host{
 		settings: s, opts: o, clock: o.Clock, log: o.Log, scope: counter.New(metricPrefix),
-		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer),
+		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer), bounds: s.Limits.Bounds(),
+	}
+	if s.Limits.ProcessMemory > 0 {
+		debug.SetMemoryLimit(int64(softMemoryFraction * float64(s.Limits.ProcessMemory)))
 	}
 	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.openCounterLog, h.openControlMember, h.createControlClient, h.createRelayNode, h.buildEntry} {
 		if err := build(); err != nil {
@@ -206,6 +215,9 @@
 	if err != nil {
 		return err
 	}
+	limits := h.bounds.Limits(h.bounds.HostConns, h.clock, h.scope)
+	limits.Binary, limits.Memory = true, h.bounds.PeerMemory
+	l = accepter.Guard(srv, l, limits)
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
 	defer stop()
 	if srv.TLSConfig != nil {
--- a/hoster/settings.go
+++ b/hoster/settings.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"foxtailwall/accepter"
 	"foxtailwall/validator"
 )
 
@@ -59,6 +60,8 @@
 		// readiness check fails and connections are still accepted, so that load
 		// balancers stop sending requests in time.
 		Drain, Grace time.Duration
+		// Limits bound what callers that exceed the documented limits can use.
+		Limits accepter.Settings
 	}
 
 	// Spec describes one host of the deployment.
@@ -125,7 +128,7 @@
 // Validate checks the settings, sets Drain and Grace to their defaults if they
 // are zero, and returns the first fault as a *validator.SettingError.
 func (s *Settings) Validate() error {
-	for _, check := range []func() error{s.validateNames, s.validateControl, s.validateAddresses, s.validateTLS, s.validateKeys} {
+	for _, check := range []func() error{s.validateNames, s.validateControl, s.validateAddresses, s.validateTLS, s.validateKeys, s.Limits.Check} {
 		if err := check(); err != nil {
 			return err
 		}
--- a/server/answer.go
+++ b/server/answer.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"foxtailwall/allotter"
 	"foxtailwall/encoder"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
@@ -41,27 +41,52 @@
 	buf     []byte
 }
 
-// readBody reads the request body, limited by MaxBody and BodyTimeout.
+// readBody reads the request body, limited by MaxBody, BodyTimeout and the memory for
+// all bodies, and takes a place among the running requests.
 func (x *exchange) readBody() ([]byte, error) {
+	if x.r.ContentLength == 0 {
+		return nil, nil
+	}
 	o := &x.s.opts
 	if x.r.ContentLength > o.MaxBody {
 		return nil, bodyTooLarge(o.MaxBody)
 	}
-	// The deadline keeps slow senders from occupying a slot. It is removed
+	// The deadline keeps slow senders from holding memory. It is removed
 	// after the read, since it would also end the background read by which
 	// net/http notices that the caller has disconnected.
 	_ = x.rc.SetReadDeadline(o.Clock.Now().Add(o.BodyTimeout)) // httptest.ResponseRecorder does not support it.
-	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, o.MaxBody))
-	_ = x.rc.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
+	x.upload = o.Memory.NewUpload(allotter.Holder{Workspace: x.req.Holder.Workspace.Name}, func() { _ = x.rc.SetReadDeadline(time.Unix(1, 0)) })
+	b, err := x.upload.ReadAll(x.r.Body, allotter.Limits{Length: x.r.ContentLength, MaxBytes: o.MaxBody})
+	if err == nil && !x.upload.Complete() {
+		err = &allotter.CancelledError{}
+	}
+	var large *allotter.TooLongError
+	var exhausted *allotter.ExhaustedError
+	var cancelled *allotter.CancelledError
 	switch {
 	case err == nil:
+		_ = x.rc.SetReadDeadline(time.Time{})
+		if own, ok := x.r.Context().Value(slotKey{}).(*slot); ok {
+			if re := own.take(); re != nil {
+				return nil, re
+			}
+		}
 		return b, nil
 	case errors.As(err, &large):
 		return nil, bodyTooLarge(o.MaxBody)
-	default:
-		x.w.Header().Set("Connection", "close")
-		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "the body was not received completely within %s", o.BodyTimeout)
+	}
+	x.w.Header().Set("Connection", "close")
+	if errors.As(err, &exhausted) || errors.As(err, &cancelled) {
+		o.Scope.Counter("server.bodiesRefused").Inc(1)
+		return nil, refuser.New(refuser.QueueFull, refuser.NotRun, "this host has no memory for the body; retry or use another host")
+	}
+	return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "the body was not received completely within %s", o.BodyTimeout)
+}
+
+// release returns the memory of the body.
+func (x *exchange) release() {
+	if x.upload != nil {
+		x.upload.Release()
 	}
 }
 
--- a/server/callers.go
+++ b/server/callers.go
@@ -7,6 +7,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"foxtailwall/allotter"
 	"foxtailwall/declarer"
 	"foxtailwall/encoder"
 	"foxtailwall/refuser"
@@ -89,6 +90,8 @@
 	req    router.Request
 	// deadlineMovedAt is the time at which the write deadline was last moved.
 	deadlineMovedAt time.Time
+	// upload is the memory of the body, nil if there is none.
+	upload *allotter.Upload
 }
 
 // handleExchange returns an HTTP handler that checks the API key and the header
@@ -96,6 +99,7 @@
 func (s *Server) handleExchange(h func(*exchange) error) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
 		x := &exchange{s: s, w: w, r: r, rc: http.NewResponseController(w), params: p}
+		defer x.release()
 		x.req.ID = w.Header().Get(requestIDHeader)
 		err := x.parseHeader()
 		if err == nil {
--- a/server/guard.go
+++ b/server/guard.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -13,8 +14,19 @@
 	"foxtailwall/refuser"
 )
 
+// slot is the place of a request among the running ones.
+type slot struct {
+	s    *Server
+	held bool
+}
+
+// slotKey is the key of the slot in the context of a request.
+type slotKey struct{}
+
 // limitRequests returns middleware for the callers' port: it assigns the
-// request ID, limits the running requests and turns a panic into a refusal.
+// request ID, limits the running requests and turns a panic into a refusal. A request
+// with a body runs once that was received, so that callers that do not end their bodies
+// take no places.
 func (s *Server) limitRequests(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(requestIDHeader, newRequestID())
@@ -22,20 +34,38 @@
 			// The caller reconnects and is routed to another host.
 			w.Header().Set("Connection", "close")
 		}
-		select {
-		case s.slots <- struct{}{}:
-			defer func() { <-s.slots }()
-		default:
-			s.opts.Scope.Counter("server.overload").Inc(1)
-			writeRefusal(w, refuser.New(refuser.QueueFull, refuser.NotRun,
-				"this host serves its maximum of %d concurrent requests; retry or use another host", s.opts.MaxConcurrent), 0)
-			return
+		own := &slot{s: s}
+		if r.ContentLength == 0 {
+			if err := own.take(); err != nil {
+				writeRefusal(w, err, 0)
+				return
+			}
 		}
+		defer own.free()
 		defer s.refuseAfterPanic(w)
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), slotKey{}, own)))
 	})
 }
 
+// take takes a place; it returns a refusal if all are taken.
+func (l *slot) take() *refuser.Refusal {
+	select {
+	case l.s.slots <- struct{}{}:
+		l.held = true
+		return nil
+	default:
+		l.s.opts.Scope.Counter("server.overload").Inc(1)
+		return refuser.New(refuser.QueueFull, refuser.NotRun,
+			"this host serves its maximum of %d concurrent requests; retry or use another host", l.s.opts.MaxConcurrent)
+	}
+}
+
+func (l *slot) free() {
+	if l.held {
+		<-l.s.slots
+	}
+}
+
 // refuseAfterPanic refuses a request whose handler has panicked. It repeats the
 // panic of http.ErrAbortHandler, which aborts a connection on purpose.
 func (s *Server) refuseAfterPanic(w http.ResponseWriter) {
--- a/server/server.go
+++ b/server/server.go
@@ -41,8 +41,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 	"github.com/sourcegraph/conc"
-	"golang.org/x/net/netutil"
 
+	"foxtailwall/accepter"
+	"foxtailwall/allotter"
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
 	"foxtailwall/router"
@@ -109,10 +110,15 @@
 		// response before the connection is closed.
 		WriteTimeout time.Duration
 		IdleTimeout  time.Duration
-		// MaxConcurrent limits the running requests and MaxConnections the
+		// MaxConcurrent limits the requests that were received and are running, and MaxConnections the
 		// open connections of callers.
 		MaxConcurrent  int
 		MaxConnections int
+		// MaxFields limits the fields of a header.
+		MaxFields int
+		// Memory is the memory for the headers and bodies of all requests; nil means 64
+		// MiB of its own.
+		Memory *allotter.Memory
 		// Grace is the time from the first failing /readyz to the closing of
 		// the listener; the load balancer must notice the change within it.
 		Grace time.Duration
@@ -158,24 +164,37 @@
 // ServeCallers serves callers on l until Drain or Close; without TLS if conf is
 // nil.
 func (s *Server) ServeCallers(l net.Listener, conf *tls.Config) error {
-	return s.serve(&s.callerServers, netutil.LimitListener(l, s.opts.MaxConnections), conf, s.CallerHandler())
+	limits := s.limits(conf)
+	limits.MaxConns, limits.OwnBodies = s.opts.MaxConnections, true
+	return s.serve(&s.callerServers, l, conf, s.CallerHandler(), limits)
 }
 
 // ServeOperators serves operators and the load balancer's health checks on l
 // until the end of Drain or until Close; without TLS if conf is nil.
 func (s *Server) ServeOperators(l net.Listener, conf *tls.Config) error {
-	return s.serve(&s.operatorServers, netutil.LimitListener(l, maxOperatorConnections), conf, s.OperatorHandler())
+	limits := s.limits(conf)
+	limits.MaxConns = maxOperatorConnections
+	return s.serve(&s.operatorServers, l, conf, s.OperatorHandler(), limits)
+}
+
+// limits returns the limits that both ports have in common.
+func (s *Server) limits(conf *tls.Config) accepter.Limits {
+	o := &s.opts
+	return accepter.Limits{
+		MaxHeader: o.MaxHeader, MaxFields: o.MaxFields, HeaderTimeout: o.HeaderTimeout, BodyTimeout: o.BodyTimeout,
+		IdleTimeout: o.IdleTimeout, WriteTimeout: o.WriteTimeout, Memory: o.Memory, Binary: conf != nil, Clock: o.Clock, Scope: o.Scope,
+	}
 }
 
 // serve runs an HTTP server for l until it is shut down. It adds the server to
 // list, so that Drain and Close can stop it.
-func (s *Server) serve(list *[]*http.Server, l net.Listener, conf *tls.Config, h http.Handler) error {
+func (s *Server) serve(list *[]*http.Server, l net.Listener, conf *tls.Config, h http.Handler, limits accepter.Limits) error {
 	srv := &http.Server{
-		Handler: h, MaxHeaderBytes: s.opts.MaxHeader, ErrorLog: s.opts.Scope.ErrorLog("server.connectionErrors"),
-		TLSConfig:         conf.Clone(), // net/http modifies it.
-		ReadHeaderTimeout: s.opts.HeaderTimeout, IdleTimeout: s.opts.IdleTimeout,
+		Handler: h, ErrorLog: s.opts.Scope.ErrorLog("server.connectionErrors"),
+		TLSConfig:   conf.Clone(), // net/http modifies it.
 		BaseContext: func(net.Listener) context.Context { return s.base },
 	}
+	l = accepter.Guard(srv, l, limits)
 	s.mu.Lock()
 	if s.stopped {
 		s.mu.Unlock()
@@ -299,6 +318,9 @@
 	if o.Print == nil {
 		o.Print = marshalYAML
 	}
+	if o.Memory == nil {
+		o.Memory = new(allotter.Memory)
+	}
 	o.MaxBody = positiveOr(o.MaxBody, defaultMaxBodyBytes)
 	o.MaxHeader = positiveOr(o.MaxHeader, defaultMaxHeaderBytes)
 	o.HeaderTimeout = positiveOr(o.HeaderTimeout, defaultHeaderTimeout)
--- a/starter/control.go
+++ b/starter/control.go
@@ -35,8 +35,8 @@
 		LostDisks: s.LostDisks, Seeds: func() []netip.AddrPort { return peerSeeds(*settings.Load()) },
 		List: o.Protocol.List, Clock: o.Clock, Scope: o.Scope, Log: o.Log,
 		Guard: func(srv *http.Server, l net.Listener) net.Listener {
-			limits := b.limits(b.callerConns, &o)
-			limits.Binary, limits.Memory = true, b.peerMemory
+			limits := b.Limits(b.CallerConns, o.Clock, o.Scope)
+			limits.Binary, limits.Memory = true, b.PeerMemory
 			return accepter.Guard(srv, l, limits)
 		},
 	})
@@ -52,10 +52,10 @@
 	p.Go(func() error { defer cancel(); return c.Run(runCtx) })
 	p.Go(func() error {
 		defer cancel()
-		return serve(runCtx, "operators", s.Operators, srv, b.limits(b.delegatedConns, &o))
+		return serve(runCtx, "operators", s.Operators, srv, b.Limits(b.HostConns, o.Clock, o.Scope))
 	})
 	p.Go(func() error { reloadSettings(runCtx, &o, &settings); return nil })
-	p.Go(func() error { serveMetrics(runCtx, &s, &o, b.limits(b.otherConns, &o)); return nil })
+	p.Go(func() error { serveMetrics(runCtx, &s, &o, b.Limits(b.OtherConns, o.Clock, o.Scope)); return nil })
 	p.Go(func() error {
 		defer cancel()
 		select {
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -60,7 +60,7 @@
 type entry struct {
 	settings atomic.Pointer[Settings]
 	opts     Options
-	bounds   bounds
+	bounds   accepter.Bounds
 
 	placer      *placer.Placer
 	helpers     delegator.Pool
@@ -118,7 +118,7 @@
 	e.forwarder = forwarder.New(forwarder.Settings{
 		Codec: o.Protocol.Codec, Upstreams: upstreams, Placer: e.placer, Hosts: &e.helpers, HostDialer: hostDialer, Budget: e.retryBudget, Clock: o.Clock,
 		Scope: o.Scope, Log: o.Log, SessionTimeout: s.SessionTimeout,
-		Memory: e.bounds.memory, MaxRunning: e.bounds.requests, WriteTimeout: e.bounds.write,
+		Memory: e.bounds.Memory, MaxRunning: e.bounds.Requests, WriteTimeout: e.bounds.WriteTimeout,
 	})
 	e.syncClient = syncer.NewClient(syncer.ClientSettings{
 		Seeds: e.seeds, Report: e.newReport, Apply: e.applyUpdate, Clock: o.Clock, Log: o.Log,
@@ -151,8 +151,8 @@
 	callers := &http.Server{Handler: e.forwarder, BaseContext: e.forwarder.BaseContext}
 	delegated := &http.Server{Handler: http.HandlerFunc(e.forwarder.ServeDelegated), BaseContext: e.forwarder.BaseContext}
 	ready := &http.Server{Handler: http.HandlerFunc(e.serveReadiness)}
-	limits := func(maxConns int) accepter.Limits { return e.bounds.limits(maxConns, &e.opts) }
-	callerLimits, delegatedLimits := limits(e.bounds.callerConns), limits(e.bounds.delegatedConns)
+	limits := func(maxConns int) accepter.Limits { return e.bounds.Limits(maxConns, e.opts.Clock, e.opts.Scope) }
+	callerLimits, delegatedLimits := limits(e.bounds.CallerConns), limits(e.bounds.HostConns)
 	callerLimits.OwnBodies, delegatedLimits.OwnBodies = true, true
 	// The components keep running while the entry drains after the end of ctx.
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
@@ -161,7 +161,7 @@
 	p.Go(func() error { defer cancel(); return serve(runCtx, "callers", settings.Callers, callers, callerLimits) })
 	p.Go(func() error {
 		defer cancel()
-		return serve(runCtx, "readiness", settings.Ready, ready, limits(e.bounds.otherConns))
+		return serve(runCtx, "readiness", settings.Ready, ready, limits(e.bounds.OtherConns))
 	})
 	if settings.Delegated.IsValid() {
 		p.Go(func() error {
@@ -173,7 +173,7 @@
 	p.Go(func() error { e.exchangeLoads(runCtx); return nil })
 	p.Go(func() error { e.runListFallback(runCtx); return nil })
 	p.Go(func() error { e.watchReach(runCtx); return nil })
-	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts, limits(e.bounds.otherConns)); return nil })
+	p.Go(func() error { serveMetrics(runCtx, settings, &e.opts, limits(e.bounds.OtherConns)); return nil })
 	p.Go(func() error { reloadSettings(runCtx, &e.opts, &e.settings); return nil })
 	p.Go(func() error {
 		select {
--- a/starter/starter.go
+++ b/starter/starter.go
@@ -73,8 +73,9 @@
 		LostDisks int
 		// Memory is the memory limit of the process in bytes, 0 for none.
 		Memory int64
-		// Limits bound what callers that exceed the documented limits can use.
-		Limits Limits
+		// Limits bound what callers that exceed the documented limits can use; its
+		// ProcessMemory is set to Memory.
+		Limits accepter.Settings
 		// Grace is the time between SIGTERM and the end of the process.
 		Grace   time.Duration
 		Retries Retries
@@ -136,7 +137,7 @@
 	case s.Grace <= 0:
 		return validator.NewSettingError("grace", s.Grace.String(), "above 0")
 	}
-	return s.Limits.check()
+	return s.Limits.Check()
 }
 
 // limitMemory sets the garbage collection percentage and, if there is a memory
@@ -157,6 +158,13 @@
 	return out
 }
 
+// bounds returns the bounds of the process.
+func (s *Settings) bounds() accepter.Bounds {
+	limits := s.Limits
+	limits.ProcessMemory = s.Memory
+	return limits.Bounds()
+}
+
 // serve runs srv at addr within the limits until it is closed; what names it in errors.
 func serve(ctx context.Context, what string, addr netip.AddrPort, srv *http.Server, limits accepter.Limits) error {
 	l, err := server.Listen(ctx, addr)
