--- a/accepter/bounds.go
+++ b/accepter/bounds.go
@@ -14,7 +14,7 @@
 const (
 	// requestMemoryFraction is the part of Settings.ProcessMemory for requests and for large
 	// responses of upstreams. Collected later, they take up to twice as much.
-	requestMemoryFraction = 0.3
+	requestMemoryFraction = 0.25
 	// peerMemoryFraction is the part of Settings.ProcessMemory for messages that a control host
 	// receives from other hosts. It is separate, so that no call of operators delays the
 	// control group. Other hosts send up to 16 MiB ahead, in messages of 1 MiB.
--- a/allotter/upload.go
+++ b/allotter/upload.go
@@ -125,7 +125,8 @@
 }
 
 // ReadAll reads r to its end. Memory grows with what has arrived, not with the
-// announced length. Errors are a *TooLongError, those of Grow or that of r.
+// announced length, and includes the smaller slice from which the body was copied, since
+// that is collected later. Errors are a *TooLongError, those of Grow or that of r.
 func (u *Upload) ReadAll(r io.Reader, l Limits) ([]byte, error) {
 	if l.Length > l.MaxBytes {
 		return nil, &TooLongError{l.MaxBytes}
@@ -137,7 +138,7 @@
 	if err := u.Grow(l.Held + size); err != nil {
 		return nil, err
 	}
-	body, err := readAll(r, l, size, func(bytes int64) error { return u.Grow(l.Held + bytes) })
+	body, err := readAll(r, l, size, func(bytes int64) error { return u.Grow(l.Held + bytes + bytes/2) })
 	if u.Cancelled() {
 		return nil, &CancelledError{}
 	}
--- a/allotter/upload_test.go
+++ b/allotter/upload_test.go
@@ -54,7 +54,7 @@
 var _ = Describe("Upload", func() {
 	const (
 		total = 3 << 20
-		// stalled is the size at which an unfinished body stops; it holds twice as much.
+		// stalled is the size at which an unfinished body stops; it holds three times as much.
 		stalled = 129 << 10
 	)
 	crowd := allotter.Holder{Address: netip.MustParseAddr("192.0.2.1")}
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -43,6 +43,9 @@
 	// softMemoryFraction is the part of the process's memory limit at which the Go
 	// runtime limits further growth.
 	softMemoryFraction = 0.6
+	// gcPercent is the heap growth between garbage collections under a memory limit, in
+	// percent.
+	gcPercent = 60
 )
 
 type (
@@ -105,6 +108,7 @@
 		mux: messenger.NewMux(), peers: make(map[netip.AddrPort]*messenger.Peer), bounds: s.Limits.Bounds(),
 	}
 	if s.Limits.ProcessMemory > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(softMemoryFraction * float64(s.Limits.ProcessMemory)))
 	}
 	for _, build := range []func() error{h.loadTLS, h.openOutbox, h.openCounterLog, h.openControlMember, h.createControlClient, h.createRelayNode, h.buildEntry} {
