--- a/accepter/bounds.go
+++ b/accepter/bounds.go
@@ -88,18 +88,20 @@
 // Check validates the settings. The error is a *validator.SettingError.
 func (s *Settings) Check() error {
 	switch {
+	case s.ProcessMemory < 0:
+		return validator.NewSettingError("memory", strconv.FormatInt(s.ProcessMemory, 10), "0 or above")
 	case s.Descriptors != 0 && s.Descriptors < minDescriptors:
-		return validator.NewSettingError("limits.descriptors", strconv.Itoa(s.Descriptors), "0 or at least "+strconv.Itoa(minDescriptors))
+		return validator.NewSettingError("descriptors", strconv.Itoa(s.Descriptors), "0 or at least "+strconv.Itoa(minDescriptors))
 	case s.Connections < 0 || s.Descriptors > 0 && s.Connections >= s.Descriptors:
-		return validator.NewSettingError("limits.connections", strconv.Itoa(s.Connections), "from 0 to less than the descriptors")
+		return validator.NewSettingError("max-connections", strconv.Itoa(s.Connections), "from 0 to less than the descriptors")
 	case s.Requests < 0 || s.Descriptors > 0 && s.Requests >= s.Descriptors:
-		return validator.NewSettingError("limits.requests", strconv.Itoa(s.Requests), "from 0 to less than the descriptors")
+		return validator.NewSettingError("max-requests", strconv.Itoa(s.Requests), "from 0 to less than the descriptors")
 	case s.RequestMemory != 0 && s.RequestMemory < minRequestMemory:
-		return validator.NewSettingError("limits.requestMemory", strconv.FormatInt(s.RequestMemory, 10), "0 or at least "+strconv.Itoa(minRequestMemory)+" bytes")
+		return validator.NewSettingError("request-memory", strconv.FormatInt(s.RequestMemory, 10), "0 or at least "+strconv.Itoa(minRequestMemory)+" bytes")
 	case s.HeaderFields != 0 && s.HeaderFields < minHeaderFields:
-		return validator.NewSettingError("limits.headerFields", strconv.Itoa(s.HeaderFields), "0 or at least "+strconv.Itoa(minHeaderFields))
+		return validator.NewSettingError("max-header-fields", strconv.Itoa(s.HeaderFields), "0 or at least "+strconv.Itoa(minHeaderFields))
 	case s.WriteTimeout < 0:
-		return validator.NewSettingError("limits.writeTimeout", s.WriteTimeout.String(), "0 or above")
+		return validator.NewSettingError("write-timeout", s.WriteTimeout.String(), "0 or above")
 	}
 	return nil
 }
--- a/hoster/settings_test.go
+++ b/hoster/settings_test.go
@@ -62,6 +62,13 @@
 		Entry("no operator key", func(s *hoster.Settings) { s.OperatorKeys = nil }, "operator-keys"),
 		Entry("grace that leaves no time to drain", func(s *hoster.Settings) { s.Drain = 3 * time.Second }, "grace"),
 		Entry("negative drain", func(s *hoster.Settings) { s.Drain = -1 }, "drain"),
+		Entry("negative memory", func(s *hoster.Settings) { s.Limits.ProcessMemory = -1 }, "memory"),
+		Entry("hardly any descriptors", func(s *hoster.Settings) { s.Limits.Descriptors = 10 }, "descriptors"),
+		Entry("negative connections", func(s *hoster.Settings) { s.Limits.Connections = -1 }, "max-connections"),
+		Entry("negative requests", func(s *hoster.Settings) { s.Limits.Requests = -1 }, "max-requests"),
+		Entry("hardly any memory for requests", func(s *hoster.Settings) { s.Limits.RequestMemory = 1 }, "request-memory"),
+		Entry("fewer fields than requests have", func(s *hoster.Settings) { s.Limits.HeaderFields = 3 }, "max-header-fields"),
+		Entry("negative write timeout", func(s *hoster.Settings) { s.Limits.WriteTimeout = -1 }, "write-timeout"),
 	)
 
 	DescribeTable("parses the description of a host", func(text string, ok bool) {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/accepter"
 	"foxtailwall/controller"
 	"foxtailwall/coordinator"
 	"foxtailwall/dialer"
@@ -428,4 +429,6 @@
 	Entry("no seeds", func(s *starter.Settings) { s.Seeds = nil }, "seeds"),
 	Entry("no grace period", func(s *starter.Settings) { s.Grace = 0 }, "grace"),
 	Entry("no retry window", func(s *starter.Settings) { s.Retries.Window = 0 }, "retries.window"),
+	Entry("hardly any descriptors", func(s *starter.Settings) { s.Limits.Descriptors = 10 }, "descriptors"),
+	Entry("more connections than descriptors", func(s *starter.Settings) { s.Limits = accepter.Settings{Descriptors: 100, Connections: 100} }, "max-connections"),
 )
