Bound what HTTP/2 connections of other hosts hold

Cause: each HTTP/2 connection may hold 1 MiB that no handler has read and a frame of 1 MiB. Specs with 48 unfinished messages of 4 MiB, one connection each, found 82 MiB at a control host with 64. Change: windows of 64 KiB and frames of 16 KiB; at most 512 connections of peers at a control host, and room for two of each host at serve; headers of HTTP/2 requests are charged once they are stored; a connection of HTTP/2 with running requests is not cancelled for the memory of its headers.

--- a/accepter/accepter.go
+++ b/accepter/accepter.go
@@ -44,6 +44,13 @@
 	DefaultMaxConns     = 1024
 )
 
+const (
+	// http2Buffer is the memory in bytes for what an HTTP/2 connection has received and
+	// no handler has read, and http2Frame the largest frame. Both are the least that
+	// HTTP/2 allows; by default, each connection may take 1 MiB for either.
+	http2Buffer, http2Frame = 64<<10 - 1, 16 << 10
+)
+
 type (
 	// Limits are the limits of one server. Memory and Clock are required; zero values
 	// of the others stand for the defaults.
@@ -93,6 +100,11 @@
 	g := &guard{Listener: l, limits: limits, conns: make(map[*conn]struct{}), byAddr: make(map[string]int)}
 	srv.MaxHeaderBytes = limits.MaxHeader
 	srv.ReadHeaderTimeout, srv.IdleTimeout = limits.HeaderTimeout, limits.IdleTimeout
+	if srv.HTTP2 == nil {
+		srv.HTTP2 = new(http.HTTP2Config)
+	}
+	srv.HTTP2.MaxReceiveBufferPerConnection, srv.HTTP2.MaxReceiveBufferPerStream = http2Buffer, http2Buffer
+	srv.HTTP2.MaxReadFrameSize = http2Frame
 	srv.ConnState = setState
 	srv.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, guarded(c))
--- a/accepter/bounds.go
+++ b/accepter/bounds.go
@@ -32,6 +32,9 @@
 	// hosts or operators, and for those to any further port. The rest is for unused
 	// connections to upstreams, as many as for requests, and for files.
 	callerConnFraction, requestFraction, hostConnFraction, otherConnFraction = 0.5, 0.15, 0.06, 0.03
+	// maxPeerConns bounds the connections of other hosts to a control host, each of which
+	// may take 64 KiB more than one of a caller. Each of up to 300 hosts has one.
+	maxPeerConns = 512
 	// minConns is the least number of connections of a port.
 	minConns = 8
 	// maxDescriptors bounds the descriptors for which bounds are computed; a process
@@ -73,10 +76,10 @@
 		// Memory is for requests and large responses, PeerMemory for messages of other
 		// hosts to a control host.
 		Memory, PeerMemory *allotter.Memory
-		// CallerConns bounds the connections at the port for callers and at that of the
-		// control group, HostConns those of other hosts or operators, and OtherConns
-		// those at any further port.
-		CallerConns, HostConns, OtherConns int
+		// CallerConns bounds the connections at the port for callers, PeerConns those at
+		// the peers' port of a control host, HostConns those of other hosts or operators,
+		// and OtherConns those at any further port.
+		CallerConns, PeerConns, HostConns, OtherConns int
 		// Requests bounds the requests that were received and not answered yet.
 		Requests int
 		// HeaderFields and WriteTimeout are as in Settings.
@@ -128,6 +131,7 @@
 		b.Memory.Total = s.RequestMemory
 	}
 	b.CallerConns = positiveOr(s.Connections, b.CallerConns)
+	b.PeerConns = min(b.CallerConns, maxPeerConns)
 	b.Requests = positiveOr(s.Requests, b.Requests)
 	return b
 }
--- a/accepter/conn.go
+++ b/accepter/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -134,10 +135,25 @@
 		c.enter(waiting)
 	case http.StateActive:
 		c.enter(running)
+		if isHTTP2(nc) {
+			// Several requests may run on the connection, so it must not be cancelled.
+			// If it was before, its reads fail.
+			c.header.Complete()
+		}
 	default:
 	}
 }
 
+// isHTTP2 reports whether a connection over TLS carries HTTP/2, or whether one without
+// TLS is of a server that has no HTTP/1.
+func isHTTP2(nc net.Conn) bool {
+	if t, ok := nc.(*tls.Conn); ok {
+		return t.ConnectionState().NegotiatedProtocol == "h2"
+	}
+	own := guarded(nc)
+	return own != nil && own.g.limits.Binary
+}
+
 // enter begins a phase. It reports false if the connection is being closed.
 func (c *conn) enter(p phase) bool {
 	c.mu.Lock()
--- a/accepter/handler.go
+++ b/accepter/handler.go
@@ -60,8 +60,16 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connKey{}).(*conn)
 	if r.ProtoMajor != 1 {
-		// A connection of HTTP/2 carries several requests.
+		// A connection of HTTP/2 carries several requests, whose headers it does not count.
 		c = nil
+		header := h.limits.Memory.NewUpload(allotter.Holder{Address: addressOf(r)}, func() {})
+		defer header.Release()
+		if cost := headerCost(r.Header); cost > 0 && (header.Grow(cost) != nil || !header.Complete()) {
+			h.limits.Scope.Counter("accepter.headersRefused").Inc(1)
+			w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 	}
 	if r.ContentLength == 0 {
 		if c != nil && !c.startRunning() {
@@ -87,6 +95,17 @@
 	}
 }
 
+// headerCost returns the memory that a header takes beyond freeHeader, in bytes.
+func headerCost(h http.Header) int64 {
+	cost := int64(-freeHeader)
+	for name, values := range h {
+		for _, v := range values {
+			cost += int64(len(name) + len(v) + fieldCost)
+		}
+	}
+	return cost
+}
+
 // startRunning begins the phase in which the connection is not replaced and the header
 // keeps its memory. It reports false if the request must not run.
 func (c *conn) startRunning() bool { return c.enter(running) && c.header.Complete() }
--- a/hoster/hoster.go
+++ b/hoster/hoster.go
@@ -219,7 +219,8 @@
 	if err != nil {
 		return err
 	}
-	limits := h.bounds.Limits(h.bounds.HostConns, h.clock, h.scope)
+	// Every other host may have a connection, and a new one before the old one has ended.
+	limits := h.bounds.Limits(max(h.bounds.HostConns, 2*len(h.settings.Hosts)), h.clock, h.scope)
 	limits.Binary, limits.Memory = true, h.bounds.PeerMemory
 	l = accepter.Guard(srv, l, limits)
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
--- a/starter/control.go
+++ b/starter/control.go
@@ -35,7 +35,7 @@
 		LostDisks: s.LostDisks, Seeds: func() []netip.AddrPort { return peerSeeds(*settings.Load()) },
 		List: o.Protocol.List, Clock: o.Clock, Scope: o.Scope, Log: o.Log,
 		Guard: func(srv *http.Server, l net.Listener) net.Listener {
-			limits := b.Limits(b.CallerConns, o.Clock, o.Scope)
+			limits := b.Limits(b.PeerConns, o.Clock, o.Scope)
 			limits.Binary, limits.Memory = true, b.PeerMemory
 			return accepter.Guard(srv, l, limits)
 		},
