--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -50,6 +50,10 @@
 		// trialAttempts attempts, or nil.
 		trial         *controller.PromptPart
 		trialAttempts int
+		// upload is the memory of body, nil if there is none.
+		upload *allotter.Upload
+		// received reports whether the request counts in Forwarder.received.
+		received bool
 		// content is the hash that contentID returns, zero until it is needed.
 		content  uint64
 		deadline time.Time
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/accepter"
 	"foxtailwall/controller"
 	"foxtailwall/coordinator"
 	"foxtailwall/dialer"
@@ -430,4 +431,6 @@
 	Entry("too many waiting requests", func(s *starter.Settings) { s.Admission.MaxWaiting = 10_001 }, "admission.maxWaiting"),
 	Entry("negative bytes of waiting requests", func(s *starter.Settings) { s.Admission.MaxWaitingBytes = -1 }, "admission.maxWaitingBytes"),
 	Entry("no retry window", func(s *starter.Settings) { s.Retries.Window = 0 }, "retries.window"),
+	Entry("hardly any descriptors", func(s *starter.Settings) { s.Limits.Descriptors = 10 }, "descriptors"),
+	Entry("more connections than descriptors", func(s *starter.Settings) { s.Limits = accepter.Settings{Descriptors: 100, Connections: 100} }, "max-connections"),
 )
