Withhold evidence of crashes while a check of the host's path is awaited

Cause: resets by the host's own path at a single upstream, or on a slow host more than 0.7 s old, were reported as breaks before the check had shown that the host is partitioned.

Change: Evidence leaves out what broke since data last came while Placer.Suspected is true; it is reported later unless the host counts as partitioned.

--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"foxtailwall/controller"
@@ -21,7 +22,14 @@
 	f.isolation.SetLeader(leader)
 	receivedAt, lost := f.settings.Placer.Path()
 	f.isolation.SetPath(isolator.Path{ReceivedAt: receivedAt, Lost: lost})
-	return f.isolation.Evidence()
+	e := f.isolation.Evidence()
+	if f.settings.Placer.Suspected() {
+		// A check is about to show whether the host's own path has broken them.
+		since := f.settings.Clock.Since(receivedAt)
+		e.Crashes = slices.DeleteFunc(e.Crashes, func(c isolator.Crash) bool { return c.Age < since })
+		e.Breaks = slices.DeleteFunc(e.Breaks, func(b isolator.Break) bool { return b.Age < since })
+	}
+	return e
 }
 
 // SetSuspects sets the prompt parts and requests of which Evidence reports the last
--- a/forwarder/reset_path_test.go
+++ b/forwarder/reset_path_test.go
@@ -72,9 +72,12 @@
 			Expect(a.status).To(Equal(http.StatusBadGateway))
 		}
 		Expect(b.placer.Partitioned()).To(BeFalse())
+		e := b.fwd.Evidence(netip.AddrPort{})
+		Expect(e.Breaks).To(BeEmpty(), "while the check is awaited")
+		Expect(e.Crashes).To(BeEmpty(), "while the check is awaited")
 		b.fwd.CheckUpstreams(ctx)
 		Expect(b.placer.Partitioned()).To(BeTrue())
-		e := b.fwd.Evidence(netip.AddrPort{})
+		e = b.fwd.Evidence(netip.AddrPort{})
 		Expect(e.Breaks).To(BeEmpty())
 		Expect(e.Crashes).To(BeEmpty())
 		reset.Store(false)
@@ -100,6 +103,7 @@
 			b.send("POST", "/p/crash", "x", "X-Id", fmt.Sprint("copy", i))
 			b.fwd.CheckUpstreams(ctx)
 			Expect(b.placer.Partitioned()).To(BeFalse())
+			Expect(b.fwd.Evidence(netip.AddrPort{}).Breaks).NotTo(BeEmpty(), "crashes are reported after the check")
 		}
 		Expect(b.send("POST", "/p/", "x").status).To(Equal(200))
 		Expect(b.placer.Partitioned()).To(BeFalse())
