--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -502,6 +502,41 @@
 		Expect(e.Successes[0].Part).To(Equal(part))
 	})
 
+	// Guards against a trial of an isolated part that sends more than one request, or one
+	// request to several upstreams, and against one whose success is not reported.
+	It("lets one request with an isolated part through for a trial", func() {
+		crash := true
+		for range 2 {
+			b.addUpstream(func(w http.ResponseWriter, _ *http.Request) {
+				if crash {
+					panic(http.ErrAbortHandler)
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				writeEvent(w, 1)
+			})
+		}
+		b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 3, Resumable: true, MaxPause: 5 * time.Second})
+		part := controller.PromptPart{Service: "s", ID: 7}
+		config := b.fwd.ActiveConfig()
+		config.Isolated = map[controller.PromptPart]bool{part: true}
+		b.fwd.SetConfig(config)
+		Expect(b.sendParts("7", "8").status).To(Equal(http.StatusServiceUnavailable))
+		e := b.fwd.Evidence(netip.AddrPort{})
+		Expect(e.Refused).To(Equal([]controller.PromptPart{part}))
+		i := controller.Isolation{Part: part, Active: true, Since: timekeeper.System{}.Now()}
+		for i.Trials < controller.MaxIsolationTrials {
+			i.Trials, i.TrialBy = i.Trials+1, e.Recorder
+			b.fwd.SetIsolations([]controller.Isolation{i})
+			before := len(b.ranUpstreams())
+			for range 3 {
+				b.sendParts("7", "8")
+			}
+			Expect(len(b.ranUpstreams())-before).To(Equal(1), "trial %d", i.Trials)
+			Expect(b.fwd.Evidence(netip.AddrPort{}).Served).To(HaveLen(i.Trials - 1))
+			crash = false
+		}
+	})
+
 	// Guards against callers that hold a request for ever by sending its body a byte
 	// at a time or not at all.
 	It("refuses a request whose body does not arrive in time", func(context.Context) {
--- a/isolator/requests.go
+++ b/isolator/requests.go
@@ -229,18 +229,20 @@
 	return out
 }
 
-// settle computes the probability of each break of a request if it is harmless.
+// settle computes the probability of each break of a request if it is harmless, as soon as
+// it is needed and again until all hosts have reported what happened then.
 func (j *requestJudge) settle(request controller.PromptPart, e *requestEvidence, t *tallies, now time.Time) {
 	own := make(map[uint64]bool, len(e.breaks))
 	for _, b := range e.breaks {
 		own[b.upstream] = true
 	}
 	for attempt, b := range e.breaks {
-		if b.settled {
+		settled := now.Sub(b.at) > settleTime
+		if b.settled || !settled && len(e.breaks) < minBreaks {
 			continue
 		}
 		b.chance = max(j.chance(request.Service, own, t, b.at, attemptLead), j.chance(request.Service, own, t, b.at, baseTime))
-		b.settled = now.Sub(b.at) > settleTime
+		b.settled = settled
 		e.breaks[attempt] = b
 	}
 }
