Send requests past those that wait for other upstreams

Cause: a waiting request whose only upstreams were full, such as one of a rollout's target, ended the search of the queue, and new requests with room elsewhere waited behind it.

Change: only a request that any upstream may take ends the search; a new request that has room goes ahead if none in the queue can be sent.

Result: the new spec of placer passes and failed with the search as it was; admitter, placer and forwarder pass under the race detector.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -184,10 +184,15 @@
 		w := &Place{p: p, admission: a, service: r.Service, request: r, queued: true, ready: make(chan struct{}, 1)}
 		w.entry = admitter.Entry{Request: *req, Until: d.Until, Value: w}
 		if a.queue.Push(&w.entry, now) {
-			if !r.Admission.room.full {
-				// Those that wait need more token memory, or wait for this host's share of the
-				// free slots.
-				p.drain(pl, 1, now)
+			if !r.Admission.room.full && p.drain(pl, 1, now) == 0 && w.queued {
+				// Those that wait need more token memory or other upstreams.
+				if w.ticket = p.pick(pl, r); w.ticket != nil {
+					w.queued = false
+					a.queue.Remove(&w.entry)
+				}
+			}
+			if w.ticket != nil {
+				return Admission{Ticket: w.ticket}
 			}
 			return Admission{Place: w}
 		}
@@ -257,11 +262,11 @@
 	return 0
 }
 
-// drain sends at most limit of the requests that wait.
-func (p *Placer) drain(pl *pool, limit int, now time.Time) {
-	a := pl.admission
+// drain sends at most limit of the requests that wait and returns how many it has sent.
+func (p *Placer) drain(pl *pool, limit int, now time.Time) int {
+	a, sent := pl.admission, 0
 	var skipped []*admitter.Entry
-	for limit > 0 && len(skipped) < maxSkipped {
+	for sent < limit && len(skipped) < maxSkipped {
 		e := a.queue.Take(now)
 		if e == nil {
 			break
@@ -275,17 +280,19 @@
 		if t := p.pick(pl, w.request); t != nil {
 			a.queue.Charge(e)
 			w.end(t)
-			limit--
+			sent++
 			continue
 		}
 		skipped = append(skipped, e)
-		if w.request.Admission.room.room.Free == 0 {
+		anyUpstream := w.request.Versions == (VersionFilter{}) && len(w.request.Tried) == 0
+		if anyUpstream && w.request.Admission.room.room.Free == 0 {
 			break
 		}
 	}
 	for _, e := range skipped {
 		a.queue.Return(e)
 	}
+	return sent
 }
 
 // end tells the request to leave its place.
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -206,6 +206,32 @@
 		Expect(p.Waiting("s")).To(Equal(3))
 	})
 
+	// Guards against a full version in rollout, whose requests wait, that holds back those
+	// of the other versions.
+	It("sends requests past those that wait for other upstreams", func() {
+		learn()
+		list := fleet(1, 4)
+		list[0].Version = "v2"
+		p.Update(list)
+		trial := request()
+		trial.Versions.Only = "v2"
+		var first *placer.Ticket
+		for range 4 {
+			first = p.Admit(trial).Ticket
+			Expect(first).NotTo(BeNil())
+		}
+		waiting := p.Admit(trial).Place
+		Expect(waiting).NotTo(BeNil())
+		usual := request()
+		usual.Versions.Except = "v2"
+		for range 8 {
+			Expect(p.Admit(usual).Ticket).NotTo(BeNil())
+		}
+		Expect(p.Admit(usual).Place).NotTo(BeNil())
+		first.Done(placer.Succeeded, 25*time.Millisecond)
+		Expect(waiting.Ready()).To(Receive())
+	})
+
 	// Guards against requests that wait for an upstream that has failed.
 	It("chooses another upstream once some come back", func() {
 		learn()
