--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	i, fits := admitter.Choose(candidates, request, service, admitter.Spread{})
+//	i, fits := admitter.Choose(candidates, request, service, now, admitter.Spread{})
 //	if fits {
 //		// Send the request to candidates[i].
 //	}
