Count a header by its size without optional spaces

Cause: the space after the colon of each field was counted although callers may leave it out, so a header within the limit with very many short fields was answered 431.

Change: fields count without it, as the comment of the function says.

Result: the new spec got 431 before and passes now; a header above the limit is still refused.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -199,7 +199,7 @@
 	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
 		for _, v := range values {
-			n += len(name) + len(v) + len(": \r\n")
+			n += len(name) + len(v) + len(":\r\n")
 		}
 	}
 	return n
