Lose the connections of a spec only once every stream has begun at the host

Cause: the spec closed the connections of the upstreams one after the other once each had written its first event.

Change: the callers tell when they have the first event. The checks are the same.

--- a/forwarder/partition_test.go
+++ b/forwarder/partition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -25,7 +26,6 @@
 			b.addUpstream(func(w http.ResponseWriter, r *http.Request) {
 				w.Header().Set("Content-Type", "text/event-stream")
 				writeEvent(w, 1)
-				begun <- struct{}{}
 				<-r.Context().Done()
 			})
 		}
@@ -41,7 +41,15 @@
 				req, err := http.NewRequest(http.MethodPost, b.frontend.URL+"/p/", http.NoBody)
 				Expect(err).NotTo(HaveOccurred())
 				req.Header = http.Header{"X-Id": {fmt.Sprint("id", i)}, "X-Key": {"k"}, "X-Part": {fmt.Sprint(i % 3), fmt.Sprint(100 + i)}}
-				do(req)
+				resp, err := http.DefaultClient.Do(req)
+				Expect(err).NotTo(HaveOccurred())
+				defer resp.Body.Close()
+				// An event that reaches the host after the first connections are lost would show
+				// that it still reaches upstreams.
+				_, err = resp.Body.Read(make([]byte, 1))
+				Expect(err).NotTo(HaveOccurred())
+				begun <- struct{}{}
+				_, _ = io.Copy(io.Discard, resp.Body) // The stream breaks off.
 			})
 		}
 		for range streams {
