Take upstreams whose connections were reset for possibly cold

Change: both new outcomes count as the broken one did.

Result: two new entries of the spec failed before and pass; the simulations of placer and the running hosts pass.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -355,7 +355,7 @@
 		t.up.cold.failedAt = now
 		t.up.cold.suspect(now, lostAfter, false)
 		t.p.suspectFailedZone(t.up.Zone, now)
-	case Broken:
+	case Broken, Reset, Unsent:
 		t.up.cold.suspect(now, lostAfter, false)
 	case Abandoned:
 	}
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -476,6 +476,7 @@
 			Expect(cold()).To(BeFalse())
 		},
 		Entry("refused", placer.Refused), Entry("silent", placer.Silent), Entry("broken", placer.Broken), Entry("stale", placer.Stale),
+		Entry("reset", placer.Reset), Entry("reset before a byte was sent", placer.Unsent),
 	)
 
 	// Guards against the same while older requests still run there: the process is the one
