Search for the leader at several control hosts at once

Cause: a host without a leader called the control hosts one after the other and waited up to 750 ms for each. A host without power doesn't refuse connections, and all entries began with the same control host. Change: while a call has no answer, the next control host is called after the pause of before; the leader that one names is called at once. Hosts begin with different control hosts. Measured: the new spec (a control host that never answers) fails on the code before; specs of syncer with the race detector and those of starter on leaders, control hosts and restarts pass.

--- a/syncer/client.go
+++ b/syncer/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"foxtailwall/messenger"
@@ -17,7 +18,8 @@
 	// callSlack is how much longer than Report.Wait a call may take before the
 	// control host counts as unreachable.
 	callSlack = 350 * time.Millisecond
-	// minRetryPause and maxRetryPause bound the pause after failed calls.
+	// minRetryPause and maxRetryPause bound the pause between the calls of a search for
+	// the leader.
 	minRetryPause = 30 * time.Millisecond
 	maxRetryPause = 300 * time.Millisecond
 )
@@ -38,11 +40,9 @@
 		Call func(ctx context.Context, to netip.AddrPort, r *Report) (*Update, error)
 	}
 
-	// Client long-polls the leader of the control group. Make it with
-	// NewClient.
+	// Client long-polls the leader of the control group. Make it with NewClient.
 	Client struct {
-		set   ClientSettings
-		peers map[netip.AddrPort]*messenger.Peer
+		set ClientSettings
 		// list is the newest list that the leader sent.
 		list List
 		// document is the version of the newest document that the leader sent.
@@ -52,10 +52,23 @@
 		// that failed, since the link may be too slow for the size, and doubled after
 		// each part.
 		partBytes int
+		// named is the leader that was named last, and turn counts the calls of searches.
+		named netip.AddrPort
+		turn  uint64
 
 		mu      sync.Mutex
 		leader  netip.AddrPort
 		members []netip.AddrPort
+		peers   map[netip.AddrPort]*messenger.Peer
+	}
+
+	// answer is the outcome of a call of a search.
+	answer struct {
+		from netip.AddrPort
+		// inTurn is false if another host named this one as leader.
+		inTurn bool
+		update *Update
+		err    error
 	}
 )
 
@@ -77,40 +90,101 @@
 
 // Run polls until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	pause := minRetryPause
-	for failures := 0; ctx.Err() == nil; {
-		to, ok := c.nextTarget(failures)
-		if ok && c.poll(ctx, to) {
-			pause, failures = minRetryPause, 0
-			continue
+	// Hosts that start together begin with different control hosts.
+	c.turn = xxhash.Sum64String(c.set.Report().Host)
+	for ctx.Err() == nil {
+		if to := c.Leader(); to.IsValid() {
+			c.poll(ctx, to)
+		} else {
+			c.search(ctx)
 		}
-		failures++
-		if timekeeper.Sleep(ctx, c.set.Clock, pause) != nil {
+	}
+}
+
+// poll makes one call to the leader.
+func (c *Client) poll(ctx context.Context, to netip.AddrPort) {
+	r := c.report()
+	u, err := c.timedCall(ctx, to, r)
+	if err != nil {
+		c.partBytes = max(c.partBytes/2, minPartBytes)
+		c.forgetLeader(to, err)
+		return
+	}
+	c.handleUpdate(to, u)
+}
+
+// search calls the control hosts in turn until one answers that it leads. It makes the
+// next call while earlier ones have no answer: a host without power does not refuse
+// connections, and all hosts lose their power together at times.
+func (c *Client) search(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers, calling := make(chan answer), make(map[netip.AddrPort]bool)
+	call := func(to netip.AddrPort, inTurn bool) {
+		if !to.IsValid() || calling[to] {
 			return
 		}
-		pause = min(pause*3/2, maxRetryPause)
+		calling[to] = true
+		r := c.report()
+		go func() {
+			u, err := c.timedCall(ctx, to, r)
+			select {
+			case answers <- answer{to, inTurn, u, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	named := c.named
+	for pause := minRetryPause; ; pause = min(pause*3/2, maxRetryPause) {
+		if !named.IsValid() || calling[named] {
+			named = c.nextTarget(calling)
+		}
+		call(named, true)
+		named = netip.AddrPort{}
+		timer := c.set.Clock.NewTimer(pause)
+		for over := false; !over; {
+			select {
+			case a := <-answers:
+				delete(calling, a.from)
+				switch {
+				case a.err != nil:
+					c.partBytes = max(c.partBytes/2, minPartBytes)
+				case c.handleUpdate(a.from, a.update):
+					timer.Stop()
+					return
+				case a.inTurn:
+					// Two hosts that name each other are not called in a circle.
+					call(a.update.Leader, false)
+				}
+			case <-timer.C():
+				over = true
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			}
+		}
 	}
 }
 
-// nextTarget returns the control host to call after the given number of
-// consecutive failures: the leader first, then all known control hosts in turn.
-func (c *Client) nextTarget(failures int) (netip.AddrPort, bool) {
+// nextTarget returns the next control host in turn that is not being called, invalid if
+// there is none.
+func (c *Client) nextTarget(calling map[netip.AddrPort]bool) netip.AddrPort {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if failures == 0 && c.leader.IsValid() {
-		return c.leader, true
-	}
 	all := slices.Concat(c.set.Seeds(), c.members)
+	c.mu.Unlock()
 	slices.SortFunc(all, netip.AddrPort.Compare)
 	all = slices.Compact(all)
-	if len(all) == 0 {
-		return netip.AddrPort{}, false
+	for range all {
+		c.turn++
+		if to := all[c.turn%uint64(len(all))]; !calling[to] {
+			return to
+		}
 	}
-	return all[failures%len(all)], true
+	return netip.AddrPort{}
 }
 
-// poll makes one call and reports whether the next one needs no pause.
-func (c *Client) poll(ctx context.Context, to netip.AddrPort) bool {
+// report returns the report of this host for the next call.
+func (c *Client) report() *Report {
 	r := c.set.Report()
 	if r.List != c.list.Name {
 		// A change could not be applied, so request the whole list.
@@ -120,20 +194,17 @@
 		r.Wait = DefaultWait
 	}
 	r.PartBytes, r.Document, r.Partial = c.partBytes, c.document, c.incoming.partial()
+	return &r
+}
+
+func (c *Client) timedCall(ctx context.Context, to netip.AddrPort, r *Report) (*Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Wait+callSlack)
 	defer cancel()
-	u, err := c.set.Call(ctx, to, &r)
-	if err != nil {
-		c.partBytes = max(c.partBytes/2, minPartBytes)
-		c.forgetLeader(to, err)
-		return false
-	}
-	return c.handleUpdate(to, u)
+	return c.set.Call(ctx, to, r)
 }
 
-// handleUpdate applies an update and reports whether the next call needs no
-// pause.
-func (c *Client) handleUpdate(to netip.AddrPort, u *Update) bool {
+// handleUpdate applies an update and reports whether it comes from the leader.
+func (c *Client) handleUpdate(from netip.AddrPort, u *Update) bool {
 	if u.FromLeader {
 		c.addPart(u)
 		c.updateList(u)
@@ -144,17 +215,15 @@
 	if len(u.Members) > 0 {
 		c.members = u.Members
 	}
-	if !u.FromLeader {
-		// Follow a redirect at once, unless it repeats the leader known before.
-		redirect := u.Leader.IsValid() && u.Leader != to && u.Leader != c.leader
-		c.leader = u.Leader
-		return redirect
-	}
-	if c.leader != to {
-		c.set.Log.Info().Stringer("leader", to).Msg("connected to the leader of the control group")
+	c.named = u.Leader
+	switch {
+	case !u.FromLeader:
+		c.leader = netip.AddrPort{}
+	case c.leader != from:
+		c.set.Log.Info().Stringer("leader", from).Msg("connected to the leader of the control group")
+		c.leader = from
 	}
-	c.leader = to
-	return true
+	return u.FromLeader
 }
 
 // addPart adds the part in an update to the transfer. Once the transfer is
@@ -214,20 +283,26 @@
 		return
 	}
 	c.set.Log.Info().Stringer("leader", to).AnErr("cause", err).Msg("lost the leader of the control group")
-	c.leader = netip.AddrPort{}
+	c.leader, c.named = netip.AddrPort{}, netip.AddrPort{}
 }
 
 func (c *Client) call(ctx context.Context, to netip.AddrPort, r *Report) (*Update, error) {
+	c.mu.Lock()
 	p := c.peers[to]
 	if p == nil {
 		p = messenger.NewPeer(to, nil)
 		c.peers[to] = p
 	}
+	c.mu.Unlock()
 	u, err := messenger.Call[Report, Update](ctx, p, procedure, r)
 	if err != nil {
 		// The connection may be dead; the next call opens a new one.
 		p.Close()
-		delete(c.peers, to)
+		c.mu.Lock()
+		if c.peers[to] == p {
+			delete(c.peers, to)
+		}
+		c.mu.Unlock()
 	}
 	return u, err
 }
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -282,4 +282,32 @@
 		mu.Unlock()
 		Eventually(leaders, time.Minute).Should(Receive(Equal(a)))
 	})
+
+	// Guards against hosts that wait for a control host without power, which does not
+	// refuse connections, while others would name the leader.
+	It("finds the leader while calls to other control hosts have no answer", func() {
+		silent, follower, leader := netip.MustParseAddrPort("127.0.0.1:1"), netip.MustParseAddrPort("127.0.0.1:2"), netip.MustParseAddrPort("127.0.0.1:3")
+		release, connected := make(chan struct{}), make(chan struct{}, 100)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		defer close(release)
+		c := syncer.NewClient(syncer.ClientSettings{
+			Seeds: func() []netip.AddrPort { return []netip.AddrPort{silent, follower} }, Clock: timekeeper.System{},
+			Report: func() syncer.Report { return syncer.Report{} },
+			Apply:  func(*syncer.Update) { connected <- struct{}{} },
+			Call: func(_ context.Context, to netip.AddrPort, _ *syncer.Report) (*syncer.Update, error) {
+				switch to {
+				case leader:
+					return &syncer.Update{FromLeader: true, Leader: leader}, nil
+				case follower:
+					return &syncer.Update{Leader: leader}, nil
+				}
+				<-release
+				return nil, errors.New("unreachable")
+			},
+		})
+		go c.Run(ctx)
+		Eventually(connected, time.Minute).Should(Receive())
+		Expect(c.Leader()).To(Equal(leader))
+	})
 })
