Let calls of hosts wait for the leader's election

Cause: a control host that knew no leader answered at once, and the entry asked again after a pause of up to 300 ms; the leader's state reached it that much later than it could. Change: the call waits until the control host knows the leader, for at most its own time to wait; the leader itself answers with its state. Measured: the new spec fails on the code before; specs of syncer pass with the race detector.

--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -23,6 +23,9 @@
 const (
 	// maxWait caps Report.Wait.
 	maxWait = 5 * time.Second
+	// leaderPollInterval is how often a call that waits for an election looks for the
+	// leader.
+	leaderPollInterval = 20 * time.Millisecond
 	// liveHostsMaxAge is how long a count of the live hosts is reused.
 	liveHostsMaxAge = 200 * time.Millisecond
 	// positionDelay is how long a host leads before it tells hosts their positions:
@@ -192,7 +195,8 @@
 }
 
 // Watch records the report and waits until there is state that the reporting
-// host does not have, for at most r.Wait and only while this host leads.
+// host does not have, for at most r.Wait and only while this host leads or no
+// leader is known.
 func (h *Hub) Watch(ctx context.Context, r *Report) *Update {
 	h.recordReport(r)
 	if h.set.Judge != nil {
@@ -203,7 +207,11 @@
 	for {
 		published, listChanged := h.set.Source.Changed(), h.listChangedChan()
 		if !h.updateLeading() {
-			return &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
+			u := &Update{Leader: h.set.Source.Leader(), Members: h.set.Source.Members()}
+			if u.Leader.IsValid() || !h.pause(ctx, timer) {
+				return u
+			}
+			continue
 		}
 		u := h.newUpdate(r)
 		if u.Published != nil || u.Part != nil || u.Upstreams != nil || u.Change != nil || u.Cold != nil && r.Cold != 0 && u.Cold.Version != r.Cold {
@@ -220,6 +228,19 @@
 	}
 }
 
+// pause waits for leaderPollInterval and reports whether ctx and the timer go on.
+func (h *Hub) pause(ctx context.Context, timer timekeeper.Timer) bool {
+	poll := h.set.Clock.NewTimer(leaderPollInterval)
+	defer poll.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C():
+	case <-poll.C():
+		return true
+	}
+	return false
+}
+
 // updateLeading reports whether this host leads, and records since when.
 func (h *Hub) updateLeading() bool {
 	leading := h.set.Source.Leading()
--- a/syncer/syncer_test.go
+++ b/syncer/syncer_test.go
@@ -35,7 +35,13 @@
 
 func (s *source) Leading() bool { s.mu.Lock(); defer s.mu.Unlock(); return s.leading }
 
-func (s *source) Leader() netip.AddrPort { return s.leader }
+func (s *source) Leader() netip.AddrPort { s.mu.Lock(); defer s.mu.Unlock(); return s.leader }
+
+func (s *source) setLeader(leader netip.AddrPort) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leader = leader
+}
 
 func (s *source) Members() []netip.AddrPort { return nil }
 
@@ -124,6 +130,24 @@
 		Expect(u.Leader).To(Equal(src.leader))
 	})
 
+	// Guards against hosts that learn of a new leader only with one of their next calls,
+	// and against calls that outlast their time in a group without a leader.
+	It("lets calls wait for an election", func(ctx context.Context) {
+		src.leading = false
+		waiting := watch(syncer.Report{Host: "a", Wait: time.Second})
+		Expect(clock.WaitTimers(ctx, 2)).To(Succeed())
+		leader := netip.MustParseAddrPort("127.0.0.1:1")
+		src.setLeader(leader)
+		clock.Advance(20 * time.Millisecond)
+		Expect((<-waiting).Leader).To(Equal(leader))
+
+		src.setLeader(netip.AddrPort{})
+		waiting = watch(syncer.Report{Host: "a", Wait: 10 * time.Millisecond})
+		Expect(clock.WaitTimers(ctx, 2)).To(Succeed())
+		clock.Advance(10 * time.Millisecond)
+		Expect((<-waiting).Leader.IsValid()).To(BeFalse())
+	}, NodeTimeout(time.Minute))
+
 	// Guards against counts that are lost or added twice when a host restarts.
 	It("adds up the counts of all runs of a host", func() {
 		src.publish(1)
