Choose upstreams without side effects

Cause: estimates of model size and the second choice in Admit counted cold upstreams as withheld each time, marked a group's prefix as used, and could use up the host's rare trial of a cold upstream although nothing was sent. An estimate also took a trial for room with a first byte after 0 s. Change: a choice returns what it found out about cold upstreams, and recordChoice applies it when a request or probe is placed.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -174,7 +174,8 @@
 		if t := p.pick(pl, r); t != nil || !r.Admission.room.full {
 			return Admission{Ticket: t}
 		}
-	} else if p.chooseUpstream(pl, r) == nil && !r.Admission.room.full {
+	} else if u, cold := p.chooseUpstream(pl, r); u == nil && !r.Admission.room.full {
+		p.recordChoice(cold, false, now)
 		return Admission{}
 	}
 	req := p.admitted(&r)
@@ -222,8 +223,8 @@
 	}
 	r.Admission.room = &missingRoom{}
 	pl.admission.chosen, pl.admission.alone = 0, 0
-	u := p.chooseUpstream(pl, r)
-	if u == nil {
+	u, cold := p.chooseUpstream(pl, r)
+	if u == nil || cold.trial {
 		return Expectation{Known: true}
 	}
 	return Expectation{Known: true, Room: pl.admission.queue.Len() == 0, FirstByte: pl.admission.chosen, Alone: pl.admission.alone}
@@ -339,7 +340,7 @@
 // that of leastWork.
 func (p *Placer) earliestFirstByte(pl *pool, local, remote []*upstream, loads map[uint32]Load, firstHomes int, r Request) *upstream {
 	a, now := pl.admission, p.settings.Clock.Now()
-	homes, caches := pl.homes(local, remote, firstHomes, r), pl.prefixCachesOf(r.Group)
+	homes, caches := pl.homes(local, remote, firstHomes, r), pl.peekPrefixCaches(r.Group)
 	slots, memory, hosts := r.Admission.Slots, float64(r.Admission.MemoryTokens), max(p.hosts, 1)
 	if loads == nil {
 		slots, memory = max(slots/hosts, 1), memory/float64(hosts)
--- a/placer/admission_test.go
+++ b/placer/admission_test.go
@@ -117,6 +117,39 @@
 		Expect(last.Ready()).To(Receive())
 	})
 
+	// Guards against estimates that use up the rare trial of a cold upstream, and against a
+	// count of withheld upstreams that grows by each evaluation.
+	It("changes nothing by an estimate or a wait", func() {
+		p.SetColdRates(map[string]placer.ColdRate{"s": {PerSecond: 1, Start: time.Hour}})
+		list := fleet(1, 4)[:2]
+		p.Update(list)
+		p.SetColdTimes(nil, clock.Now())
+		p.SetHosts(1, -1)
+		learn()
+		p.SetColdTimes(map[uint64]time.Duration{list[0].Key().Hash(): time.Hour}, clock.Now())
+		running := fill()
+		Expect(running).To(HaveLen(4))
+		sent := p.TakeColdChanges()
+		Expect(sent.Withheld).To(BeEquivalentTo(4))
+		first, second := p.Admit(request()).Place, p.Admit(request()).Place
+		Expect(p.Expect(request()).Known).To(BeTrue())
+		Expect(p.TakeColdChanges()).To(Equal(placer.ColdChanges{}))
+		running[0].Done(placer.Abandoned, 0)
+		Expect(first.Ready()).To(Receive())
+		Expect(p.TakeColdChanges()).To(Equal(placer.ColdChanges{Withheld: 1}))
+		_, _ = second.Leave()
+
+		p.SetColdTimes(map[uint64]time.Duration{list[0].Key().Hash(): time.Hour, list[1].Key().Hash(): time.Hour}, clock.Now())
+		Expect(p.Expect(request())).To(Equal(placer.Expectation{Known: true}))
+		Expect(p.Admit(request())).To(Equal(placer.Admission{}), "the first trial is not due yet")
+		clock.Advance(time.Minute)
+		for range 3 {
+			Expect(p.Expect(request())).To(Equal(placer.Expectation{Known: true}), "a trial is no room")
+		}
+		Expect(p.Admit(request()).Ticket).NotTo(BeNil(), "the trial was used up")
+		Expect(p.Admit(request()).Ticket).To(BeNil())
+	})
+
 	It("bounds the wait, and refuses what cannot be answered", func() {
 		learn()
 		fill()
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -15,21 +15,22 @@
 	maxFirstHomes = 4
 )
 
-// chooseUpstream returns the upstream for r, nil if there is none. Upstreams of
-// the own zone are preferred unless others are much less loaded. Ejected or
-// unreachable upstreams are the last resort.
-func (p *Placer) chooseUpstream(pl *pool, r Request) *upstream {
+// chooseUpstream returns the upstream for r, nil if there is none, and what recordChoice
+// needs if r is sent. It uses up nothing, so that it also serves estimates. Upstreams of
+// the own zone are preferred unless others are much less loaded. Ejected or unreachable
+// upstreams are the last resort.
+func (p *Placer) chooseUpstream(pl *pool, r Request) (*upstream, coldChoice) {
 	now := p.settings.Clock.Now()
 	loads := p.remoteLoads
 	if now.Sub(p.remoteLoadsAt) > remoteLoadsTTL {
 		loads = nil
 	}
-	var local, remote, unusable, withheld []*upstream
+	var local, remote, unusable []*upstream
+	var cold coldChoice
 	for _, u := range pl.upstreams {
 		switch {
 		case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !r.Versions.allows(u.Version) || slices.Contains(r.Tried, u.Key()) || p.throttled(u, now) || !p.hasPlace(u, now):
-		case p.withheld(u, now):
-			withheld = append(withheld, u)
+		case p.withheld(&cold, u, now):
 		case r.MaxConns > 0 && float64(u.running+u.remoteRunning(loads)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
@@ -44,10 +45,11 @@
 		}
 	}
 	if len(local)+len(remote)+len(unusable) == 0 {
-		return p.coldTrial(withheld, now)
+		trial := p.coldTrial(&cold, now)
+		return trial, cold
 	}
 	if len(local)+len(remote) == 0 {
-		return firstReinstated(unusable)
+		return firstReinstated(unusable), cold
 	}
 	if r.Work > 0 {
 		firstHomes := 1
@@ -55,11 +57,11 @@
 			firstHomes = maxFirstHomes
 		}
 		if pl.estimates(r) {
-			return p.earliestFirstByte(pl, local, remote, loads, firstHomes, r)
+			return p.earliestFirstByte(pl, local, remote, loads, firstHomes, r), cold
 		}
-		return pl.leastWork(local, remote, loads, firstHomes, r)
+		return pl.leastWork(local, remote, loads, firstHomes, r), cold
 	}
-	return shortestWait(local, remote, loads)
+	return shortestWait(local, remote, loads), cold
 }
 
 // leastWork returns the upstream with the least work before the request's first
@@ -115,7 +117,7 @@
 	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
 		candidates = local
 	}
-	caches := pl.prefixCachesOf(r.Group)
+	caches := pl.peekPrefixCaches(r.Group)
 	var homes []*upstream
 	for _, u := range candidates {
 		if slices.Contains(caches, u.loadID()) {
@@ -143,6 +145,13 @@
 	return top
 }
 
+// peekPrefixCaches is prefixCachesOf for a choice that may send nothing, after which the
+// group is not kept any longer.
+func (pl *pool) peekPrefixCaches(group uint64) []uint32 {
+	hashes, _ := pl.prefixCaches.Peek(groupID(group)) // Absent means none.
+	return hashes
+}
+
 // prefixCachesOf returns the hashes of the upstreams that were sent requests of
 // the group.
 func (pl *pool) prefixCachesOf(group uint64) []uint32 { return pl.cachesOf(groupID(group)) }
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -86,8 +86,8 @@
 		// further ones.
 		Became, Ceased         []string
 		MoreBecame, MoreCeased int
-		// Sent is the number of requests sent to cold upstreams, and Withheld how often
-		// a cold upstream was passed over for lack of a permit.
+		// Sent is the number of requests sent to cold upstreams, and Withheld how often a
+		// request that was sent passed over a cold upstream for lack of a permit.
 		Sent, Withheld int64
 	}
 
@@ -104,6 +104,17 @@
 		nextTrial time.Time
 	}
 
+	// coldChoice is what a choice has found out about cold upstreams.
+	coldChoice struct {
+		// withheld has those that were passed over for lack of a permit.
+		withheld []*upstream
+		// permitted means that this host has a permit for another one.
+		permitted bool
+		// onlyWithheld means that there are no other upstreams, and trial that the chosen
+		// one is this host's trial.
+		onlyWithheld, trial bool
+	}
+
 	// coldness is what this host knows of an upstream's start. It ends with the
 	// upstream's incarnation.
 	coldness struct {
@@ -246,17 +257,17 @@
 	return ok && rate.PerSecond > 0 && u.cold.isCold(rate.Start, now)
 }
 
-// withheld reports whether the upstream is cold and this host has no permit for it now.
-// The caller holds mu.
-func (p *Placer) withheld(u *upstream, now time.Time) bool {
+// withheld reports whether the upstream is cold and this host has no permit for it now,
+// and adds that to c. The caller holds mu.
+func (p *Placer) withheld(c *coldChoice, u *upstream, now time.Time) bool {
 	if !p.isCold(u, now) {
 		return false
 	}
 	if p.rank >= 0 && u.cold.pace.Allows(p.coldLimit(u), now) {
-		p.cold.nextTrial = time.Time{}
+		c.permitted = true
 		return false
 	}
-	p.cold.held++
+	c.withheld = append(c.withheld, u)
 	return true
 }
 
@@ -277,22 +288,32 @@
 	return rank + p.cold.turn
 }
 
-// coldTrial returns a cold upstream for a host that has no permit for any, if its next
-// trial is due. The caller holds mu.
-func (p *Placer) coldTrial(withheld []*upstream, now time.Time) *upstream {
-	if len(withheld) == 0 {
+// coldTrial returns a cold upstream for a host that has no permit for any, and no other
+// upstream, if its next trial is due. The trial is used by recordChoice. The caller holds
+// mu.
+func (p *Placer) coldTrial(c *coldChoice, now time.Time) *upstream {
+	c.onlyWithheld = len(c.withheld) > 0
+	if !c.onlyWithheld || c.permitted || p.cold.nextTrial.IsZero() || now.Before(p.cold.nextTrial) {
 		return nil
 	}
-	interval := max(minColdTrialTime, coldTrialTime*time.Duration(max(p.hosts, 1))/time.Duration(len(withheld)))
-	switch {
-	case p.cold.nextTrial.IsZero():
+	c.trial = true
+	return c.withheld[rand.IntN(len(c.withheld))]
+}
+
+// recordChoice records what the choice for a request or a probe has found out about cold
+// upstreams; sent says whether there was an upstream for it. Estimates do not call it. The
+// caller holds mu.
+func (p *Placer) recordChoice(c coldChoice, sent bool, now time.Time) {
+	if sent {
+		p.cold.held += int64(len(c.withheld))
+	}
+	if c.permitted {
+		p.cold.nextTrial = time.Time{}
+	}
+	if c.trial || c.onlyWithheld && p.cold.nextTrial.IsZero() {
+		interval := max(minColdTrialTime, coldTrialTime*time.Duration(max(p.hosts, 1))/time.Duration(len(c.withheld)))
 		p.cold.nextTrial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(interval)))
-		return nil
-	case now.Before(p.cold.nextTrial):
-		return nil
 	}
-	p.cold.nextTrial = now.Add(time.Duration((0.5 + rand.Float64()) * float64(interval)))
-	return withheld[rand.IntN(len(withheld))]
 }
 
 // beginCold sets what is known of an upstream that is listed for the first time. before
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -353,7 +353,8 @@
 // pick chooses an upstream and records the attempt; it returns nil if none is
 // available.
 func (p *Placer) pick(pl *pool, r Request) *Ticket {
-	u := p.chooseUpstream(pl, r)
+	u, cold := p.chooseUpstream(pl, r)
+	p.recordChoice(cold, u != nil, p.settings.Clock.Now())
 	if u == nil {
 		return nil
 	}
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -255,25 +255,28 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.settings.Clock.Now()
-	var all, withheld []*upstream
+	var all []*upstream
+	var cold coldChoice
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			switch {
 			case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || p.throttled(u, now):
-			case p.withheld(u, now):
-				withheld = append(withheld, u)
+			case p.withheld(&cold, u, now):
 			default:
 				all = append(all, u)
 			}
 		}
 	}
 	if len(all) == 0 {
-		if trial := p.coldTrial(withheld, now); trial != nil {
+		trial := p.coldTrial(&cold, now)
+		p.recordChoice(cold, trial != nil, now)
+		if trial != nil {
 			p.takeColdPermit(trial, now)
 			return trial.Upstream, true
 		}
 		return tracker.Upstream{}, false
 	}
+	p.recordChoice(cold, true, now)
 	failed := p.reach.failedServices()
 	without := func(has func(u *upstream) bool) {
 		if rest := slices.DeleteFunc(slices.Clone(all), has); len(rest) > 0 {
