Keep the bound on cold upstreams for hosts without information

Cause: hosts counted only their own failures when they judged whether a zone had failed, and only when they failed again, so a zone that restarted within 0.3 s went unnoticed by hosts that had sent nothing there. A host without the leader that had sent nothing to a zone while it was down took it for warm. A host that started was not told of upstreams to which nobody had sent anything. Change: with each exchange of loads, upstreams that have sent no data count as restarted once nothing listened at half of their zone for any host, or at more than a quarter of a silent zone; hosts report them as outages. A host that has not heard from the leader for 1 s sends freely only to upstreams that have sent it data within the last second. Two new specs fail on the code before.

--- a/placer/cold.go
+++ b/placer/cold.go
@@ -49,10 +49,21 @@
 	// sent data to any host for silentZoneTime.
 	minFailedUpstreams = 2
 	silentZoneTime     = 300 * time.Millisecond
+	// endedZoneFraction is the part of a zone's upstreams at which nothing listened, for any
+	// host, from which on the others count as restarted unless they have sent data since.
+	// Above silentZoneFraction, they do if the zone is silent: faults that are not those of
+	// a zone stop up to a quarter of the upstreams, and hosts hear little of the data that
+	// others receive.
+	endedZoneFraction  = 0.5
+	silentZoneFraction = 0.25
 	// A host that has not exchanged loads for isolatedTime does not learn of other hosts'
 	// failures. One of its own suffices there, and counts for the upstreams of the zone
-	// that have not sent it data for as long.
+	// that have not sent it data for as long. If it has no answer of the leader either, an
+	// upstream that has not sent it data for as long may have restarted unnoticed.
 	isolatedTime = time.Second
+	// outagesDelay is the time after the first contact within which a host that was
+	// isolated is told of the outages that it has missed: the leader answers every 0.4 s.
+	outagesDelay = 700 * time.Millisecond
 	// maxColdChanges bounds the upstreams that TakeColdChanges names.
 	maxColdChanges = 8
 )
@@ -102,6 +113,10 @@
 		// nextTrial is when a host without permits may next send a request, zero if it
 		// has some.
 		nextTrial time.Time
+		// contactAt is when this host last heard of other hosts from the leader, zero if
+		// it never has. contactSince is when it first did after it was isolated, and lostAt
+		// when it last did before.
+		contactAt, contactSince, lostAt time.Time
 	}
 
 	// coldChoice is what a choice has found out about cold upstreams.
@@ -135,6 +150,12 @@
 		// failedAt is when this host last failed to reach it, endedAt when nothing listened
 		// then, and outageAt the time of the newest outage that is known.
 		failedAt, endedAt, outageAt time.Time
+		// toldAt is when another host last said that nothing listened, and inferredAt when
+		// this host took it for restarted with its zone, zero if that was wrong.
+		toldAt, inferredAt time.Time
+		// unverifiedAt is when this host last sent it a request while it might have
+		// restarted unnoticed: data that arrives then does not tell that it is warm.
+		unverifiedAt time.Time
 		// reported is what TakeColdChanges last said.
 		reported bool
 		pace     throttler.Pace
@@ -155,6 +176,38 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cold.turn = turn
+	p.recordContact(p.settings.Clock.Now())
+}
+
+// recordContact records that the leader has answered. The caller holds mu.
+func (p *Placer) recordContact(now time.Time) {
+	c := &p.cold
+	if !c.contactAt.IsZero() && now.Sub(c.contactAt) > isolatedTime {
+		c.contactSince, c.lostAt = now, c.contactAt
+	}
+	c.contactAt = now
+}
+
+// uninformed reports whether this host does not know which upstreams have restarted since
+// the returned time: it is isolated from the other hosts, or was so until just now. The
+// caller holds mu.
+func (p *Placer) uninformed(now time.Time) (since time.Time, ok bool) {
+	c := &p.cold
+	switch {
+	case c.contactAt.IsZero() || p.hosts <= 1:
+		return time.Time{}, false
+	case now.Sub(c.contactAt) > isolatedTime:
+		return c.contactAt, true
+	default:
+		return c.lostAt, now.Sub(c.contactSince) < outagesDelay
+	}
+}
+
+// mayHaveRestarted reports whether the upstream may have restarted while this host was
+// isolated. The caller holds mu.
+func (p *Placer) mayHaveRestarted(u *upstream, now time.Time) bool {
+	since, ok := p.uninformed(now)
+	return ok && (u.cold.unverifiedAt.After(since) || now.Sub(u.lastReceived) > isolatedTime)
 }
 
 // SetColdTimes records what a list of upstreams, read at the time, says of how long
@@ -250,11 +303,12 @@
 
 // isCold reports whether the upstream counts as cold. The caller holds mu.
 func (p *Placer) isCold(u *upstream, now time.Time) bool {
-	if c := &u.cold; c.suspectedAt.IsZero() && c.unlistedSince.IsZero() && c.until.IsZero() {
+	restarted := p.mayHaveRestarted(u, now)
+	if c := &u.cold; !restarted && c.suspectedAt.IsZero() && c.unlistedSince.IsZero() && c.until.IsZero() {
 		return false
 	}
 	rate, ok := p.cold.rates[u.Service]
-	return ok && rate.PerSecond > 0 && u.cold.isCold(rate.Start, now)
+	return ok && rate.PerSecond > 0 && (restarted || u.cold.isCold(rate.Start, now))
 }
 
 // withheld reports whether the upstream is cold and this host has no permit for it now,
@@ -345,6 +399,9 @@
 	}
 	u.cold.pace.Take()
 	p.cold.requests++
+	if p.mayHaveRestarted(u, now) {
+		u.cold.unverifiedAt = now
+	}
 	return true
 }
 
@@ -357,6 +414,7 @@
 	case !c.lostAfter.IsZero() && t.sentAt.Before(c.lostAfter) && now.Sub(c.suspectedAt) > bufferedTime:
 		// The same process has run this attempt all the time.
 		c.clear()
+		c.inferredAt = time.Time{}
 	case !t.sentAt.Before(c.suspectedAt):
 		c.answer(now)
 	}
@@ -399,7 +457,7 @@
 					first = earlier(first, c.suspectedAt)
 				}
 			default:
-				receivedAt = later(receivedAt, later(u.lastReceived, u.lastReceivedElsewhere))
+				receivedAt = later(receivedAt, u.receivedAnywhere())
 				others = append(others, u)
 			}
 		}
@@ -418,8 +476,74 @@
 	}
 }
 
-// Outages returns the upstreams that this host could not reach within outageMemory,
-// unless it reaches none at all.
+// suspectEndedZones records that the upstreams of a zone may have become cold if most
+// others have ended by the word of this host or others, and they have sent no data since.
+// The caller holds mu.
+func (p *Placer) suspectEndedZones(now time.Time) {
+	type zone struct {
+		listed, ended     int
+		first, receivedAt time.Time
+	}
+	zones := make(map[string]zone)
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if !u.cold.hasEnded(now) {
+				continue
+			}
+			z, known := zones[u.Zone]
+			if !known {
+				z.first = now
+			}
+			z.ended++
+			z.first = earlier(z.first, u.cold.suspectedAt)
+			zones[u.Zone] = z
+		}
+	}
+	if len(zones) == 0 {
+		return
+	}
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			if z, ok := zones[u.Zone]; ok {
+				z.listed++
+				if u.cold.suspectedAt.IsZero() {
+					z.receivedAt = later(z.receivedAt, u.receivedAnywhere())
+				}
+				zones[u.Zone] = z
+			}
+		}
+	}
+	for _, pl := range p.pools {
+		for _, u := range pl.upstreams {
+			z, ok := zones[u.Zone]
+			if !ok || z.ended < minFailedUpstreams || !u.cold.suspectedAt.IsZero() {
+				continue
+			}
+			ended := float64(z.ended) / float64(z.listed)
+			silent := ended > silentZoneFraction && !z.receivedAt.After(z.first) && now.Sub(z.first) >= silentZoneTime
+			if silent || ended >= endedZoneFraction && !u.receivedAnywhere().After(z.first) {
+				u.cold.suspect(now, z.first, true)
+				u.cold.inferredAt = now
+			}
+		}
+	}
+}
+
+// receivedAnywhere returns when data was last received from the upstream, by this host or
+// another.
+func (u *upstream) receivedAnywhere() time.Time {
+	return later(u.lastReceived, u.lastReceivedElsewhere)
+}
+
+// hasEnded reports whether nothing listened lately, for this host or another, and the
+// upstream has not responded since.
+func (c *coldness) hasEnded(now time.Time) bool {
+	return !c.suspectedAt.IsZero() && c.answeredAt.IsZero() && now.Sub(later(c.toldAt, c.endedAt)) < restartListDelay
+}
+
+// Outages returns the upstreams that this host could not reach within outageMemory, or
+// took for restarted with their zone, unless it reaches none at all. Without the latter, a
+// host that starts would not learn of upstreams to which no host has sent anything.
 func (p *Placer) Outages() []Outage {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -433,7 +557,7 @@
 			continue
 		}
 		for _, u := range pl.upstreams {
-			for ended, at := range map[bool]time.Time{false: u.cold.failedAt, true: u.cold.endedAt} {
+			for ended, at := range map[bool]time.Time{false: later(u.cold.failedAt, u.cold.inferredAt), true: u.cold.endedAt} {
 				if age := now.Sub(at); !at.IsZero() && age <= outageMemory {
 					out = append(out, Outage{Upstream: u.key, Ended: ended, Age: age})
 				}
@@ -460,8 +584,13 @@
 			for _, o := range told[u.key] {
 				at := now.Add(-o.Age)
 				// The path of the reporting host may have failed.
-				if at.Sub(u.cold.outageAt) > outageError && (o.Ended || later(u.lastReceived, u.lastReceivedElsewhere).Before(at)) {
-					u.cold.suspect(at, at.Add(-reportDelay), o.Ended)
+				if at.Sub(u.cold.outageAt) > outageError && (o.Ended || u.receivedAnywhere().Before(at)) {
+					if o.Ended {
+						u.cold.toldAt = later(u.cold.toldAt, at)
+					}
+					// A host that knows nothing of the upstream relies on no list that may be
+					// older than its restart.
+					u.cold.suspect(at, at.Add(-reportDelay), o.Ended || u.receivedAnywhere().IsZero())
 				}
 			}
 		}
@@ -489,6 +618,7 @@
 // mu.
 func (u *upstream) suspectTold(now time.Time) {
 	c := &u.cold
+	c.toldAt = now
 	if !c.suspectedAt.IsZero() && now.Sub(c.suspectedAt) < reportDelay {
 		// It may be told repeatedly of the same failure.
 		c.restarted = true
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -568,6 +569,65 @@
 		Expect(cold()).To(BeTrue())
 	})
 
+	// Guards against a host that has sent nothing to an upstream while its zone restarted,
+	// and against warm upstreams that are slowed down because others of the zone failed.
+	DescribeTable("is one of a zone that has failed by the word of other hosts", func(failed int, became ...string) {
+		list = fleet(4, 8)
+		p.Update(list)
+		p.SetHosts(2, 0)
+		p.SetColdTimes(nil, clock.Now())
+		clock.Advance(time.Second)
+		var told []placer.Unreachable
+		for i := range failed {
+			told = append(told, placer.Unreachable{Upstream: uint32(xxhash.Sum64String(list[i].ID))})
+		}
+		p.AvoidUnreachable(told)
+		clock.Advance(100 * time.Millisecond)
+		p.SetRemoteLoads([]placer.Load{{Upstream: uint32(xxhash.Sum64String("a3")), Running: 1}})
+		Expect(p.TakeColdChanges().Became).To(Equal(became))
+		if len(became) == failed {
+			Expect(p.Outages()).To(BeEmpty())
+			return
+		}
+		Expect(p.Outages()).To(Equal([]placer.Outage{{Upstream: list[2].Key().Hash()}}), "hosts that start are told")
+		clock.Advance(time.Second)
+		p.AddOutages(p.Outages())
+		p.SetRemoteLoads([]placer.Load{{Upstream: uint32(xxhash.Sum64String("a2")), Running: 1}})
+		clock.Advance(time.Second)
+		p.SetColdTimes(nil, clock.Now())
+		Expect(p.TakeColdChanges().Ceased).To(BeEmpty(), "the list lags")
+		for range 2 {
+			p.SetColdTurn(0) // The leader answers.
+			clock.Advance(time.Second)
+		}
+		p.SetColdTimes(nil, clock.Now())
+		Expect(p.TakeColdChanges().Ceased).To(Equal([]string{"a2"}))
+	},
+		Entry("a quarter of it", 1, "a0"),
+		Entry("half of it", 2, "a0", "a1", "a2"),
+	)
+
+	// Guards against a host that does not learn of restarts and takes upstreams from which
+	// it has heard nothing for warm, also after data of the new process.
+	It("may be any one for a host that has lost the leader", func() {
+		listed(0)
+		p.SetHosts(2, 0)
+		p.SetColdTurn(0)
+		clock.Advance(900 * time.Millisecond)
+		serve()
+		clock.Advance(600 * time.Millisecond)
+		Expect(cold()).To(BeFalse(), "it has just sent data")
+		clock.Advance(500 * time.Millisecond)
+		Expect(cold()).To(BeTrue())
+		serve()
+		Expect(cold()).To(BeTrue(), "a new process has sent the data")
+		p.SetColdTurn(0)
+		clock.Advance(500 * time.Millisecond)
+		Expect(cold()).To(BeTrue(), "outages have not been told yet")
+		clock.Advance(300 * time.Millisecond)
+		Expect(cold()).To(BeFalse())
+	})
+
 	// Guards against a health response that is not heeded.
 	It("is what it says itself", func() {
 		listed(0)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -416,6 +416,7 @@
 	}
 	now := p.settings.Clock.Now()
 	p.remoteLoadsInterval, p.remoteLoadsAt = now.Sub(p.remoteLoadsAt), now
+	p.recordContact(now)
 	p.dividePlaces(now)
 	defer p.drainFree(now)
 	for _, pl := range p.pools {
@@ -428,6 +429,7 @@
 			}
 		}
 	}
+	p.suspectEndedZones(now)
 }
 
 // recordPlacement records that the upstream was sent the group's prefix, and
