Cut the run time of the placer specs

Cause: the simulations of many hosts spend their time in chooseUpstream, which allocated its lists and looked zones, loads and rates up for each upstream; the cold simulation formatted two names per host and step, and the brittle one told each host the same service once per host. Nine tables of cold_test.go repeated their replay. Change: a choice uses the placer's memory, keeps the zone's path with each upstream and calls what rarely applies only where it does; exchanged loads reuse their map. The simulation keeps schedules in fields, and the word of brittle upstreams is told once. The tables share replay and bounce. Checks, seeds, sizes and durations are the same.

--- a/placer/admission.go
+++ b/placer/admission.go
@@ -340,7 +340,7 @@
 // that of leastWork.
 func (p *Placer) earliestFirstByte(pl *pool, local, remote []*upstream, loads map[uint32]Load, firstHomes int, r Request) *upstream {
 	a, now := pl.admission, p.settings.Clock.Now()
-	homes, caches := pl.homes(local, remote, firstHomes, r), pl.peekPrefixCaches(r.Group)
+	homes, caches := p.homes(pl, local, remote, firstHomes, r), pl.peekPrefixCaches(r.Group)
 	slots, memory, hosts := r.Admission.Slots, float64(r.Admission.MemoryTokens), max(p.hosts, 1)
 	if loads == nil {
 		slots, memory = max(slots/hosts, 1), memory/float64(hosts)
--- a/placer/brittle_test.go
+++ b/placer/brittle_test.go
@@ -121,7 +121,11 @@
 			s.toldAt = now
 			var services []string
 			for _, h := range s.hosts {
-				services = append(services, h.BrittleServices()...)
+				for _, name := range h.BrittleServices() {
+					if !slices.Contains(services, name) {
+						services = append(services, name)
+					}
+				}
 			}
 			for _, h := range s.hosts {
 				h.AddBrittleServices(services)
--- a/placer/choose.go
+++ b/placer/choose.go
@@ -25,18 +25,23 @@
 	if now.Sub(p.remoteLoadsAt) > remoteLoadsTTL {
 		loads = nil
 	}
-	var local, remote, unusable []*upstream
-	var cold coldChoice
+	local, remote, unusable := p.memory.local[:0], p.memory.remote[:0], p.memory.unusable[:0]
+	defer func() { p.memory.local, p.memory.remote, p.memory.unusable = local, remote, unusable }()
+	cold := p.newColdChoice(now)
+	// The flags spare most upstreams the calls.
+	anyVersion, mayBeCold := r.Versions == (VersionFilter{}), p.cold.rates[pl.service()].PerSecond > 0
 	for _, u := range pl.upstreams {
 		switch {
-		case u.Leaving || p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !r.Versions.allows(u.Version) || slices.Contains(r.Tried, u.Key()) || p.throttled(u, now) || !p.hasPlace(u, now):
-		case p.withheld(&cold, u, now):
+		case u.Leaving || len(p.evacuated) > 0 && p.evacuated[u.Zone] || u.withdrawal.refuses(now) || !anyVersion && !r.Versions.allows(u.Version):
+		case len(r.Tried) > 0 && slices.Contains(r.Tried, u.Key()):
+		case u.limit.named && p.throttled(u, now) || u.brittle.named && !p.hasPlace(u, now):
+		case mayBeCold && p.withheld(&cold, u, now):
 		case r.MaxConns > 0 && float64(u.running+u.remoteRunning(loads)) >= usableConnFraction*float64(r.MaxConns):
 			// A further connection would be reset, which leaves it unknown
 			// whether the request has run.
-		case now.Sub(u.misdirectedAt) < misdirectedProbeInterval:
+		case !u.misdirectedAt.IsZero() && now.Sub(u.misdirectedAt) < misdirectedProbeInterval:
 			// The request would certainly be refused.
-		case !u.usable(now) || !p.zonePath(u.Zone).usable(now):
+		case !u.usable(now) || !u.path.usable(now):
 			unusable = append(unusable, u)
 		case u.Zone == p.settings.Zone:
 			local = append(local, u)
@@ -59,7 +64,7 @@
 		if pl.estimates(r) {
 			return p.earliestFirstByte(pl, local, remote, loads, firstHomes, r), cold
 		}
-		return pl.leastWork(local, remote, loads, firstHomes, r), cold
+		return p.leastWork(pl, local, remote, loads, firstHomes, r), cold
 	}
 	return shortestWait(local, remote, loads), cold
 }
@@ -74,48 +79,50 @@
 // that is cached nowhere goes to the least loaded of its firstHomes highest
 // ranked upstreams, so that hosts that meet it at the same time mostly agree, and
 // the groups' homes do not pile up on a few engines.
-func (pl *pool) leastWork(local, remote []*upstream, loads map[uint32]Load, firstHomes int, r Request) *upstream {
-	homes := pl.homes(local, remote, firstHomes, r)
+func (p *Placer) leastWork(pl *pool, local, remote []*upstream, loads map[uint32]Load, firstHomes int, r Request) *upstream {
+	homes := p.homes(pl, local, remote, firstHomes, r)
 	var best *upstream
 	var bestWork float64
-	var bestRank uint64
-	consider := func(u *upstream, zoneWork float64) {
-		work := u.work + float64(loads[u.loadID()].Work)
-		home := slices.Contains(homes, u)
-		if !home {
-			work += uncachedTokenCost * r.SharedTokens
+	for i, zone := range [...][]*upstream{local, remote} {
+		zoneWork := float64(i * crossZoneWork)
+		for _, u := range zone {
+			work := u.work
+			if loads != nil {
+				work += float64(u.admitted.remote.Work)
+			}
+			home := slices.Contains(homes, u)
+			if !home {
+				work += uncachedTokenCost * r.SharedTokens
+			}
+			// Processing a long prefix once in each zone costs more than sending its
+			// requests to another zone.
+			if !home || r.SharedTokens <= crossZoneWork {
+				work += zoneWork
+			}
+			if best == nil || work < bestWork || work == bestWork && u.outranks(best, r.Group) {
+				best, bestWork = u, work
+			}
 		}
-		// Processing a long prefix once in each zone costs more than sending its
-		// requests to another zone.
-		if !home || r.SharedTokens <= crossZoneWork {
-			work += zoneWork
-		}
-		rank := mix64(u.hash ^ r.Group)
-		if r.Group == 0 {
-			rank = 0
-		}
-		if best == nil || work < bestWork || work == bestWork && rank > bestRank {
-			best, bestWork, bestRank = u, work, rank
-		}
-	}
-	for _, u := range local {
-		consider(u, 0)
-	}
-	for _, u := range remote {
-		consider(u, crossZoneWork)
 	}
 	return best
 }
 
+// outranks reports whether the upstream has a higher rendezvous rank for the group than
+// another one; no upstream has without a group.
+func (u *upstream) outranks(other *upstream, group uint64) bool {
+	return group != 0 && mix64(u.hash^group) > mix64(other.hash^group)
+}
+
 // homes returns the upstreams at which the group's prefix costs nothing extra:
 // those that have it cached or, if none has, those that may be the first. A short prefix has homes in each zone.
-func (pl *pool) homes(local, remote []*upstream, firstHomes int, r Request) []*upstream {
+func (p *Placer) homes(pl *pool, local, remote []*upstream, firstHomes int, r Request) []*upstream {
 	if r.Group == 0 {
 		return nil
 	}
-	candidates := slices.Concat(local, remote)
-	if len(local) > 0 && r.SharedTokens <= crossZoneWork {
-		candidates = local
+	candidates := local
+	if len(local) == 0 || r.SharedTokens > crossZoneWork {
+		p.memory.candidates = append(append(p.memory.candidates[:0], local...), remote...)
+		candidates = p.memory.candidates
 	}
 	caches := pl.peekPrefixCaches(r.Group)
 	var homes []*upstream
@@ -189,7 +196,7 @@
 		if firstByte == 0 {
 			firstByte = defaultFirstByte
 		}
-		running := u.running + int(loads[u.loadID()].Running)
+		running := u.running + u.remoteRunning(loads)
 		wait := factor * float64(running+1) * float64(firstByte)
 		if best == nil || wait < bestWait || wait == bestWait && u.outcomes < best.outcomes {
 			best, bestWait = u, wait
--- a/placer/cold.go
+++ b/placer/cold.go
@@ -110,6 +110,8 @@
 		// sent has the services to which this host has sent requests.
 		sent           map[string]bool
 		requests, held int64
+		// endedAt is when this host last learned that nothing listened at an upstream.
+		endedAt time.Time
 		// nextTrial is when a host without permits may next send a request, zero if it
 		// has some.
 		nextTrial time.Time
@@ -121,6 +123,9 @@
 
 	// coldChoice is what a choice has found out about cold upstreams.
 	coldChoice struct {
+		// since and uninformed are what Placer.uninformed has returned.
+		since      time.Time
+		uninformed bool
 		// withheld has those that were passed over for lack of a permit.
 		withheld []*upstream
 		// permitted means that this host has a permit for another one.
@@ -194,7 +199,7 @@
 func (p *Placer) uninformed(now time.Time) (since time.Time, ok bool) {
 	c := &p.cold
 	switch {
-	case c.contactAt.IsZero() || p.hosts <= 1:
+	case len(c.rates) == 0 || c.contactAt.IsZero() || p.hosts <= 1:
 		return time.Time{}, false
 	case now.Sub(c.contactAt) > isolatedTime:
 		return c.contactAt, true
@@ -204,10 +209,9 @@
 }
 
 // mayHaveRestarted reports whether the upstream may have restarted while this host was
-// isolated. The caller holds mu.
-func (p *Placer) mayHaveRestarted(u *upstream, now time.Time) bool {
-	since, ok := p.uninformed(now)
-	return ok && (u.cold.unverifiedAt.After(since) || now.Sub(u.lastReceived) > isolatedTime)
+// uninformed since the given time.
+func (u *upstream) mayHaveRestarted(since, now time.Time) bool {
+	return u.cold.unverifiedAt.After(since) || now.Sub(u.lastReceived) > isolatedTime
 }
 
 // SetColdTimes records what a list of upstreams, read at the time, says of how long
@@ -303,7 +307,12 @@
 
 // isCold reports whether the upstream counts as cold. The caller holds mu.
 func (p *Placer) isCold(u *upstream, now time.Time) bool {
-	restarted := p.mayHaveRestarted(u, now)
+	since, ok := p.uninformed(now)
+	return p.coldAt(u, ok && u.mayHaveRestarted(since, now), now)
+}
+
+// coldAt is isCold; restarted is what mayHaveRestarted says while this host is uninformed.
+func (p *Placer) coldAt(u *upstream, restarted bool, now time.Time) bool {
 	if c := &u.cold; !restarted && c.suspectedAt.IsZero() && c.unlistedSince.IsZero() && c.until.IsZero() {
 		return false
 	}
@@ -311,10 +320,17 @@
 	return ok && rate.PerSecond > 0 && (restarted || u.cold.isCold(rate.Start, now))
 }
 
+// newColdChoice begins a choice. Its memory is used until the next one. The caller holds mu.
+func (p *Placer) newColdChoice(now time.Time) coldChoice {
+	c := coldChoice{withheld: p.memory.withheld[:0]}
+	c.since, c.uninformed = p.uninformed(now)
+	return c
+}
+
 // withheld reports whether the upstream is cold and this host has no permit for it now,
 // and adds that to c. The caller holds mu.
 func (p *Placer) withheld(c *coldChoice, u *upstream, now time.Time) bool {
-	if !p.isCold(u, now) {
+	if !p.coldAt(u, c.uninformed && u.mayHaveRestarted(c.since, now), now) {
 		return false
 	}
 	if p.rank >= 0 && u.cold.pace.Allows(p.coldLimit(u), now) {
@@ -322,6 +338,7 @@
 		return false
 	}
 	c.withheld = append(c.withheld, u)
+	p.memory.withheld = c.withheld
 	return true
 }
 
@@ -399,7 +416,7 @@
 	}
 	u.cold.pace.Take()
 	p.cold.requests++
-	if p.mayHaveRestarted(u, now) {
+	if since, ok := p.uninformed(now); ok && u.mayHaveRestarted(since, now) {
 		u.cold.unverifiedAt = now
 	}
 	return true
@@ -427,7 +444,7 @@
 	case Succeeded, Failed, Busy:
 		t.recordColdReceived(now)
 	case NotListening, Misdirected:
-		t.up.cold.endedAt = now
+		t.up.cold.endedAt, t.p.cold.endedAt = now, now
 		t.up.cold.suspect(now, lostAfter, true)
 		t.p.suspectFailedZone(t.up.Zone, now)
 	case Refused, Silent, Stale:
@@ -480,6 +497,9 @@
 // others have ended by the word of this host or others, and they have sent no data since.
 // The caller holds mu.
 func (p *Placer) suspectEndedZones(now time.Time) {
+	if now.Sub(p.cold.endedAt) >= restartListDelay {
+		return
+	}
 	type zone struct {
 		listed, ended     int
 		first, receivedAt time.Time
@@ -557,9 +577,9 @@
 			continue
 		}
 		for _, u := range pl.upstreams {
-			for ended, at := range map[bool]time.Time{false: later(u.cold.failedAt, u.cold.inferredAt), true: u.cold.endedAt} {
+			for i, at := range [...]time.Time{later(u.cold.failedAt, u.cold.inferredAt), u.cold.endedAt} {
 				if age := now.Sub(at); !at.IsZero() && age <= outageMemory {
-					out = append(out, Outage{Upstream: u.key, Ended: ended, Age: age})
+					out = append(out, Outage{Upstream: u.key, Ended: i == 1, Age: age})
 				}
 			}
 		}
@@ -587,6 +607,7 @@
 				if at.Sub(u.cold.outageAt) > outageError && (o.Ended || u.receivedAnywhere().Before(at)) {
 					if o.Ended {
 						u.cold.toldAt = later(u.cold.toldAt, at)
+						p.cold.endedAt = later(p.cold.endedAt, at)
 					}
 					// A host that knows nothing of the upstream relies on no list that may be
 					// older than its restart.
--- a/placer/cold_test.go
+++ b/placer/cold_test.go
@@ -60,16 +60,25 @@
 		outages map[uint64]coldOutage
 		// answers are the responses that are due.
 		answers []coldAnswer
-		nextAt  map[string]time.Time
+		// nextTurn is when the leader's next turn is due.
+		nextTurn coldSchedule
+		// coldTimes are those of the list that the leader last read.
+		coldTimes map[uint64]time.Duration
 	}
 
+	// coldSchedule is the time of the next of a series of events, zero before the first.
+	coldSchedule time.Time
+
 	coldHost struct {
 		*placer.Placer
 		index int
 		// cut hosts have no connection to the leader.
 		cut bool
-		// listed is the number of upstreams in the list that the host has.
+		// listed is the list that the host has.
 		listed []tracker.Upstream
+		// nextTold and nextPoll are when it next exchanges loads and gets an answer of the
+		// leader.
+		nextTold, nextPoll coldSchedule
 	}
 
 	coldUpstream struct {
@@ -117,7 +126,7 @@
 	f := &coldFleet{
 		clock: timekeeper.NewFake(time.Unix(1000, 0)), rng: rand.New(rand.NewPCG(seed, 4)), start: 12 * time.Second, rate: rate, perSecond: perSecond,
 		byID: make(map[string]*coldUpstream), unreachable: make(map[placer.Unreachable]time.Time), received: make(map[uint32]time.Time),
-		nextAt: make(map[string]time.Time), outages: make(map[uint64]coldOutage),
+		outages: make(map[uint64]coldOutage),
 	}
 	for i, u := range fleet(upstreams/3, 64) {
 		u.ID = fmt.Sprint(seed, "-", i)
@@ -157,6 +166,7 @@
 		}
 		f.read = append(f.read, listed)
 	}
+	f.coldTimes = placer.ColdTimes(f.read)
 }
 
 // update gives the host what the leader knows.
@@ -170,7 +180,7 @@
 	}
 	h.SetHosts(len(f.hosts), h.index)
 	h.SetColdTurn(f.turn)
-	h.SetColdTimes(placer.ColdTimes(f.read), f.readAt)
+	h.SetColdTimes(f.coldTimes, f.readAt)
 	h.SetEvacuated(f.evacuated)
 	now := f.clock.Now()
 	var told []placer.Outage
@@ -215,9 +225,11 @@
 	h.SetRemoteLoads(loads)
 	var told []placer.Unreachable
 	for un, at := range f.unreachable {
-		if now.Sub(at) <= toldFor {
-			told = append(told, un)
+		if now.Sub(at) > toldFor {
+			delete(f.unreachable, un)
+			continue
 		}
+		told = append(told, un)
 	}
 	h.AvoidUnreachable(told)
 }
@@ -240,6 +252,13 @@
 	}
 }
 
+// bounce stops the upstreams, and restarts them after a time.
+func (f *coldFleet) bounce(silent bool, down time.Duration, ups ...*coldUpstream) {
+	f.stop(silent, ups...)
+	f.run(down)
+	f.restart(ups...)
+}
+
 // run lets requests arrive for a time, each at any host.
 func (f *coldFleet) run(d time.Duration) {
 	const step = 10 * time.Millisecond
@@ -249,14 +268,14 @@
 		if now.Sub(f.readAt) >= listEvery {
 			f.readList()
 		}
-		if f.due("turn", turnEvery) {
+		if f.due(&f.nextTurn, turnEvery) {
 			f.turn++
 		}
 		for _, h := range f.hosts {
-			if f.due(fmt.Sprint("told", h.index), max(toldEvery, time.Duration(len(f.hosts))*toldPerHost)) {
+			if f.due(&h.nextTold, max(toldEvery, time.Duration(len(f.hosts))*toldPerHost)) {
 				f.exchange(h)
 			}
-			if f.due(fmt.Sprint("poll", h.index), pollEvery) {
+			if f.due(&h.nextPoll, pollEvery) {
 				f.update(h)
 			}
 		}
@@ -271,17 +290,16 @@
 
 // due reports whether the next of a series of events is due, the first at any time
 // within the interval.
-func (f *coldFleet) due(name string, every time.Duration) bool {
-	now := f.clock.Now()
-	at, ok := f.nextAt[name]
-	if !ok {
-		f.nextAt[name] = now.Add(time.Duration(f.rng.Float64() * float64(every)))
+func (f *coldFleet) due(next *coldSchedule, every time.Duration) bool {
+	now, at := f.clock.Now(), time.Time(*next)
+	if at.IsZero() {
+		*next = coldSchedule(now.Add(time.Duration(f.rng.Float64() * float64(every))))
 		return false
 	}
 	if now.Before(at) {
 		return false
 	}
-	f.nextAt[name] = now.Add(every)
+	*next = coldSchedule(now.Add(every))
 	return true
 }
 
@@ -708,123 +726,85 @@
 		Entry("78 hosts, 11 a second", 78, 60, 11.0, 600.0),
 		Entry("78 hosts, 0.5 a second", 78, 60, 0.5, 600.0),
 	}
-	DescribeTable("fill a zone that returns cold", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			f.stop(false, f.zone("b")...)
-			f.run(2500 * time.Millisecond)
-			f.restart(f.zone("b")...)
-			f.run(5 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
+	// replay plays the steps with each seed and checks the bound.
+	replay := func(steps func(f *coldFleet)) func(hosts, upstreams int, rate, perSecond float64) {
+		return func(hosts, upstreams int, rate, perSecond float64) {
+			for seed := range uint64(coldSeeds()) {
+				f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
+				steps(f)
+				f.expectWithinBound(fmt.Sprint("seed ", seed))
+			}
 		}
-	}, sizes)
-
-	DescribeTable("fill a zone that went silent and returns cold", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			f.stop(true, f.zone("b")...)
-			f.run(2500 * time.Millisecond)
-			f.restart(f.zone("b")...)
-			f.run(8 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
+	}
+	DescribeTable("fill a zone that returns cold", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		f.bounce(false, 2500*time.Millisecond, f.zone("b")...)
+		f.run(5 * time.Second)
+	}), sizes)
+
+	DescribeTable("fill a zone that went silent and returns cold", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		f.bounce(true, 2500*time.Millisecond, f.zone("b")...)
+		f.run(8 * time.Second)
+	}), fewSizes)
+
+	DescribeTable("fill a quarter that returns cold", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		var quarter []*coldUpstream
+		for i := 0; i < len(f.ups); i += 4 {
+			quarter = append(quarter, f.ups[i])
 		}
-	}, fewSizes)
-
-	DescribeTable("fill a quarter that returns cold", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			var quarter []*coldUpstream
-			for i := 0; i < len(f.ups); i += 4 {
-				quarter = append(quarter, f.ups[i])
-			}
-			f.stop(false, quarter...)
-			f.run(2 * time.Second)
-			f.restart(quarter...)
-			f.run(8 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		f.bounce(false, 2*time.Second, quarter...)
+		f.run(8 * time.Second)
+	}), fewSizes)
+
+	DescribeTable("fill a zone while hosts join late, were cut off or restarted", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		for i, h := range f.hosts {
+			h.cut = i%3 == 1
 		}
-	}, fewSizes)
-
-	DescribeTable("fill a zone while hosts join late, were cut off or restarted", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			for i, h := range f.hosts {
-				h.cut = i%3 == 1
+		f.bounce(false, 2500*time.Millisecond, f.zone("b")...)
+		f.run(1 * time.Second)
+		for i, h := range f.hosts {
+			if i%6 == 2 {
+				f.begin(h, -1)
 			}
-			f.stop(false, f.zone("b")...)
-			f.run(2500 * time.Millisecond)
-			f.restart(f.zone("b")...)
-			f.run(1 * time.Second)
-			for i, h := range f.hosts {
-				if i%6 == 2 {
-					f.begin(h, -1)
-				}
-			}
-			f.run(1 * time.Second)
-			for _, h := range f.hosts {
-				h.cut = false
-			}
-			f.run(6 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
 		}
-	}, fewSizes, Entry("300 hosts, 11 a second", 300, 126, 11.0, 1400.0), Entry("300 hosts, 0.5 a second", 300, 126, 0.5, 1400.0))
-
-	DescribeTable("fill a zone whose evacuation has ended", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(time.Second)
-			f.evacuated = []string{"c"}
-			f.run(2 * time.Second)
-			f.stop(false, f.zone("c")...)
-			f.run(time.Second)
-			f.restart(f.zone("c")...)
-			f.evacuated = nil
-			f.run(8 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
-		}
-	}, fewSizes)
-
-	DescribeTable("fill a zone that was down for a moment", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			f.stop(false, f.zone("b")...)
-			f.run(800 * time.Millisecond)
-			f.restart(f.zone("b")...)
-			f.run(4 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
+		f.run(1 * time.Second)
+		for _, h := range f.hosts {
+			h.cut = false
 		}
-	}, fewSizes)
+		f.run(6 * time.Second)
+	}), fewSizes, Entry("300 hosts, 11 a second", 300, 126, 11.0, 1400.0), Entry("300 hosts, 0.5 a second", 300, 126, 0.5, 1400.0))
+
+	DescribeTable("fill a zone whose evacuation has ended", replay(func(f *coldFleet) {
+		f.run(time.Second)
+		f.evacuated = []string{"c"}
+		f.run(2 * time.Second)
+		f.bounce(false, time.Second, f.zone("c")...)
+		f.evacuated = nil
+		f.run(8 * time.Second)
+	}), fewSizes)
+
+	DescribeTable("fill a zone that was down for a moment", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		f.bounce(false, 800*time.Millisecond, f.zone("b")...)
+		f.run(4 * time.Second)
+	}), fewSizes)
 
 	// Guards against hosts that have not noticed a restart since nothing was sent meanwhile.
-	DescribeTable("fill a zone that restarts at once", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			f.stop(false, f.zone("b")...)
-			f.run(300 * time.Millisecond)
-			f.restart(f.zone("b")...)
-			f.run(4 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
-		}
-	}, Entry("78 hosts, 0.5 a second", 78, 60, 0.5, 600.0))
-
-	DescribeTable("fill all upstreams when all return cold", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(time.Second)
-			f.stop(false, f.ups...)
-			f.run(1500 * time.Millisecond)
-			f.restart(f.ups...)
-			f.served, f.refused = 0, 0
-			f.run(10 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
-		}
-	}, fewSizes)
+	DescribeTable("fill a zone that restarts at once", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		f.bounce(false, 300*time.Millisecond, f.zone("b")...)
+		f.run(4 * time.Second)
+	}), Entry("78 hosts, 0.5 a second", 78, 60, 0.5, 600.0))
+
+	DescribeTable("fill all upstreams when all return cold", replay(func(f *coldFleet) {
+		f.run(time.Second)
+		f.bounce(false, 1500*time.Millisecond, f.ups...)
+		f.served, f.refused = 0, 0
+		f.run(10 * time.Second)
+	}), fewSizes)
 
 	// Guards against requests that are refused, or moved to few upstreams, because single
 	// connections fail while nothing is cold.
@@ -846,18 +826,12 @@
 		Entry("78 hosts, few upstreams", 78, 3, 110.0),
 	)
 
-	DescribeTable("fill single upstreams that restart in turn", func(hosts, upstreams int, rate, perSecond float64) {
-		for seed := range uint64(coldSeeds()) {
-			f := newColdFleet(seed, hosts, upstreams, rate, perSecond)
-			f.run(3 * time.Second)
-			for i := range 6 {
-				f.stop(false, f.ups[i])
-				f.run(time.Second)
-				f.restart(f.ups[i])
-				f.run(500 * time.Millisecond)
-			}
-			f.run(4 * time.Second)
-			f.expectWithinBound(fmt.Sprint("seed ", seed))
+	DescribeTable("fill single upstreams that restart in turn", replay(func(f *coldFleet) {
+		f.run(3 * time.Second)
+		for i := range 6 {
+			f.bounce(false, time.Second, f.ups[i])
+			f.run(500 * time.Millisecond)
 		}
-	}, fewSizes)
+		f.run(4 * time.Second)
+	}), fewSizes)
 })
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -243,6 +243,12 @@
 		// rank among them.
 		hosts, rank int
 		cold        coldState
+		memory      choiceMemory
+	}
+
+	// choiceMemory is the memory of chooseUpstream and what it calls.
+	choiceMemory struct {
+		local, remote, unusable, candidates, withheld []*upstream
 	}
 
 	// pool holds the upstreams of a service.
@@ -283,6 +289,8 @@
 		// lastReceivedElsewhere when another host did.
 		lastReceived, lastReceivedElsewhere time.Time
 
+		// path is that of the zone.
+		path       *zonePath
 		limit      rateLimit
 		withdrawal withdrawal
 		brittle    brittleness
@@ -325,6 +333,7 @@
 			p.beginCold(u, listed, oldPools[listed.Service])
 		}
 		u.Upstream = listed
+		u.path = p.zonePath(listed.Zone)
 		pl := p.pools[listed.Service]
 		if pl == nil {
 			pl = &pool{prefixCaches: buffer.NewLRU[uint32, []uint32](maxGroups)}
@@ -410,7 +419,10 @@
 func (p *Placer) SetRemoteLoads(loads []Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.remoteLoads = make(map[uint32]Load, len(loads))
+	if p.remoteLoads == nil {
+		p.remoteLoads = make(map[uint32]Load, len(loads))
+	}
+	clear(p.remoteLoads)
 	for _, l := range loads {
 		p.remoteLoads[l.Upstream] = l
 	}
@@ -518,6 +530,7 @@
 			replaced, ok := misdirected[u.loadID()]
 			if ok {
 				u.suspectTold(now)
+				p.cold.endedAt = now
 			}
 			switch {
 			case !ok || now.Sub(u.lastReceived) <= baseEjection:
--- a/placer/reach.go
+++ b/placer/reach.go
@@ -256,7 +256,7 @@
 	defer p.mu.Unlock()
 	now := p.settings.Clock.Now()
 	var all []*upstream
-	var cold coldChoice
+	cold := p.newColdChoice(now)
 	for _, pl := range p.pools {
 		for _, u := range pl.upstreams {
 			switch {
--- a/placer/withdrawal.go
+++ b/placer/withdrawal.go
@@ -15,7 +15,7 @@
 }
 
 // refuses reports whether the upstream must not be sent a request at the time.
-func (w withdrawal) refuses(now time.Time) bool { return w.leaving || now.Before(w.pausedUntil) }
+func (w *withdrawal) refuses(now time.Time) bool { return w.leaving || now.Before(w.pausedUntil) }
 
 // RecordLeaving records that the upstream says that it leaves, so that it gets no
 // further requests. It reports whether that is news.
