Acknowledge the first change only once the control group has formed

Cause: a change was acknowledged once a majority of the voters was larger than the number of disks that may be lost. A group of three that is forming has two voters for a moment, which are also its majority: with the disk of one of them lost it could never elect a leader again. With a disk that is full instead of lost, as in 'three hosts, other sizes' of coordinator, there was no leader while it was full.

Change: the first change waits until the group has 2 f + 1 voters, or as many as there are members and seeds. It is refused as unavailable until then. Later changes are acknowledged with fewer voters as before, so that a host that loses its disk and does not return stops nothing. The leader checks this also before it has applied all entries of earlier terms.

Measured: the new spec fails without the change (acknowledged with two voters) and passes with it.

--- a/coordinator/full_disk_test.go
+++ b/coordinator/full_disk_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -79,3 +80,37 @@
 		Entry("six hosts, of which five vote", 6, 2, uint64(3)),
 	)
 })
+
+// Guards against a group that loses its majority for ever with the disk of one host: while
+// it is forming, its first changes were acknowledged by two voters, which are also its
+// majority.
+var _ = Describe("A control group that is forming", func() {
+	It("acknowledges nothing before it tolerates the loss of a disk", func(ctx context.Context) {
+		h, release := newHosts(3), make(chan struct{})
+		for i := range 3 {
+			disk, writes := &journaler.Memory{}, 0
+			if i == 2 {
+				// The last host asks to join, after the two writes of a new folder, but stores
+				// no entry.
+				disk.SetFault(func(op, _ string) error {
+					if op == "write" {
+						writes++
+					}
+					if writes > 2 {
+						<-release
+					}
+					return nil
+				})
+			}
+			h.startWith(i, func(s *coordinator.Settings) { s.Bootstrap, s.Disk = true, disk })
+		}
+		DeferCleanup(func() { close(release) })
+		Eventually(h.running[0].Voters, eventTimeout).WithContext(h.ctx).Should(Equal(2))
+		put := func() error {
+			_, err := h.running[0].PutDocument(ctx, controller.Document{Version: 1})
+			return err
+		}
+		Eventually(put, eventTimeout).WithContext(h.ctx).Should(MatchError(ContainSubstring("enough voters")))
+		Consistently(put, 500*time.Millisecond, 50*time.Millisecond).Should(HaveOccurred())
+	})
+})
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -140,7 +140,7 @@
 	if m == nil {
 		return controller.Answer{}, errMemberNotOpen
 	}
-	if _, leads := m.group.Leading(); leads && !c.hasEnoughVoters(m) {
+	if leader, _ := m.group.Leader(); leader.ID == m.group.ID() && !c.hasEnoughVoters(m) {
 		return controller.Answer{}, errTooFewVoters
 	}
 	cmd, err := controller.Encode(controller.Command{At: c.set.Clock.Now(), Items: []controller.Item{item}})
@@ -158,16 +158,28 @@
 	return res.Answers[0], nil
 }
 
-// hasEnoughVoters reports whether a majority of the voters is larger than
-// LostDisks, so that an acknowledged change survives their loss.
+// hasEnoughVoters reports whether a majority of the voters is larger than LostDisks, so
+// that an acknowledged change survives their loss. The first change also waits until the
+// group has formed, with as many voters as it can have: one of fewer could lose its
+// majority for ever with LostDisks disks. Later, fewer voters are what losses have left.
 func (c *Coordinator) hasEnoughVoters(m *member) bool {
+	voters := m.countVoters()
+	if voters/2+1 <= c.set.LostDisks {
+		return false
+	}
+	hosts := max(len(m.group.Members()), len(c.set.Seeds()))
+	return m.machine.Published().Version > 0 || voters >= min(2*c.set.LostDisks+1, hosts)
+}
+
+// countVoters returns the number of voters in the newest membership that m knows.
+func (m *member) countVoters() int {
 	voters := 0
 	for _, peer := range m.group.Members() {
 		if peer.Voter {
 			voters++
 		}
 	}
-	return voters/2+1 > c.set.LostDisks
+	return voters
 }
 
 // read returns the published state from the leader.
