Wait for a place at brittle upstreams while loads are not exchanged

Cause: a host that has not heard of the others' loads for 0.5 s uses its even share of the places at brittle upstreams, and refused what exceeded it at once, although the places become free within a request's time. A host that had not heard of its rank yet has no share and refused everything.

A single host and one whose share is none refuse at once as before.

The new table fails in placer without the change.

--- a/forwarder/placement.go
+++ b/forwarder/placement.go
@@ -74,8 +74,8 @@
 			// No caller returns before the pause ends.
 			return nil, newRefusal(http.StatusServiceUnavailable, refuser.UpstreamsPaused, time.Duration(float64(left)/minRetryJitter))
 		}
-		if brittle, free := c.f.settings.Placer.Brittle(c.service.Name); brittle {
-			if free && c.waitForPlace() {
+		if brittle, soon := c.f.settings.Placer.Brittle(c.service.Name); brittle {
+			if soon && c.waitForPlace() {
 				return nil, nil
 			}
 			c.f.settings.Scope.Counter("forwarder.withoutPlace").Inc(1)
--- a/placer/brittle.go
+++ b/placer/brittle.go
@@ -244,23 +244,25 @@
 	return false
 }
 
-// Brittle reports whether any upstream of the service is brittle, and whether one of
-// those has a free place, as far as the loads of other hosts tell: this host may get it
-// soon.
-func (p *Placer) Brittle(service string) (brittle, free bool) {
+// Brittle reports whether any upstream of the service is brittle, and whether this host
+// may soon have a place at one of those: a place is free, as far as the loads of other
+// hosts tell; or, while those are not known, this host has a share, whose places become
+// free as its own requests end; or its share is not known either.
+func (p *Placer) Brittle(service string) (brittle, soon bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	pl := p.pools[service]
 	if pl == nil || !pl.isBrittle() {
 		return false, false
 	}
-	if p.settings.Clock.Since(p.remoteLoadsAt) > remoteLoadsTTL {
-		return true, false
-	}
-	for _, u := range pl.upstreams {
-		if u.brittle.named && !u.Leaving && !u.withdrawal.leaving && p.freePlaces(u) >= 1 {
-			return true, true
+	informed := p.settings.Clock.Since(p.remoteLoadsAt) <= remoteLoadsTTL
+	return true, slices.ContainsFunc(pl.upstreams, func(u *upstream) bool {
+		switch {
+		case !u.brittle.named || u.Leaving || u.withdrawal.leaving || !informed && p.hosts <= 1:
+			return false
+		case informed:
+			return p.freePlaces(u) >= 1
 		}
-	}
-	return true, false
+		return p.rank < 0 || u.brittle.share(p.hosts, p.rankAt(u)) > 0
+	})
 }
--- a/placer/brittle_test.go
+++ b/placer/brittle_test.go
@@ -197,6 +197,35 @@
 		Entry("6 hosts without a leader", 6, 18, time.Duration(0)),
 	)
 
+	// Guards against requests that are refused at once because the host has not heard of
+	// the others' loads for half a second, and its few places are in use for the moment or
+	// its rank has not arrived yet.
+	DescribeTable("wait for a place of their share while loads are not exchanged", func(hosts, rank, places int, wait bool) {
+		clock := timekeeper.NewFake(time.Unix(100, 0))
+		p := placer.New(placer.Settings{Clock: clock, Zone: "a"})
+		p.SetHosts(hosts, rank)
+		p.Update([]tracker.Upstream{{ID: "a", Service: "s", Zone: "a", Version: "v1", Slots: 8}})
+		t, ok := p.Pick(placer.Request{Service: "s"})
+		Expect(ok).To(BeTrue())
+		t.RecordBrittle(true, clock.Now())
+		t.Done(placer.Succeeded, 0)
+		var held []*placer.Ticket
+		for t, ok := p.Pick(placer.Request{Service: "s"}); ok; t, ok = p.Pick(placer.Request{Service: "s"}) {
+			held = append(held, t)
+		}
+		Expect(held).To(HaveLen(places))
+		_, soon := p.Brittle("s")
+		Expect(soon).To(Equal(wait))
+		if places > 0 {
+			held[0].Done(placer.Succeeded, 0)
+			_, ok = p.Pick(placer.Request{Service: "s"})
+			Expect(ok).To(BeTrue())
+		}
+	},
+		Entry("while all of it is in use", 7, 0, 1, true), Entry("whose size is not known yet", 12, -1, 0, true),
+		Entry("of a single host, which knows that all are in use", 1, 0, 8, false),
+	)
+
 	// Guards against an upstream that replaces one that has fallen over and falls over at
 	// once, and against a word that binds for ever.
 	It("fill a new one step by step, and as before once it no longer says so", func() {
