Emulate cold and crashing engines and services

Cause: the emulator's upstreams answered however many requests reached them after a start, and a restart lasted no time, so that nothing showed a cold upstream that gets too much.

Change: EngineConfig and ServiceConfig have a ColdConfig: for how long an upstream is cold after a start, how many requests within any second it then tolerates from all senders together, and how long it is away after a crash. The fault crash closes all connections; calls in progress get no answer, and nothing is answered until the restart time has passed. Faults and audits are always served.

--- a/cmd/foxtailwall/standin.go
+++ b/cmd/foxtailwall/standin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -41,7 +42,7 @@
    curl -d '{"kind":"late","count":3,"delay":2000000000}' http://127.0.0.1:9001/faults
 
 The kinds are bad, good, leave, return, silent, late, cross, stray, cut, error,
-stall, slow, restart and down. GET /ran?after=N lists what an engine or a
+stall, slow, restart, crash and down. GET /ran?after=N lists what an engine or a
 service ran, for audits. See package emulator for the time model.`
 
 func standinCommand() *cli.Command {
@@ -66,6 +67,9 @@
 			&cli.IntFlag{Name: "cache", Usage: "size of the prefix cache in blocks of 256 bytes, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_CACHE")},
 			&cli.FloatFlag{Name: "gap", Usage: "share of cache events that are lost, 0 to 1", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_GAP")},
 			&cli.DurationFlag{Name: "lag", Usage: "age of load reports, ratings or the host list, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_LAG")},
+			&cli.FloatFlag{Name: "cold-rate", Usage: "requests within a second above which an engine or a service crashes while it is cold, 0 for one that never is", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_COLD_RATE")},
+			&cli.DurationFlag{Name: "cold", Usage: "time for which an engine or a service is cold after each start", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_COLD")},
+			&cli.DurationFlag{Name: "restart", Usage: "time from a crash until an engine or a service runs again", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_RESTART")},
 			&cli.BoolFlag{Name: "ignore-fencing", Usage: "accept orders with an old fencing token", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_IGNORE_FENCING")},
 			&cli.FloatFlag{Name: "missing", Usage: "share of ratings that never arrive, 0 to 1", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_MISSING")},
 			&cli.FloatFlag{Name: "rate", Usage: "fetches of weights per second, 0 for the default", Sources: cli.EnvVars("FOXTAILWALL_STANDIN_RATE")},
@@ -100,16 +104,21 @@
 // stops it.
 func newStandin(c *cli.Command) (handler emulator.Handler, stop func(), err error) {
 	stop = func() {}
+	cold, err := coldConfig(c)
+	if err != nil {
+		return nil, nil, err
+	}
 	switch kind := c.String("kind"); kind {
 	case "engine":
 		conf, err := engineConfig(c)
 		if err != nil {
 			return nil, nil, err
 		}
+		conf.Cold = cold
 		engine := emulator.NewEngine(conf)
 		return engine, engine.Close, nil
 	case "service":
-		handler = emulator.NewService(emulator.ServiceConfig{Name: c.String("name"), Time: c.Duration("step"), Concurrent: c.Int("slots")})
+		handler = emulator.NewService(emulator.ServiceConfig{Name: c.String("name"), Time: c.Duration("step"), Concurrent: c.Int("slots"), Cold: cold})
 	case "rater":
 		handler = emulator.NewRater(emulator.RaterConfig{Seed: c.Uint64("seed"), Delay: c.Duration("lag"), Missing: c.Float("missing")})
 	case "weights":
@@ -130,6 +139,20 @@
 	return handler, stop, nil
 }
 
+// coldConfig returns the validated settings of cold and crashing stand-ins.
+func coldConfig(c *cli.Command) (emulator.ColdConfig, error) {
+	conf := emulator.ColdConfig{Duration: c.Duration("cold"), PerSecond: c.Float("cold-rate"), Restart: c.Duration("restart")}
+	switch {
+	case math.IsNaN(conf.PerSecond) || conf.PerSecond < 0:
+		return conf, validator.NewSettingError("cold-rate", fmt.Sprint(conf.PerSecond), "a number of zero or more")
+	case conf.Duration < 0 || (conf.PerSecond > 0) != (conf.Duration > 0):
+		return conf, validator.NewSettingError("cold", conf.Duration.String(), "a positive duration if cold-rate is set, otherwise zero")
+	case conf.Restart < 0:
+		return conf, validator.NewSettingError("restart", conf.Restart.String(), "a duration of zero or more")
+	}
+	return conf, nil
+}
+
 func engineConfig(c *cli.Command) (emulator.EngineConfig, error) {
 	conf := emulator.EngineConfig{
 		Name: c.String("name"), Seed: c.Uint64("seed"),
--- a/emulator/chat.go
+++ b/emulator/chat.go
@@ -79,6 +79,9 @@
 
 // serveChat serves POST /v1/chat/completions.
 func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	if !e.survivesArrival() {
+		panic(http.ErrAbortHandler)
+	}
 	var req chatRequest
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	if !readJSON(w, r, &req) {
--- a/emulator/emulator.go
+++ b/emulator/emulator.go
@@ -21,6 +21,10 @@
 // faults over HTTP too: POST /faults with a Fault as JSON. GET /ran?after=N
 // returns the requests that an engine or a service ran.
 //
+// An engine or a service can crash: it closes all connections and answers nothing
+// until its restart time has passed. With a ColdConfig it is cold after each start,
+// and more requests within a second than it then tolerates make it crash.
+//
 // # Time model
 //
 // An engine works in steps (continuous batching). In one step every running
@@ -75,6 +79,9 @@
 	// HeaderVersion names the version when the body names only the model.
 	HeaderVersion = "Foxtailwall-Version"
 
+	// faultsPath and ranPath are the paths of faults and of audits.
+	faultsPath = "/faults"
+	ranPath    = "/ran"
 	// headerTimeout bounds how long a client may take to send its headers.
 	headerTimeout = 5 * time.Second
 	// maxBodyBytes bounds a request body.
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -65,6 +65,8 @@
 		// LoadTime is the time to load a version after its weights are
 		// fetched.
 		LoadTime time.Duration
+		// Cold describes the engine after a start; by default it is never cold.
+		Cold ColdConfig
 		// Weights fetches the weights of a version; nil means that they are
 		// stored locally.
 		Weights func(ctx context.Context, model, version string) error
@@ -112,6 +114,7 @@
 		mu              sync.Mutex
 		incarnation     uint64
 		restarts        int
+		cold            Cold
 		batch           *Batch
 		cache           *Cache
 		versions        []engineVersion
@@ -175,6 +178,7 @@
 		conf: conf, clock: clockOrSystem(conf.Clock), wake: make(chan struct{}, 1),
 		badQuality: make(map[declarer.VersionRef]float64), faults: make(countedFaults),
 		liveRequests: make(map[*activeRequest]struct{}), slowFactor: 1, kv: make(map[string][]uint64),
+		cold: Cold{ColdConfig: conf.Cold},
 	}
 	for _, v := range conf.Versions {
 		e.versions = append(e.versions, engineVersion{Version: v, state: loadReady})
@@ -193,7 +197,7 @@
 }
 
 // Handler serves the upstream protocol, GET /ran and POST /faults.
-func (e *Engine) Handler() http.Handler { return e.router }
+func (e *Engine) Handler() http.Handler { return handleUnlessDown(e, e.router) }
 
 // Ran returns the requests that the engine processed, completely or in part, in
 // the order in which they ended.
@@ -203,6 +207,13 @@
 	return slices.Clone(e.runs)
 }
 
+// ColdCrashes returns how often the engine crashed because it was cold.
+func (e *Engine) ColdCrashes() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cold.ColdCrashes()
+}
+
 // RefusedArrivals returns the arrival times of requests refused after
 // FaultLeave, relative to the time of the fault.
 func (e *Engine) RefusedArrivals() []time.Duration {
@@ -243,6 +254,9 @@
 		e.slowFactor = max(f.Factor, 1)
 	case FaultRestart:
 		e.reset()
+	case FaultCrash:
+		e.cold.Crash(e.clock.Now())
+		e.crash()
 	case FaultLate, FaultCross, FaultStray, FaultCut, FaultError:
 		e.faults.add(f)
 	default:
@@ -252,9 +266,42 @@
 	return nil
 }
 
-// reset aborts all requests and starts a new incarnation. The caller holds mu
-// or is the constructor.
+// survivesArrival records a request and reports whether the engine still runs.
+func (e *Engine) survivesArrival() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.cold.Arrive(e.clock.Now()) {
+		return true
+	}
+	e.crash()
+	return false
+}
+
+// crash aborts all requests and closes all connections of an engine whose state cold is
+// that of a crash. The caller holds mu.
+func (e *Engine) crash() {
+	e.newIncarnation()
+	for _, l := range e.listeners {
+		l.closeAll()
+	}
+}
+
+// isDown implements crasher.
+func (e *Engine) isDown() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cold.Down(e.clock.Now())
+}
+
+// reset restarts the engine at once. The caller holds mu or is the constructor.
 func (e *Engine) reset() {
+	e.cold.Start(e.clock.Now())
+	e.newIncarnation()
+}
+
+// newIncarnation aborts all requests and starts a new incarnation. The caller holds mu
+// or is the constructor.
+func (e *Engine) newIncarnation() {
 	now := e.clock.Now()
 	for w := range e.liveRequests {
 		w.aborted = true
--- a/emulator/fault.go
+++ b/emulator/fault.go
@@ -41,6 +41,10 @@
 	// FaultRestart aborts running requests, empties the cache and starts a
 	// new incarnation.
 	FaultRestart FaultKind = "restart"
+	// FaultCrash aborts running requests, closes all connections and answers
+	// nothing until the restart time of the ColdConfig has passed. An engine or a
+	// service then runs again, cold if it is configured so.
+	FaultCrash FaultKind = "crash"
 	// FaultDown makes the rating service, the weight store or the host list
 	// answer with status 503 until FaultReturn.
 	FaultDown FaultKind = "down"
--- a/emulator/report.go
+++ b/emulator/report.go
@@ -49,8 +49,8 @@
 	r.HandlerFunc(http.MethodGet, "/orders", e.getOrders)
 	r.GET("/kv/:id", e.exportKV)
 	r.PUT("/kv/:id", e.importKV)
-	r.HandlerFunc(http.MethodGet, "/ran", e.serveRuns)
-	r.HandlerFunc(http.MethodPost, "/faults", handleFaults(e))
+	r.HandlerFunc(http.MethodGet, ranPath, e.serveRuns)
+	r.HandlerFunc(http.MethodPost, faultsPath, handleFaults(e))
 	e.router = r
 }
 
--- a/emulator/service.go
+++ b/emulator/service.go
@@ -32,6 +32,8 @@
 		// BookingLog is shared by the replicas of one service; nil creates a new
 		// one.
 		BookingLog *BookingLog
+		// Cold describes the service after a start; by default it is never cold.
+		Cold ColdConfig
 	}
 
 	// BookingLog records the calls that the replicas of a service ran and
@@ -63,6 +65,7 @@
 
 		mu           sync.Mutex
 		incarnation  uint64
+		cold         Cold
 		running      int
 		leavingSince time.Time
 		lateArrivals []time.Time
@@ -95,11 +98,11 @@
 	if conf.BookingLog == nil {
 		conf.BookingLog = &BookingLog{}
 	}
-	s := &Service{conf: conf, clock: clockOrSystem(conf.Clock), faults: make(countedFaults)}
-	s.incarnation = nextIncarnation(0, s.clock.Now())
+	s := &Service{conf: conf, clock: clockOrSystem(conf.Clock), faults: make(countedFaults), cold: Cold{ColdConfig: conf.Cold}}
+	s.restart()
 	r := httprouter.New()
-	r.HandlerFunc(http.MethodPost, "/faults", handleFaults(s))
-	r.HandlerFunc(http.MethodGet, "/ran", s.serveRuns)
+	r.HandlerFunc(http.MethodPost, faultsPath, handleFaults(s))
+	r.HandlerFunc(http.MethodGet, ranPath, s.serveRuns)
 	r.HandlerFunc(http.MethodGet, "/load", s.serveLoad)
 	r.NotFound = http.HandlerFunc(s.serveCall)
 	s.router = r
@@ -108,11 +111,18 @@
 
 // Handler serves the calls of the service, GET /load, GET /ran and POST
 // /faults.
-func (s *Service) Handler() http.Handler { return s.router }
+func (s *Service) Handler() http.Handler { return handleUnlessDown(s, s.router) }
 
 // Ran returns the calls that ran on any replica with the same BookingLog.
 func (s *Service) Ran() []ServiceRun { return s.conf.BookingLog.Runs() }
 
+// ColdCrashes returns how often the service crashed because it was cold.
+func (s *Service) ColdCrashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cold.ColdCrashes()
+}
+
 // RefusedArrivals returns the arrival times of calls refused after FaultLeave,
 // relative to the time of the fault.
 func (s *Service) RefusedArrivals() []time.Duration {
@@ -158,7 +168,10 @@
 		}
 	case FaultReturn, FaultRestart:
 		s.leavingSince = time.Time{}
-		s.incarnation = nextIncarnation(s.incarnation, s.clock.Now())
+		s.restart()
+	case FaultCrash:
+		s.cold.Crash(s.clock.Now())
+		s.crash()
 	case FaultSilent:
 		for _, l := range s.listeners {
 			l.silence()
@@ -173,8 +186,53 @@
 	return nil
 }
 
+// restart starts a new incarnation. The caller holds mu or is the constructor.
+func (s *Service) restart() {
+	s.cold.Start(s.clock.Now())
+	s.incarnation = nextIncarnation(s.incarnation, s.clock.Now())
+}
+
+// crash closes all connections and starts a new incarnation of a service whose state cold
+// is that of a crash. Calls in progress end without an answer. The caller holds mu.
+func (s *Service) crash() {
+	s.incarnation = nextIncarnation(s.incarnation, s.clock.Now())
+	for _, l := range s.listeners {
+		l.closeAll()
+	}
+}
+
+// isDown implements crasher.
+func (s *Service) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cold.Down(s.clock.Now())
+}
+
+// arrive records a call and returns the number of crashes until then. It reports whether
+// the service still runs.
+func (s *Service) arrive() (crashes int, running bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cold.Arrive(s.clock.Now()) {
+		s.crash()
+		return s.cold.crashes, false
+	}
+	return s.cold.crashes, true
+}
+
+// crashedSince reports whether the service has crashed since arrive returned the number.
+func (s *Service) crashedSince(crashes int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cold.crashes > crashes
+}
+
 // serveCall runs one call and echoes its digest and count.
 func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	crashes, running := s.arrive()
+	if !running {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
@@ -198,7 +256,7 @@
 	_, cut := s.faults.consume(FaultCut)
 	_, fail := s.faults.consume(FaultError)
 	s.mu.Unlock()
-	if timekeeper.Sleep(r.Context(), s.clock, wait+delay) != nil || cut {
+	if timekeeper.Sleep(r.Context(), s.clock, wait+delay) != nil || cut || s.crashedSince(crashes) {
 		panic(http.ErrAbortHandler)
 	}
 	if fail {
