Let a new leader wait for its first answer

Cause: a leader that a majority has not answered for 0.8 s steps down. For a leader that was just elected the time counted from 0.5 s before its election, where the progress of members starts so that they cannot extend a lease. It stepped down after 0.3 s, before a member whose sync takes that long could answer, and so did each later one.

Change: the time counts from the leader's election at the earliest. Leases depend on answers only, as before.

Measured: the new spec fails without the change and passes with it. The package passes with -race.

--- a/replicator/core.go
+++ b/replicator/core.go
@@ -74,7 +74,9 @@
 
 		progress map[string]*progress
 		// termStart is the index of the first entry of this leader's term.
-		termStart     uint64
+		termStart uint64
+		// leaderSince is when this leader was elected.
+		leaderSince   time.Duration
 		lastBroadcast time.Duration
 
 		incoming        *incomingSnapshot
@@ -177,8 +179,9 @@
 
 func (c *core) tickLeader() {
 	// A leader that a majority has not answered steps down, so that its callers
-	// look for the leader that the majority may have elected.
-	if c.now-c.quorumAckTime() >= c.electionTimeout+c.heartbeatInterval {
+	// look for the leader that the majority may have elected. The time counts from
+	// its own election at the earliest, since the first answers follow a sync.
+	if c.now-max(c.quorumAckTime(), c.leaderSince) >= c.electionTimeout+c.heartbeatInterval {
 		c.becomeFollower(c.meta.Term, "")
 		return
 	}
--- a/replicator/core_test.go
+++ b/replicator/core_test.go
@@ -79,6 +79,19 @@
 		Expect(c.commit).To(Equal(uint64(3)))
 	})
 
+	// Guards against a group without a leader for as long as one disk takes 0.3 s for a sync:
+	// each new leader stepped down before the first answer could arrive.
+	It("leads for an election timeout without an answer, and no longer", func() {
+		c := newTestCore(journaler.Meta{Term: 2})
+		electLeader(c)
+		elected, limit := c.now, c.electionTimeout+c.heartbeatInterval
+		c.tick(elected + limit - time.Millisecond)
+		Expect(c.role).To(Equal(leader))
+		Expect(c.leaseExpiry()).To(BeNumerically("<=", elected))
+		c.tick(elected + limit)
+		Expect(c.role).To(Equal(follower))
+	})
+
 	// Guards against a member that reports a command to its caller before the
 	// leader's lease reads show it.
 	It("sends its applied index as the commit index", func() {
--- a/replicator/election.go
+++ b/replicator/election.go
@@ -118,7 +118,7 @@
 }
 
 func (c *core) becomeLeader() {
-	c.role, c.leaderID = leader, c.self.ID
+	c.role, c.leaderID, c.leaderSince = leader, c.self.ID, c.now
 	c.progress = make(map[string]*progress)
 	for _, m := range c.membership() {
 		c.trackProgress(m.ID)
