Clear crashes by the start of the attempt that succeeded

An upstream that ends under a part breaks the attempts that run then. Responses that end after the crash, but whose attempts other upstreams served before it, cleared the part nevertheless, so that a part that is answered now and then was found late or never.

Hosts now report when the attempt of a success was sent (sentAge), and keep the success whose attempt was sent last. The judge clears the crashes and breaks before that time. Without the field, from hosts of an earlier release, the time of the response counts.

The new spec isolated nothing before the change and passes after it.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -100,6 +100,8 @@
 		// about its response, nil if another host knows it.
 		upstream tracker.Upstream
 		stats    *attemptStats
+		// sentAt is when the latest attempt was sent to an upstream or another host.
+		sentAt time.Time
 		// lastFailure is the latest error response of an upstream, which is returned
 		// if no further attempt is possible.
 		lastFailure *response
@@ -279,6 +281,7 @@
 func (c *call) sendAttempt(t *placer.Ticket) bool {
 	upstream := t.Upstream()
 	sentAt := c.f.settings.Clock.Now()
+	c.sentAt = sentAt
 	g := newProgressGuard(c, t, sentAt)
 	c.beginAttempt(upstream, t.Cold(), sentAt)
 	c.recordSent()
--- a/forwarder/delegate.go
+++ b/forwarder/delegate.go
@@ -130,6 +130,7 @@
 	c.f.settings.Budget.ReturnRequest(c.service.Name)
 	c.f.settings.Scope.Counter("forwarder.delegated").Inc(1)
 	sentAt := c.f.settings.Clock.Now()
+	c.sentAt = sentAt
 	resp, err := c.f.settings.HostDialer.Forward(c.r.Context(), c.delegatedRequest(t.Address(), sentAt))
 	if err != nil {
 		if c.interruption() != nil || !c.f.settings.Clock.Now().Before(c.deadline) {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -505,6 +505,7 @@
 		Expect(e.Crashes).To(HaveLen(1))
 		Expect(e.Successes).To(HaveLen(1))
 		Expect(e.Successes[0].Part).To(Equal(part))
+		Expect(e.Successes[0].SentAge-e.Successes[0].Age).To(BeNumerically(">=", time.Second), "the attempt was sent before it was served")
 	})
 
 	// Guards against a trial of an isolated part that sends more than one request, or one
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -121,7 +121,7 @@
 	a.served = true
 	c.recordTrial()
 	if parts := c.sharedParts(); len(parts) > 0 {
-		c.f.isolation.RecordSuccess(c.service.Name, parts)
+		c.f.isolation.RecordSuccess(c.service.Name, parts, c.sentAt)
 	}
 }
 
@@ -138,11 +138,11 @@
 // recordUnbroken records that the request got its whole response.
 func (c *call) recordUnbroken() {
 	if c.stats != nil {
-		c.f.isolation.RecordAnswered(c.service.Name, c.stats.sentAt)
+		c.f.isolation.RecordAnswered(c.service.Name, c.sentAt)
 	}
 	c.recordTrial()
-	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID())
+	c.f.isolation.RecordRequestSuccess(c.service.Name, c.contentID(), c.sentAt)
 	if parts := c.sharedParts(); len(parts) > 0 {
-		c.f.isolation.RecordSuccess(c.service.Name, parts)
+		c.f.isolation.RecordSuccess(c.service.Name, parts, c.sentAt)
 	}
 }
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -5,8 +5,10 @@
 // parts are suspects. Two things tell the cause from the rest: it is there at
 // every crash, and no request with it succeeds afterwards. Hosts report the parts
 // of their broken requests to the leader of the control group; the leader
-// announces those that were there at several crashes, and hosts answer when a
-// request with them last succeeded, which clears them of the crashes before. The
+// announces those that were there at several crashes, and hosts answer when the
+// latest attempt with them that succeeded was sent, which clears them of the crashes
+// before. An attempt that was sent earlier may have succeeded only because it was
+// served before the crash. The
 // part that remains with the most crashes is isolated, and the crashes that it
 // explains no longer count against other parts.
 //
@@ -33,9 +35,9 @@
 //	r.RecordSent(service, parts)
 //	r.RecordAnswered(service, sentAt)
 //	r.RecordBroken(service, upstream, content, parts)
-//	r.RecordSuccess(service, parts)
+//	r.RecordSuccess(service, parts, sentAt)
 //	r.RecordBrokenRequest(isolator.BrokenRequest{Service: service, Content: hash, Upstream: upstream, ID: requestID, Attempt: 1})
-//	r.RecordRequestSuccess(service, hash)
+//	r.RecordRequestSuccess(service, hash, sentAt)
 //	r.SetSuspects(suspects) // from the leader
 //	r.SetIsolations(isolations) // from the replicated log
 //	if r.TakeTrial(part) {
@@ -94,8 +96,10 @@
 	// Success says that a request with a prompt part got its whole response.
 	Success struct {
 		Part controller.PromptPart `cbor:"part"`
-		// Age is the time since then.
-		Age time.Duration `cbor:"age"`
+		// Age is the time since then, and SentAge that since its attempt was sent, zero
+		// from hosts of an earlier release.
+		Age     time.Duration `cbor:"age"`
+		SentAge time.Duration `cbor:"sentAge,omitempty"`
 	}
 
 	// Evidence is what a host reports to the leader.
@@ -105,7 +109,7 @@
 		// Breaks are those of the last seconds; after a change of the leader, all that
 		// the host remembers.
 		Breaks []Break `cbor:"breaks,omitempty"`
-		// Successes are the last ones with each suspect.
+		// Successes are those with each suspect whose attempt was sent last.
 		Successes []Success `cbor:"successes,omitempty"`
 		// Recorder identifies the run of the host's process, and Tallies count its
 		// attempts of the last seconds while there are crashes or suspects. Hosts of an
--- a/isolator/isolator_test.go
+++ b/isolator/isolator_test.go
@@ -84,12 +84,12 @@
 	// requests with them too.
 	It("isolates the part that was there at every crash and never succeeded", func() {
 		g := newGroup(3)
-		g.hosts[2].RecordSuccess("s", []uint64{1, 2})
+		g.hosts[2].RecordSuccess("s", []uint64{1, 2}, g.clock.Now())
 		for i := range uint64(4) {
 			g.crash([]uint64{1, 10 + i, 666}, []uint64{1, 20 + i}, []uint64{2, 30 + i})
 		}
 		g.clock.Advance(10 * time.Millisecond)
-		g.hosts[1].RecordSuccess("s", []uint64{1, 40})
+		g.hosts[1].RecordSuccess("s", []uint64{1, 40}, g.clock.Now())
 		Expect(g.exchange()).To(Equal([]uint64{666}))
 		Expect(g.exchange()).To(BeEmpty())
 	})
@@ -130,7 +130,7 @@
 			g.crash([]uint64{7})
 		}
 		g.clock.Advance(10 * time.Millisecond)
-		g.hosts[1].RecordSuccess("s", []uint64{7})
+		g.hosts[1].RecordSuccess("s", []uint64{7}, g.clock.Now())
 		for range 4 {
 			Expect(g.exchange()).To(BeEmpty())
 		}
@@ -142,6 +142,33 @@
 		Expect(g.exchange()).To(Equal([]uint64{7}))
 	})
 
+	// Guards against a part, or a request, that crashes upstreams and is cleared again and
+	// again by responses that end after the crashes and whose attempts were sent before.
+	It("clears no crash after the start of the attempt that succeeded", func() {
+		g := newGroup(2)
+		before := g.clock.Now()
+		for i := range 4 {
+			g.clock.Advance(50 * time.Millisecond)
+			g.crash([]uint64{7})
+			g.hosts[0].RecordBrokenRequest(isolator.BrokenRequest{Service: "s", Content: 8, Upstream: tracker.Key{ID: fmt.Sprint("v", i)}, ID: fmt.Sprint(i), Attempt: 1})
+		}
+		g.clock.Advance(10 * time.Millisecond)
+		g.hosts[1].RecordSuccess("s", []uint64{7}, before)
+		g.hosts[1].RecordRequestSuccess("s", 8, before)
+		Expect(g.exchange()).To(ConsistOf(uint64(7), uint64(8)))
+
+		By("an attempt that was sent after the crashes and succeeded before another one")
+		g = newGroup(2)
+		for range 4 {
+			g.crash([]uint64{7})
+		}
+		g.clock.Advance(10 * time.Millisecond)
+		g.hosts[1].RecordSuccess("s", []uint64{7}, g.clock.Now())
+		g.clock.Advance(10 * time.Millisecond)
+		g.hosts[1].RecordSuccess("s", []uint64{7}, before)
+		Expect(g.exchange()).To(BeEmpty())
+	})
+
 	// Guards against a part that is never isolated because many more engines crash
 	// under it, before hosts could clear it, than are counted.
 	It("isolates a part under which many engines crash at once", func() {
@@ -150,7 +177,7 @@
 			g.crash([]uint64{1, 666}, []uint64{2})
 		}
 		g.clock.Advance(10 * time.Millisecond)
-		g.hosts[0].RecordSuccess("s", []uint64{1, 2})
+		g.hosts[0].RecordSuccess("s", []uint64{1, 2}, g.clock.Now())
 		Expect(g.exchange()).To(Equal([]uint64{666}))
 	})
 
@@ -162,7 +189,7 @@
 		for step := range 300 {
 			h := g.hosts[step%3]
 			g.clock.Advance(100 * time.Millisecond)
-			h.RecordSuccess("s", []uint64{1})
+			h.RecordSuccess("s", []uint64{1}, g.clock.Now())
 			g.clock.Advance(time.Millisecond)
 			for range 6 {
 				h.RecordBroken("s", tracker.Key{ID: fmt.Sprint("u", g.newID())}, uint64(g.newID()), []uint64{1})
@@ -244,7 +271,12 @@
 	*group
 	rng *rand.Rand
 	// running has the prompts at each engine.
-	running [18][][]uint64
+	running [18][]runningPrompt
+}
+
+type runningPrompt struct {
+	parts  []uint64
+	sentAt time.Time
 }
 
 // prompt returns one of four first parts, which many requests share, and one of
@@ -252,9 +284,9 @@
 func (f *fleet) prompt() []uint64 { return []uint64{1 + f.rng.Uint64N(4), 100 + f.rng.Uint64N(2000)} }
 
 // send lets a host send a prompt to an engine.
-func (f *fleet) send(prompt []uint64) []uint64 {
+func (f *fleet) send(prompt []uint64) runningPrompt {
 	f.hosts[f.rng.IntN(len(f.hosts))].RecordSent("s", prompt)
-	return prompt
+	return runningPrompt{prompt, f.clock.Now()}
 }
 
 // step lets 6 requests begin, which takes about 0.1 s at 60 a second, and a third
@@ -265,15 +297,15 @@
 		f.running[e] = append(f.running[e], f.send(f.prompt()))
 	}
 	for e, prompts := range f.running {
-		var rest [][]uint64
+		var rest []runningPrompt
 		for _, p := range prompts {
 			if f.rng.IntN(3) > 0 {
 				rest = append(rest, p)
 				continue
 			}
 			host := f.hosts[f.rng.IntN(len(f.hosts))]
-			host.RecordSuccess("s", p)
-			host.RecordAnswered("s", f.clock.Now())
+			host.RecordSuccess("s", p.parts, p.sentAt)
+			host.RecordAnswered("s", p.sentAt)
 		}
 		f.running[e] = rest
 	}
@@ -281,7 +313,11 @@
 
 // crashEngine breaks everything that runs at one engine.
 func (f *fleet) crashEngine(e int) {
-	f.crash(f.running[e]...)
+	var prompts [][]uint64
+	for _, p := range f.running[e] {
+		prompts = append(prompts, p.parts)
+	}
+	f.crash(prompts...)
 	f.running[e] = nil
 }
 
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -71,9 +71,10 @@
 	// suspect is the evidence for and against a part.
 	suspect struct {
 		depth int
-		// crashes has the crashes since the part last succeeded, by upstream.
+		// crashes has the crashes since succeeded, by upstream.
 		crashes map[uint64]*crash
-		// succeeded is when a request with the part last succeeded, as far as known.
+		// succeeded is when the latest attempt with the part that succeeded was sent, as
+		// far as known.
 		succeeded time.Time
 		// reported is when its newest crash was reported.
 		reported time.Time
@@ -194,12 +195,13 @@
 		j.addCrash(c, now)
 	}
 	for _, ok := range e.Successes {
+		sentAt := now.Add(-cmp.Or(ok.SentAge, ok.Age))
 		if ok.Part.Request {
-			j.requests.addSuccess(ok.Part, now.Add(-ok.Age), now)
+			j.requests.addSuccess(ok.Part, sentAt, now)
 			continue
 		}
 		if s := j.suspects[ok.Part]; s != nil {
-			j.addSuccess(ok.Part, s, now.Add(-ok.Age))
+			j.addSuccess(ok.Part, s, sentAt)
 		}
 	}
 }
@@ -231,13 +233,13 @@
 	j.update(c.Part, s)
 }
 
-// addSuccess clears a part of the crashes before a success.
-func (j *Judge) addSuccess(part controller.PromptPart, s *suspect, at time.Time) {
-	if !at.After(s.succeeded) {
+// addSuccess clears a part of the crashes before an attempt that succeeded was sent.
+func (j *Judge) addSuccess(part controller.PromptPart, s *suspect, sentAt time.Time) {
+	if !sentAt.After(s.succeeded) {
 		return
 	}
-	s.succeeded = at
-	maps.DeleteFunc(s.crashes, func(_ uint64, c *crash) bool { return !c.at.After(at) })
+	s.succeeded = sentAt
+	maps.DeleteFunc(s.crashes, func(_ uint64, c *crash) bool { return !c.at.After(sentAt) })
 	j.update(part, s)
 }
 
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -47,12 +47,13 @@
 		tallies hostTallies
 		trials  hostTrials
 		crashes []recordedCrash
-		// succeeded is when a request with the part last succeeded.
-		succeeded *buffer.LRU[controller.PromptPart, time.Time]
+		// succeeded has the successful attempt with the part that was sent last.
+		succeeded *buffer.LRU[controller.PromptPart, recordedSuccess]
 		suspects  []controller.PromptPart
 		breaks    []BrokenRequest
-		// requestSucceeded is when a request last got its whole response.
-		requestSucceeded *buffer.LRU[controller.PromptPart, time.Time]
+		// requestSucceeded has the attempt of a request that got its whole response and
+		// was sent last.
+		requestSucceeded *buffer.LRU[controller.PromptPart, recordedSuccess]
 		path             Path
 		// leader is the leader that gets the reports, since leaderAt.
 		leader   netip.AddrPort
@@ -86,13 +87,15 @@
 		Crash
 		at time.Time
 	}
+
+	recordedSuccess struct{ sentAt, at time.Time }
 )
 
 // NewRecorder returns a recorder without evidence.
 func NewRecorder(clock timekeeper.Clock) *Recorder {
 	return &Recorder{
-		clock: clock, id: rand.Uint64(), createdAt: clock.Now(), succeeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
-		requestSucceeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
+		clock: clock, id: rand.Uint64(), createdAt: clock.Now(), succeeded: buffer.NewLRU[controller.PromptPart, recordedSuccess](maxSuccesses),
+		requestSucceeded: buffer.NewLRU[controller.PromptPart, recordedSuccess](maxSuccesses),
 	}
 }
 
@@ -140,14 +143,22 @@
 	}
 }
 
-// RecordSuccess records that a request with these parts got its whole response.
-func (r *Recorder) RecordSuccess(service string, parts []uint64) {
+// RecordSuccess records that an attempt with these parts that was sent at a time got its
+// whole response.
+func (r *Recorder) RecordSuccess(service string, parts []uint64, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	for _, id := range parts {
-		r.succeeded.Put(controller.PromptPart{Service: service, ID: id}, now)
+		putSuccess(r.succeeded, controller.PromptPart{Service: service, ID: id}, recordedSuccess{sentAt, r.clock.Now()})
+	}
+}
+
+// putSuccess stores a success, unless one is known whose attempt was sent later.
+func putSuccess(to *buffer.LRU[controller.PromptPart, recordedSuccess], part controller.PromptPart, s recordedSuccess) {
+	if known, ok := to.Peek(part); ok && known.sentAt.After(s.sentAt) {
+		s = known
 	}
+	to.Put(part, s)
 }
 
 // RecordBrokenRequest records that an attempt has just been broken off.
@@ -161,11 +172,12 @@
 	}
 }
 
-// RecordRequestSuccess records that a request got its whole response.
-func (r *Recorder) RecordRequestSuccess(service string, content uint64) {
+// RecordRequestSuccess records that an attempt of a request that was sent at a time got
+// its whole response.
+func (r *Recorder) RecordRequestSuccess(service string, content uint64, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.requestSucceeded.Put(Request(service, content), r.clock.Now())
+	putSuccess(r.requestSucceeded, Request(service, content), recordedSuccess{sentAt, r.clock.Now()})
 }
 
 // SetLeader sets the leader that gets the reports. A new one does not know what its
@@ -260,8 +272,8 @@
 		if part.Request {
 			succeeded = r.requestSucceeded
 		}
-		if at, ok := succeeded.Peek(part); ok {
-			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(at)})
+		if s, ok := succeeded.Peek(part); ok {
+			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(s.at), SentAge: now.Sub(s.sentAt)})
 		}
 	}
 	r.trials.report(&e, now)
--- a/isolator/requests.go
+++ b/isolator/requests.go
@@ -51,7 +51,7 @@
 	// A request that crashes upstreams is broken off each time that it is sent, by
 	// one upstream after the other. One that only shared an upstream with it is
 	// served when it is sent again. Breaks therefore count in a row: a success clears
-	// all before it.
+	// all before its attempt was sent.
 	requestJudge struct {
 		requests map[controller.PromptPart]*requestEvidence
 		// episodes counts at how many times each upstream broke requests off.
@@ -69,8 +69,9 @@
 
 	// requestEvidence is the evidence for and against a request.
 	requestEvidence struct {
-		// breaks are those since the last success, by Break.Attempt.
-		breaks    map[uint64]brokenAttempt
+		// breaks are those since succeeded, by Break.Attempt.
+		breaks map[uint64]brokenAttempt
+		// succeeded is when the latest attempt that succeeded was sent.
 		succeeded time.Time
 		// reported is when the newest break was reported, and announced when the
 		// request was first announced, zero if it is not.
@@ -188,14 +189,14 @@
 	}
 }
 
-// addSuccess clears a request of the breaks before a success.
-func (j *requestJudge) addSuccess(request controller.PromptPart, at, now time.Time) {
+// addSuccess clears a request of the breaks before an attempt that succeeded was sent.
+func (j *requestJudge) addSuccess(request controller.PromptPart, sentAt, now time.Time) {
 	e := j.requests[request]
-	if e == nil || !at.After(e.succeeded) {
+	if e == nil || !sentAt.After(e.succeeded) {
 		return
 	}
-	e.succeeded = at
-	maps.DeleteFunc(e.breaks, func(_ uint64, b brokenAttempt) bool { return !b.at.After(at) })
+	e.succeeded = sentAt
+	maps.DeleteFunc(e.breaks, func(_ uint64, b brokenAttempt) bool { return !b.at.After(sentAt) })
 	if len(e.breaks) == 0 {
 		e.candidates = 0
 	}
--- a/isolator/requests_test.go
+++ b/isolator/requests_test.go
@@ -187,7 +187,7 @@
 				crashed = true
 				return false
 			}
-			s.hosts[a.host].RecordRequestSuccess("s", a.content)
+			s.hosts[a.host].RecordRequestSuccess("s", a.content, a.sentAt)
 			s.hosts[a.host].RecordAnswered("s", a.sentAt)
 			return true
 		})
--- a/isolator/streams_test.go
+++ b/isolator/streams_test.go
@@ -118,7 +118,7 @@
 				f.hosts[s.host].RecordAnswered("s", s.sentAt)
 			}
 			if s.end == f.now || f.now-s.placed == servedSteps {
-				f.hosts[s.host].RecordSuccess("s", s.parts)
+				f.hosts[s.host].RecordSuccess("s", s.parts, s.sentAt)
 			}
 			if s.end > f.now {
 				rest = append(rest, s)
--- a/isolator/traffic_test.go
+++ b/isolator/traffic_test.go
@@ -277,8 +277,8 @@
 				t.hosts[r.host].RecordTrial(*r.trial)
 			}
 			t.hosts[r.host].RecordAnswered("s", r.sentAt)
-			t.hosts[r.host].RecordSuccess("s", r.parts)
-			t.hosts[r.host].RecordRequestSuccess("s", r.content)
+			t.hosts[r.host].RecordSuccess("s", r.parts, r.sentAt)
+			t.hosts[r.host].RecordRequestSuccess("s", r.content, r.sentAt)
 			return true
 		})
 		if crashed {
