Try a common part before refusing it

Such a part is held first: the log entry names the host that sends the part most often, which lets one request through, and all others with the part wait at their hosts, up to 1 s and within their deadline. A crash under the trial starts the refusal, and an answer clears the part. Without a result in 0.8 s the part is refused until a trial is served. Without a host for the trial, or in the first second of a leader, requests proceed.

An entry may take longer than a hold until it is stored, so the leader counts from when it was published.

With the start of a hold disabled, the two specs of a common part that crashes upstreams fail; with the evidence dropped, the spec that keeps it fails.

The specs of isolator, controller and forwarder pass without the race detector.

--- a/controller/isolation.go
+++ b/controller/isolation.go
@@ -39,6 +39,10 @@
 		// Trial starts a trial during an isolation: the host whose isolator.Recorder has
 		// this ID lets one request through. Machines of an earlier release ignore it.
 		Trial uint64 `cbor:"trial,omitempty"`
+		// Hold starts an isolation with a hold, in which Trial names the host of the trial.
+		// A further start ends the hold. Machines of an earlier release start the isolation
+		// at once.
+		Hold bool `cbor:"hold,omitempty"`
 	}
 
 	// Isolation says that requests with a prompt part crashed engines, or that a
@@ -59,6 +63,9 @@
 		Since   time.Time `cbor:"since,omitzero"`
 		Trials  int       `cbor:"trials,omitempty"`
 		TrialBy uint64    `cbor:"trialBy,omitempty"`
+		// Held means that requests with the part wait for the result of the trial, for a
+		// time, and are not refused.
+		Held bool `cbor:"held,omitempty"`
 	}
 )
 
@@ -77,8 +84,11 @@
 	// Readers may still use the old list.
 	next := slices.DeleteFunc(slices.Clone(m.isolations), func(i Isolation) bool { return !i.Active && i.Until.Before(at) })
 	index := slices.IndexFunc(next, func(i Isolation) bool { return i.Part == st.Part })
+	active := index >= 0 && next[index].Active
 	switch {
-	case st.Trial != 0:
+	case st.Hold && active:
+		return false
+	case st.Trial != 0 && !st.Hold:
 		if index < 0 || !next[index].Active || next[index].Trials >= MaxIsolationTrials {
 			return false
 		}
@@ -89,7 +99,9 @@
 		next = slices.Delete(next, index, index+1)
 	case st.End:
 		next[index].Active, next[index].Until = false, at.Add(isolationMemory)
-	case index >= 0 && next[index].Active:
+	case active && next[index].Held:
+		next[index].Held = false
+	case active:
 		return false
 	case index >= 0:
 		next[index] = isolate(next[index], at)
@@ -99,6 +111,10 @@
 		}
 		next = append(next, isolate(Isolation{Part: st.Part}, at))
 	}
+	if st.Hold {
+		i := slices.IndexFunc(next, func(i Isolation) bool { return i.Part == st.Part })
+		next[i].Held, next[i].Trials, next[i].TrialBy = true, 1, st.Trial
+	}
 	m.isolations = next
 	m.viewDirty = true
 	return true
@@ -111,7 +127,7 @@
 		duration = min(2*duration, maxIsolation)
 	}
 	i.Active, i.Times, i.Until = true, i.Times+1, at.Add(duration)
-	i.Since, i.Trials, i.TrialBy = at, 0, 0
+	i.Since, i.Trials, i.TrialBy, i.Held = at, 0, 0, false
 	return i
 }
 
--- a/controller/isolation_test.go
+++ b/controller/isolation_test.go
@@ -90,4 +90,25 @@
 		Expect(b.Published().Isolations).To(BeEmpty())
 		Expect(b.applyEntry(served)[0].OK).To(BeFalse())
 	})
+
+	// Guards against a hold that is lost, that does not count its trial, or that starts
+	// again while the part is isolated.
+	It("may begin with a hold, which a further start ends", func() {
+		b := newLoggedMachine(nil)
+		hold := controller.Item{Isolation: &controller.IsolationStep{Part: part(7), Hold: true, Trial: 9}}
+		Expect(b.applyEntry(hold)[0].OK).To(BeTrue())
+		want := b.Published().Isolations[0]
+		Expect(want).To(And(HaveField("Active", true), HaveField("Held", true), HaveField("Trials", 1), HaveField("TrialBy", uint64(9))))
+		Expect(b.applyEntry(hold)[0].OK).To(BeFalse())
+		data, err := b.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		c := newLoggedMachine(nil)
+		Expect(c.Restore(data)).To(Succeed())
+		Expect(c.Published()).To(Equal(b.Published()))
+		b.at = b.at.Add(time.Second)
+		Expect(step(b, 7, false)).To(BeTrue())
+		want.Held = false
+		Expect(b.Published().Isolations).To(Equal([]controller.Isolation{want}))
+		Expect(b.applyEntry(hold)[0].OK).To(BeFalse())
+	})
 })
--- a/coordinator/isolate.go
+++ b/coordinator/isolate.go
@@ -17,8 +17,8 @@
 		}
 		isolations := c.Published().Isolations
 		c.judge.SetIsolations(isolations)
-		for _, part := range c.judge.Next() {
-			c.stepIsolation(ctx, controller.IsolationStep{Part: part})
+		for _, st := range c.judge.Next() {
+			c.stepIsolation(ctx, st)
 		}
 		for _, st := range c.judge.Trials() {
 			c.stepIsolation(ctx, st)
@@ -41,6 +41,6 @@
 			Msg("cannot propose the isolation of a prompt part or request")
 		return
 	}
-	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("trial", st.Trial != 0).Bool("served", st.Served).Bool("changed", a.OK).
+	c.set.Log.Warn().Stringer("part", st.Part).Bool("ended", st.End).Bool("hold", st.Hold).Bool("trial", st.Trial != 0).Bool("served", st.Served).Bool("changed", a.OK).
 		Msg("isolation of a prompt part or request that crashes upstreams")
 }
--- a/forwarder/admission.go
+++ b/forwarder/admission.go
@@ -54,6 +54,14 @@
 				abandon(t)
 				return nil, ref
 			}
+			if c.isHeld() {
+				// The place is for others meanwhile.
+				abandon(t)
+				if ref := c.waitWhileHeld(); ref != nil {
+					return nil, ref
+				}
+				continue
+			}
 			// A rollout may have been ordered or have ended during the wait.
 			c.excludeNewRollout()
 			if filter := c.versionFilter(); filter != req.Versions {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -259,6 +259,10 @@
 			c.finishFailed(ref)
 			return
 		}
+		if ref := c.waitWhileHeld(); ref != nil {
+			c.finishFailed(ref)
+			return
+		}
 		if t, ok := c.pickHost(); ok {
 			if c.delegate(t) {
 				return
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -173,6 +173,9 @@
 		Rollouts map[string]controller.OrderedRollout
 		// Isolated has the prompt parts and requests that crash upstreams.
 		Isolated map[controller.PromptPart]bool
+		// Held has the prompt parts that may crash upstreams, whose requests wait for the
+		// result of a trial.
+		Held map[controller.PromptPart]bool
 	}
 
 	// Forwarder proxies requests. Create it with New.
@@ -197,6 +200,8 @@
 		// isolation collects evidence about prompt parts and requests that crash
 		// upstreams.
 		isolation *isolator.Recorder
+		// held is the number of requests that wait because of a held part.
+		held atomic.Int64
 
 		// requestLog is a sampled logger for lines about single requests.
 		requestLog zerolog.Logger
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -543,6 +543,42 @@
 		}
 	})
 
+	// Guards against requests with a held part that are refused or sent before the trial has
+	// a result, against a trial with several attempts, and against requests that wait for a
+	// leader that no longer decides.
+	It("lets requests with a held part wait for the trial of one", func() {
+		b.addUpstream(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		b.setRoute(matcher.Route{Kind: matcher.Stream, MaxAttempts: 1, Resumable: true, MaxPause: 5 * time.Second})
+		part := controller.PromptPart{Service: "s", ID: 7}
+		config := b.fwd.ActiveConfig()
+		hold := func(by uint64) {
+			config.Held, config.Isolated = map[controller.PromptPart]bool{part: true}, nil
+			b.fwd.SetIsolations([]controller.Isolation{{Part: part, Active: true, Held: true, Since: timekeeper.System{}.Now(), Trials: 1, TrialBy: by}})
+			b.fwd.SetConfig(config)
+		}
+		hold(1)
+		startedAt := time.Now()
+		Expect(b.sendParts("7", "8").status).To(Equal(http.StatusBadGateway), "sent after a hold without a decision")
+		Expect(time.Since(startedAt)).To(BeNumerically(">=", 900*time.Millisecond))
+		Expect(b.ranUpstreams()).To(HaveLen(1))
+
+		By("the trial of this host")
+		hold(b.fwd.Evidence(netip.AddrPort{}).Recorder)
+		Expect(b.sendParts("7", "8").status).To(Equal(http.StatusBadGateway))
+		Expect(b.fwd.Evidence(netip.AddrPort{}).Broken).To(Equal([]controller.PromptPart{part}))
+		Expect(b.ranUpstreams()).To(HaveLen(2))
+
+		By("a request that waits until the part is refused")
+		hold(1)
+		refusing := config
+		refusing.Isolated, refusing.Held = config.Held, nil
+		time.AfterFunc(100*time.Millisecond, func() { b.fwd.SetConfig(refusing) })
+		a := b.sendParts("7", "8")
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.body).To(ContainSubstring("promptIsolated"))
+		Expect(b.ranUpstreams()).To(HaveLen(2))
+	})
+
 	// Guards against callers that hold a request for ever by sending its body a byte
 	// at a time or not at all.
 	It("refuses a request whose body does not arrive in time", func(context.Context) {
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -10,6 +10,18 @@
 	"foxtailwall/isolator"
 	"foxtailwall/refuser"
 	"foxtailwall/router"
+	"foxtailwall/timekeeper"
+)
+
+const (
+	// holdCheckInterval is the time between checks of whether a request with a held part
+	// may be sent.
+	holdCheckInterval = 25 * time.Millisecond
+	// maxHeldRequests bounds the requests of a host that wait because of a held part, and
+	// heldRetryAfter is the Retry-After of those above it, which the end of the hold lets
+	// through or refuses.
+	maxHeldRequests = 256
+	heldRetryAfter  = time.Second
 )
 
 // maxCrashDelay is how long after the first byte of its response a request may be the
@@ -28,6 +40,7 @@
 		since := f.settings.Clock.Since(receivedAt)
 		e.Crashes = slices.DeleteFunc(e.Crashes, func(c isolator.Crash) bool { return c.Age < since })
 		e.Breaks = slices.DeleteFunc(e.Breaks, func(b isolator.Break) bool { return b.Age < since })
+		e.Broken = nil
 	}
 	return e
 }
@@ -65,6 +78,44 @@
 	return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, isolatedRetryAfter)
 }
 
+// isHeld reports whether the next attempt waits because of a held part of the prompt. The
+// request of a trial does not.
+func (c *call) isHeld() bool {
+	held := c.f.ActiveConfig().Held
+	if len(held) == 0 {
+		return false
+	}
+	var found []controller.PromptPart
+	for _, id := range c.sharedParts() {
+		if part := (controller.PromptPart{Service: c.service.Name, ID: id}); held[part] {
+			found = append(found, part)
+		}
+	}
+	return len(found) > 0 && !c.isTrial(found) && slices.ContainsFunc(found, c.f.isolation.Held)
+}
+
+// waitWhileHeld waits until no part of the prompt is held, and returns a refusal if no
+// attempt is allowed after that.
+func (c *call) waitWhileHeld() *refusal {
+	if !c.isHeld() {
+		return nil
+	}
+	defer c.f.held.Add(-1)
+	if c.f.held.Add(1) > maxHeldRequests {
+		c.f.settings.Scope.Counter("forwarder.isolated").Inc(1)
+		return newRefusal(http.StatusServiceUnavailable, refuser.PromptIsolated, heldRetryAfter)
+	}
+	c.f.settings.Scope.Counter("forwarder.held").Inc(1)
+	for c.isHeld() {
+		// The caller notices the end of the context, and refuseAttempt that of the deadline.
+		_ = timekeeper.Sleep(c.r.Context(), c.f.settings.Clock, holdCheckInterval)
+		if ref := c.refuseAttempt(); ref != nil {
+			return ref
+		}
+	}
+	return c.refuseAttempt()
+}
+
 // isTrial reports whether the next attempt is a trial of the only isolated part of the
 // request. A trial has one attempt.
 func (c *call) isTrial(found []controller.PromptPart) bool {
@@ -104,6 +155,9 @@
 		c.f.isolation.RecordBrokenRequest(isolator.BrokenRequest{
 			Service: c.service.Name, Content: c.contentID(), Upstream: c.upstream.Key(), ID: c.envelope.ID, Attempt: c.attempts,
 		})
+		if c.trial != nil {
+			c.f.isolation.RecordBrokenTrial(*c.trial)
+		}
 	}
 	if parts := c.sharedParts(); len(parts) > 0 {
 		c.f.isolation.RecordBroken(c.service.Name, c.upstream.Key(), c.contentID(), parts)
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -19,7 +19,9 @@
 //
 // The evidence may still be wrong. After an isolation starts, the leader names one host
 // that lets a single request with the part through, at most twice; if it is served, the
-// isolation ends.
+// isolation ends. A common part is held first: its requests wait up to 1 s for the result
+// of a trial, and are refused only once the trial has crashed an upstream or has no result
+// in time.
 //
 // A whole request is judged by its content: each time that it is sent it is broken
 // off, by one upstream after the other, while one that only shared an upstream with
@@ -42,7 +44,10 @@
 //	r.SetIsolations(isolations) // from the replicated log
 //	if r.TakeTrial(part) {
 //		// Send the request, although its part is isolated.
-//		r.RecordTrial(part) // if it was served
+//		r.RecordTrial(part)       // if it was served
+//		r.RecordBrokenTrial(part) // if its upstream crashed
+//	} else if r.Held(part) {
+//		// Let the request wait.
 //	}
 //	r.SetPath(isolator.Path{ReceivedAt: receivedAt})
 //	evidence := r.Evidence() // to the leader
@@ -52,8 +57,8 @@
 //	j.SetIsolations(isolations)
 //	j.Add(evidence)
 //	suspects := j.Suspects()
-//	for _, part := range j.Next() {
-//		// Isolate the part, or the request.
+//	for _, step := range j.Next() {
+//		// Isolate the part, or the request, or hold it.
 //	}
 //	for _, step := range j.Trials() {
 //		// Start a trial, or end the isolation.
@@ -120,5 +125,7 @@
 		// and Served those with which the host's trial request was served.
 		Refused []controller.PromptPart `cbor:"refused,omitempty"`
 		Served  []controller.PromptPart `cbor:"served,omitempty"`
+		// Broken are those with which the upstream of the trial request crashed.
+		Broken []controller.PromptPart `cbor:"broken,omitempty"`
 	}
 )
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -199,6 +200,7 @@
 	if p.Lost {
 		r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return c.at.After(p.ReceivedAt) })
 		r.breaks = slices.DeleteFunc(r.breaks, func(b BrokenRequest) bool { return b.brokenAt.After(p.ReceivedAt) })
+		maps.DeleteFunc(r.trials.broken, func(_ controller.PromptPart, at time.Time) bool { return at.After(p.ReceivedAt) })
 	}
 }
 
@@ -277,7 +279,7 @@
 		}
 	}
 	r.trials.report(&e, now)
-	if len(e.Refused) > 0 || len(e.Served) > 0 {
+	if len(e.Refused) > 0 || len(e.Served) > 0 || len(e.Broken) > 0 {
 		e.Recorder = r.id
 	}
 	if len(r.crashes) > 0 || len(e.Breaks) > 0 || len(r.suspects) > 0 {
--- a/isolator/trial.go
+++ b/isolator/trial.go
@@ -20,6 +20,13 @@
 	// is chosen for a trial, and trialTTL how long it then waits for the next one.
 	refusedTime = 1500 * time.Millisecond
 	trialTTL    = 10 * time.Second
+	// holdTime is how long requests with a held part wait. holdDecision is how long after
+	// its start the leader ends a hold without a result, so that hosts learn of that in
+	// time. A new leader ends one of its predecessor that is older than maxHoldAge, since
+	// hosts have released the requests.
+	holdTime     = time.Second
+	holdDecision = 800 * time.Millisecond
+	maxHoldAge   = 2 * time.Second
 	// servedTime is how long a served trial is reported.
 	servedTime = 10 * time.Second
 )
@@ -39,6 +46,9 @@
 		known   map[controller.PromptPart]controller.Isolation
 		refused map[controller.PromptPart]time.Time
 		served  map[controller.PromptPart]time.Time
+		broken  map[controller.PromptPart]time.Time
+		// held has when the host learned of each hold.
+		held map[controller.PromptPart]time.Time
 	}
 
 	// leaderTrials are the trials as the leader knows them. The zero value is ready to
@@ -51,7 +61,11 @@
 		// refused has the last report of each host that callers sent the part.
 		refused map[controller.PromptPart]map[uint64]refusedReport
 		served  map[controller.PromptPart]bool
+		broken  map[controller.PromptPart]bool
 		reports uint64
+		// held has when the leader learned of each hold, as hosts do: an entry may take
+		// longer than a hold until it is in the log.
+		held map[controller.PromptPart]time.Time
 	}
 
 	refusedReport struct {
@@ -68,6 +82,7 @@
 	t := &r.trials
 	known := make(map[controller.PromptPart]controller.Isolation)
 	pending := make(map[controller.PromptPart]time.Time)
+	held := make(map[controller.PromptPart]time.Time)
 	for _, i := range list {
 		if !i.Active {
 			continue
@@ -76,6 +91,11 @@
 		known[i.Part] = i
 		if !before.Since.Equal(i.Since) {
 			delete(t.served, i.Part)
+			delete(t.broken, i.Part)
+			delete(t.held, i.Part)
+		}
+		if i.Held {
+			held[i.Part] = cmp.Or(t.held[i.Part], r.clock.Now())
 		}
 		switch at, ok := t.pending[i.Part]; {
 		case i.TrialBy != r.id || i.Trials == 0:
@@ -85,10 +105,11 @@
 			pending[i.Part] = at
 		}
 	}
-	t.known, t.pending = known, pending
+	t.known, t.pending, t.held = known, pending, held
 	ended := func(p controller.PromptPart, _ time.Time) bool { _, ok := known[p]; return !ok }
 	maps.DeleteFunc(t.refused, ended)
 	maps.DeleteFunc(t.served, ended)
+	maps.DeleteFunc(t.broken, ended)
 }
 
 // TakeTrial records that a caller sent a request that is isolated or has an isolated part,
@@ -120,12 +141,32 @@
 	r.trials.served[part] = r.clock.Now()
 }
 
+// RecordBrokenTrial records that the upstream of the request that TakeTrial let through
+// crashed.
+func (r *Recorder) RecordBrokenTrial(part controller.PromptPart) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.trials.broken == nil {
+		r.trials.broken = make(map[controller.PromptPart]time.Time)
+	}
+	r.trials.broken[part] = r.clock.Now()
+}
+
+// Held reports whether a request with a part waits, unless TakeTrial lets it through.
+func (r *Recorder) Held(part controller.PromptPart) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.trials.held[part]
+	return ok && r.clock.Now().Sub(at) < holdTime
+}
+
 // report adds what the leader needs to the evidence.
 func (t *hostTrials) report(e *Evidence, now time.Time) {
 	maps.DeleteFunc(t.refused, func(_ controller.PromptPart, at time.Time) bool { return now.Sub(at) > refusedTime })
 	maps.DeleteFunc(t.served, func(_ controller.PromptPart, at time.Time) bool { return now.Sub(at) > servedTime })
 	e.Refused = slices.SortedFunc(maps.Keys(t.refused), compareParts)
 	e.Served = slices.SortedFunc(maps.Keys(t.served), compareParts)
+	e.Broken = slices.SortedFunc(maps.Keys(t.broken), compareParts)
 }
 
 func compareParts(a, b controller.PromptPart) int {
@@ -137,6 +178,7 @@
 	if t.since.IsZero() {
 		t.since = now
 		t.refused, t.served = make(map[controller.PromptPart]map[uint64]refusedReport), make(map[controller.PromptPart]bool)
+		t.broken = make(map[controller.PromptPart]bool)
 	}
 	for _, p := range e.Refused {
 		if _, ok := t.active[p]; !ok {
@@ -148,6 +190,11 @@
 		t.reports++
 		t.refused[p][e.Recorder] = refusedReport{now, t.reports}
 	}
+	for _, p := range e.Broken {
+		if i, ok := t.active[p]; ok && i.Held {
+			t.broken[p] = true
+		}
+	}
 	for _, p := range e.Served {
 		if i, ok := t.active[p]; ok && i.Trials > 0 {
 			t.served[p] = true
@@ -156,15 +203,21 @@
 }
 
 // setIsolations replaces the known isolations.
-func (t *leaderTrials) setIsolations(list []controller.Isolation) {
+func (t *leaderTrials) setIsolations(list []controller.Isolation, now time.Time) {
 	t.active = make(map[controller.PromptPart]controller.Isolation)
+	held := make(map[controller.PromptPart]time.Time)
 	for _, i := range list {
 		if i.Active {
 			t.active[i.Part] = i
 		}
+		if i.Active && i.Held {
+			held[i.Part] = cmp.Or(t.held[i.Part], now)
+		}
 	}
+	t.held = held
 	maps.DeleteFunc(t.refused, func(p controller.PromptPart, _ map[uint64]refusedReport) bool { _, ok := t.active[p]; return !ok })
 	maps.DeleteFunc(t.served, func(p controller.PromptPart, _ bool) bool { _, ok := t.active[p]; return !ok })
+	maps.DeleteFunc(t.broken, func(p controller.PromptPart, _ bool) bool { _, ok := t.active[p]; return !ok })
 }
 
 // Trials returns the trials to start now, and the ends of the isolations of which a
@@ -181,6 +234,16 @@
 			continue
 		}
 		age := now.Sub(i.Since)
+		if i.Held {
+			inherited := t.since.IsZero() || t.since.After(i.Since)
+			switch {
+			case inherited && age > maxHoldAge:
+				out = append(out, controller.IsolationStep{Part: part, End: true, Served: true})
+			case now.Sub(t.held[part]) >= holdDecision, t.broken[part]:
+				out = append(out, controller.IsolationStep{Part: part})
+			}
+			continue
+		}
 		if i.Since.IsZero() || i.Trials >= len(trialDelays) || age < trialDelays[i.Trials] || age > trialWindow {
 			continue
 		}
@@ -210,3 +273,35 @@
 	host = cmp.Or(host, again)
 	return host, host != 0
 }
+
+// start returns the step that isolates a part: a hold if the part is common, and false if
+// no host can make the trial yet.
+func (j *Judge) start(part controller.PromptPart) (controller.IsolationStep, bool) {
+	now := j.clock.Now()
+	until := now.Add(-clearTime)
+	s := j.suspects[part]
+	share, ok := j.share(part, s, until.Add(-attemptLead), until)
+	if !ok || share < commonShare {
+		return controller.IsolationStep{Part: part}, true
+	}
+	host := j.tallies.sender(part, now)
+	ready := !j.trials.since.IsZero() && now.Sub(j.trials.since) >= reportsTime
+	return controller.IsolationStep{Part: part, Hold: true, Trial: host}, host != 0 && ready
+}
+
+// sender returns the host that sent most attempts with a part of late, 0 if none did.
+func (t *tallies) sender(part controller.PromptPart, now time.Time) uint64 {
+	sent := make(map[uint64]int)
+	for k, n := range t.known {
+		if k.what.part == part && !k.what.whole && n.interval >= interval(now.Add(-refusedTime)) {
+			sent[k.host] += n.count.sent
+		}
+	}
+	var best uint64
+	for host, n := range sent {
+		if best == 0 || n > sent[best] || n == sent[best] && host < best {
+			best = host
+		}
+	}
+	return best
+}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -311,9 +311,12 @@
 	}
 	e.rollouts = p.Rollouts
 	e.forwarder.SetIsolations(p.Isolations)
-	next.Isolated = make(map[controller.PromptPart]bool, len(p.Isolations))
+	next.Isolated, next.Held = make(map[controller.PromptPart]bool, len(p.Isolations)), make(map[controller.PromptPart]bool)
 	for _, i := range p.Isolations {
-		if i.Active {
+		switch {
+		case i.Active && i.Held:
+			next.Held[i.Part] = true
+		case i.Active:
 			next.Isolated[i.Part] = true
 		}
 	}
@@ -331,7 +334,7 @@
 	e.placer.SetEvacuated(evacuatedZones(p.Evacuations))
 	e.activateNewest()
 	e.opts.Log.Info().Uint64("config", e.documentVersion).Uint64("published", p.Version).Int("rollouts", len(p.Rollouts)).
-		Int("isolated", len(next.Isolated)).Int("evacuated", len(p.Evacuations)).
+		Int("isolated", len(next.Isolated)).Int("held", len(next.Held)).Int("evacuated", len(p.Evacuations)).
 		Msg("configuration in force")
 }
 
