Run hosts with common prompt parts while engines crash

The judgement of common parts was simulated only; no spec ran hosts and a control group with them.

Two entries send the requests of 24 callers, half of them with the same first part, to 12 engines, of which a quarter crash, twice. No request is refused because of its part. Four further callers then send a part that crashes engines: it is refused, no more requests with it than the trials of an isolation reach engines afterwards, and the others are served.

--- a/starter/isolation_test.go
+++ b/starter/isolation_test.go
@@ -5,14 +5,17 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/controller"
 	"foxtailwall/matcher"
 	"foxtailwall/tracker"
 )
@@ -27,6 +30,9 @@
 // crashingEngines are engines that stop as soon as they begin to answer a request
 // with the crashing part or path. Each is replaced by a new one at once.
 type crashingEngines struct {
+	// duration is the time from the first byte of an answer to its end.
+	duration time.Duration
+
 	mu sync.Mutex
 	// crashes counts the requests that arrived and crashed an engine.
 	crashes int
@@ -90,10 +96,27 @@
 			e.crash(engine)
 			panic(http.ErrAbortHandler)
 		}
+		if e.duration > 0 {
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(e.duration):
+			case <-r.Context().Done():
+			}
+		}
 		fmt.Fprint(w, "id: 1\ndata: a\n\n")
 	}
 }
 
+// crashAny crashes a number of engines, the oldest first.
+func (e *crashingEngines) crashAny(n int) {
+	e.mu.Lock()
+	oldest := slices.Clone(e.running[:n])
+	e.mu.Unlock()
+	for _, engine := range oldest {
+		e.crash(engine)
+	}
+}
+
 func (e *crashingEngines) count() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -111,13 +134,23 @@
 
 // ask sends a request with these prompt parts and a body of its own.
 func (d *deployment) ask(id string, parts ...int) (int, string) {
-	return d.post(id, "/a/x", id, strings.Trim(fmt.Sprint(parts), "[]"))
+	return askAt(d.entry.Callers, id, parts...)
+}
+
+// askAt sends such a request to an entry.
+func askAt(entry netip.AddrPort, id string, parts ...int) (int, string) {
+	return postAt(entry, id, "/a/x", id, strings.Trim(fmt.Sprint(parts), "[]"))
 }
 
 // post sends a request with a body and the IDs of its prompt's parts, and returns
 // the status and the body of the response, or 0 if it broke off.
 func (d *deployment) post(id, path, body, parts string) (int, string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+d.entry.Callers.String()+path, strings.NewReader(body))
+	return postAt(d.entry.Callers, id, path, body, parts)
+}
+
+// postAt sends such a request to an entry.
+func postAt(entry netip.AddrPort, id, path, body, parts string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+entry.String()+path, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	req.Header.Set("X-Id", id)
 	req.Header.Set("X-Parts", parts)
@@ -173,3 +206,75 @@
 		}
 	})
 })
+
+// Guards against refusing a harmless part that half of the requests have while upstreams
+// crash for another reason, and against a common part that crashes engines and is tried for
+// ever or never.
+var _ = Describe("Common prompt parts", func() {
+	It("are served while a quarter of the engines crash, and refused if they crash engines", func() {
+		engines := &crashingEngines{duration: 150 * time.Millisecond}
+		for range 12 {
+			engines.start()
+		}
+		d := startDeploymentWithList(engines.list)
+		entries := []netip.AddrPort{d.entry.Callers, d.startEntry("e2", d.opts).Callers}
+		d.putConfig(engineConfig(1))
+		for _, e := range entries {
+			d.eventually(status(e, "/a/x")).Should(Equal(http.StatusOK))
+		}
+		var next, soundRefused, served, refused atomic.Int64
+		var callers sync.WaitGroup
+		stop := make(chan struct{})
+		DeferCleanup(func() {
+			close(stop)
+			callers.Wait()
+			for _, engine := range engines.running {
+				engine.srv.Close()
+			}
+		})
+		// call lets callers send requests, each after the end of the one before and a pause.
+		call := func(n int, pause time.Duration, send func(entry netip.AddrPort, i int)) {
+			for range n {
+				callers.Go(func() {
+					defer GinkgoRecover()
+					for {
+						i := int(next.Add(1))
+						send(entries[i%len(entries)], i)
+						select {
+						case <-stop:
+							return
+						case <-time.After(pause):
+						}
+					}
+				})
+			}
+		}
+		call(24, 10*time.Millisecond, func(entry netip.AddrPort, i int) {
+			switch code, body := askAt(entry, fmt.Sprint("s", i), 1+i/2%2, 10+i%100, 1000+i); {
+			case body == isolatedCode:
+				soundRefused.Add(1)
+			case code == http.StatusOK:
+				served.Add(1)
+			}
+		})
+		d.eventually(served.Load).Should(BeNumerically(">", 50))
+		for range 2 {
+			engines.crashAny(3)
+			before := served.Load()
+			d.eventually(served.Load).Should(BeNumerically(">", before+100))
+		}
+		Expect(soundRefused.Load()).To(BeZero())
+
+		call(4, 50*time.Millisecond, func(entry netip.AddrPort, i int) {
+			if _, body := askAt(entry, fmt.Sprint("c", i), crashingPart, 10+i%100, 1000+i); body == isolatedCode {
+				refused.Add(1)
+			}
+		})
+		d.eventually(refused.Load).Should(BeNumerically(">", 20))
+		crashes, before := engines.count(), served.Load()
+		d.eventually(refused.Load).Should(BeNumerically(">", 60))
+		Expect(engines.count()-crashes).To(BeNumerically("<=", controller.MaxIsolationTrials), "requests that reached engines later, other than trials")
+		d.eventually(served.Load).Should(BeNumerically(">", before+50))
+		Expect(soundRefused.Load()).To(BeZero())
+	})
+})
