Skip steps without effect in the simulation of traffic

With the race detector, the simulation spent its time in copies of reports and in engines with nothing to end, and the judge looked through all requests for old evidence in each of 20 turns per second.

Reports are held by pointer, engines are skipped until the next of their requests ends, the judge looks for old evidence twice a second, and a host without data from upstreams does not collect unconfirmed breaks.

--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -41,6 +41,9 @@
 	maxSuspects  = 4096
 	maxCrashes   = 512
 	maxAnnounced = 64
+	// expiryInterval is the time between two searches for old evidence, a small part of
+	// the times for which it is kept.
+	expiryInterval = 500 * time.Millisecond
 	// announcementInterval is how long the list of announced suspects is reused.
 	announcementInterval = 50 * time.Millisecond
 )
@@ -68,6 +71,7 @@
 		// announcement is what Suspects returned at announcedAt.
 		announcement []controller.PromptPart
 		announcedAt  time.Time
+		expiredAt    time.Time
 	}
 
 	// suspect is the evidence for and against a part.
@@ -490,6 +494,10 @@
 // expire drops evidence that is too old.
 func (j *Judge) expire() {
 	now := j.clock.Now()
+	if now.Sub(j.expiredAt) < expiryInterval {
+		return
+	}
+	j.expiredAt = now
 	maps.DeleteFunc(j.suspects, func(_ controller.PromptPart, s *suspect) bool { return now.Sub(s.reported) > suspectTTL })
 	maps.DeleteFunc(j.crashed, func(_ uint64, c *serviceCrash) bool { return now.Sub(c.at) > suspectTTL })
 	maps.DeleteFunc(j.explained, func(_ uint64, at time.Time) bool { return now.Sub(at) > explainedTTL })
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -213,6 +213,9 @@
 // severalUnconfirmed reports whether several upstreams have broken requests off that
 // are not confirmed; a single one is more likely to have crashed.
 func (r *Recorder) severalUnconfirmed(now time.Time) bool {
+	if r.path.ReceivedAt.IsZero() {
+		return false
+	}
 	upstreams := make(map[uint64]bool)
 	for _, b := range r.breaks {
 		if r.isUnconfirmed(b.brokenAt, now) {
@@ -261,6 +264,9 @@
 	r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return now.Sub(c.at) > crashReportTime })
 	hold := r.severalUnconfirmed(now)
 	var e Evidence
+	if len(r.crashes) > 0 {
+		e.Crashes = make([]Crash, 0, len(r.crashes))
+	}
 	for _, c := range r.crashes {
 		if hold && r.isUnconfirmed(c.at, now) {
 			continue
--- a/isolator/traffic_test.go
+++ b/isolator/traffic_test.go
@@ -46,7 +46,7 @@
 		rng     *rand.Rand
 		up      []*engine
 		callers []callerRetry
-		reports []delayedReport
+		reports []*delayedReport
 		content uint64
 		crashes int
 		// knownAt is the time of the crash after which the contact time begins, the
@@ -70,6 +70,8 @@
 		zone    int
 		upAt    time.Time
 		running []*sentRequest
+		// nextEnd is the earliest end of the running requests, or earlier.
+		nextEnd time.Time
 	}
 
 	sentRequest struct {
@@ -218,6 +220,9 @@
 	r.endsAt = now.Add(took)
 	r.sentAt = now
 	t.hosts[r.host].RecordSent("s", r.parts)
+	if len(e.running) == 0 || r.endsAt.Before(e.nextEnd) {
+		e.nextEnd = r.endsAt
+	}
 	e.running = append(e.running, r)
 }
 
@@ -286,9 +291,16 @@
 		return true
 	})
 	for _, e := range t.up {
+		if len(e.running) == 0 || e.nextEnd.After(now) {
+			continue
+		}
 		var crashed bool
+		e.nextEnd = now.Add(time.Hour)
 		e.running = slices.DeleteFunc(e.running, func(r *sentRequest) bool {
 			if r.endsAt.After(now) {
+				if r.endsAt.Before(e.nextEnd) {
+					e.nextEnd = r.endsAt
+				}
 				return false
 			}
 			if r.crashing {
@@ -319,9 +331,9 @@
 	turns := int(reportEvery / trafficStep)
 	turn := int(now.Sub(t.startedAt)/trafficStep) % turns
 	for i := turn; i < len(t.hosts); i += turns {
-		t.reports = append(t.reports, delayedReport{now.Add(time.Duration(t.rng.IntN(200)) * time.Millisecond), i, t.hosts[i].Evidence()})
+		t.reports = append(t.reports, &delayedReport{now.Add(time.Duration(t.rng.IntN(200)) * time.Millisecond), i, t.hosts[i].Evidence()})
 	}
-	t.reports = slices.DeleteFunc(t.reports, func(r delayedReport) bool {
+	t.reports = slices.DeleteFunc(t.reports, func(r *delayedReport) bool {
 		if r.at.After(now) {
 			return false
 		}
