--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -5,8 +5,10 @@
 // parts are suspects. Two things tell the cause from the rest: it is there at
 // every crash, and no request with it succeeds afterwards. Hosts report the parts
 // of their broken requests to the leader of the control group; the leader
-// announces those that were there at several crashes, and hosts answer when a
-// request with them last succeeded, which clears them of the crashes before. The
+// announces those that were there at several crashes, and hosts answer when the
+// latest attempt with them that succeeded was sent, which clears them of the crashes
+// before. An attempt that was sent earlier may have succeeded only because it was
+// served before the crash. The
 // part that remains with the most crashes is isolated, and the crashes that it
 // explains no longer count against other parts.
 //
@@ -17,7 +19,9 @@
 //
 // The evidence may still be wrong. After an isolation starts, the leader names one host
 // that lets a single request with the part through, at most twice; if it is served, the
-// isolation ends.
+// isolation ends. A common part is held first: its requests wait up to 1 s for the result
+// of a trial, and are refused only once the trial has crashed an upstream or has no result
+// in time.
 //
 // A whole request is judged by its content: each time that it is sent it is broken
 // off, by one upstream after the other, while one that only shared an upstream with
@@ -33,14 +37,17 @@
 //	r.RecordSent(service, parts)
 //	r.RecordAnswered(service, sentAt)
 //	r.RecordBroken(service, upstream, content, parts)
-//	r.RecordSuccess(service, parts)
+//	r.RecordSuccess(service, parts, sentAt)
 //	r.RecordBrokenRequest(isolator.BrokenRequest{Service: service, Content: hash, Upstream: upstream, ID: requestID, Attempt: 1})
-//	r.RecordRequestSuccess(service, hash)
+//	r.RecordRequestSuccess(service, hash, sentAt)
 //	r.SetSuspects(suspects) // from the leader
 //	r.SetIsolations(isolations) // from the replicated log
 //	if r.TakeTrial(part) {
 //		// Send the request, although its part is isolated.
-//		r.RecordTrial(part) // if it was served
+//		r.RecordTrial(part)       // if it was served
+//		r.RecordBrokenTrial(part) // if its upstream crashed
+//	} else if r.Held(part) {
+//		// Let the request wait.
 //	}
 //	r.SetPath(isolator.Path{ReceivedAt: receivedAt})
 //	evidence := r.Evidence() // to the leader
@@ -50,8 +57,8 @@
 //	j.SetIsolations(isolations)
 //	j.Add(evidence)
 //	suspects := j.Suspects()
-//	for _, part := range j.Next() {
-//		// Isolate the part, or the request.
+//	for _, step := range j.Next() {
+//		// Isolate the part, or the request, or hold it.
 //	}
 //	for _, step := range j.Trials() {
 //		// Start a trial, or end the isolation.
@@ -94,8 +101,10 @@
 	// Success says that a request with a prompt part got its whole response.
 	Success struct {
 		Part controller.PromptPart `cbor:"part"`
-		// Age is the time since then.
-		Age time.Duration `cbor:"age"`
+		// Age is the time since then, and SentAge that since its attempt was sent, zero
+		// from hosts of an earlier release.
+		Age     time.Duration `cbor:"age"`
+		SentAge time.Duration `cbor:"sentAge,omitempty"`
 	}
 
 	// Evidence is what a host reports to the leader.
@@ -105,7 +114,7 @@
 		// Breaks are those of the last seconds; after a change of the leader, all that
 		// the host remembers.
 		Breaks []Break `cbor:"breaks,omitempty"`
-		// Successes are the last ones with each suspect.
+		// Successes are those with each suspect whose attempt was sent last.
 		Successes []Success `cbor:"successes,omitempty"`
 		// Recorder identifies the run of the host's process, and Tallies count its
 		// attempts of the last seconds while there are crashes or suspects. Hosts of an
@@ -116,5 +125,7 @@
 		// and Served those with which the host's trial request was served.
 		Refused []controller.PromptPart `cbor:"refused,omitempty"`
 		Served  []controller.PromptPart `cbor:"served,omitempty"`
+		// Broken are those with which the upstream of the trial request crashed.
+		Broken []controller.PromptPart `cbor:"broken,omitempty"`
 	}
 )
--- a/isolator/recorder.go
+++ b/isolator/recorder.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -47,12 +48,13 @@
 		tallies hostTallies
 		trials  hostTrials
 		crashes []recordedCrash
-		// succeeded is when a request with the part last succeeded.
-		succeeded *buffer.LRU[controller.PromptPart, time.Time]
+		// succeeded has the successful attempt with the part that was sent last.
+		succeeded *buffer.LRU[controller.PromptPart, recordedSuccess]
 		suspects  []controller.PromptPart
 		breaks    []BrokenRequest
-		// requestSucceeded is when a request last got its whole response.
-		requestSucceeded *buffer.LRU[controller.PromptPart, time.Time]
+		// requestSucceeded has the attempt of a request that got its whole response and
+		// was sent last.
+		requestSucceeded *buffer.LRU[controller.PromptPart, recordedSuccess]
 		path             Path
 		// leader is the leader that gets the reports, since leaderAt.
 		leader   netip.AddrPort
@@ -86,13 +88,15 @@
 		Crash
 		at time.Time
 	}
+
+	recordedSuccess struct{ sentAt, at time.Time }
 )
 
 // NewRecorder returns a recorder without evidence.
 func NewRecorder(clock timekeeper.Clock) *Recorder {
 	return &Recorder{
-		clock: clock, id: rand.Uint64(), createdAt: clock.Now(), succeeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
-		requestSucceeded: buffer.NewLRU[controller.PromptPart, time.Time](maxSuccesses),
+		clock: clock, id: rand.Uint64(), createdAt: clock.Now(), succeeded: buffer.NewLRU[controller.PromptPart, recordedSuccess](maxSuccesses),
+		requestSucceeded: buffer.NewLRU[controller.PromptPart, recordedSuccess](maxSuccesses),
 	}
 }
 
@@ -140,16 +144,24 @@
 	}
 }
 
-// RecordSuccess records that a request with these parts got its whole response.
-func (r *Recorder) RecordSuccess(service string, parts []uint64) {
+// RecordSuccess records that an attempt with these parts that was sent at a time got its
+// whole response.
+func (r *Recorder) RecordSuccess(service string, parts []uint64, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
 	for _, id := range parts {
-		r.succeeded.Put(controller.PromptPart{Service: service, ID: id}, now)
+		putSuccess(r.succeeded, controller.PromptPart{Service: service, ID: id}, recordedSuccess{sentAt, r.clock.Now()})
 	}
 }
 
+// putSuccess stores a success, unless one is known whose attempt was sent later.
+func putSuccess(to *buffer.LRU[controller.PromptPart, recordedSuccess], part controller.PromptPart, s recordedSuccess) {
+	if known, ok := to.Peek(part); ok && known.sentAt.After(s.sentAt) {
+		s = known
+	}
+	to.Put(part, s)
+}
+
 // RecordBrokenRequest records that an attempt has just been broken off.
 func (r *Recorder) RecordBrokenRequest(b BrokenRequest) {
 	r.mu.Lock()
@@ -161,11 +173,12 @@
 	}
 }
 
-// RecordRequestSuccess records that a request got its whole response.
-func (r *Recorder) RecordRequestSuccess(service string, content uint64) {
+// RecordRequestSuccess records that an attempt of a request that was sent at a time got
+// its whole response.
+func (r *Recorder) RecordRequestSuccess(service string, content uint64, sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.requestSucceeded.Put(Request(service, content), r.clock.Now())
+	putSuccess(r.requestSucceeded, Request(service, content), recordedSuccess{sentAt, r.clock.Now()})
 }
 
 // SetLeader sets the leader that gets the reports. A new one does not know what its
@@ -187,6 +200,7 @@
 	if p.Lost {
 		r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return c.at.After(p.ReceivedAt) })
 		r.breaks = slices.DeleteFunc(r.breaks, func(b BrokenRequest) bool { return b.brokenAt.After(p.ReceivedAt) })
+		maps.DeleteFunc(r.trials.broken, func(_ controller.PromptPart, at time.Time) bool { return at.After(p.ReceivedAt) })
 	}
 }
 
@@ -199,6 +213,9 @@
 // severalUnconfirmed reports whether several upstreams have broken requests off that
 // are not confirmed; a single one is more likely to have crashed.
 func (r *Recorder) severalUnconfirmed(now time.Time) bool {
+	if r.path.ReceivedAt.IsZero() {
+		return false
+	}
 	upstreams := make(map[uint64]bool)
 	for _, b := range r.breaks {
 		if r.isUnconfirmed(b.brokenAt, now) {
@@ -247,6 +264,9 @@
 	r.crashes = slices.DeleteFunc(r.crashes, func(c recordedCrash) bool { return now.Sub(c.at) > crashReportTime })
 	hold := r.severalUnconfirmed(now)
 	var e Evidence
+	if len(r.crashes) > 0 {
+		e.Crashes = make([]Crash, 0, len(r.crashes))
+	}
 	for _, c := range r.crashes {
 		if hold && r.isUnconfirmed(c.at, now) {
 			continue
@@ -260,12 +280,12 @@
 		if part.Request {
 			succeeded = r.requestSucceeded
 		}
-		if at, ok := succeeded.Peek(part); ok {
-			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(at)})
+		if s, ok := succeeded.Peek(part); ok {
+			e.Successes = append(e.Successes, Success{Part: part, Age: now.Sub(s.at), SentAge: now.Sub(s.sentAt)})
 		}
 	}
 	r.trials.report(&e, now)
-	if len(e.Refused) > 0 || len(e.Served) > 0 {
+	if len(e.Refused) > 0 || len(e.Served) > 0 || len(e.Broken) > 0 {
 		e.Recorder = r.id
 	}
 	if len(r.crashes) > 0 || len(e.Breaks) > 0 || len(r.suspects) > 0 {
--- a/isolator/requests.go
+++ b/isolator/requests.go
@@ -51,7 +51,7 @@
 	// A request that crashes upstreams is broken off each time that it is sent, by
 	// one upstream after the other. One that only shared an upstream with it is
 	// served when it is sent again. Breaks therefore count in a row: a success clears
-	// all before it.
+	// all before its attempt was sent.
 	requestJudge struct {
 		requests map[controller.PromptPart]*requestEvidence
 		// episodes counts at how many times each upstream broke requests off.
@@ -69,8 +69,9 @@
 
 	// requestEvidence is the evidence for and against a request.
 	requestEvidence struct {
-		// breaks are those since the last success, by Break.Attempt.
-		breaks    map[uint64]brokenAttempt
+		// breaks are those since succeeded, by Break.Attempt.
+		breaks map[uint64]brokenAttempt
+		// succeeded is when the latest attempt that succeeded was sent.
 		succeeded time.Time
 		// reported is when the newest break was reported, and announced when the
 		// request was first announced, zero if it is not.
@@ -188,14 +189,14 @@
 	}
 }
 
-// addSuccess clears a request of the breaks before a success.
-func (j *requestJudge) addSuccess(request controller.PromptPart, at, now time.Time) {
+// addSuccess clears a request of the breaks before an attempt that succeeded was sent.
+func (j *requestJudge) addSuccess(request controller.PromptPart, sentAt, now time.Time) {
 	e := j.requests[request]
-	if e == nil || !at.After(e.succeeded) {
+	if e == nil || !sentAt.After(e.succeeded) {
 		return
 	}
-	e.succeeded = at
-	maps.DeleteFunc(e.breaks, func(_ uint64, b brokenAttempt) bool { return !b.at.After(at) })
+	e.succeeded = sentAt
+	maps.DeleteFunc(e.breaks, func(_ uint64, b brokenAttempt) bool { return !b.at.After(sentAt) })
 	if len(e.breaks) == 0 {
 		e.candidates = 0
 	}
@@ -210,20 +211,23 @@
 // row returns the attempts that were broken off until a time since the last success, in
 // the order of time, those of one upstream at the same time once.
 func (j *requestJudge) row(e *requestEvidence, until time.Time) []uint64 {
-	attempts := slices.SortedFunc(maps.Keys(e.breaks), func(a, b uint64) int { return e.breaks[a].at.Compare(e.breaks[b].at) })
-	var out []uint64
+	attempts := slices.AppendSeq(make([]uint64, 0, len(e.breaks)), maps.Keys(e.breaks))
+	slices.SortFunc(attempts, func(a, b uint64) int { return e.breaks[a].at.Compare(e.breaks[b].at) })
+	out := attempts[:0]
 	var last time.Time
-	counted := make(map[uint64]time.Time, len(attempts))
 	for _, attempt := range attempts {
 		b := e.breaks[attempt]
-		at, again := counted[b.upstream]
+		isCounted := func(other uint64) bool {
+			o := e.breaks[other]
+			return o.upstream == b.upstream && b.at.Sub(o.at) <= crashSpread
+		}
 		switch {
 		case b.at.After(until), j.isFlaky(b.upstream):
-		case again && b.at.Sub(at) <= crashSpread:
+		case slices.ContainsFunc(out, isCounted):
 		case len(out) > 0 && !e.succeeded.IsZero() && b.at.Sub(last) <= breakGap:
 		default:
 			out = append(out, attempt)
-			last, counted[b.upstream] = b.at, b.at
+			last = b.at
 		}
 	}
 	return out
@@ -232,15 +236,18 @@
 // settle computes the probability of each break of a request if it is harmless, as soon as
 // it is needed and again until all hosts have reported what happened then.
 func (j *requestJudge) settle(request controller.PromptPart, e *requestEvidence, t *tallies, now time.Time) {
-	own := make(map[uint64]bool, len(e.breaks))
-	for _, b := range e.breaks {
-		own[b.upstream] = true
-	}
+	var own map[uint64]bool
 	for attempt, b := range e.breaks {
 		settled := now.Sub(b.at) > settleTime
 		if b.settled || !settled && len(e.breaks) < minBreaks {
 			continue
 		}
+		if own == nil {
+			own = make(map[uint64]bool, len(e.breaks))
+			for _, b := range e.breaks {
+				own[b.upstream] = true
+			}
+		}
 		b.chance = max(j.chance(request.Service, own, t, b.at, attemptLead), j.chance(request.Service, own, t, b.at, baseTime))
 		b.settled = settled
 		e.breaks[attempt] = b
