Keep log entries out of the log until all members apply their version

Change: members report the version of log entries that they apply in each message, and the membership stores it for the next leader. A command above the lowest version of all members is refused with a FormatError that names the member (mixedReleases, 503 with Retry-After, in serve), and logged. Trials of isolations are left out meanwhile. The specs of evacuations in coordinator, hoster, messenger and cmd pass.

--- a/cmd/foxtailwall/operator_test.go
+++ b/cmd/foxtailwall/operator_test.go
@@ -31,7 +31,7 @@
 	RunSpecs(t, "foxtailwall")
 }
 
-func (g *soloGroup) Propose(_ context.Context, cmd []byte) ([]byte, uint64, error) {
+func (g *soloGroup) ProposeFormat(_ context.Context, cmd []byte, _ uint32) ([]byte, uint64, error) {
 	g.index++
 	return g.machine.Apply(g.index, cmd), g.index, nil
 }
@@ -146,7 +146,7 @@
 			Steps: []biller.Step{{Model: "a", Version: "v1", InputTokens: 3, OutputTokens: 4}}}
 		cmd, err := controller.Encode(controller.Command{At: time.Now(), Items: []controller.Item{{Bill: &controller.Bill{Records: []biller.Record{rec}}}}})
 		Expect(err).NotTo(HaveOccurred())
-		_, _, err = group.Propose(context.Background(), cmd)
+		_, _, err = group.ProposeFormat(context.Background(), cmd, 0)
 		Expect(err).NotTo(HaveOccurred())
 		out, err := run("ledger")
 		Expect(err).NotTo(HaveOccurred())
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -209,7 +209,7 @@
 		Name: c.set.Name, Addr: c.set.Peers, Seeds: c.set.Seeds, Bootstrap: c.set.Bootstrap,
 		Voters: 2*c.set.LostDisks + 1, VerifyReads: true, FS: c.set.Disk, Machine: m.machine, Transport: t,
 		Clock: c.set.Clock, Scope: c.set.Scope, Log: c.set.Log,
-		SnapshotEvery: snapshotEntries, Trailing: trailingEntries,
+		SnapshotEvery: snapshotEntries, Trailing: trailingEntries, Format: controller.Format,
 	})
 	if err != nil {
 		return err
--- a/coordinator/isolate.go
+++ b/coordinator/isolate.go
@@ -21,7 +21,10 @@
 			c.stepIsolation(ctx, controller.IsolationStep{Part: part})
 		}
 		for _, st := range c.judge.Trials() {
-			c.stepIsolation(ctx, st)
+			// Without trials, an isolation lasts until its time has passed.
+			if controller.RequiredFormat(controller.Item{Isolation: &st}) <= c.lowestFormat() {
+				c.stepIsolation(ctx, st)
+			}
 		}
 		now := c.set.Clock.Now()
 		for _, i := range isolations {
@@ -32,6 +35,15 @@
 	}
 }
 
+// lowestFormat returns the lowest version of log entries that a member applies, 0 while no
+// member is open.
+func (c *Coordinator) lowestFormat() uint32 {
+	if m := c.openMember.Load(); m != nil {
+		return m.group.LowestFormat()
+	}
+	return 0
+}
+
 // stepIsolation proposes the start, a trial or the end of an isolation. A failure is only
 // logged: the next turn proposes it again.
 func (c *Coordinator) stepIsolation(ctx context.Context, st controller.IsolationStep) {
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return controller.Answer{}, err
 	}
-	b, _, err := m.group.Propose(ctx, cmd)
+	b, _, err := m.group.ProposeFormat(ctx, cmd, controller.RequiredFormat(item))
 	if err != nil {
 		return controller.Answer{}, err
 	}
--- a/hoster/control.go
+++ b/hoster/control.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"path/filepath"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,8 +19,13 @@
 	"foxtailwall/replicator"
 )
 
-// groupFolder is the subfolder of the data folder for the replicated log.
-const groupFolder = "group"
+const (
+	// groupFolder is the subfolder of the data folder for the replicated log.
+	groupFolder = "group"
+	// upgradeRetry is the delay after which to repeat a command that a member of an
+	// earlier release does not apply. Upgrades of hosts take seconds to minutes.
+	upgradeRetry = 10 * time.Second
+)
 
 type (
 	// controlMember holds what a host runs as a member of the control group: the
@@ -58,7 +64,7 @@
 	own, _ := h.settings.Spec(h.settings.Name) // Validate has checked the name.
 	c.group, err = replicator.New(replicator.Options{
 		Name: h.settings.Name, Addr: own.Addr, Peers: h.groupPeers(), FS: fs, Machine: c.machine,
-		Transport: c.transport, Clock: h.clock, Scope: h.scope, Log: h.log,
+		Transport: c.transport, Clock: h.clock, Scope: h.scope, Log: h.log, Format: controller.Format,
 	})
 	if err != nil {
 		c.transport.Close()
@@ -98,9 +104,9 @@
 	return out
 }
 
-// Propose implements messenger.Group.
-func (p proposer) Propose(ctx context.Context, cmd []byte) ([]byte, uint64, error) {
-	res, index, err := p.group.Propose(ctx, cmd)
+// ProposeFormat implements messenger.Group.
+func (p proposer) ProposeFormat(ctx context.Context, cmd []byte, format uint32) ([]byte, uint64, error) {
+	res, index, err := p.group.ProposeFormat(ctx, cmd, format)
 	return res, index, p.convertError(err)
 }
 
@@ -112,15 +118,21 @@
 
 // convertError returns a *controller.NotLeaderError for proposals that certainly
 // took no effect, so that the caller may try another host. Every host refuses a
-// command that is too large, so it gets a refusal that is not retried.
+// command that is too large, so it gets a refusal that is not retried. The refusal of a
+// command that a member does not apply may be retried once that member is upgraded.
 func (p proposer) convertError(err error) error {
 	var nl *replicator.NotLeaderError
 	var tl *replicator.TooLargeError
+	var fe *replicator.FormatError
 	switch {
 	case err == nil:
 		return nil
 	case errors.As(err, &tl):
 		return refuser.New(refuser.BadRequest, refuser.NotRun, "%v; send less in one call", tl)
+	case errors.As(err, &fe):
+		r := refuser.New(refuser.MixedReleases, refuser.NotRun, "%v", fe)
+		r.RetryAfter = upgradeRetry
+		return r
 	case errors.As(err, &nl):
 		return &controller.NotLeaderError{Leader: nl.Leader.Addr}
 	case replicator.NotRun(err):
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -35,10 +35,12 @@
 type (
 	// Group is the replicated log as the control procedures use it.
 	Group interface {
-		// Propose appends cmd and returns the result of the state machine.
+		// ProposeFormat appends cmd and returns the result of the state machine.
 		// After an error the command may have taken effect or may still do so,
-		// unless the error says that this host is not the leader.
-		Propose(ctx context.Context, cmd []byte) (result []byte, index uint64, err error)
+		// unless the error says that this host is not the leader or is a refusal.
+		// It refuses cmd if a member does not apply log entries of the version
+		// format.
+		ProposeFormat(ctx context.Context, cmd []byte, format uint32) (result []byte, index uint64, err error)
 		// Barrier returns once this host has applied everything that was
 		// committed when it was called.
 		Barrier(ctx context.Context) (index uint64, err error)
@@ -243,7 +245,7 @@
 	if err != nil {
 		return nil, 0, refuser.New(refuser.BadRequest, refuser.NotRun, "encode command: %v", err)
 	}
-	b, index, err := s.opts.Group.Propose(ctx, cmd)
+	b, index, err := s.opts.Group.ProposeFormat(ctx, cmd, controller.RequiredFormat(items...))
 	if err != nil {
 		return nil, 0, err
 	}
--- a/messenger/control_test.go
+++ b/messenger/control_test.go
@@ -50,6 +50,8 @@
 		// maxCommandBytes, if set, is the size above which a command is
 		// refused.
 		maxCommandBytes int
+		// format is the lowest version of log entries that a member applies.
+		format uint32
 		// stallBytes, if set, is the size above which a command waits for gate
 		// instead of all commands.
 		stallBytes int
@@ -67,7 +69,7 @@
 
 var errAnswerLost = errors.New("the answer was lost")
 
-func (m *fakeMember) Propose(_ context.Context, cmd []byte) ([]byte, uint64, error) {
+func (m *fakeMember) ProposeFormat(_ context.Context, cmd []byte, format uint32) ([]byte, uint64, error) {
 	l := m.log
 	l.mu.Lock()
 	l.proposals++
@@ -90,6 +92,9 @@
 	if l.maxCommandBytes > 0 && len(cmd) > l.maxCommandBytes {
 		return nil, 0, refuser.New(refuser.BadRequest, refuser.NotRun, "command of %d bytes", len(cmd))
 	}
+	if format > l.format {
+		return nil, 0, refuser.New(refuser.MixedReleases, refuser.NotRun, "version %d", format)
+	}
 	if l.loseAnswers {
 		l.apply(cmd)
 		return nil, 0, errAnswerLost
--- a/messenger/operator_test.go
+++ b/messenger/operator_test.go
@@ -78,6 +78,24 @@
 		Expect(l.machine.History(1000)).To(HaveLen(rounds))
 	})
 
+	// Guards against an order that only some members apply, and against an operator who
+	// is not told that it may be repeated after the upgrade.
+	It("is refused an order that a member of an earlier release does not apply", func(ctx context.Context) {
+		l, _ := startControlGroup(1, timekeeper.System{})
+		o := newOperator(l)
+		order := controller.EvacuationOrder{Zone: "a", End: true}
+		_, err := o.Evacuate(ctx, order)
+		r, ok := refuser.As(err)
+		Expect(ok).To(BeTrue(), "%v", err)
+		Expect(r).To(And(HaveField("Code", refuser.MixedReleases), HaveField("Outcome", refuser.NotRun)))
+		Expect(r.Status()).To(Equal(503))
+		Expect(l.entries).To(BeZero())
+		l.format = 1
+		result, err := o.Evacuate(ctx, order)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Accepted).To(BeTrue())
+	})
+
 	It("reads the leader's state through any control host", func(ctx context.Context) {
 		l, members := startControlGroup(3, timekeeper.System{})
 		l.leader = 2
@@ -85,7 +103,7 @@
 			Bill: &controller.Bill{Records: []biller.Record{newRecord("a", time.Now()), newRecord("b", time.Now())}},
 		}}})
 		Expect(err).NotTo(HaveOccurred())
-		_, _, err = members[2].Propose(ctx, cmd)
+		_, _, err = members[2].ProposeFormat(ctx, cmd, 0)
 		Expect(err).NotTo(HaveOccurred())
 		o := newOperator(l)
 		got, err := o.Export(ctx)
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -67,6 +67,7 @@
 	AnswerMismatch     Code = "answerMismatch"
 	OutcomeUnknown     Code = "outcomeUnknown"
 	AnswerNotStored    Code = "answerNotStored"
+	MixedReleases      Code = "mixedReleases"
 	ShuttingDown       Code = "shuttingDown"
 	NotConfigured      Code = "notConfigured"
 	Conflict           Code = "conflict"
@@ -124,6 +125,7 @@
 	AnswerMismatch:     http.StatusBadGateway,
 	OutcomeUnknown:     http.StatusBadGateway,
 	AnswerNotStored:    http.StatusConflict,
+	MixedReleases:      http.StatusServiceUnavailable,
 	ShuttingDown:       http.StatusServiceUnavailable,
 	NotConfigured:      http.StatusServiceUnavailable,
 	Conflict:           http.StatusConflict,
--- a/replicator/core.go
+++ b/replicator/core.go
@@ -99,6 +99,10 @@
 		// lastAckedSend is the leader's clock when it sent the newest message that
 		// the member answered.
 		lastAckedSend time.Duration
+		// format is the version of log entries in the newest answer, which counts once
+		// the member has answered.
+		format   uint32
+		answered bool
 		// snapshot is the one being sent, chunkOffset the offset of its next part,
 		// and chunkSentAt is when the last part was sent.
 		snapshot    *journaler.Snapshot
@@ -196,6 +200,7 @@
 		c.promoteLearner()
 	}
 	c.updateAddress(c.self)
+	c.storeFormats()
 }
 
 // pendingOutput holds what must be synced and sent. The messages in beforeSync
@@ -334,12 +339,12 @@
 // queueAfterSync queues a message that must not be sent before the sync, such
 // as any reply about durable state.
 func (c *core) queueAfterSync(addr netip.AddrPort, m *Message) {
-	m.From = c.self.ID
+	m.From, m.Format = c.self.ID, c.self.Format
 	c.afterSync = append(c.afterSync, envelope{addr, m})
 }
 
 // queueBeforeSync queues a message that need not wait for the sync.
 func (c *core) queueBeforeSync(addr netip.AddrPort, m *Message) {
-	m.From = c.self.ID
+	m.From, m.Format = c.self.ID, c.self.Format
 	c.beforeSync = append(c.beforeSync, envelope{addr, m})
 }
--- a/replicator/group.go
+++ b/replicator/group.go
@@ -101,6 +101,8 @@
 		// Trailing is the number of entries kept in memory behind a snapshot for
 		// members that lag; zero means 1,024.
 		Trailing uint64
+		// Format is the version of log entries that Machine applies.
+		Format uint32
 		// Rand and NewID are set by tests.
 		Rand  *rand.Rand
 		NewID func() string
@@ -151,11 +153,15 @@
 		leaderLostAt    time.Duration
 		members         []Member
 		membershipIndex uint64
+		// lowest is the member that applies the lowest version of log entries, with
+		// that version. It is used only while this member leads.
+		lowest Member
 	}
 
 	// call is a proposal, a barrier or a membership change submitted to the loop.
 	call struct {
 		cmd     []byte
+		format  uint32
 		barrier bool
 		change  func(*core) (uint64, error)
 
@@ -206,7 +212,7 @@
 		heartbeatInterval: o.Heartbeat, electionTimeout: o.Election, leaseDuration: o.Lease,
 		trailingEntries: o.Trailing, chunkBytes: snapshotChunkBytes,
 	}
-	self := Member{ID: st.Meta.Member, Name: o.Name, Addr: o.Addr}
+	self := Member{ID: st.Meta.Member, Name: o.Name, Addr: o.Addr, Format: o.Format}
 	c, err := newCore(p, self, o.Peers, o.Rand, st)
 	if err != nil {
 		return nil, err
@@ -272,10 +278,16 @@
 // and its index. NotRun reports whether an error means that the command
 // certainly has no effect; a *NotLeaderError names the leader.
 func (g *Group) Propose(ctx context.Context, cmd []byte) (result []byte, index uint64, err error) {
+	return g.ProposeFormat(ctx, cmd, 0)
+}
+
+// ProposeFormat is Propose for a command that only members that apply log entries
+// of the given version understand. If a member does not, the error is a *FormatError.
+func (g *Group) ProposeFormat(ctx context.Context, cmd []byte, format uint32) (result []byte, index uint64, err error) {
 	if len(cmd) > maxCommandBytes {
 		return nil, 0, &TooLargeError{Size: len(cmd), Limit: maxCommandBytes}
 	}
-	out := g.submit(ctx, &call{cmd: cmd})
+	out := g.submit(ctx, &call{cmd: cmd, format: format})
 	return out.data, out.index, out.err
 }
 
@@ -327,6 +339,10 @@
 // Applied returns the index of the newest entry applied to the state machine.
 func (g *Group) Applied() uint64 { return g.applied.Load() }
 
+// LowestFormat returns the lowest version of log entries that a member applies, as
+// far as this member knows, which must lead for a current answer.
+func (g *Group) LowestFormat() uint32 { return g.status.Load().lowest.Format }
+
 // Members returns the newest membership known to this member.
 func (g *Group) Members() []Member { return slices.Clone(g.status.Load().members) }
 
--- a/replicator/member.go
+++ b/replicator/member.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-// proposeMembership appends an entry with the new membership, which takes
-// effect at once, and returns its index.
+// proposeMembership appends an entry with the new membership and the reported
+// versions of log entries, which takes effect at once, and returns its index.
 func (c *core) proposeMembership(members []Member) (uint64, error) {
 	if err := c.checkChangeAllowed(); err != nil {
 		return 0, err
@@ -118,6 +118,7 @@
 	if !c.hasLiveMajority(members) {
 		return 0, &MembershipError{Reason: "a majority of the new voters has not answered recently"}
 	}
+	members = c.withFormats(members)
 	b, err := encodeMembership(members)
 	if err != nil {
 		return 0, err
--- a/replicator/replicate.go
+++ b/replicator/replicate.go
@@ -183,6 +183,10 @@
 	}
 	p := c.progress[m.From]
 	if p != nil {
+		if m.Sent >= p.lastAckedSend {
+			// A late answer may be from before the member was replaced by another release.
+			p.format, p.answered = m.Format, true
+		}
 		p.lastAckedSend = max(p.lastAckedSend, m.Sent)
 	}
 	return p
--- a/replicator/replicator.go
+++ b/replicator/replicator.go
@@ -28,6 +28,14 @@
 // peers must therefore be up at the same time for a new group to form, and a
 // host that lost its disk cannot form a second group by mistake.
 //
+// # Versions of log entries
+//
+// Members of two releases may run side by side. Each message says which version
+// of log entries its sender applies, and the membership stores what each member
+// last reported. ProposeFormat refuses a command above the lowest version of all
+// members. For a member that has not answered the leader in its term, the stored
+// version is used.
+//
 // # Usage
 //
 //	g, err := replicator.New(replicator.Options{
@@ -120,6 +128,9 @@
 		Name  string         `cbor:"name"`
 		Addr  netip.AddrPort `cbor:"addr"`
 		Voter bool           `cbor:"voter"`
+		// Format is the version of log entries that the member last reported, 0 if it
+		// reported none.
+		Format uint32 `cbor:"format,omitempty"`
 	}
 
 	// Kind is the type of a message.
@@ -130,6 +141,9 @@
 	Message struct {
 		Kind Kind   `cbor:"kind"`
 		From string `cbor:"from"`
+		// Format is the version of log entries that the sender applies. Releases
+		// without it apply version 0.
+		Format uint32 `cbor:"format,omitempty"`
 		// To is the identity of the receiver. If it is empty, the message is for
 		// any member at the address.
 		To   string `cbor:"to,omitempty"`
@@ -179,6 +193,14 @@
 	// has no effect.
 	TooLargeError struct{ Size, Limit int }
 
+	// FormatError reports that a member does not apply log entries of the version
+	// that a command needs. The command has no effect and may be repeated.
+	FormatError struct {
+		// Member is the member with the lowest version, which is its Format.
+		Member   Member
+		Required uint32
+	}
+
 	// MembershipError reports why a membership change was refused.
 	MembershipError struct{ Reason string }
 )
@@ -213,6 +235,12 @@
 	return fmt.Sprintf("command of %d bytes exceeds the limit of %d", e.Size, e.Limit)
 }
 
+// Error implements error.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("member %s at %s applies log entries up to version %d and the command needs version %d; upgrade or remove the member, then retry",
+		e.Member.Name, e.Member.Addr, e.Member.Format, e.Required)
+}
+
 // Error implements error.
 func (e *MembershipError) Error() string { return "membership change refused: " + e.Reason }
 
@@ -223,11 +251,12 @@
 		nl *NotLeaderError
 		pe *ProposalError
 		tl *TooLargeError
+		fe *FormatError
 	)
 	switch {
 	case errors.As(err, &pe):
 		return pe.NotRun
-	case errors.As(err, &nl), errors.As(err, &tl):
+	case errors.As(err, &nl), errors.As(err, &tl), errors.As(err, &fe):
 		return true
 	}
 	return false
--- a/replicator/run.go
+++ b/replicator/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"foxtailwall/journaler"
 )
@@ -110,6 +111,12 @@
 		}
 		c.index = index
 	default:
+		if err := g.core.checkFormat(c.format); err != nil {
+			g.opts.Scope.Counter("replicator.formatRefused").Inc(1)
+			g.opts.Log.Warn().Err(err).Msg("a command was refused, because a member of the control group does not apply its version of log entries")
+			c.finish(outcome{err: err})
+			return
+		}
 		c.index = g.core.appendEntry(entryCommand, c.cmd)
 	}
 	c.term = g.core.meta.Term
@@ -295,6 +302,7 @@
 	next := &memberStatus{
 		term: c.meta.Term, leading: c.role == leader, caughtUp: c.applied >= c.termStart,
 		leader: lead, members: c.membership(), membershipIndex: c.memberships[len(c.memberships)-1].index,
+		lowest: c.lowestFormat(),
 	}
 	old := g.status.Load()
 	if old != nil && old.equal(next) {
@@ -307,13 +315,29 @@
 		}
 	}
 	g.status.Store(next)
+	g.logLowestFormat(old, next)
 	if old == nil || old.leader.ID != lead.ID {
 		g.opts.Scope.Counter("replicator.leaderChanges").Inc(1)
 		g.opts.Log.Info().Str("leader", lead.Name).Uint64("term", c.meta.Term).Msg("control group leader changed")
 	}
 }
 
+// logLowestFormat logs a change of the lowest version of log entries that the members
+// apply. Entries of a later version are refused, and a member that went back to an earlier
+// release does not apply those in the log.
+func (g *Group) logLowestFormat(old, next *memberStatus) {
+	if !next.leading || old != nil && old.leading && old.lowest == next.lowest {
+		return
+	}
+	level := zerolog.InfoLevel
+	if next.lowest.Format < g.opts.Format {
+		level = zerolog.WarnLevel
+	}
+	g.opts.Log.WithLevel(level).Str("member", next.lowest.Name).Uint32("format", next.lowest.Format).Uint32("own", g.opts.Format).
+		Msg("lowest version of log entries that a member of the control group applies")
+}
+
 func (p *memberStatus) equal(o *memberStatus) bool {
-	return p.term == o.term && p.leading == o.leading && p.caughtUp == o.caughtUp && p.leader == o.leader &&
+	return p.term == o.term && p.leading == o.leading && p.caughtUp == o.caughtUp && p.leader == o.leader && p.lowest == o.lowest &&
 		p.membershipIndex == o.membershipIndex && len(p.members) == len(o.members)
 }
--- a/replicator/sim_test.go
+++ b/replicator/sim_test.go
@@ -153,6 +153,8 @@
 		Transport: h, Clock: h, SnapshotEvery: 40, Trailing: 15,
 		Rand:  rand.New(rand.NewPCG(s.rng.Uint64(), 1)),
 		NewID: func() string { return fmt.Sprintf("%s-%d", h.peer.Name, h.boots) },
+		// Each start is an upgrade or a return to the earlier release.
+		Format: uint32(h.boots % 2),
 	}
 	if s.voters > 0 {
 		o.Peers, o.Seeds, o.Voters, o.Bootstrap = nil, s.seeds, s.voters, !h.diskLost
