--- a/controller/format.go
+++ b/controller/format.go
@@ -4,6 +4,9 @@
 // 4610b62; version 1 adds evacuations and the trials of isolations.
 const Format uint32 = 1
 
+// EvacuationFormat is the version from which members publish evacuations in the view.
+const EvacuationFormat uint32 = 1
+
 // RequiredFormat returns the version of log entries that a member must apply for the
 // items to have the same effect there. The source of the versions is
 // docs/design/mixed-releases.md.
--- a/controller/machine.go
+++ b/controller/machine.go
@@ -61,6 +61,7 @@
 		orderedRollouts []OrderedRollout
 		isolations      []Isolation
 		evacuations     []declarer.Evacuation
+		published       Published
 	}
 
 	// entryMeta is the log index of a command and the leader's time in it.
@@ -170,7 +171,7 @@
 	case it.Put != nil:
 		return Answer{Put: m.putDocument(it.Put)}
 	case it.Order != nil:
-		return Answer{Ordered: m.orderRollout(e, it.Order)}
+		return m.orderService(e, it.Order)
 	case it.Step != nil:
 		return Answer{OK: m.stepOrderedRollout(it.Step)}
 	case it.Isolation != nil:
@@ -216,7 +217,10 @@
 	// Appending to nil makes an empty list nil, as it is after Restore.
 	m.view.Progress = append([]declarer.Progress(nil), m.view.Progress...)
 	m.view.Quarantined = append([]declarer.VersionRef(nil), m.view.Quarantined...)
-	m.view.Evacuated = append([]declarer.Evacuation(nil), m.evacuations...)
+	m.published = Published{
+		Version: index, Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations, Evacuations: m.evacuations,
+	}.WithEvacuations()
+	m.view.Evacuated = append([]declarer.Evacuation(nil), m.published.Evacuations...)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
--- a/controller/ordered_rollout.go
+++ b/controller/ordered_rollout.go
@@ -86,9 +86,7 @@
 func (m *Machine) Published() Published {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Published{
-		Version: m.view.Version, Document: m.document, Rollouts: m.orderedRollouts, Isolations: m.isolations, Evacuations: m.evacuations,
-	}
+	return m.published
 }
 
 // putDocument stores the document if its version is higher than the current one
--- a/coordinator/operate.go
+++ b/coordinator/operate.go
@@ -100,18 +100,26 @@
 }
 
 func (c *Coordinator) evacuate(ctx context.Context, o controller.EvacuationOrder) error {
-	a, err := c.propose(ctx, controller.Item{Evacuation: &o})
-	switch {
-	case err != nil:
-		return err
-	case a.Evacuated == nil:
-		// The leader, or the host that forwarded the call, is of a release without evacuations.
-		return wrapUnavailable(errors.Newf("the order was not applied: %s", a.Fault))
-	case !a.Evacuated.Accepted:
-		return wrapUnavailable(errors.Newf("too many zones are evacuated"))
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	items := o.Items()
+	completeContrary, order := items[0], items[1]
+	for {
+		a, err := c.propose(ctx, order)
+		switch {
+		case err != nil:
+			return err
+		case a.Ordered == nil:
+			return wrapUnavailable(errors.Newf("the order was not applied: %s", a.Fault))
+		case a.Ordered.Accepted:
+			// A leader of an earlier release does not say whether the order changed anything.
+			c.set.Log.Info().Str("zone", o.Zone).Bool("ended", o.End).Time("since", a.Ordered.Rollout.StartedAt).Msg("evacuation ordered")
+			return nil
+		}
+		if _, err := c.propose(ctx, completeContrary); err != nil {
+			return err
+		}
 	}
-	c.set.Log.Info().Str("zone", o.Zone).Bool("ended", o.End).Bool("changed", a.Evacuated.Changed).Msg("evacuation ordered")
-	return nil
 }
 
 // propose appends one item to the log, if necessary through the leader, and
@@ -186,7 +194,7 @@
 	if err != nil {
 		return p, wrapUnavailable(err)
 	}
-	return res.Published, nil
+	return res.Published.WithEvacuations(), nil
 }
 
 // readLocally returns the published state if this host leads, with every change
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -203,7 +203,8 @@
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "a call must carry 1 to %d items, not %d", maxItems, n)
 	}
 	for _, it := range r.Items {
-		if it.Apply != nil || it.Prune != nil || it.Evacuation != nil {
+		if it.Apply != nil || it.Prune != nil || it.Evacuation != nil ||
+			it.Order != nil && controller.IsReserved(it.Order.Service) || it.Step != nil && controller.IsReserved(it.Step.Service) {
 			return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "apply, prune and evacuation items are not accepted; use %s to change the configuration and %s to evacuate a zone", procApply, procEvacuate)
 		}
 	}
@@ -228,24 +229,29 @@
 	if upstreams := s.opts.Machine.View().Config.Upstreams; !r.Order.End && !slices.ContainsFunc(upstreams, inZone) {
 		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "no upstream is declared in a zone %q", zone)
 	}
-	answers, _, err := s.propose(ctx, []controller.Item{{Evacuation: &r.Order}})
+	// The order is stored in entries that all members apply, but a leader of an earlier
+	// release would not tell hosts of it.
+	answers, _, err := s.proposeFormat(ctx, r.Order.Items(), controller.EvacuationFormat)
 	if err != nil {
 		return nil, err
 	}
-	if answers[0].Evacuated == nil {
-		return nil, refuser.New(refuser.BadRequest, refuser.NotRun, "the order was not applied: %s", answers[0].Fault)
-	}
-	return answers[0].Evacuated, nil
+	return answers[len(answers)-1].Evacuated, nil
 }
 
 // propose stamps the items with the time of this host and appends them to the
 // log, which accepts them from the leader only.
 func (s *ControlService) propose(ctx context.Context, items []controller.Item) ([]controller.Answer, uint64, error) {
+	return s.proposeFormat(ctx, items, controller.RequiredFormat(items...))
+}
+
+// proposeFormat is propose for items that are refused until all members apply log entries
+// of the version.
+func (s *ControlService) proposeFormat(ctx context.Context, items []controller.Item, format uint32) ([]controller.Answer, uint64, error) {
 	cmd, err := controller.Encode(controller.Command{At: s.opts.Clock.Now(), Items: items})
 	if err != nil {
 		return nil, 0, refuser.New(refuser.BadRequest, refuser.NotRun, "encode command: %v", err)
 	}
-	b, index, err := s.opts.Group.ProposeFormat(ctx, cmd, controller.RequiredFormat(items...))
+	b, index, err := s.opts.Group.ProposeFormat(ctx, cmd, format)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/starter/entry.go
+++ b/starter/entry.go
@@ -303,7 +303,8 @@
 }
 
 // applyPublished activates a configuration and rollouts. The caller holds mu.
-func (e *entry) applyPublished(p *controller.Published) {
+func (e *entry) applyPublished(published *controller.Published) {
+	p := published.WithEvacuations()
 	e.publishedVersion = p.Version
 	next := forwarder.ActiveConfig{Table: e.newest.Table, Rollouts: make(map[string]controller.OrderedRollout, len(p.Rollouts))}
 	for _, r := range p.Rollouts {
