Log the members of the control group when they change

Cause: nothing outside a process shows whether a control host that lost its disk votes again, so that the next host may be stopped too early. Change: each member logs the names of voters and learners at each change.

--- a/replicator/run.go
+++ b/replicator/run.go
@@ -315,6 +315,7 @@
 		}
 	}
 	g.status.Store(next)
+	g.logMembership(old, next)
 	g.logLowestFormat(old, next)
 	if old == nil || old.leader.ID != lead.ID {
 		g.opts.Scope.Counter("replicator.leaderChanges").Inc(1)
@@ -322,6 +323,23 @@
 	}
 }
 
+// logMembership logs the members when they change. A host that lost its disk counts for the
+// majority only once it is a voter again.
+func (g *Group) logMembership(old, next *memberStatus) {
+	if len(next.members) == 0 || old != nil && old.membershipIndex == next.membershipIndex && len(old.members) == len(next.members) {
+		return
+	}
+	var voters, learners []string
+	for _, m := range next.members {
+		if m.Voter {
+			voters = append(voters, m.Name)
+		} else {
+			learners = append(learners, m.Name)
+		}
+	}
+	g.opts.Log.Info().Strs("voters", voters).Strs("learners", learners).Msg("members of the control group")
+}
+
 // logLowestFormat logs a change of the lowest version of log entries that the members
 // apply. Entries of a later version are refused, and a member that went back to an earlier
 // release does not apply those in the log.
