--- a/coordinator/isolate.go
+++ b/coordinator/isolate.go
@@ -18,10 +18,16 @@
 		isolations := c.Published().Isolations
 		c.judge.SetIsolations(isolations)
 		for _, st := range c.judge.Next() {
+			if st.Hold && !c.canApply(st) {
+				st = controller.IsolationStep{Part: st.Part}
+			}
 			c.stepIsolation(ctx, st)
 		}
 		for _, st := range c.judge.Trials() {
-			c.stepIsolation(ctx, st)
+			// Without trials, an isolation lasts until its time has passed.
+			if c.canApply(st) {
+				c.stepIsolation(ctx, st)
+			}
 		}
 		now := c.set.Clock.Now()
 		for _, i := range isolations {
@@ -32,6 +38,13 @@
 	}
 }
 
+// canApply reports whether all members of the group apply the step, false while no member
+// is open.
+func (c *Coordinator) canApply(st controller.IsolationStep) bool {
+	m := c.openMember.Load()
+	return m != nil && controller.RequiredFormat(controller.Item{Isolation: &st}) <= m.group.LowestFormat()
+}
+
 // stepIsolation proposes the start, a trial or the end of an isolation. A failure is only
 // logged: the next turn proposes it again.
 func (c *Coordinator) stepIsolation(ctx context.Context, st controller.IsolationStep) {
