Show what waits at entry hosts in the status

Cause: `foxtailwall status` showed neither the requests that wait for admission at the entry hosts nor the refused ones. Refusals after a wait were not counted at all.

Change: limiter reports its waiting requests by workspace and priority with the oldest wait, and its refusals by code; the new counter limiter.deadlineExceeded counts those after a wait. Hosts add this to their confirmations (an optional field, at most 64 groups), relays pass it on, and the status lists it for live hosts. The field is missing for hosts whose relay runs an earlier release.

--- a/cmd/foxtailwall/operator_test.go
+++ b/cmd/foxtailwall/operator_test.go
@@ -17,6 +17,7 @@
 	"foxtailwall/controller"
 	"foxtailwall/declarer"
 	"foxtailwall/messenger"
+	"foxtailwall/relayer"
 	"foxtailwall/timekeeper"
 )
 
@@ -61,6 +62,10 @@
 		return out.String(), err
 	}
 
+	queue := &relayer.QueueStatus{
+		Requests: 5, Refused: map[string]int64{"queueFull": 3, "deadlineTooShort": 1},
+		Waiting: []relayer.WaitingGroup{{Workspace: "counter", Priority: 7, Requests: 2, Oldest: 1234567 * time.Microsecond}},
+	}
 	BeforeEach(func() {
 		isLeader = true
 		group = &soloGroup{machine: controller.New(nil)}
@@ -68,7 +73,7 @@
 		messenger.HandleControl(mux, messenger.ControlServiceOptions{
 			Group: group, Machine: group.machine, Clock: timekeeper.System{},
 			Hosts: func() []messenger.HostStatus {
-				return []messenger.HostStatus{{Name: "h1", Zone: "a", Version: 1, Live: true}, {Name: "h2", Zone: "b", Version: 0}}
+				return []messenger.HostStatus{{Name: "h1", Zone: "a", Version: 1, Live: true, Queue: queue}, {Name: "h2", Zone: "b", Version: 0, Queue: queue}}
 			},
 			VersionStatus: func(version uint64, leased bool) (messenger.VersionStatus, bool) {
 				if leased {
@@ -141,6 +146,16 @@
 		Expect(out).NotTo(ContainSubstring("in force"))
 	})
 
+	// Guards against requests that wait, or are refused, without the operators seeing
+	// it, and against old figures of a host that no longer answers.
+	It("prints what waits and what was refused at live hosts", func() {
+		out, err := run("status")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(out).To(ContainSubstring("queue of h1: 2 of workspace counter with priority 7, the oldest for 1.235s\nqueue of h1: 3 more\n" +
+			"refused by h1 since its start: 1 deadlineTooShort\nrefused by h1 since its start: 3 queueFull\nclaims"))
+		Expect(out).NotTo(ContainSubstring("queue of h2"))
+	})
+
 	It("prints the ledger and the totals", func() {
 		rec := biller.Record{ID: "r1", Workspace: "w", Member: "m", CostNanos: 1_500_000_000, Ending: biller.Complete, At: time.Now(),
 			Steps: []biller.Step{{Model: "a", Version: "v1", InputTokens: 3, OutputTokens: 4}}}
--- a/cmd/foxtailwall/status.go
+++ b/cmd/foxtailwall/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -23,6 +24,10 @@
 
 Zones whose upstreams get no new requests are listed as evacuated.
 
+For each live host it prints the requests that wait there, by workspace and
+priority, with the longest wait, and the requests refused since the host
+started, by code. Hosts report these every 2 s to the leader of the control group.
+
 For the newest version and each withdrawal it prints whether they are in force,
 which hosts have yet to confirm them, and which zones are cut off and may still
 use an older version. Only the leader of the control group reports this.
@@ -103,9 +108,31 @@
 			fmt.Fprintf(w, "  %s: %s, seen %s; it may still use version %d\n", h.Name, liveness(h), lastSeen(h), h.Version)
 		}
 	}
+	for _, h := range status.Hosts {
+		writeQueue(w, h)
+	}
 	fmt.Fprintf(w, "claims %d, pins %d, billing records %d, refused deliveries %d\n", status.Claims, status.Pins, status.Records, status.RefusedBills)
 }
 
+// writeQueue prints what waits at a host and what it has refused. It omits hosts that
+// are not live, because their queues are unknown.
+func writeQueue(w io.Writer, h messenger.HostStatus) {
+	if h.Queue == nil || !h.Live {
+		return
+	}
+	left := h.Queue.Requests
+	for _, g := range h.Queue.Waiting {
+		left -= g.Requests
+		fmt.Fprintf(w, "queue of %s: %d of workspace %s with priority %d, the oldest for %s\n", h.Name, g.Requests, g.Workspace, g.Priority, g.Oldest.Round(time.Millisecond))
+	}
+	if left > 0 {
+		fmt.Fprintf(w, "queue of %s: %d more\n", h.Name, left)
+	}
+	for _, code := range slices.Sorted(maps.Keys(h.Queue.Refused)) {
+		fmt.Fprintf(w, "refused by %s since its start: %d %s\n", h.Name, h.Queue.Refused[code], code)
+	}
+}
+
 // writeVersionStatus prints whether a version is in force, and the hosts and zones
 // that have not confirmed it.
 func writeVersionStatus(w io.Writer, version messenger.VersionStatus) {
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -13,6 +13,7 @@
 	"foxtailwall/limiter"
 	"foxtailwall/pinner"
 	"foxtailwall/poller"
+	"foxtailwall/relayer"
 	"foxtailwall/router"
 	"foxtailwall/server"
 )
@@ -38,6 +39,7 @@
 	pools   *upstreamPools
 	planner *planner
 	poller  *poller.Poller
+	limiter *limiter.Limiter
 	router  *router.Router
 	server  *server.Server
 }
@@ -62,11 +64,12 @@
 		Client: h.reportClient(), Scheme: h.upstreamScheme(), Platform: h.settings.Platform, Rater: h.settings.Rater,
 	})
 	e.pools.recheck = e.poller.PollSoon
+	e.limiter = limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope})
 	e.router = router.New(router.Options{
 		Host: h.settings.Name, Zone: h.settings.Zone, Clock: h.clock, Scope: h.scope,
 		Views: readyViews{h.views, e.poller}, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
 		Signer: signer, Picker: e.pools, Monitor: e.pools, Assigner: newRolloutAssigner(&h.settings), Chooser: e.planner, Learner: e.planner, Ratings: e.poller, RatingWait: ratingTimeout, HedgeAfter: hedgeDelay,
-		Limiter: limiterAdapter{limiter: limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope})},
+		Limiter: limiterAdapter{limiter: e.limiter},
 	})
 	var err error
 	var writeReport func(io.Writer, string) error
@@ -84,6 +87,22 @@
 	return err
 }
 
+// queueStatus returns the state of the queue for the status of the deployment.
+// The relay node, which calls it, runs only after buildEntry.
+func (h *Host) queueStatus() *relayer.QueueStatus {
+	s := h.entry.limiter.Status()
+	out := &relayer.QueueStatus{Requests: s.Waiting, Refused: make(map[string]int64, len(s.Refused))}
+	for _, g := range s.Groups[:min(len(s.Groups), relayer.MaxWaitingGroups)] {
+		out.Waiting = append(out.Waiting, relayer.WaitingGroup{
+			Workspace: g.Workspace, Priority: g.Priority, Requests: g.Requests, Oldest: g.Oldest,
+		})
+	}
+	for code, n := range s.Refused {
+		out.Refused[string(code)] = n
+	}
+	return out
+}
+
 // upstreamScheme returns the URL scheme of requests to the upstreams' report and
 // order endpoints.
 func (h *Host) upstreamScheme() string {
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -22,12 +22,14 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
 
 	"foxtailwall/controller"
 	"foxtailwall/declarer"
 	"foxtailwall/emulator"
 	"foxtailwall/hoster"
 	"foxtailwall/messenger"
+	"foxtailwall/refuser"
 	"foxtailwall/reserver"
 	"foxtailwall/timekeeper"
 )
@@ -260,6 +262,44 @@
 		Expect(d.stop()).To(Succeed())
 	}, NodeTimeout(2*time.Minute))
 
+	// Guards against a queue of a running host that is missing from the status.
+	It("lists what waits and what it has refused in the status", func(ctx context.Context) {
+		d := startDeployment(emulator.EngineConfig{
+			Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}}, Timing: emulator.Timing{Step: time.Hour},
+		}, hoster.TLSFiles{Insecure: true}, nil)
+		operator := messenger.OperatorClient{Clock: timekeeper.System{}, Peers: []*messenger.Peer{messenger.NewPeer(d.settings.Peers, nil)}}
+		conf := d.config("v1")
+		conf.Workspaces[0].Concurrent, conf.Workspaces[0].Queue = 1, 1
+		change, err := controller.NewApply("office", "", 0, conf)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = operator.Apply(ctx, change)
+		Expect(err).NotTo(HaveOccurred())
+
+		// One request runs, one waits, and all others are refused.
+		requests, cancel := context.WithCancel(ctx)
+		var wg conc.WaitGroup
+		for range 2 {
+			wg.Go(func() {
+				for requests.Err() == nil {
+					d.sendRequest(requests, http.DefaultClient, "http")
+					_ = timekeeper.Sleep(requests, timekeeper.System{}, 10*time.Millisecond)
+				}
+			})
+		}
+		Eventually(func() int {
+			limited, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+			defer cancel()
+			return d.sendRequest(limited, http.DefaultClient, "http")
+		}).WithContext(ctx).WithTimeout(time.Minute).WithPolling(10 * time.Millisecond).Should(Equal(http.StatusTooManyRequests))
+		Eventually(operator.Status).WithContext(ctx).WithArguments(false).WithTimeout(time.Minute).WithPolling(50 * time.Millisecond).Should(
+			HaveField("Hosts", ConsistOf(HaveField("Queue", HaveValue(And(
+				HaveField("Waiting", ConsistOf(And(HaveField("Workspace", "w"), HaveField("Priority", 5), HaveField("Requests", 1)))),
+				HaveField("Refused", HaveKey(string(refuser.QueueFull)))))))))
+		cancel()
+		wg.Wait()
+		Expect(d.stop()).To(Succeed())
+	}, NodeTimeout(2*time.Minute))
+
 	// Guards against a zone that is cut off before the leader starts, never
 	// confirms a version and is therefore missing from the status.
 	It("lists a cut-off zone in the status", func(ctx context.Context) {
--- a/hoster/views.go
+++ b/hoster/views.go
@@ -38,6 +38,9 @@
 		Host: relayer.Host{Name: h.settings.Name, Zone: h.settings.Zone, Control: h.settings.IsControl()}, Clock: h.clock, Scope: h.scope, Log: h.log,
 		Transport: messenger.NewRelayTransport(h.tls.peer, messenger.WithDial(h.opts.Dial)),
 	}
+	if h.settings.Entry {
+		opts.Queue = h.queueStatus
+	}
 	own, _ := h.settings.Spec(h.settings.Name) // Validate has checked the name.
 	opts.Host.Addr = own.Addr
 	for _, s := range h.settings.Hosts {
@@ -147,7 +150,7 @@
 	}
 	var out []messenger.HostStatus
 	for _, s := range node.Registry().Hosts() {
-		out = append(out, messenger.HostStatus{Name: s.Host.Name, Zone: s.Host.Zone, Version: s.Version, Live: s.Live, Seen: s.Seen})
+		out = append(out, messenger.HostStatus{Name: s.Host.Name, Zone: s.Host.Zone, Version: s.Version, Live: s.Live, Seen: s.Seen, Queue: s.Queue})
 	}
 	return out
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -27,7 +27,10 @@
 package limiter
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -92,6 +95,26 @@
 		once    sync.Once
 	}
 
+	// Status describes the requests that wait and those that were refused.
+	Status struct {
+		// Waiting is the number of requests that wait.
+		Waiting int
+		// Groups has the waiting requests by workspace and priority, those with
+		// the longest waits first.
+		Groups []Group
+		// Refused counts the refusals since New by their code.
+		Refused map[refuser.Code]int64
+	}
+
+	// Group describes the waiting requests of a workspace with the same priority.
+	Group struct {
+		Workspace string
+		Priority  int
+		Requests  int
+		// Oldest is the time for which the oldest request has waited.
+		Oldest time.Duration
+	}
+
 	// Limiter admits requests. It is safe for concurrent use. Make it with
 	// New.
 	Limiter struct {
@@ -99,6 +122,7 @@
 		mu        sync.Mutex
 		scheduler scheduler
 		budgets   map[string]*retryBudget
+		refused   map[refuser.Code]int64
 		// meanDuration, in seconds, and meanCost are means over completed
 		// requests, zero until one has completed. meanEstimate is the mean
 		// estimated cost of requests that asked for admission.
@@ -118,7 +142,7 @@
 		s.Queue = defaultQueue
 	}
 	return &Limiter{
-		settings: s, budgets: make(map[string]*retryBudget),
+		settings: s, budgets: make(map[string]*retryBudget), refused: make(map[refuser.Code]int64),
 		scheduler: scheduler{slots: s.Concurrent, flows: make(map[string]*flow)},
 	}
 }
@@ -183,6 +207,33 @@
 	return 0
 }
 
+// Status returns what waits now and how many requests were refused.
+func (l *Limiter) Status() Status {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Status{Waiting: l.scheduler.waiting, Refused: maps.Clone(l.refused)}
+	now := l.settings.Clock.Now()
+	for name, f := range l.scheduler.flows {
+		byPriority := make(map[int]*Group)
+		for _, w := range f.queue {
+			g := byPriority[w.priority]
+			if g == nil {
+				g = &Group{Workspace: name, Priority: w.priority}
+				byPriority[w.priority] = g
+			}
+			g.Requests++
+			g.Oldest = max(g.Oldest, now.Sub(w.queuedAt))
+		}
+		for _, g := range byPriority {
+			s.Groups = append(s.Groups, *g)
+		}
+	}
+	slices.SortFunc(s.Groups, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(b.Oldest, a.Oldest), cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(b.Priority, a.Priority))
+	})
+	return s
+}
+
 // InFlight returns the number of admitted requests that have not ended.
 func (l *Limiter) InFlight() int {
 	l.mu.Lock()
@@ -217,7 +268,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.settings.Clock.Now()
-	w := &waiter{cost: max(r.Cost, 1), priority: r.Priority, decided: make(chan struct{})}
+	w := &waiter{workspace: r.Workspace, cost: max(r.Cost, 1), priority: r.Priority, queuedAt: now, decided: make(chan struct{})}
 	w.flow = l.scheduler.flowFor(r)
 	l.meanEstimate += estimateGain * (w.cost - l.meanEstimate)
 	if l.meanEstimate < 1 {
@@ -225,7 +276,7 @@
 	}
 	wait := l.expectedWait(w)
 	if !r.Deadline.IsZero() && now.Add(wait+r.RunTime).After(r.Deadline) {
-		l.settings.Scope.Counter("limiter.deadlineTooShort", "workspace", r.Workspace).Inc(1)
+		l.countRefusal(refuser.DeadlineTooShort, r.Workspace)
 		return nil, refuser.New(refuser.DeadlineTooShort, refuser.NotRun,
 			"the request of workspace %q needs about %s but its deadline is in %s; set a later deadline",
 			r.Workspace, (wait + r.RunTime).Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait)
@@ -235,7 +286,7 @@
 		maxWaiting = l.settings.Queue
 	}
 	if refused := l.scheduler.enqueue(w, maxWaiting); refused != nil {
-		l.settings.Scope.Counter("limiter.queueFull", "workspace", r.Workspace).Inc(1)
+		l.countRefusal(refuser.QueueFull, r.Workspace)
 		refused.refuse(refuser.New(refuser.QueueFull, refuser.NotRun,
 			"workspace %q has %d requests waiting; retry later", r.Workspace, maxWaiting).WithRetryAfter(wait))
 	}
@@ -263,9 +314,18 @@
 	default:
 		l.scheduler.remove(w)
 	}
+	if refusal, ok := refuser.As(err); ok {
+		l.countRefusal(refusal.Code, w.workspace)
+	}
 	return nil, err
 }
 
+// countRefusal counts a refusal in the metric limiter.CODE and for Status.
+func (l *Limiter) countRefusal(code refuser.Code, workspace string) {
+	l.refused[code]++
+	l.settings.Scope.Counter("limiter."+string(code), "workspace", workspace).Inc(1)
+}
+
 // admitWaiting admits waiting requests while there are free slots.
 func (l *Limiter) admitWaiting() {
 	for {
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -136,6 +136,30 @@
 		Expect(l.InFlight()).To(Equal(3))
 	}, NodeTimeout(10*time.Second))
 
+	// Guards against a status that adds up requests of several workspaces or
+	// priorities, shows the latest wait instead of the longest, or misses refusals.
+	It("reports what waits by workspace and priority, and refusals by code", func(ctx context.Context) {
+		admit(limiter.Request{Workspace: "w"})
+		wait(ctx, limiter.Request{Workspace: "other", Priority: 5})
+		clock.Advance(time.Second)
+		wait(ctx, limiter.Request{Workspace: "w", Priority: 5})
+		wait(ctx, limiter.Request{Workspace: "w", Priority: 7})
+		late := wait(ctx, limiter.Request{Workspace: "w", Priority: 7, Deadline: clock.Now().Add(time.Second)})
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		_, err := l.Admit(ctx, limiter.Request{Workspace: "w", Queue: 1})
+		Expect(err).To(haveRefusal(refuser.QueueFull))
+		Expect(l.Status()).To(Equal(limiter.Status{
+			Waiting: 4, Refused: map[refuser.Code]int64{refuser.QueueFull: 1}, Groups: []limiter.Group{
+				{Workspace: "other", Priority: 5, Requests: 1, Oldest: time.Second},
+				{Workspace: "w", Priority: 7, Requests: 2},
+				{Workspace: "w", Priority: 5, Requests: 1},
+			},
+		}))
+		clock.Advance(time.Second)
+		Expect((<-late).err).To(HaveOccurred())
+		Expect(l.Status().Refused).To(HaveKeyWithValue(refuser.DeadlineExceeded, int64(1)))
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against slots that leak when callers disconnect at the moment of
 	// their admission.
 	It("leaks no slot under concurrent use", func(ctx context.Context) {
--- a/limiter/scheduler.go
+++ b/limiter/scheduler.go
@@ -36,12 +36,14 @@
 
 	// waiter is a request that waits or was admitted.
 	waiter struct {
-		flow     *flow
-		cost     float64
-		priority int
-		seq      uint64
+		workspace string
+		flow      *flow
+		cost      float64
+		priority  int
+		seq       uint64
 		// index is the position in the flow's heap.
 		index      int
+		queuedAt   time.Time
 		admitted   bool
 		admittedAt time.Time
 		refusal    *refuser.Refusal
--- a/messenger/control.go
+++ b/messenger/control.go
@@ -12,6 +12,7 @@
 	"foxtailwall/counter"
 	"foxtailwall/declarer"
 	"foxtailwall/refuser"
+	"foxtailwall/relayer"
 	"foxtailwall/timekeeper"
 )
 
@@ -74,6 +75,8 @@
 		// Live means that the host's lease, as the leader knows it, is valid.
 		Live bool      `cbor:"live" json:"live"`
 		Seen time.Time `cbor:"seen" json:"seen"`
+		// Queue is the state of the host's queue as of Seen, nil if unknown.
+		Queue *relayer.QueueStatus `cbor:"queue,omitempty" json:"queue,omitempty"`
 	}
 
 	// VersionStatus is how far a version has taken effect on the hosts.
--- a/relayer/confirm.go
+++ b/relayer/confirm.go
@@ -19,11 +19,11 @@
 	}
 }
 
-// Confirm sends this host's version and reports to a relay or, failing that,
+// Confirm sends this host's version, queue and reports to a relay or, failing that,
 // to the control group, and extends the lease by the response.
 func (n *Node) Confirm(ctx context.Context) {
 	req := &ConfirmRequest{
-		Confirmations: []Confirmation{{Host: n.opts.Host, Version: n.holder.Version()}},
+		Confirmations: []Confirmation{n.confirmation()},
 		Reports:       n.takeReports(),
 		Hosts:         hostsDigest(n.Hosts()),
 	}
@@ -44,6 +44,15 @@
 	n.checkLag(ctx, res.Version)
 }
 
+// confirmation returns the present state of this host.
+func (n *Node) confirmation() Confirmation {
+	c := Confirmation{Host: n.opts.Host, Version: n.holder.Version()}
+	if n.opts.Queue != nil {
+		c.Queue = n.opts.Queue()
+	}
+	return c
+}
+
 // checkLag switches to another server and fetches the newest version if this
 // host still lacks the version named by the previous confirmation, for example
 // because the process that it watches is paused.
--- a/relayer/node.go
+++ b/relayer/node.go
@@ -51,6 +51,9 @@
 		FS    journaler.FS
 		Scope counter.Scope
 		Log   zerolog.Logger
+		// Queue returns the state of this host's queue for its confirmations,
+		// nil if it has none.
+		Queue func() *QueueStatus
 
 		// Source and Group are set on control hosts.
 		Source Source
--- a/relayer/registry.go
+++ b/relayer/registry.go
@@ -54,6 +54,8 @@
 		// there is none.
 		lastSeen time.Time
 		leaseEnd time.Time
+		// queue is the queue's state as of lastSeen.
+		queue *QueueStatus
 	}
 
 	// VersionStatus describes how far a version has come into force.
@@ -83,6 +85,8 @@
 		Seen time.Time
 		// Lease is an upper bound on the remaining time of the host's lease.
 		Lease time.Duration
+		// Queue is the state of the host's queue as of Seen, nil if unknown.
+		Queue *QueueStatus
 	}
 )
 
@@ -108,7 +112,7 @@
 			r.hosts[c.Host.Name] = h
 		}
 		newLease := !now.Before(h.leaseEnd) || c.Version < h.highestVersion
-		h.host, h.version, h.lastSeen = c.Host, c.Version, now
+		h.host, h.version, h.lastSeen, h.queue = c.Host, c.Version, now, c.Queue
 		h.highestVersion = max(h.highestVersion, c.Version)
 		out[i] = r.leaseFor(c.Version, newLease, now)
 		if end := now.Add(out[i] + leaseSlack); out[i] > 0 && end.After(h.leaseEnd) {
@@ -214,7 +218,7 @@
 		}
 		out = append(out, HostStatus{
 			Host: h.host, Version: h.version, Live: live, CutOff: cut[h.host.Zone], Seen: h.lastSeen,
-			Lease: max(0, h.leaseEnd.Sub(now)),
+			Lease: max(0, h.leaseEnd.Sub(now)), Queue: h.queue,
 		})
 	}
 	slices.SortFunc(out, func(a, b HostStatus) int { return cmp.Compare(a.Host.Name, b.Host.Name) })
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -57,6 +57,10 @@
 	// batchInterval is the interval at which a relay forwards confirmations
 	// and reports.
 	batchInterval = time.Second
+	// MaxWaitingGroups bounds the groups in a QueueStatus, because a deployment may
+	// have thousands of workspaces and each host sends its status every
+	// RenewInterval.
+	MaxWaitingGroups = 64
 )
 
 type (
@@ -109,6 +113,33 @@
 	Confirmation struct {
 		Host    Host   `cbor:"host"`
 		Version uint64 `cbor:"version"`
+		// Queue is nil from hosts that serve no callers, and if a relay of an
+		// earlier release forwarded the confirmation.
+		Queue *QueueStatus `cbor:"queue,omitempty"`
+	}
+
+	// QueueStatus describes the requests that wait at a host for admission, and
+	// those that it has refused instead.
+	QueueStatus struct {
+		// Waiting has an entry for each workspace and priority, at most
+		// MaxWaitingGroups, those with the longest waits first.
+		Waiting []WaitingGroup `cbor:"waiting,omitempty" json:"waiting,omitempty"`
+		// Requests is the number of all waiting requests.
+		Requests int `cbor:"requests,omitempty" json:"requests"`
+		// Refused counts the refusals since the host started by their code.
+		Refused map[string]int64 `cbor:"refused,omitempty" json:"refused,omitempty"`
+	}
+
+	// WaitingGroup describes the waiting requests of a workspace with the same
+	// priority.
+	WaitingGroup struct {
+		Workspace string `cbor:"workspace" json:"workspace"`
+		// Priority is the one that the callers set, 0 (lowest) to 9.
+		Priority int `cbor:"priority" json:"priority"`
+		Requests int `cbor:"requests" json:"requests"`
+		// Oldest is the time for which the oldest request has waited, in
+		// nanoseconds.
+		Oldest time.Duration `cbor:"oldest" json:"oldest"`
 	}
 
 	// ConfirmRequest carries confirmations and reports towards the leader.
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -497,6 +497,18 @@
 		Expect(a.Holder().Leased()).To(BeFalse())
 	})
 
+	// Guards against a status that lacks what waits at the hosts behind a relay.
+	ginkgo.It("passes the state of a host's queue to the leader", func(ctx context.Context) {
+		state := &QueueStatus{Requests: 3, Waiting: []WaitingGroup{{Workspace: "w", Priority: 5, Requests: 3, Oldest: time.Second}}}
+		relay, waits := node(2, Options{}), node(3, Options{Queue: func() *QueueStatus { return state }})
+		relay.FetchLatest(ctx)
+		waits.FetchLatest(ctx)
+		p := &queuedConfirm{done: make(chan confirmResult, 1), req: &ConfirmRequest{Confirmations: []Confirmation{waits.confirmation()}}}
+		Expect(relay.queue.Offer(p)).To(BeTrue())
+		relay.sendBatch(ctx)
+		Expect(leader.registry.Hosts()).To(ConsistOf(And(HaveField("Host.Name", "h3"), HaveField("Queue", state))))
+	})
+
 	// Guards against reports that are counted twice or dropped when the leader
 	// refuses a request, and against a full lease for a host without the
 	// newest version.
