Order the requests of serve by the queue of admitter

Cause: limiter had a queue of its own with start-time fair queueing, beside that of admitter. A request of low priority could wait until its deadline behind its workspace's other requests.

Change: limiter has its requests wait in admitter.Queue and applies the bounds of the host and of workspaces to it: a workspace at its bound is held there. The queue gets weights, a rank within the workspace (the priority that callers set), corrections of the work, and the entry of a workspace that goes last. With KeepShares, requests past half of their wait go first within their workspace only; opaque requests are ordered as before. A request that finds a free slot and an empty queue is admitted without passing the queue. The weights of a changed configuration apply to waiting requests.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -87,12 +87,17 @@
 		// Arrived is when the caller's request arrived, Objective when its first event,
 		// and Deadline when its complete answer is due.
 		Arrived, Objective, Deadline time.Time
-		// Due orders the requests of a workspace that wait. It is the objective or, for a
+		// Due orders the requests of a workspace that wait and have the same rank. It is the objective or, for a
 		// request that was refused and returns, the one it had at first.
 		Due time.Time
 		// Priority orders the requests that wait, 0 first.
 		Priority  int
 		Workspace string
+		// Share is the weight of the workspace; zero counts as 1.
+		Share int
+		// Rank orders the requests of a workspace with the same priority before Due does,
+		// the lowest first.
+		Rank int
 		// Bytes is the memory that the request holds while it waits.
 		Bytes int64
 		// SendLate says that a request is sent after its wait although it will be late.
--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/heap"
+	"iter"
+	"slices"
 	"time"
 )
 
@@ -20,30 +22,42 @@
 		// Value is for the caller.
 		Value any
 
-		since, overdueAt time.Time
-		flow             *flow
-		inFlow, inAll    int
+		since, overdueAt    time.Time
+		seq                 uint64
+		flow                *flow
+		workspace           *workspace
+		inFlow, inWorkspace int
 	}
 
 	// Queue holds the requests that wait, in the order in which they are to be sent: those
 	// that have waited for half of their time, then by priority, then by the fair shares
-	// of the workspaces, then by when they are due. Its zero value is empty
+	// of the workspaces, then by rank, then by when they are due. Its zero value is empty
 	// and holds nothing. It is not safe for concurrent use.
 	Queue struct {
 		// MaxEntries and MaxBytes bound the requests that wait and the memory they hold.
 		MaxEntries int
 		MaxBytes   int64
+		// KeepShares lets requests that have waited for half of their time go first among
+		// those of their workspace only. It is for waits that are long compared to the time
+		// for which a request runs: the backlog of one workspace would otherwise go before
+		// all new requests of the others for as long as an overload lasts.
+		KeepShares bool
 
+		entries int
 		bytes   int64
-		classes [priorities]class
-		// all has every entry, by the time at which it is overdue.
-		all indexed[*Entry]
+		// seq is that of the next entry.
+		seq        uint64
+		classes    [priorities]class
+		workspaces map[string]*workspace
+		// ready has the workspaces that have entries and are not held, by the time at which
+		// their first entry is overdue.
+		ready indexed[*workspace]
 	}
 
 	// class holds the requests of one priority.
 	class struct {
-		// active has the flows with entries, by their start tags, and flows all that have
-		// had some since the class was last empty.
+		// active has the flows with entries whose workspaces are not held, by their start
+		// tags, and flows all that have had some since the class was last empty.
 		active indexed[*flow]
 		flows  map[string]*flow
 		// now is the start tag of the flow that was last served.
@@ -57,6 +71,16 @@
 	flow struct {
 		start   float64
 		entries indexed[*Entry]
+		active  bool
+		index   int
+	}
+
+	// workspace holds all requests of a workspace by the time at which they are overdue.
+	// It exists while it has some or is held.
+	workspace struct {
+		entries indexed[*Entry]
+		held    bool
+		ready   bool
 		index   int
 	}
 
@@ -76,6 +100,8 @@
 	}
 	e.since = now
 	e.overdueAt = now.Add(time.Duration(overdueFraction * float64(e.Until.Sub(now))))
+	e.seq = q.seq
+	q.seq++
 	q.insert(e)
 	return true
 }
@@ -84,7 +110,7 @@
 func (q *Queue) Return(e *Entry) { q.insert(e) }
 
 func (q *Queue) insert(e *Entry) {
-	c := q.class(e)
+	c, ws := q.class(e), q.workspace(e.Request.Workspace)
 	if c.flows == nil {
 		c.flows = make(map[string]*flow)
 		c.active.less = func(a, b *flow) bool { return a.start < b.start }
@@ -93,37 +119,35 @@
 	f := c.flows[e.Request.Workspace]
 	if f == nil {
 		f = &flow{}
-		f.entries.less = func(a, b *Entry) bool { return a.Request.Due.Before(b.Request.Due) }
+		f.entries.less = goesBefore
 		f.entries.moved = func(e *Entry, i int) { e.inFlow = i }
 		c.flows[e.Request.Workspace] = f
 	}
-	if f.entries.Len() == 0 {
-		f.start = max(f.start, c.now)
-		heap.Push(&c.active, f)
-	}
-	e.flow = f
+	e.flow, e.workspace = f, ws
 	heap.Push(&f.entries, e)
-	if q.all.less == nil {
-		q.all.less = func(a, b *Entry) bool { return a.overdueAt.Before(b.overdueAt) }
-		q.all.moved = func(e *Entry, i int) { e.inAll = i }
-	}
-	heap.Push(&q.all, e)
+	heap.Push(&ws.entries, e)
+	c.activate(f, ws)
+	q.update(ws)
 	c.entries++
+	q.entries++
 	q.bytes += e.Request.Bytes
 }
 
 // Take removes and returns the entry that goes first, nil if there is none.
 func (q *Queue) Take(now time.Time) *Entry {
-	if q.Len() == 0 {
+	if q.ready.Len() == 0 {
 		return nil
 	}
-	if e := q.all.items[0]; !now.Before(e.overdueAt) {
+	if e := q.ready.items[0].entries.items[0]; !q.KeepShares && !now.Before(e.overdueAt) {
 		q.Remove(e)
 		return e
 	}
 	for i := range q.classes {
-		if c := &q.classes[i]; c.entries > 0 {
+		if c := &q.classes[i]; c.active.Len() > 0 {
 			e := c.active.items[0].entries.items[0]
+			if first := e.workspace.entries.items[0]; !now.Before(first.overdueAt) {
+				e = first
+			}
 			q.Remove(e)
 			return e
 		}
@@ -135,33 +159,112 @@
 func (q *Queue) Charge(e *Entry) {
 	c, f := q.class(e), e.flow
 	c.now = max(c.now, f.start)
-	f.start += e.Request.Work
-	if f.entries.Len() > 0 {
-		heap.Fix(&c.active, f.index)
-	}
+	q.addWork(e, e.Request.Work)
 	if c.entries == 0 {
 		// No workspace waits that a share could be compared with.
 		c.flows, c.now = nil, 0
 	}
 }
 
+// Correct replaces the work of an entry that was charged by the one that it turned out
+// to be. An entry that was never pushed was not charged.
+func (q *Queue) Correct(e *Entry, work float64) {
+	if e.flow == nil {
+		return
+	}
+	q.addWork(e, work-e.Request.Work)
+	e.Request.Work = work
+}
+
+func (q *Queue) addWork(e *Entry, work float64) {
+	e.flow.start += work / float64(max(e.Request.Share, 1))
+	if e.flow.active {
+		heap.Fix(&q.class(e).active, e.flow.index)
+	}
+}
+
 // Remove removes an entry.
 func (q *Queue) Remove(e *Entry) {
-	c, f := q.class(e), e.flow
+	c, f, ws := q.class(e), e.flow, e.workspace
 	heap.Remove(&f.entries, e.inFlow)
-	heap.Remove(&q.all, e.inAll)
+	heap.Remove(&ws.entries, e.inWorkspace)
 	if f.entries.Len() == 0 {
-		heap.Remove(&c.active, f.index)
+		c.deactivate(f)
+	}
+	q.update(ws)
+	if ws.entries.Len() == 0 && !ws.held {
+		delete(q.workspaces, e.Request.Workspace)
 	}
 	c.entries--
+	q.entries--
 	q.bytes -= e.Request.Bytes
 }
 
-// First returns the entry that is overdue first. The queue must not be empty.
-func (q *Queue) First() *Entry { return q.all.items[0] }
+// Hold sets whether the requests of a workspace stay in the queue, because it has
+// reached a limit of its own. It begins at the present tag afterwards, like one that was
+// idle.
+func (q *Queue) Hold(name string, held bool) {
+	if q.workspaces[name] == nil && !held {
+		return
+	}
+	ws := q.workspace(name)
+	if ws.held == held {
+		return
+	}
+	ws.held = held
+	for i := range q.classes {
+		c := &q.classes[i]
+		f := c.flows[name]
+		switch {
+		case f == nil || f.entries.Len() == 0:
+		case held:
+			c.deactivate(f)
+		default:
+			c.activate(f, ws)
+		}
+	}
+	q.update(ws)
+	if ws.entries.Len() == 0 && !held {
+		delete(q.workspaces, name)
+	}
+}
+
+// First returns the entry that is overdue first, among workspaces that are not held. It
+// must exist.
+func (q *Queue) First() *Entry { return q.ready.items[0].entries.items[0] }
+
+// Last returns the one that goes last among the entries of a workspace and e, which is
+// about to be pushed.
+func (q *Queue) Last(e *Entry) *Entry {
+	e.seq = q.seq
+	last := e
+	for other := range q.Entries(e.Request.Workspace) {
+		a, b := classOf(last.Request.Priority), classOf(other.Request.Priority)
+		if a < b || a == b && goesBefore(last, other) {
+			last = other
+		}
+	}
+	return last
+}
 
 // Len returns the number of entries.
-func (q *Queue) Len() int { return q.all.Len() }
+func (q *Queue) Len() int { return q.entries }
+
+// Waiting returns the number of entries of the workspace.
+func (q *Queue) Waiting(name string) int {
+	if ws := q.workspaces[name]; ws != nil {
+		return ws.entries.Len()
+	}
+	return 0
+}
+
+// Entries returns the entries of the workspace in no particular order.
+func (q *Queue) Entries(name string) iter.Seq[*Entry] {
+	if ws := q.workspaces[name]; ws != nil {
+		return slices.Values(ws.entries.items)
+	}
+	return func(func(*Entry) bool) {}
+}
 
 // Ahead returns the number of entries that go before a new one of the priority.
 func (q *Queue) Ahead(priority int) int {
@@ -175,6 +278,65 @@
 // Waited returns the time for which an entry has waited.
 func (e *Entry) Waited(now time.Time) time.Duration { return now.Sub(e.since) }
 
+// goesBefore is the order of the entries of a flow.
+func goesBefore(a, b *Entry) bool {
+	switch {
+	case a.Request.Rank != b.Request.Rank:
+		return a.Request.Rank < b.Request.Rank
+	case !a.Request.Due.Equal(b.Request.Due):
+		return a.Request.Due.Before(b.Request.Due)
+	}
+	return a.seq < b.seq
+}
+
+// activate adds a flow with entries, unless its workspace is held.
+func (c *class) activate(f *flow, ws *workspace) {
+	if f.active || ws.held {
+		return
+	}
+	f.active = true
+	f.start = max(f.start, c.now)
+	heap.Push(&c.active, f)
+}
+
+func (c *class) deactivate(f *flow) {
+	if f.active {
+		f.active = false
+		heap.Remove(&c.active, f.index)
+	}
+}
+
+// workspace returns the workspace of the name, which it adds if necessary.
+func (q *Queue) workspace(name string) *workspace {
+	if q.workspaces == nil {
+		q.workspaces = make(map[string]*workspace)
+		q.ready.less = func(a, b *workspace) bool { return a.entries.items[0].overdueAt.Before(b.entries.items[0].overdueAt) }
+		q.ready.moved = func(ws *workspace, i int) { ws.index = i }
+	}
+	ws := q.workspaces[name]
+	if ws == nil {
+		ws = &workspace{}
+		ws.entries.less = func(a, b *Entry) bool { return a.overdueAt.Before(b.overdueAt) }
+		ws.entries.moved = func(e *Entry, i int) { e.inWorkspace = i }
+		q.workspaces[name] = ws
+	}
+	return ws
+}
+
+// update keeps the order of the workspaces after a change of their entries.
+func (q *Queue) update(ws *workspace) {
+	ready := ws.entries.Len() > 0 && !ws.held
+	switch {
+	case ready && ws.ready:
+		heap.Fix(&q.ready, ws.index)
+	case ready:
+		heap.Push(&q.ready, ws)
+	case ws.ready:
+		heap.Remove(&q.ready, ws.index)
+	}
+	ws.ready = ready
+}
+
 func (q *Queue) class(e *Entry) *class { return &q.classes[classOf(e.Request.Priority)] }
 
 func classOf(priority int) int { return min(max(priority, 0), priorities-1) }
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -63,6 +63,55 @@
 		Expect(served).To(Equal(map[string]int{"large": 10, "small": 10}))
 	})
 
+	// Guards against weights that are ignored, and against a correction of the work that
+	// does not count.
+	It("divides capacity by the shares of workspaces and by corrected work", func() {
+		for range 60 {
+			e := entry("heavy", 0, time.Second)
+			e.Request.Share = 3
+			push(e, entry("light", 0, time.Second))
+		}
+		served := make(map[string]int)
+		for range 40 {
+			served[take(epoch).Request.Workspace]++
+		}
+		Expect(served).To(Equal(map[string]int{"heavy": 30, "light": 10}))
+		e := take(epoch)
+		q.Correct(e, e.Request.Work*float64(1+3*max(e.Request.Share, 1)))
+		for range 3 {
+			Expect(take(epoch).Request.Workspace).NotTo(Equal(e.Request.Workspace))
+		}
+	})
+
+	// Guards against a rank that counts for other workspaces, and against a full queue
+	// that drops the wrong request.
+	It("orders the requests of a workspace by rank", func() {
+		a, b, c := entry("w", 0, time.Second), entry("w", 0, 2*time.Second), entry("w", 0, 3*time.Second)
+		a.Request.Rank, b.Request.Rank, c.Request.Rank = 1, 1, -1
+		push(a, b)
+		Expect(q.Last(c)).To(BeIdenticalTo(b))
+		Expect(q.Last(entry("w", 1, 0)).Request.Priority).To(Equal(1))
+		push(c, entry("x", 0, 0))
+		Expect(take(epoch)).NotTo(BeNil())
+		Expect(take(epoch)).NotTo(BeNil())
+		Expect([]*admitter.Entry{take(epoch), take(epoch)}).To(Equal([]*admitter.Entry{a, b}))
+	})
+
+	// Guards against a workspace at its own limit that blocks others, even when its
+	// requests are overdue, and against one that stays held or saves up its share.
+	It("passes over workspaces that are held", func() {
+		held, other := entry("held", 0, 0), entry("other", 9, time.Second)
+		push(held)
+		q.Hold("held", true)
+		push(entry("held", 1, 0), other)
+		Expect(q.First()).To(BeIdenticalTo(other))
+		Expect(take(epoch.Add(time.Second))).To(BeIdenticalTo(other))
+		Expect(take(epoch.Add(time.Second))).To(BeNil())
+		Expect([]int{q.Len(), q.Waiting("held"), q.Waiting("other")}).To(Equal([]int{2, 2, 0}))
+		q.Hold("held", false)
+		Expect(take(epoch)).To(BeIdenticalTo(held))
+	})
+
 	// Guards against a workspace that saves up its share while it is idle.
 	It("gives a workspace that returns no more than its share", func() {
 		for range 40 {
@@ -102,11 +151,18 @@
 		Expect(q.Push(entry("w", 0, 0), epoch)).To(BeTrue())
 	})
 
-	// Guards against entries that are lost or stay behind after removals in any order.
-	It("keeps its entries through random operations", func() {
+	// Guards against entries that are lost or stay behind after removals and limits in any
+	// order.
+	DescribeTable("keeps its entries through random operations", func(holds, keepShares bool) {
 		random := rand.New(rand.NewPCG(5, 6))
-		held := make(map[*admitter.Entry]bool)
+		held, atLimit := make(map[*admitter.Entry]bool), make(map[string]bool)
+		q.KeepShares = keepShares
 		for range 5000 {
+			if holds && random.Float64() < 0.1 {
+				name := fmt.Sprint(random.IntN(5))
+				atLimit[name] = !atLimit[name]
+				q.Hold(name, atLimit[name])
+			}
 			switch x := random.Float64(); {
 			case x < 0.5:
 				e := entry(fmt.Sprint(random.IntN(5)), random.IntN(12), time.Duration(random.IntN(1000))*time.Millisecond)
@@ -122,10 +178,13 @@
 			default:
 				e := q.Take(epoch.Add(time.Duration(random.IntN(1000)) * time.Millisecond))
 				if e == nil {
-					Expect(held).To(BeEmpty())
+					for e := range held {
+						Expect(atLimit[e.Request.Workspace]).To(BeTrue())
+					}
 					break
 				}
 				Expect(held).To(HaveKey(e))
+				Expect(atLimit[e.Request.Workspace]).To(BeFalse())
 				if x < 0.7 {
 					q.Return(e)
 					break
@@ -135,7 +194,11 @@
 			}
 			Expect(q.Len()).To(Equal(len(held)))
 		}
-	})
+	},
+		Entry("without limits", false, false),
+		Entry("with workspaces at their limits", true, false),
+		Entry("with shares kept", true, true),
+	)
 })
 
 // BenchmarkDecision measures one decision while 10,000 requests wait: the choice, the
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,9 +1,12 @@
 // Package limiter decides when the requests of each workspace may run on this
 // host.
 //
-// Workspaces share the host by weighted fair queueing over the estimated cost
-// of their requests, so that a large workspace cannot starve a small one.
-// Within a workspace, requests of higher priority are admitted first. Queues
+// Requests wait in the queue of package admitter, to which this package adds the
+// bounds on the requests in flight. Workspaces share the host by weighted fair
+// queueing over the estimated cost of their requests, so that a large workspace
+// cannot starve a small one. Within a workspace, requests that have waited for half
+// of their time are admitted first, then those of higher priority, then those with
+// the earliest deadline. Queues
 // are bounded, a request that cannot finish before its deadline is refused at
 // once, and a waiting request is removed when its deadline passes or its caller
 // disconnects. Retries are limited to a share of each workspace's requests.
@@ -120,7 +123,7 @@
 	Limiter struct {
 		settings  Settings
 		mu        sync.Mutex
-		scheduler scheduler
+		scheduler *scheduler
 		budgets   map[string]*retryBudget
 		refused   map[refuser.Code]int64
 		// meanDuration, in seconds, and meanCost are means over completed
@@ -143,7 +146,7 @@
 	}
 	return &Limiter{
 		settings: s, budgets: make(map[string]*retryBudget), refused: make(map[refuser.Code]int64),
-		scheduler: scheduler{slots: s.Concurrent, flows: make(map[string]*flow)},
+		scheduler: newScheduler(s.Concurrent),
 	}
 }
 
@@ -201,28 +204,26 @@
 func (l *Limiter) Waiting(workspace string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if f, ok := l.scheduler.flows[workspace]; ok {
-		return len(f.queue)
-	}
-	return 0
+	return l.scheduler.queue.Waiting(workspace)
 }
 
 // Status returns what waits now and how many requests were refused.
 func (l *Limiter) Status() Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	s := Status{Waiting: l.scheduler.waiting, Refused: maps.Clone(l.refused)}
+	s := Status{Waiting: l.scheduler.queue.Len(), Refused: maps.Clone(l.refused)}
 	now := l.settings.Clock.Now()
-	for name, f := range l.scheduler.flows {
+	for name := range l.scheduler.workspaces {
 		byPriority := make(map[int]*Group)
-		for _, w := range f.queue {
+		for e := range l.scheduler.queue.Entries(name) {
+			w := e.Value.(*waiter)
 			g := byPriority[w.priority]
 			if g == nil {
 				g = &Group{Workspace: name, Priority: w.priority}
 				byPriority[w.priority] = g
 			}
 			g.Requests++
-			g.Oldest = max(g.Oldest, now.Sub(w.queuedAt))
+			g.Oldest = max(g.Oldest, e.Waited(now))
 		}
 		for _, g := range byPriority {
 			s.Groups = append(s.Groups, *g)
@@ -268,8 +269,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.settings.Clock.Now()
-	w := &waiter{workspace: r.Workspace, cost: max(r.Cost, 1), priority: r.Priority, queuedAt: now, decided: make(chan struct{})}
-	w.flow = l.scheduler.flowFor(r)
+	w := l.scheduler.newWaiter(r, now)
 	l.meanEstimate += estimateGain * (w.cost - l.meanEstimate)
 	if l.meanEstimate < 1 {
 		l.meanEstimate = w.cost
@@ -281,11 +281,15 @@
 			"the request of workspace %q needs about %s but its deadline is in %s; set a later deadline",
 			r.Workspace, (wait + r.RunTime).Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait)
 	}
+	if l.scheduler.admitIfIdle(w, now) {
+		l.retryBudget(r.Workspace).creditRequest(now)
+		return w, nil
+	}
 	maxWaiting := r.Queue
 	if maxWaiting <= 0 {
 		maxWaiting = l.settings.Queue
 	}
-	if refused := l.scheduler.enqueue(w, maxWaiting); refused != nil {
+	if refused := l.scheduler.enqueue(w, maxWaiting, now); refused != nil {
 		l.countRefusal(refuser.QueueFull, r.Workspace)
 		refused.refuse(refuser.New(refuser.QueueFull, refuser.NotRun,
 			"workspace %q has %d requests waiting; retry later", r.Workspace, maxWaiting).WithRetryAfter(wait))
@@ -315,7 +319,7 @@
 		l.scheduler.remove(w)
 	}
 	if refusal, ok := refuser.As(err); ok {
-		l.countRefusal(refusal.Code, w.workspace)
+		l.countRefusal(refusal.Code, w.workspace.name)
 	}
 	return nil, err
 }
@@ -328,13 +332,8 @@
 
 // admitWaiting admits waiting requests while there are free slots.
 func (l *Limiter) admitWaiting() {
-	for {
-		w := l.scheduler.admitNext()
-		if w == nil {
-			return
-		}
-		w.admittedAt = l.settings.Clock.Now()
-		close(w.decided)
+	now := l.settings.Clock.Now()
+	for l.scheduler.admitNext(now) != nil {
 	}
 }
 
@@ -343,14 +342,14 @@
 // at least its share of the slots, and never waits longer than it takes to run
 // all waiting requests.
 func (l *Limiter) expectedWait(w *waiter) time.Duration {
-	if l.meanCost == 0 || l.scheduler.admitsAtOnce(w.flow) {
+	if l.meanCost == 0 || l.scheduler.admitsAtOnce(w.workspace) {
 		return 0
 	}
 	ahead, total, shares := l.scheduler.backlog(w)
 	slots := float64(l.scheduler.slots)
-	ownSlots := slots * w.flow.share / shares
+	ownSlots := slots * float64(w.workspace.share) / shares
 	wait := min((ahead+l.meanEstimate)/ownSlots, (total+l.meanEstimate)/slots)
-	if limit := w.flow.concurrent; limit > 0 {
+	if limit := w.workspace.concurrent; limit > 0 {
 		wait = max(wait, ahead/float64(limit))
 	}
 	return time.Duration(wait * l.meanDuration / l.meanCost * float64(time.Second))
--- a/limiter/scheduler.go
+++ b/limiter/scheduler.go
@@ -1,209 +1,180 @@
 package limiter
 
 import (
-	"container/heap"
+	"math"
 	"time"
 
+	"foxtailwall/admitter"
 	"foxtailwall/refuser"
 )
 
+// maxWait is the wait of a request without a deadline from which its turn follows. It is
+// the longest deadline that a caller can set.
+const maxWait = time.Hour
+
 type (
-	// scheduler orders the waiting requests by start-time fair queueing. Each
-	// workspace is a flow whose start tag grows by cost/share with each of its
-	// requests; the flow with the lowest tag is served next. A flow that was
-	// idle or at its own bound continues at the virtual time, so it accumulates
-	// no credit.
+	// scheduler applies the bounds of the host and of the workspaces to the requests that
+	// wait in the order of package admitter. A workspace at its own bound is held in the
+	// queue until one of its requests has ended.
 	scheduler struct {
-		slots       int
-		running     int
-		virtualTime float64
-		seq         uint64
-		// waiting is the number of waiting requests in all flows.
-		waiting int
-		flows   map[string]*flow
+		slots      int
+		running    int
+		queue      admitter.Queue
+		workspaces map[string]*workspace
 	}
 
-	// flow is the queue and the share of one workspace.
-	flow struct {
-		share      float64
+	// workspace holds the bounds of one workspace and what it uses.
+	workspace struct {
+		name       string
+		share      int
 		concurrent int
 		running    int
-		startTag   float64
-		// waitingCost is the total cost of the queue.
+		// waitingCost is the total cost of the waiting requests.
 		waitingCost float64
-		queue       waiterHeap
 	}
 
 	// waiter is a request that waits or was admitted.
 	waiter struct {
-		workspace string
-		flow      *flow
-		cost      float64
-		priority  int
-		seq       uint64
-		// index is the position in the flow's heap.
-		index      int
-		queuedAt   time.Time
+		workspace  *workspace
+		entry      admitter.Entry
+		cost       float64
+		priority   int
 		admitted   bool
 		admittedAt time.Time
 		refusal    *refuser.Refusal
 		// decided is closed when the request is admitted or refused.
 		decided chan struct{}
 	}
-
-	// waiterHeap is a heap with the request to be served first at its root.
-	waiterHeap []*waiter
 )
 
-// flowFor returns the flow of the request's workspace, updated with the
-// request's share and bound.
-func (s *scheduler) flowFor(r Request) *flow {
-	f, ok := s.flows[r.Workspace]
+func newScheduler(slots int) *scheduler {
+	return &scheduler{
+		slots: slots, workspaces: make(map[string]*workspace),
+		queue: admitter.Queue{MaxEntries: math.MaxInt, MaxBytes: math.MaxInt64, KeepShares: true},
+	}
+}
+
+// newWaiter returns a waiter for the request. Higher priorities have lower ranks, and a
+// request without a deadline is due after maxWait.
+func (s *scheduler) newWaiter(r Request, now time.Time) *waiter {
+	w := &waiter{workspace: s.workspaceOf(r), cost: max(r.Cost, 1), priority: r.Priority, decided: make(chan struct{})}
+	due := r.Deadline
+	if due.IsZero() {
+		due = now.Add(maxWait)
+	}
+	w.entry = admitter.Entry{Until: due.Add(-r.RunTime), Value: w, Request: admitter.Request{
+		Workspace: r.Workspace, Rank: -r.Priority, Work: w.cost, Arrived: now, Objective: due, Deadline: due, Due: due,
+	}}
+	return w
+}
+
+// workspaceOf returns the request's workspace, updated with the request's share and
+// bound, which apply to its waiting requests as well.
+func (s *scheduler) workspaceOf(r Request) *workspace {
+	ws, ok := s.workspaces[r.Workspace]
 	if !ok {
-		f = &flow{}
-		s.flows[r.Workspace] = f
+		ws = &workspace{name: r.Workspace}
+		s.workspaces[r.Workspace] = ws
 	}
-	f.share, f.concurrent = float64(max(r.Share, 1)), r.Concurrent
-	return f
+	ws.share, ws.concurrent = max(r.Share, 1), r.Concurrent
+	s.queue.Hold(ws.name, ws.atLimit())
+	return ws
 }
 
-// enqueue queues w. When the flow already has maxWaiting requests, the last one
+// enqueue queues w. When the workspace already has maxWaiting requests, the last one
 // of the lowest priority is refused and returned, which may be w itself.
-func (s *scheduler) enqueue(w *waiter, maxWaiting int) (refused *waiter) {
-	w.seq = s.seq
-	s.seq++
-	if len(w.flow.queue) >= maxWaiting && !s.admitsAtOnce(w.flow) {
-		refused = w
-		for _, other := range w.flow.queue {
-			if refused.servedBefore(other) {
-				refused = other
-			}
-		}
+func (s *scheduler) enqueue(w *waiter, maxWaiting int, now time.Time) (refused *waiter) {
+	if s.queue.Waiting(w.workspace.name) >= maxWaiting && !s.admitsAtOnce(w.workspace) {
+		refused = s.queue.Last(&w.entry).Value.(*waiter)
 		if refused == w {
 			return w
 		}
 		s.remove(refused)
 	}
-	heap.Push(&w.flow.queue, w)
-	w.flow.waitingCost += w.cost
-	s.waiting++
+	// The queue has no bound of its own.
+	s.queue.Push(&w.entry, now)
+	w.workspace.waitingCost += w.cost
 	return refused
 }
 
 // admitNext dequeues and admits the next request. It returns nil if there is
 // none or no slot is free.
-func (s *scheduler) admitNext() *waiter {
-	if s.running >= s.slots || s.waiting == 0 {
+func (s *scheduler) admitNext(now time.Time) *waiter {
+	if s.running >= s.slots {
 		return nil
 	}
-	var best *flow
-	for _, f := range s.flows {
-		if len(f.queue) == 0 || f.atLimit() {
-			continue
-		}
-		if best == nil || s.startsBefore(f, best) {
-			best = f
-		}
-	}
-	if best == nil {
+	e := s.queue.Take(now)
+	if e == nil {
 		return nil
 	}
-	w := best.queue[0]
-	s.remove(w)
-	w.admitted = true
-	s.virtualTime = s.currentTag(best)
-	best.startTag = s.virtualTime + w.cost/best.share
-	best.running++
-	s.running++
+	w := e.Value.(*waiter)
+	e.Request.Share = w.workspace.share
+	s.queue.Charge(e)
+	w.workspace.waitingCost -= w.cost
+	s.admit(w, now)
 	return w
 }
 
-// release frees the slot of w and corrects the flow's start tag by the
-// difference between the actual and the estimated cost.
+// admitIfIdle admits w without queueing it if nothing waits and its workspace is below
+// its bound, and reports whether it did. The queue would not charge its cost either.
+func (s *scheduler) admitIfIdle(w *waiter, now time.Time) bool {
+	if s.queue.Len() > 0 || !s.admitsAtOnce(w.workspace) {
+		return false
+	}
+	s.admit(w, now)
+	return true
+}
+
+func (s *scheduler) admit(w *waiter, now time.Time) {
+	w.admitted, w.admittedAt = true, now
+	w.workspace.running++
+	s.running++
+	s.queue.Hold(w.workspace.name, w.workspace.atLimit())
+	close(w.decided)
+}
+
+// release frees the slot of w and charges the workspace the difference between the
+// actual and the estimated cost.
 func (s *scheduler) release(w *waiter, cost float64) {
-	w.flow.running--
+	w.workspace.running--
 	s.running--
-	w.flow.startTag += (cost - w.cost) / w.flow.share
+	s.queue.Correct(&w.entry, cost)
+	s.queue.Hold(w.workspace.name, w.workspace.atLimit())
 }
 
 func (s *scheduler) remove(w *waiter) {
-	heap.Remove(&w.flow.queue, w.index)
-	w.flow.waitingCost -= w.cost
-	s.waiting--
+	s.queue.Remove(&w.entry)
+	w.workspace.waitingCost -= w.cost
 }
 
-// admitsAtOnce reports whether a request of the flow would not have to wait.
-func (s *scheduler) admitsAtOnce(f *flow) bool {
-	return s.running < s.slots && !f.atLimit() && len(f.queue) == 0
+// admitsAtOnce reports whether a request of the workspace would not have to wait.
+func (s *scheduler) admitsAtOnce(ws *workspace) bool {
+	return s.running < s.slots && !ws.atLimit() && s.queue.Waiting(ws.name) == 0
 }
 
-// backlog returns the cost of the requests ahead of w in its own flow, that
-// cost plus the waiting cost of all other flows, and the sum of the shares of
-// the flows that compete for slots.
+// backlog returns the cost of the requests ahead of w in its own workspace, that
+// cost plus the waiting cost of all other workspaces, and the sum of the shares of
+// the workspaces that compete for slots.
 func (s *scheduler) backlog(w *waiter) (ahead, total, shares float64) {
-	shares = w.flow.share
-	for _, other := range w.flow.queue {
-		if other.priority >= w.priority {
+	shares = float64(w.workspace.share)
+	for e := range s.queue.Entries(w.workspace.name) {
+		if other := e.Value.(*waiter); other.priority >= w.priority {
 			ahead += other.cost
 		}
 	}
 	total = ahead
-	for _, f := range s.flows {
-		if f != w.flow && len(f.queue) > 0 {
-			total += f.waitingCost
-			shares += f.share
+	for _, ws := range s.workspaces {
+		if ws != w.workspace && s.queue.Waiting(ws.name) > 0 {
+			total += ws.waitingCost
+			shares += float64(ws.share)
 		}
 	}
 	return ahead, total, shares
 }
 
-func (s *scheduler) currentTag(f *flow) float64 { return max(f.startTag, s.virtualTime) }
-
-func (s *scheduler) startsBefore(a, b *flow) bool {
-	if x, y := s.currentTag(a), s.currentTag(b); x != y {
-		return x < y
-	}
-	return a.queue[0].seq < b.queue[0].seq
-}
-
-func (f *flow) atLimit() bool { return f.concurrent > 0 && f.running >= f.concurrent }
-
-func (w *waiter) servedBefore(o *waiter) bool {
-	if w.priority != o.priority {
-		return w.priority > o.priority
-	}
-	return w.seq < o.seq
-}
+func (ws *workspace) atLimit() bool { return ws.concurrent > 0 && ws.running >= ws.concurrent }
 
 func (w *waiter) refuse(r *refuser.Refusal) {
 	w.refusal = r
 	close(w.decided)
 }
-
-// Len implements heap.Interface.
-func (h waiterHeap) Len() int { return len(h) }
-
-// Less implements heap.Interface.
-func (h waiterHeap) Less(i, j int) bool { return h[i].servedBefore(h[j]) }
-
-// Swap implements heap.Interface.
-func (h waiterHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-
-// Push implements heap.Interface.
-func (h *waiterHeap) Push(x any) {
-	w := x.(*waiter)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-
-// Pop implements heap.Interface.
-func (h *waiterHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
-}
