Refuse requests of serve by the decision of admitter

Cause: limiter had a rule of its own for requests that cannot be answered in time. It let a request wait until its deadline although its run time no longer fitted, gave no delay for a retry after a wait, and gave all callers that it refused together the same delay.

Change: limiter asks admitter.Decide, to which it passes the expected wait for its slots (Room.In), that nothing is sent beyond them (Room.Required), and the run time. A request waits until only its run time is left before its deadline. Refusals have a delay of 0.1 to 2 s by the expected wait, with jitter; before, it was the whole wait. The codes and statuses are those from before. Opaque requests are decided as before.

Result: the new specs pass; the three entries of the one in limiter fail before the change, as the request waits on. All earlier specs of limiter pass, and those of admitter's Decide, router and server.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -100,6 +100,9 @@
 		Rank int
 		// Bytes is the memory that the request holds while it waits.
 		Bytes int64
+		// RunTime is the time that the request takes at least, if the service does not know
+		// it; zero if it is unknown.
+		RunTime time.Duration
 		// SendLate says that a request is sent after its wait although it will be late.
 		SendLate bool
 	}
@@ -156,6 +159,12 @@
 		// FirstByteIn and AnswerIn are the expected times until the first byte and the
 		// complete answer of an upstream that queues the request because it has no room.
 		FirstByteIn, AnswerIn time.Duration
+		// In is the expected time until the request has room, if the caller has estimated
+		// it from limits of its own; zero means that it follows from the other fields.
+		In time.Duration
+		// Required means that the request is not sent without room, so that FirstByteIn
+		// and AnswerIn do not count.
+		Required bool
 	}
 
 	// Decision is the verdict on a request with the figures that led to it.
@@ -286,19 +295,23 @@
 // come before the deadline: an upstream's queue of late requests makes all later ones late
 // as well, for as long as the overload lasts. Their callers return when there is room.
 func Decide(r *Request, s *Service, room Room, now time.Time) Decision {
-	d := Decision{Room: room, RoomIn: s.roomIn(room), Needs: s.needs(r)}
+	d := Decision{Room: room, RoomIn: s.roomIn(room), Needs: max(s.needs(r), r.RunTime)}
+	if room.In > 0 {
+		d.RoomIn = room.In
+	}
 	left, latest := r.Deadline.Sub(now), r.Deadline.Add(-d.Needs)
 	d.Until = r.Arrived.Add(time.Duration(waitFraction * float64(r.Objective.Sub(r.Arrived))))
 	if latest.Before(d.Until) {
 		d.Until = latest
 	}
 	exceeds := func(expected, limit time.Duration) bool { return certainty*float64(expected) >= float64(limit) }
+	noAnswer := room.Required || exceeds(room.AnswerIn, left)
 	switch {
-	case exceeds(room.AnswerIn, left) && exceeds(d.RoomIn+d.Needs, left):
+	case noAnswer && exceeds(d.RoomIn+d.Needs, left):
 		return d.Refused(NoTime)
 	case now.Before(d.Until):
 		d.Verdict = Wait
-	case exceeds(room.AnswerIn, left):
+	case noAnswer:
 		return d.Refused(NoTime)
 	case !r.SendLate && exceeds(room.FirstByteIn, r.Objective.Sub(now)):
 		return d.Refused(Late)
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -114,6 +114,19 @@
 		Expect(d.RetryAfter).To(Equal(2 * time.Second))
 	})
 
+	// Guards against a request that waits for a place that it cannot get in time, or that
+	// is sent without one, where a limit of the caller must be kept.
+	It("decides by the room that the caller expects", func() {
+		decide := func(in, runTime time.Duration, now time.Time) admitter.Decision {
+			r := request()
+			r.RunTime = runTime
+			return admitter.Decide(r, &admitter.Service{}, admitter.Room{In: in, Required: true}, now)
+		}
+		Expect(decide(5*time.Second, time.Second, epoch).Verdict).To(Equal(admitter.Wait))
+		Expect(decide(5*time.Second, 3*time.Second, epoch).Reason).To(Equal(admitter.NoTime))
+		Expect(decide(time.Second, 0, epoch.Add(time.Second)).RetryAfter).To(Equal(time.Second))
+	})
+
 	// Guards against an upstream's queue of late requests, which makes all others late.
 	It("sends a request after its wait only if it may be in time", func() {
 		later := epoch.Add(500 * time.Millisecond)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -33,10 +33,12 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"foxtailwall/admitter"
 	"foxtailwall/counter"
 	"foxtailwall/refuser"
 	"foxtailwall/timekeeper"
@@ -52,6 +54,9 @@
 	paceGain = 0.05
 	// estimateGain is the weight of one request in the mean estimated cost.
 	estimateGain = 0.05
+	// minRetryJitter and retryJitter bound the factors that spread the retries of
+	// refused callers, as for opaque requests.
+	minRetryJitter, retryJitter = 0.75, 0.5
 )
 
 type (
@@ -65,6 +70,8 @@
 		// Queue bounds the waiting requests of a workspace without its own
 		// bound. Zero means 256.
 		Queue int
+		// Random returns a number from 0 up to 1; nil means that of math/rand.
+		Random func() float64
 	}
 
 	// Request describes a request to admit.
@@ -84,7 +91,8 @@
 		// as one.
 		Cost float64
 		// RunTime is the expected duration of the request once admitted, zero
-		// if unknown.
+		// if unknown. The request waits until it is all that is left before the
+		// deadline.
 		RunTime time.Duration
 		// Deadline is when the response must be complete. The zero time means
 		// no deadline.
@@ -126,6 +134,8 @@
 		scheduler *scheduler
 		budgets   map[string]*retryBudget
 		refused   map[refuser.Code]int64
+		// service is empty: the times until a slot is free are estimated from costs.
+		service admitter.Service
 		// meanDuration, in seconds, and meanCost are means over completed
 		// requests, zero until one has completed. meanEstimate is the mean
 		// estimated cost of requests that asked for admission.
@@ -144,6 +154,9 @@
 	if s.Queue <= 0 {
 		s.Queue = defaultQueue
 	}
+	if s.Random == nil {
+		s.Random = rand.Float64
+	}
 	return &Limiter{
 		settings: s, budgets: make(map[string]*retryBudget), refused: make(map[refuser.Code]int64),
 		scheduler: newScheduler(s.Concurrent),
@@ -173,7 +186,7 @@
 	}
 	var expired <-chan time.Time
 	if !r.Deadline.IsZero() {
-		timer := l.settings.Clock.NewTimer(r.Deadline.Sub(l.settings.Clock.Now()))
+		timer := l.settings.Clock.NewTimer(w.entry.Until.Sub(l.settings.Clock.Now()))
 		defer timer.Stop()
 		expired = timer.C()
 	}
@@ -182,8 +195,6 @@
 	case <-ctx.Done():
 		err = ctx.Err()
 	case <-expired:
-		err = refuser.New(refuser.DeadlineExceeded, refuser.NotRun,
-			"the deadline passed while the request of workspace %q was queued; set a later deadline or reduce the load", r.Workspace)
 	}
 	return l.endWait(w, err)
 }
@@ -274,12 +285,10 @@
 	if l.meanEstimate < 1 {
 		l.meanEstimate = w.cost
 	}
-	wait := l.expectedWait(w)
-	if !r.Deadline.IsZero() && now.Add(wait+r.RunTime).After(r.Deadline) {
-		l.countRefusal(refuser.DeadlineTooShort, r.Workspace)
-		return nil, refuser.New(refuser.DeadlineTooShort, refuser.NotRun,
+	if d := l.decide(w, now); d.Verdict == admitter.Refuse && !r.Deadline.IsZero() {
+		return nil, l.refuse(w, d, refuser.DeadlineTooShort,
 			"the request of workspace %q needs about %s but its deadline is in %s; set a later deadline",
-			r.Workspace, (wait + r.RunTime).Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond)).WithRetryAfter(wait)
+			r.Workspace, (d.RoomIn + d.Needs).Round(time.Millisecond), r.Deadline.Sub(now).Round(time.Millisecond))
 	}
 	if l.scheduler.admitIfIdle(w, now) {
 		l.retryBudget(r.Workspace).creditRequest(now)
@@ -290,9 +299,8 @@
 		maxWaiting = l.settings.Queue
 	}
 	if refused := l.scheduler.enqueue(w, maxWaiting, now); refused != nil {
-		l.countRefusal(refuser.QueueFull, r.Workspace)
-		refused.refuse(refuser.New(refuser.QueueFull, refuser.NotRun,
-			"workspace %q has %d requests waiting; retry later", r.Workspace, maxWaiting).WithRetryAfter(wait))
+		d := l.decide(refused, now).Refused(admitter.QueueFull)
+		refused.refuse(l.refuse(refused, d, refuser.QueueFull, "workspace %q has %d requests waiting; retry later", r.Workspace, maxWaiting))
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
@@ -302,26 +310,48 @@
 	return w, nil
 }
 
-// endWait ends the wait of w. If w was admitted although its caller gave up
-// (err is not nil), its slot is released.
+// endWait ends the wait of w, whose caller gave up if err is not nil. If w was
+// admitted nevertheless, its slot is released. A request that is neither admitted nor
+// refused has waited for as long as its answer could come before its deadline.
 func (l *Limiter) endWait(w *waiter, err error) (*Permit, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
 	case w.refusal != nil:
 		return nil, w.refusal
-	case err == nil:
+	case w.admitted && err == nil:
 		return &Permit{limiter: l, waiter: w}, nil
 	case w.admitted:
 		l.scheduler.release(w, 0)
 		l.admitWaiting()
-	default:
-		l.scheduler.remove(w)
+		return nil, err
 	}
-	if refusal, ok := refuser.As(err); ok {
-		l.countRefusal(refusal.Code, w.workspace.name)
+	l.scheduler.remove(w)
+	if err != nil {
+		return nil, err
 	}
-	return nil, err
+	now := l.settings.Clock.Now()
+	d := l.decide(w, now).Refused(admitter.NoTime)
+	if now.Before(w.entry.Request.Deadline) {
+		return nil, l.refuse(w, d, refuser.DeadlineTooShort,
+			"the request of workspace %q was queued until too little time was left before its deadline; set a later deadline or reduce the load", w.workspace.name)
+	}
+	return nil, l.refuse(w, d, refuser.DeadlineExceeded,
+		"the deadline passed while the request of workspace %q was queued; set a later deadline or reduce the load", w.workspace.name)
+}
+
+// decide returns the decision of package admitter on a request that is not queued. It
+// can only wait for a slot, since upstreams do not get requests beyond the bounds.
+func (l *Limiter) decide(w *waiter, now time.Time) admitter.Decision {
+	return admitter.Decide(&w.entry.Request, &l.service, admitter.Room{Required: true, In: l.expectedWait(w)}, now)
+}
+
+// refuse counts and returns the refusal of a request. Its delay for a retry has
+// jitter, so that callers that are refused together do not return together.
+func (l *Limiter) refuse(w *waiter, d admitter.Decision, code refuser.Code, format string, args ...any) *refuser.Refusal {
+	l.countRefusal(code, w.workspace.name)
+	jitter := minRetryJitter + retryJitter*l.settings.Random()
+	return refuser.New(code, refuser.NotRun, format, args...).WithRetryAfter(time.Duration(jitter * float64(d.RetryAfter)))
 }
 
 // countRefusal counts a refusal in the metric limiter.CODE and for Status.
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -81,6 +81,29 @@
 		Entry("5 s left", 5*time.Second, false, NodeTimeout(10*time.Second)),
 	)
 
+	// Guards against a wait past the point at which the answer could come in time, and
+	// against refused callers that all return at once or are not told when.
+	DescribeTable("refuses with a delay after which a slot is expected to be free",
+		func(ctx context.Context, random, ahead float64, retryAfter time.Duration) {
+			l = limiter.New(limiter.Settings{Clock: clock, Concurrent: 1, Random: func() float64 { return random }})
+			p := admit(limiter.Request{Workspace: "w", Cost: 1})
+			clock.Advance(time.Second)
+			p.Done(0)
+			admit(limiter.Request{Workspace: "w"})
+			late := wait(ctx, limiter.Request{Workspace: "w", RunTime: 2 * time.Second, Deadline: clock.Now().Add(5 * time.Second)})
+			wait(ctx, limiter.Request{Workspace: "w", Priority: 1, Cost: ahead})
+			haveDelay := And(haveRefusal(refuser.DeadlineTooShort), HaveField("RetryAfter", BeNumerically("~", retryAfter, retryAfter/10)))
+			_, err := l.Admit(ctx, limiter.Request{Workspace: "w", RunTime: time.Minute, Deadline: clock.Now().Add(time.Second)})
+			Expect(err).To(haveRefusal(refuser.DeadlineTooShort))
+			Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+			clock.Advance(3 * time.Second)
+			Expect((<-late).err).To(haveDelay)
+		},
+		Entry("2 s, earliest", 0.0, 1.0, 1500*time.Millisecond, NodeTimeout(10*time.Second)),
+		Entry("2 s, latest", 1.0, 1.0, 2500*time.Millisecond, NodeTimeout(10*time.Second)),
+		Entry("the longest delay, earliest", 0.0, 50.0, 1500*time.Millisecond, NodeTimeout(10*time.Second)),
+	)
+
 	// Guards against cheap calls that distort the expected wait of expensive
 	// ones: a thousand units take 2 s here, whatever a call of one unit takes.
 	It("estimates the wait by the time per unit of cost", func(ctx context.Context) {
--- a/limiter/scheduler.go
+++ b/limiter/scheduler.go
@@ -63,7 +63,7 @@
 		due = now.Add(maxWait)
 	}
 	w.entry = admitter.Entry{Until: due.Add(-r.RunTime), Value: w, Request: admitter.Request{
-		Workspace: r.Workspace, Rank: -r.Priority, Work: w.cost, Arrived: now, Objective: due, Deadline: due, Due: due,
+		Workspace: r.Workspace, Rank: -r.Priority, Work: w.cost, Arrived: now, Objective: due, Deadline: due, Due: due, RunTime: r.RunTime,
 	}}
 	return w
 }
