Apply changed bounds to the requests that wait in serve

Cause: the share and the bounds of a workspace reached limiter with the workspace's next request only. A request that waited because of an earlier configuration waited on, up to its deadline, if no other one followed.

Change: limiter.SetBounds changes them at once, admits what a higher bound allows and refuses the last requests beyond a shorter queue. Hosts call it for all workspaces when a new configuration comes into force. Share, Concurrent and Queue of limiter.Request move to limiter.Bounds.

--- a/admitter/queue.go
+++ b/admitter/queue.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"cmp"
 	"container/heap"
 	"iter"
 	"slices"
@@ -119,7 +120,7 @@
 	f := c.flows[e.Request.Workspace]
 	if f == nil {
 		f = &flow{}
-		f.entries.less = goesBefore
+		f.entries.less = (*Entry).goesBefore
 		f.entries.moved = func(e *Entry, i int) { e.inFlow = i }
 		c.flows[e.Request.Workspace] = f
 	}
@@ -233,15 +234,12 @@
 // must exist.
 func (q *Queue) First() *Entry { return q.ready.items[0].entries.items[0] }
 
-// Last returns the one that goes last among the entries of a workspace and e, which is
-// about to be pushed.
-func (q *Queue) Last(e *Entry) *Entry {
-	e.seq = q.seq
-	last := e
-	for other := range q.Entries(e.Request.Workspace) {
-		a, b := classOf(last.Request.Priority), classOf(other.Request.Priority)
-		if a < b || a == b && goesBefore(last, other) {
-			last = other
+// Last returns the entry of a workspace that goes last, nil if there is none.
+func (q *Queue) Last(name string) *Entry {
+	var last *Entry
+	for e := range q.Entries(name) {
+		if last == nil || last.goesBefore(e) {
+			last = e
 		}
 	}
 	return last
@@ -278,15 +276,20 @@
 // Waited returns the time for which an entry has waited.
 func (e *Entry) Waited(now time.Time) time.Duration { return now.Sub(e.since) }
 
-// goesBefore is the order of the entries of a flow.
-func goesBefore(a, b *Entry) bool {
-	switch {
-	case a.Request.Rank != b.Request.Rank:
-		return a.Request.Rank < b.Request.Rank
-	case !a.Request.Due.Equal(b.Request.Due):
-		return a.Request.Due.Before(b.Request.Due)
-	}
-	return a.seq < b.seq
+// GoesBefore reports whether an entry that is pushed now would go before another one of
+// its workspace.
+func (e *Entry) GoesBefore(other *Entry) bool {
+	return e.compare(other) < 0
+}
+
+// goesBefore is the order of the entries of a workspace that are queued.
+func (e *Entry) goesBefore(other *Entry) bool {
+	return cmp.Or(e.compare(other), cmp.Compare(e.seq, other.seq)) < 0
+}
+
+func (e *Entry) compare(other *Entry) int {
+	a, b := &e.Request, &other.Request
+	return cmp.Or(cmp.Compare(classOf(a.Priority), classOf(b.Priority)), cmp.Compare(a.Rank, b.Rank), a.Due.Compare(b.Due))
 }
 
 // activate adds a flow with entries, unless its workspace is held.
--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -89,9 +89,10 @@
 		a, b, c := entry("w", 0, time.Second), entry("w", 0, 2*time.Second), entry("w", 0, 3*time.Second)
 		a.Request.Rank, b.Request.Rank, c.Request.Rank = 1, 1, -1
 		push(a, b)
-		Expect(q.Last(c)).To(BeIdenticalTo(b))
-		Expect(q.Last(entry("w", 1, 0)).Request.Priority).To(Equal(1))
+		Expect([]bool{c.GoesBefore(a), b.GoesBefore(a), entry("w", 1, 0).GoesBefore(b)}).To(Equal([]bool{true, false, false}))
 		push(c, entry("x", 0, 0))
+		Expect(q.Last("w")).To(BeIdenticalTo(b))
+		Expect(q.Last("y")).To(BeNil())
 		Expect(take(epoch)).NotTo(BeNil())
 		Expect(take(epoch)).NotTo(BeNil())
 		Expect([]*admitter.Entry{take(epoch), take(epoch)}).To(Equal([]*admitter.Entry{a, b}))
--- a/hoster/adapters.go
+++ b/hoster/adapters.go
@@ -35,6 +35,7 @@
 		picker  *picker.Picker
 		monitor *monitor.Monitor
 		stats   *statistics
+		limiter *limiter.Limiter
 		// recheck polls the load report of an upstream ahead of schedule.
 		recheck func(netip.AddrPort)
 
@@ -152,6 +153,13 @@
 	for a := range known {
 		r.picker.Replica(a).SetWeight(r.monitor.Weight(a))
 	}
+	if r.limiter != nil {
+		// The requests that wait have the bounds of the configuration before.
+		for i := range c.View.Config.Workspaces {
+			w := &c.View.Config.Workspaces[i]
+			r.limiter.SetBounds(w.Name, boundsOf(w))
+		}
+	}
 	r.pools, r.builtVersion = pools, c.View.Version
 }
 
@@ -234,7 +242,7 @@
 func (a limiterAdapter) Admit(ctx context.Context, q router.Admission) (func(), error) {
 	w := q.Workspace
 	permit, err := a.limiter.Admit(ctx, limiter.Request{
-		Workspace: w.Name, Share: w.Share, Concurrent: w.Concurrent, Queue: w.Queue,
+		Workspace: w.Name, Bounds: boundsOf(w),
 		Priority: q.Priority, Cost: float64(q.Tokens), Deadline: q.Deadline,
 	})
 	if err != nil {
@@ -243,6 +251,11 @@
 	return func() { permit.Done(0) }, nil
 }
 
+// boundsOf returns the bounds of a workspace for the limiter.
+func boundsOf(w *declarer.Workspace) limiter.Bounds {
+	return limiter.Bounds{Share: w.Share, Concurrent: w.Concurrent, Queue: w.Queue}
+}
+
 // Retry implements router.Limiter.
 func (a limiterAdapter) Retry(workspace string) bool { return a.limiter.Retry(workspace) }
 
--- a/hoster/entry.go
+++ b/hoster/entry.go
@@ -53,7 +53,8 @@
 	e.dialer = dialer.New(dialer.Options{Clock: h.clock, Scope: h.scope, Dial: h.opts.Dial, TLS: h.tls.upstream})
 	stats := newStatistics(h.views.node, h.views.watches)
 	e.pools = newUpstreamPools(h.views, &h.settings, h.clock, h.scope)
-	e.pools.stats = stats
+	e.limiter = limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope})
+	e.pools.stats, e.pools.limiter = stats, e.limiter
 	signer := &pinner.Signer{Keys: h.settings.SessionKeys, Clock: h.clock}
 	if err := signer.Check(); err != nil {
 		return err
@@ -64,7 +65,6 @@
 		Client: h.reportClient(), Scheme: h.upstreamScheme(), Platform: h.settings.Platform, Rater: h.settings.Rater,
 	})
 	e.pools.recheck = e.poller.PollSoon
-	e.limiter = limiter.New(limiter.Settings{Clock: h.clock, Scope: h.scope})
 	e.router = router.New(router.Options{
 		Host: h.settings.Name, Zone: h.settings.Zone, Clock: h.clock, Scope: h.scope,
 		Views: readyViews{h.views, e.poller}, Upstreams: e.dialer, Claims: h.client, Pins: h.client, Bills: h.bills,
--- a/hoster/host_test.go
+++ b/hoster/host_test.go
@@ -262,7 +262,8 @@
 		Expect(d.stop()).To(Succeed())
 	}, NodeTimeout(2*time.Minute))
 
-	// Guards against a queue of a running host that is missing from the status.
+	// Guards against a queue of a running host that is missing from the status, and
+	// against requests that wait by the bounds of an earlier configuration.
 	It("lists what waits and what it has refused in the status", func(ctx context.Context) {
 		d := startDeployment(emulator.EngineConfig{
 			Name: "e", Seed: 1, Versions: []emulator.Version{{Model: "m", Version: "v1", Quality: 1}}, Timing: emulator.Timing{Step: time.Hour},
@@ -272,7 +273,7 @@
 		conf.Workspaces[0].Concurrent, conf.Workspaces[0].Queue = 1, 1
 		change, err := controller.NewApply("office", "", 0, conf)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = operator.Apply(ctx, change)
+		applied, err := operator.Apply(ctx, change)
 		Expect(err).NotTo(HaveOccurred())
 
 		// One request runs, one waits, and all others are refused.
@@ -295,6 +296,14 @@
 			HaveField("Hosts", ConsistOf(HaveField("Queue", HaveValue(And(
 				HaveField("Waiting", ConsistOf(And(HaveField("Workspace", "w"), HaveField("Priority", 5), HaveField("Requests", 1)))),
 				HaveField("Refused", HaveKey(string(refuser.QueueFull)))))))))
+
+		// A changed configuration applies to the request that waits.
+		conf.Workspaces[0].Concurrent = 2
+		change, err = controller.NewApply("office", "", applied.Version, conf)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(operator.Apply(ctx, change)).To(HaveField("State", controller.Accepted))
+		Eventually(operator.Status).WithContext(ctx).WithArguments(false).WithTimeout(time.Minute).WithPolling(50 * time.Millisecond).Should(
+			HaveField("Hosts", ConsistOf(HaveField("Queue.Waiting", BeEmpty()))))
 		cancel()
 		wg.Wait()
 		Expect(d.stop()).To(Succeed())
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -16,7 +16,7 @@
 //	l := limiter.New(limiter.Settings{Clock: clock, Concurrent: 512})
 //
 //	permit, err := l.Admit(ctx, limiter.Request{
-//		Workspace: "counter", Share: 2, Priority: 5,
+//		Workspace: "counter", Bounds: limiter.Bounds{Share: 2}, Priority: 5,
 //		Cost: tokens, RunTime: expected, Deadline: deadline,
 //	})
 //	if err != nil {
@@ -74,9 +74,8 @@
 		Random func() float64
 	}
 
-	// Request describes a request to admit.
-	Request struct {
-		Workspace string
+	// Bounds are the configured weight and bounds of a workspace.
+	Bounds struct {
 		// Share is the workspace's weight. Zero counts as 1.
 		Share int
 		// Concurrent bounds the workspace's requests in flight. Zero means that
@@ -85,6 +84,12 @@
 		// Queue bounds the workspace's waiting requests. Zero means
 		// Settings.Queue.
 		Queue int
+	}
+
+	// Request describes a request to admit.
+	Request struct {
+		Workspace string
+		Bounds
 		// Priority orders the requests of a workspace, higher first.
 		Priority int
 		// Cost is the estimated work, usually in tokens. Less than one counts
@@ -172,6 +177,26 @@
 	l.admitWaiting()
 }
 
+// SetBounds changes the bounds of a workspace, which its next request would bring
+// otherwise. Waiting requests beyond the bound of its queue are refused, the last
+// first. Workspaces without earlier requests are ignored.
+func (l *Limiter) SetBounds(workspace string, b Bounds) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ws := l.scheduler.workspaces[workspace]
+	if ws == nil {
+		return
+	}
+	l.scheduler.setBounds(ws, b)
+	l.admitWaiting()
+	maxWaiting, now := l.maxWaiting(b), l.settings.Clock.Now()
+	for l.scheduler.queue.Waiting(workspace) > maxWaiting {
+		last := l.scheduler.queue.Last(workspace).Value.(*waiter)
+		l.scheduler.remove(last)
+		l.refuseFull(last, maxWaiting, now)
+	}
+}
+
 // Admit waits until the request may run. The error is a *refuser.Refusal with
 // outcome notRun, or the error of ctx.
 func (l *Limiter) Admit(ctx context.Context, r Request) (*Permit, error) {
@@ -294,13 +319,9 @@
 		l.retryBudget(r.Workspace).creditRequest(now)
 		return w, nil
 	}
-	maxWaiting := r.Queue
-	if maxWaiting <= 0 {
-		maxWaiting = l.settings.Queue
-	}
+	maxWaiting := l.maxWaiting(r.Bounds)
 	if refused := l.scheduler.enqueue(w, maxWaiting, now); refused != nil {
-		d := l.decide(refused, now).Refused(admitter.QueueFull)
-		refused.refuse(l.refuse(refused, d, refuser.QueueFull, "workspace %q has %d requests waiting; retry later", r.Workspace, maxWaiting))
+		l.refuseFull(refused, maxWaiting, now)
 	}
 	if w.refusal != nil {
 		return nil, w.refusal
@@ -354,6 +375,20 @@
 	return refuser.New(code, refuser.NotRun, format, args...).WithRetryAfter(time.Duration(jitter * float64(d.RetryAfter)))
 }
 
+// refuseFull ends the wait of a request for which the queue has no room.
+func (l *Limiter) refuseFull(w *waiter, maxWaiting int, now time.Time) {
+	d := l.decide(w, now).Refused(admitter.QueueFull)
+	w.refuse(l.refuse(w, d, refuser.QueueFull, "workspace %q has %d requests waiting; retry later", w.workspace.name, maxWaiting))
+}
+
+// maxWaiting returns the bound on the waiting requests of a workspace.
+func (l *Limiter) maxWaiting(b Bounds) int {
+	if b.Queue > 0 {
+		return b.Queue
+	}
+	return l.settings.Queue
+}
+
 // countRefusal counts a refusal in the metric limiter.CODE and for Status.
 func (l *Limiter) countRefusal(code refuser.Code, workspace string) {
 	l.refused[code]++
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -143,7 +143,7 @@
 	// bound while slots are free.
 	It("bounds the queue and the requests in flight of a workspace", func(ctx context.Context) {
 		l.SetConcurrent(10)
-		r := limiter.Request{Workspace: "w", Concurrent: 2}
+		r := limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Concurrent: 2}}
 		first := admit(r)
 		admit(r)
 		admit(limiter.Request{Workspace: "other"})
@@ -169,7 +169,7 @@
 		wait(ctx, limiter.Request{Workspace: "w", Priority: 7})
 		late := wait(ctx, limiter.Request{Workspace: "w", Priority: 7, Deadline: clock.Now().Add(time.Second)})
 		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
-		_, err := l.Admit(ctx, limiter.Request{Workspace: "w", Queue: 1})
+		_, err := l.Admit(ctx, limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Queue: 1}})
 		Expect(err).To(haveRefusal(refuser.QueueFull))
 		Expect(l.Status()).To(Equal(limiter.Status{
 			Waiting: 4, Refused: map[refuser.Code]int64{refuser.QueueFull: 1}, Groups: []limiter.Group{
@@ -183,6 +183,27 @@
 		Expect(l.Status().Refused).To(HaveKeyWithValue(refuser.DeadlineExceeded, int64(1)))
 	}, NodeTimeout(10*time.Second))
 
+	// Guards against waiting requests to which a changed configuration does not apply
+	// until the next request of their workspace.
+	It("applies changed bounds to waiting requests", func(ctx context.Context) {
+		l.SetConcurrent(3)
+		r := limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Concurrent: 1}}
+		admit(r)
+		var waiting []<-chan result
+		for range 4 {
+			waiting = append(waiting, wait(ctx, r))
+		}
+		l.SetBounds("w", limiter.Bounds{Concurrent: 2, Queue: 1})
+		Expect((<-waiting[0]).err).NotTo(HaveOccurred())
+		Expect((<-waiting[3]).err).To(haveRefusal(refuser.QueueFull))
+		Expect((<-waiting[2]).err).To(haveRefusal(refuser.QueueFull))
+		Expect([]int{l.Waiting("w"), l.InFlight()}).To(Equal([]int{1, 2}))
+		l.SetBounds("w", limiter.Bounds{})
+		Expect((<-waiting[1]).err).NotTo(HaveOccurred())
+		l.SetBounds("unknown", limiter.Bounds{Share: 2})
+		Expect(l.Status().Groups).To(BeEmpty())
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against slots that leak when callers disconnect at the moment of
 	// their admission.
 	It("leaks no slot under concurrent use", func(ctx context.Context) {
--- a/limiter/scheduler.go
+++ b/limiter/scheduler.go
@@ -76,19 +76,24 @@
 		ws = &workspace{name: r.Workspace}
 		s.workspaces[r.Workspace] = ws
 	}
-	ws.share, ws.concurrent = max(r.Share, 1), r.Concurrent
-	s.queue.Hold(ws.name, ws.atLimit())
+	s.setBounds(ws, r.Bounds)
 	return ws
 }
 
+func (s *scheduler) setBounds(ws *workspace, b Bounds) {
+	ws.share, ws.concurrent = max(b.Share, 1), b.Concurrent
+	s.queue.Hold(ws.name, ws.atLimit())
+}
+
 // enqueue queues w. When the workspace already has maxWaiting requests, the last one
 // of the lowest priority is refused and returned, which may be w itself.
 func (s *scheduler) enqueue(w *waiter, maxWaiting int, now time.Time) (refused *waiter) {
 	if s.queue.Waiting(w.workspace.name) >= maxWaiting && !s.admitsAtOnce(w.workspace) {
-		refused = s.queue.Last(&w.entry).Value.(*waiter)
-		if refused == w {
+		last := s.queue.Last(w.workspace.name)
+		if last == nil || !w.entry.GoesBefore(last) {
 			return w
 		}
+		refused = last.Value.(*waiter)
 		s.remove(refused)
 	}
 	// The queue has no bound of its own.
--- a/limiter/scheduler_test.go
+++ b/limiter/scheduler_test.go
@@ -33,7 +33,7 @@
 				shares[i] = 1 + rng.IntN(5)
 			}
 			enqueueRandom := func(i int) {
-				w, refused := enter(s, Request{Workspace: names[i], Share: shares[i], Cost: 1 + rng.Float64()*(maxCost-1), Priority: rng.IntN(3)}, 1000)
+				w, refused := enter(s, Request{Workspace: names[i], Bounds: Bounds{Share: shares[i]}, Cost: 1 + rng.Float64()*(maxCost-1), Priority: rng.IntN(3)}, 1000)
 				Expect(refused).To(BeNil())
 				queued[i] = append(queued[i], w)
 			}
