Make the random spec of the admission queue cheaper

Cause: the spec looked an entry up with a matcher that goes through all entries, 5,000 times for each of its three entries: 3.5 to 5.2 s each with the race detector at a load of 65.

Change: it looks the entry up in the map; what it checks is the same.

--- a/admitter/queue_test.go
+++ b/admitter/queue_test.go
@@ -180,11 +180,13 @@
 				e := q.Take(epoch.Add(time.Duration(random.IntN(1000)) * time.Millisecond))
 				if e == nil {
 					for e := range held {
-						Expect(atLimit[e.Request.Workspace]).To(BeTrue())
+						if name := e.Request.Workspace; !atLimit[name] {
+							Fail("the queue keeps an entry of a workspace that is not held: " + name)
+						}
 					}
 					break
 				}
-				Expect(held).To(HaveKey(e))
+				Expect(held[e]).To(BeTrue())
 				Expect(atLimit[e.Request.Workspace]).To(BeFalse())
 				if x < 0.7 {
 					q.Return(e)
