--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -81,6 +81,29 @@
 		Entry("5 s left", 5*time.Second, false, NodeTimeout(10*time.Second)),
 	)
 
+	// Guards against a wait past the point at which the answer could come in time, and
+	// against refused callers that all return at once or are not told when.
+	DescribeTable("refuses with a delay after which a slot is expected to be free",
+		func(ctx context.Context, random, ahead float64, retryAfter time.Duration) {
+			l = limiter.New(limiter.Settings{Clock: clock, Concurrent: 1, Random: func() float64 { return random }})
+			p := admit(limiter.Request{Workspace: "w", Cost: 1})
+			clock.Advance(time.Second)
+			p.Done(0)
+			admit(limiter.Request{Workspace: "w"})
+			late := wait(ctx, limiter.Request{Workspace: "w", RunTime: 2 * time.Second, Deadline: clock.Now().Add(5 * time.Second)})
+			wait(ctx, limiter.Request{Workspace: "w", Priority: 1, Cost: ahead})
+			haveDelay := And(haveRefusal(refuser.DeadlineTooShort), HaveField("RetryAfter", BeNumerically("~", retryAfter, retryAfter/10)))
+			_, err := l.Admit(ctx, limiter.Request{Workspace: "w", RunTime: time.Minute, Deadline: clock.Now().Add(time.Second)})
+			Expect(err).To(haveRefusal(refuser.DeadlineTooShort))
+			Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+			clock.Advance(3 * time.Second)
+			Expect((<-late).err).To(haveDelay)
+		},
+		Entry("2 s, earliest", 0.0, 1.0, 1500*time.Millisecond, NodeTimeout(10*time.Second)),
+		Entry("2 s, latest", 1.0, 1.0, 2500*time.Millisecond, NodeTimeout(10*time.Second)),
+		Entry("the longest delay, earliest", 0.0, 50.0, 1500*time.Millisecond, NodeTimeout(10*time.Second)),
+	)
+
 	// Guards against cheap calls that distort the expected wait of expensive
 	// ones: a thousand units take 2 s here, whatever a call of one unit takes.
 	It("estimates the wait by the time per unit of cost", func(ctx context.Context) {
@@ -120,7 +143,7 @@
 	// bound while slots are free.
 	It("bounds the queue and the requests in flight of a workspace", func(ctx context.Context) {
 		l.SetConcurrent(10)
-		r := limiter.Request{Workspace: "w", Concurrent: 2}
+		r := limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Concurrent: 2}}
 		first := admit(r)
 		admit(r)
 		admit(limiter.Request{Workspace: "other"})
@@ -136,6 +159,51 @@
 		Expect(l.InFlight()).To(Equal(3))
 	}, NodeTimeout(10*time.Second))
 
+	// Guards against a status that adds up requests of several workspaces or
+	// priorities, shows the latest wait instead of the longest, or misses refusals.
+	It("reports what waits by workspace and priority, and refusals by code", func(ctx context.Context) {
+		admit(limiter.Request{Workspace: "w"})
+		wait(ctx, limiter.Request{Workspace: "other", Priority: 5})
+		clock.Advance(time.Second)
+		wait(ctx, limiter.Request{Workspace: "w", Priority: 5})
+		wait(ctx, limiter.Request{Workspace: "w", Priority: 7})
+		late := wait(ctx, limiter.Request{Workspace: "w", Priority: 7, Deadline: clock.Now().Add(time.Second)})
+		Expect(clock.WaitTimers(ctx, 1)).To(Succeed())
+		_, err := l.Admit(ctx, limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Queue: 1}})
+		Expect(err).To(haveRefusal(refuser.QueueFull))
+		Expect(l.Status()).To(Equal(limiter.Status{
+			Waiting: 4, Refused: map[refuser.Code]int64{refuser.QueueFull: 1}, Groups: []limiter.Group{
+				{Workspace: "other", Priority: 5, Requests: 1, Oldest: time.Second},
+				{Workspace: "w", Priority: 7, Requests: 2},
+				{Workspace: "w", Priority: 5, Requests: 1},
+			},
+		}))
+		clock.Advance(time.Second)
+		Expect((<-late).err).To(HaveOccurred())
+		Expect(l.Status().Refused).To(HaveKeyWithValue(refuser.DeadlineExceeded, int64(1)))
+	}, NodeTimeout(10*time.Second))
+
+	// Guards against waiting requests to which a changed configuration does not apply
+	// until the next request of their workspace.
+	It("applies changed bounds to waiting requests", func(ctx context.Context) {
+		l.SetConcurrent(3)
+		r := limiter.Request{Workspace: "w", Bounds: limiter.Bounds{Concurrent: 1}}
+		admit(r)
+		var waiting []<-chan result
+		for range 4 {
+			waiting = append(waiting, wait(ctx, r))
+		}
+		l.SetBounds("w", limiter.Bounds{Concurrent: 2, Queue: 1})
+		Expect((<-waiting[0]).err).NotTo(HaveOccurred())
+		Expect((<-waiting[3]).err).To(haveRefusal(refuser.QueueFull))
+		Expect((<-waiting[2]).err).To(haveRefusal(refuser.QueueFull))
+		Expect([]int{l.Waiting("w"), l.InFlight()}).To(Equal([]int{1, 2}))
+		l.SetBounds("w", limiter.Bounds{})
+		Expect((<-waiting[1]).err).NotTo(HaveOccurred())
+		l.SetBounds("unknown", limiter.Bounds{Share: 2})
+		Expect(l.Status().Groups).To(BeEmpty())
+	}, NodeTimeout(10*time.Second))
+
 	// Guards against slots that leak when callers disconnect at the moment of
 	// their admission.
 	It("leaks no slot under concurrent use", func(ctx context.Context) {
