Log when a stream began for its caller and its longest pause

Cause: a stream that was late could not be told from one that paused: the line 'request ended' had its duration only. Change: it has the time to the first event and the longest pause between two.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -110,6 +110,7 @@
 		responding bool
 		// events counts the writes of stream events to the caller.
 		events      int
+		pace        streamPace
 		lastEventID string
 		model       string
 		confidence  int
--- a/forwarder/record.go
+++ b/forwarder/record.go
@@ -59,6 +59,9 @@
 	if c.route != nil {
 		e = e.Str("route", c.route.Name).Uint64("config", c.table.Version())
 	}
+	if !c.pace.firstAt.IsZero() {
+		e = e.Dur("first", c.pace.firstAt.Sub(c.startedAt)).Dur("pause", c.pace.longestPause)
+	}
 	if c.upstream.ID != "" {
 		e = e.Str("upstream", c.upstream.ID).Str("version", c.upstream.Version)
 	}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -21,6 +21,12 @@
 	maxEventBytes = 1 << 20
 )
 
+// streamPace is how the events of a stream reached the caller.
+type streamPace struct {
+	firstAt, lastAt time.Time
+	longestPause    time.Duration
+}
+
 var (
 	errPartialEvent = errors.New("the stream ended within an event")
 	errEventTooLong = errors.Newf("an event exceeds %d bytes", maxEventBytes)
@@ -98,9 +104,20 @@
 		c.lastEventID = id
 	}
 	c.events++
+	c.pace.record(c.f.settings.Clock.Now())
 	return nil
 }
 
+// record records that events were sent to the caller.
+func (p *streamPace) record(now time.Time) {
+	if p.firstAt.IsZero() {
+		p.firstAt = now
+	} else {
+		p.longestPause = max(p.longestPause, now.Sub(p.lastAt))
+	}
+	p.lastAt = now
+}
+
 // finishStream handles the end of a response's body. It reports whether the
 // request is finished.
 func (c *call) finishStream(t ticket, resp *dialer.ForwardResponse, firstByte time.Duration, complete bool) bool {
