--- a/starter/cold_test.go
+++ b/starter/cold_test.go
@@ -47,20 +47,20 @@
 
 func newColdUpstream() *coldUpstream {
 	u := &coldUpstream{}
-	u.listen("127.0.0.1:0")
+	u.addr = u.listen("127.0.0.1:0")
 	DeferCleanup(u.stop)
 	return u
 }
 
-func (u *coldUpstream) listen(addr string) {
+func (u *coldUpstream) listen(addr string) netip.AddrPort {
 	l, err := net.Listen("tcp", addr)
 	Expect(err).NotTo(HaveOccurred())
-	u.addr = netip.MustParseAddrPort(l.Addr().String())
 	server := &http.Server{Handler: u}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.server = server
 	go server.Serve(l)
+	return netip.MustParseAddrPort(l.Addr().String())
 }
 
 // stop ends the process: connections are lost, and nothing listens.
