--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -149,8 +149,8 @@
 		// the request, of all hosts, Own those of this host, and Slots the number that they
 		// run at once.
 		Running, Own, Slots int
-		// Free is the number of slots that are not in use at upstreams whose queue has room;
-		// they lack token memory for the request.
+		// Free is the number of slots that are not in use; they lack token memory for the
+		// request.
 		Free int
 		// Hosts is the number of hosts that share what becomes free.
 		Hosts int
@@ -183,16 +183,12 @@
 	}
 )
 
-// fits reports whether the upstream has a slot and token memory for the request, and
-// no more than queueWork before it. One that is idle has room for any request.
-func (c *Candidate) fits(r *Request, queueWork float64) bool {
-	return c.Running == 0 || c.Running < c.Slots && (c.Memory <= 0 || c.Tokens+r.Tokens <= c.Memory) && c.QueueRoom(queueWork) >= 0
+// fits reports whether the upstream has a slot and token memory for the request. One
+// that is idle has room for any request.
+func (c *Candidate) fits(r *Request) bool {
+	return c.Running == 0 || c.Running < c.Slots && (c.Memory <= 0 || c.Tokens+r.Tokens <= c.Memory)
 }
 
-// QueueRoom returns the work that the upstream may be sent until it has queueWork, which
-// is for an upstream of the usual speed. It is negative if there is more.
-func (c *Candidate) QueueRoom(queueWork float64) float64 { return queueWork*c.Speed - c.Work }
-
 // score is the time until the request's first byte, in tokens of work at the usual
 // speed, with the penalties.
 func (c *Candidate) score() float64 { return (c.Work+c.Reading)/c.Speed + c.Penalty }
@@ -218,7 +214,7 @@
 		c := &cands[i]
 		score, level := c.score(), full
 		switch {
-		case !c.fits(r, limits.queueWork):
+		case !c.fits(r):
 		case limits.allow(c):
 			level = inTime
 		default:
@@ -257,7 +253,7 @@
 			continue
 		}
 		score := c.score()
-		if n == maxSpread && score >= scores[n-1] || !c.fits(r, l.queueWork) || level == inTime && !l.allow(c) {
+		if n == maxSpread && score >= scores[n-1] || !c.fits(r) || level == inTime && !l.allow(c) {
 			continue
 		}
 		j := min(n, maxSpread-1)
--- a/admitter/estimate.go
+++ b/admitter/estimate.go
@@ -25,13 +25,6 @@
 	// maxSurprise bounds a sample as a multiple of its expected value: a response may be
 	// late for reasons other than the work.
 	maxSurprise = 4.0
-	// queueFraction is the part of the shortest objective of a service that requests with
-	// time to spare may use up as a queue at an upstream: the most urgent ones, which come
-	// behind it, still begin in time.
-	queueFraction = 2.0 / 3
-	// shortestMemory is the time after which the shortest objective is forgotten if no
-	// request with it arrives.
-	shortestMemory = 10 * time.Second
 	// meanWeight is the weight of the latest request in the means of a service.
 	meanWeight = 0.05
 	// minVariation is the variance of the samples, relative to the square of their mean,
@@ -51,10 +44,6 @@
 		// tokens is the mean token memory of a request, and hold the mean time in ms for
 		// which it has a slot.
 		tokens, hold mean
-		// shortest is the shortest time to the objective that requests had on arrival, as of
-		// shortestAt, zero if it is not known.
-		shortest   time.Duration
-		shortestAt time.Time
 	}
 
 	// model is what is known about the requests of one model.
@@ -103,33 +92,6 @@
 // RecordSent adds the token memory of a request to the mean.
 func (s *Service) RecordSent(tokens float64) { s.tokens.add(tokens) }
 
-// RecordArrival records the time between a request's arrival and its objective.
-func (s *Service) RecordArrival(toObjective time.Duration, now time.Time) {
-	if toObjective > 0 && (toObjective <= s.shortest || now.Sub(s.shortestAt) > shortestMemory) {
-		s.shortest, s.shortestAt = toObjective, now
-	}
-}
-
-// Urgent reports whether the request has no more time to its objective than the most
-// urgent requests of the service have on arrival.
-func (s *Service) Urgent(r *Request, now time.Time) bool {
-	due := r.Objective
-	if !r.Due.IsZero() && r.Due.Before(due) {
-		due = r.Due
-	}
-	return due.Sub(now) <= s.shortest
-}
-
-// QueueWork returns the known work before first bytes beyond which an upstream of the usual
-// speed has no room for the request, +Inf if there is no such bound.
-func (s *Service) QueueWork(r *Request, now time.Time) float64 {
-	m := s.models[r.Model]
-	if m == nil || s.shortest == 0 || s.Urgent(r, now) {
-		return math.Inf(1)
-	}
-	return queueFraction * milliseconds(s.shortest) / max(m.firstByte.at(1), minDivisor)
-}
-
 // MeanTokens returns the mean token memory of a request.
 func (s *Service) MeanTokens() float64 { return s.tokens.value }
 
@@ -208,19 +170,17 @@
 	// left is the time to the deadline, perWork the time to read a token of work, both in
 	// ms. The time to generate the answer is base, and perRequest for each in the batch.
 	left, perWork, base, perRequest float64
-	// queueWork is the work beyond which an upstream of the usual speed has no room.
-	queueWork float64
 }
 
 // limits returns the limits of a request; those of an unknown model never apply.
 func (s *Service) limits(r *Request, now time.Time) limits {
 	m := s.models[r.Model]
 	if m == nil || r.Deadline.IsZero() {
-		return limits{left: math.Inf(1), queueWork: math.Inf(1)}
+		return limits{left: math.Inf(1)}
 	}
 	return limits{
 		left: milliseconds(r.Deadline.Sub(now)), perWork: m.firstByte.at(1),
-		base: r.OutputTokens * m.pause.base, perRequest: r.OutputTokens * m.pause.slope, queueWork: s.QueueWork(r, now),
+		base: r.OutputTokens * m.pause.base, perRequest: r.OutputTokens * m.pause.slope,
 	}
 }
 
--- a/placer/admission.go
+++ b/placer/admission.go
@@ -169,7 +169,6 @@
 	}
 	r.Admission.room = &missingRoom{}
 	a, now := pl.admission, p.settings.Clock.Now()
-	a.service.RecordArrival(r.Admission.Objective.Sub(r.Admission.Arrived), now)
 	waiting := a.queue.Len() > 0
 	if !waiting {
 		if t := p.pick(pl, r); t != nil || !r.Admission.room.full {
@@ -192,8 +191,8 @@
 		w := &Place{p: p, admission: a, service: r.Service, request: r, queued: true, ready: make(chan struct{}, 1)}
 		w.entry = admitter.Entry{Request: *req, Until: d.Until, Value: w}
 		if a.queue.Push(&w.entry, now) {
-			if urgent := a.service.Urgent(req, now); !r.Admission.room.full && (p.drain(pl, 1, math.Inf(1), now) == 0 || urgent) && w.queued {
-				// Those that wait need more token memory, shorter queues or other upstreams.
+			if !r.Admission.room.full && p.drain(pl, 1, now) == 0 && w.queued {
+				// Those that wait need more token memory or other upstreams.
 				if w.ticket = p.pick(pl, r); w.ticket != nil {
 					w.queued = false
 					a.queue.Remove(&w.entry)
@@ -254,7 +253,7 @@
 	defer w.p.mu.Unlock()
 	now := w.p.settings.Clock.Now()
 	if pl := w.p.pools[w.service]; pl != nil && (w.p.hosts <= 1 || now.Sub(w.p.remoteLoadsAt) > remoteLoadsTTL) {
-		w.p.drain(pl, math.MaxInt, math.Inf(1), now)
+		w.p.drain(pl, math.MaxInt, now)
 	}
 }
 
@@ -280,12 +279,11 @@
 	return 0
 }
 
-// drain sends at most limit of the requests that wait, until they have the work, and
-// returns how many it has sent.
-func (p *Placer) drain(pl *pool, limit int, work float64, now time.Time) int {
+// drain sends at most limit of the requests that wait and returns how many it has sent.
+func (p *Placer) drain(pl *pool, limit int, now time.Time) int {
 	a, sent := pl.admission, 0
 	var skipped []*admitter.Entry
-	for sent < limit && work > 0 && len(skipped) < maxSkipped {
+	for sent < limit && len(skipped) < maxSkipped {
 		e := a.queue.Take(now)
 		if e == nil {
 			break
@@ -300,7 +298,6 @@
 			a.queue.Charge(e)
 			w.end(t)
 			sent++
-			work -= t.work
 			continue
 		}
 		skipped = append(skipped, e)
@@ -322,27 +319,19 @@
 }
 
 // drainFree sends this host's share of the requests for which other hosts have left free
-// slots, and room in queues, so that hosts with a backlog do not fill them several times
-// over.
+// slots, so that hosts with a backlog do not fill them several times over.
 func (p *Placer) drainFree(now time.Time) {
 	for _, pl := range p.pools {
-		a := pl.admission
-		if a == nil || a.queue.Len() == 0 {
+		if pl.admission == nil || pl.admission.queue.Len() == 0 {
 			continue
 		}
-		first := a.queue.First()
-		free, slots := 0, first.Value.(*Place).request.Admission.Slots
-		slots += a.service.Ended(slots, p.remoteLoadsInterval)
-		work, queueWork := 0.0, a.service.QueueWork(&first.Request, now)
+		free, slots := 0, pl.admission.queue.First().Value.(*Place).request.Admission.Slots
+		slots += pl.admission.service.Ended(slots, p.remoteLoadsInterval)
 		for _, u := range pl.upstreams {
 			free += max(0, slots-u.running-int(u.admitted.remote.Running))
-			c := admitter.Candidate{Work: u.work + float64(u.admitted.remote.Work), Speed: u.admitted.speed.At(now)}
-			work += max(0, c.QueueRoom(queueWork))
 		}
-		hosts := float64(max(p.hosts, 1))
-		share := float64(free)/hosts + p.random()
-		// A share that is a fraction of a request is one by chance.
-		p.drain(pl, int(share), work/hosts+(p.random()-1)*first.Request.Work, now)
+		share := float64(free)/float64(max(p.hosts, 1)) + p.random()
+		p.drain(pl, int(share), now)
 	}
 }
 
@@ -399,7 +388,7 @@
 	req := p.admitted(&r)
 	best, fits := admitter.Choose(a.candidates, req, &a.service, now, p.spread(a, loads, now))
 	if !fits && r.Admission.room != nil {
-		*r.Admission.room = missingRoom{full: true, room: p.room(a, hosts, a.service.QueueWork(req, now))}
+		*r.Admission.room = missingRoom{full: true, room: p.room(a, hosts)}
 		room := &r.Admission.room.room
 		room.FirstByteIn, room.AnswerIn = a.service.QueuedIn(&a.candidates[best], req)
 		return nil
@@ -421,18 +410,15 @@
 	return admitter.Spread{Unseen: unseen / float64(len(a.candidates)), Random: p.random()}
 }
 
-// room returns what is known about the capacity of the candidates, whose queues have room
-// up to queueWork.
-func (p *Placer) room(a *admission, hosts int, queueWork float64) admitter.Room {
+// room returns what is known about the capacity of the candidates.
+func (p *Placer) room(a *admission, hosts int) admitter.Room {
 	room := admitter.Room{Hosts: hosts}
 	for i := range a.candidates {
 		c := &a.candidates[i]
 		room.Running += c.Running
 		room.Own += a.upstreams[i].running
 		room.Slots += c.Slots
-		if c.QueueRoom(queueWork) >= 0 {
-			room.Free += max(0, c.Slots-c.Running)
-		}
+		room.Free += max(0, c.Slots-c.Running)
 	}
 	return room
 }
@@ -535,6 +521,6 @@
 		}
 	}
 	if pl := t.p.pools[t.listed.Service]; pl != nil && pl.admission == a.admission && a.admission.queue.Len() > 0 {
-		t.p.drain(pl, 1, math.Inf(1), now)
+		t.p.drain(pl, 1, now)
 	}
 }
