Tell hosts of the end of an evacuation as of an outage

Change: the leader adds an outage of the zone's upstreams when the evacuation is over, which every host gets for 30 s and which outweighs older lists.

--- a/syncer/cold.go
+++ b/syncer/cold.go
@@ -4,6 +4,7 @@
 	"maps"
 	"time"
 
+	"foxtailwall/declarer"
 	"foxtailwall/placer"
 	"foxtailwall/tracker"
 )
@@ -89,6 +90,27 @@
 	return t
 }
 
+// recordEvacuations takes the end of a zone's evacuation for an outage of its upstreams:
+// they may be cold, and hosts that start later do not know of the evacuation. The caller
+// holds mu.
+func (h *Hub) recordEvacuations(list []declarer.Evacuation) {
+	if len(list) == 0 && len(h.evacuated) == 0 {
+		return
+	}
+	evacuated := make(map[string]bool, len(list))
+	for _, e := range list {
+		evacuated[e.Zone] = true
+	}
+	var ended []placer.Outage
+	for _, u := range h.list.Upstreams {
+		if h.evacuated[u.Zone] && !evacuated[u.Zone] {
+			ended = append(ended, placer.Outage{Upstream: u.Key().Hash(), Ended: true})
+		}
+	}
+	h.outages.add(ended, h.set.Clock.Now())
+	h.evacuated = evacuated
+}
+
 // add adds what a host reports.
 func (l *outageLog) add(outages []placer.Outage, now time.Time) {
 	if l.at == nil {
--- a/syncer/cold_test.go
+++ b/syncer/cold_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"foxtailwall/declarer"
 	"foxtailwall/placer"
 	"foxtailwall/syncer"
 	"foxtailwall/timekeeper"
@@ -84,4 +85,18 @@
 		clock.Advance(26 * time.Second)
 		Expect((<-watch(syncer.Report{Host: "other"})).Outages).To(BeEmpty())
 	})
+
+	// Guards against a host that starts after the end of an evacuation and sends to the
+	// zone's upstreams as to warm ones, by a list that was read before it.
+	It("are told as outages after the end of their zone's evacuation", func() {
+		src := &source{leading: true, changed: make(chan struct{})}
+		hub = syncer.NewHub(syncer.HubSettings{Source: src, Clock: clock})
+		Expect(hub.SetList("l", []tracker.Upstream{{ID: "a", Zone: "x"}, {ID: "b", Zone: "y"}})).To(Succeed())
+		src.pub.Evacuations = []declarer.Evacuation{{Zone: "x"}}
+		Expect((<-watch(syncer.Report{Host: "h"})).Outages).To(BeEmpty())
+		src.pub.Evacuations = nil
+		<-watch(syncer.Report{Host: "h"})
+		clock.Advance(time.Second)
+		Expect((<-watch(syncer.Report{Host: "late"})).Outages).To(Equal([]placer.Outage{{Upstream: tracker.Upstream{ID: "a", Zone: "x"}.Key().Hash(), Ended: true, Age: time.Second}}))
+	})
 })
--- a/syncer/hub.go
+++ b/syncer/hub.go
@@ -75,6 +75,8 @@
 		listChanged chan struct{}
 		cold        coldClock
 		outages     outageLog
+		// evacuated has the evacuated zones.
+		evacuated map[string]bool
 		// listBlob is the encoding of list, nil until a host needs it.
 		listBlob *blob
 		// documents has the newest documents, oldest first.
@@ -191,7 +193,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.list, h.listBlob, h.changes, h.readAt = List{}, nil, nil, time.Time{}
-	h.cold = coldClock{}
+	h.cold, h.evacuated = coldClock{}, nil
 }
 
 // Watch records the report and waits until there is state that the reporting
@@ -304,6 +306,7 @@
 	u := &Update{
 		FromLeader: true, Leader: h.set.Source.Leader(), Members: h.set.Source.Members(), ListAge: -1,
 	}
+	h.recordEvacuations(p.Evacuations)
 	h.countLiveHosts()
 	own := h.liveHosts[r.Host]
 	u.Hosts, u.Neighbours = len(h.liveHosts), h.staying[own.zone]
