--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -87,8 +87,9 @@
 		// Arrived is when the caller's request arrived, Objective when its first event,
 		// and Deadline when its complete answer is due.
 		Arrived, Objective, Deadline time.Time
-		// Due orders the requests of a workspace that wait and have the same rank. It is the objective or, for a
-		// request that was refused and returns, the one it had at first.
+		// Due orders the requests of a workspace that wait and have the same rank. It is
+		// the objective or, for a request that was refused and returns, the one it had at
+		// first.
 		Due time.Time
 		// Priority orders the requests that wait, 0 first.
 		Priority  int
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -8,9 +8,8 @@
 // announces those that were there at several crashes, and hosts answer when the
 // latest attempt with them that succeeded was sent, which clears them of the crashes
 // before. An attempt that was sent earlier may have succeeded only because it was
-// served before the crash. The
-// part that remains with the most crashes is isolated, and the crashes that it
-// explains no longer count against other parts.
+// served before the crash. The part that remains with the most crashes is isolated, and
+// the crashes that it explains no longer count against other parts.
 //
 // With few first prompt parts, each of them is present at nearly every crash, whatever
 // the cause. Hosts therefore report how many attempts they sent and how many were
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -459,11 +459,11 @@
 	})
 }
 
-// ranked returns the suspects in the order in which they are likely to crash
-// engines, and their crashes that count until a time. Those that no request was ever served with come first: all requests with
-// an innocent part that many share were there at the crashes, too. Next come those
-// with the most crashes until a time. Of those with equally many, the one that comes
-// last in prompts is first: fewer requests share it.
+// ranked returns the suspects in the order in which they are likely to crash engines,
+// and their crashes that count until a time. Those that no request was ever served with
+// come first: all requests with an innocent part that many share were there at the
+// crashes, too. Next come those with the most crashes until a time. Of those with equally
+// many, the one that comes last in prompts is first: fewer requests share it.
 func (j *Judge) ranked(until time.Time) ([]controller.PromptPart, map[controller.PromptPart]int) {
 	var parts []controller.PromptPart
 	counts := make(map[controller.PromptPart]int)
