--- a/demonstrator/process_test.go
+++ b/demonstrator/process_test.go
@@ -62,6 +62,8 @@
 		d.conf.Progress = GinkgoWriter
 		north, south := p.fleet.declarations()
 		d.offices = offices{north: north, south: south}
+		// Control hosts sync their disks several times before they listen.
+		Eventually(func() error { _, err := d.op.Export(ctx); return err }).WithContext(ctx).WithTimeout(time.Minute).Should(Succeed())
 		_, err := d.apply(ctx, "north", d.offices.config())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(d.awaitEverywhere(ctx, d.offices.version)).To(Succeed())
