--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the second review start.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -tags review -o target/review/driver2 ./review/driver2
--- /dev/null
+++ b/review/driver2/main.go
@@ -0,0 +1,63 @@
+//go:build review
+
+// Driver runs the scripted cases of the second review. Each starts the programs of the
+// deploy file as processes, with stand-ins for callers, replicas, the operator and the
+// platform in this process, and writes what these have seen to a record.
+//
+// # Usage
+//
+//	driver2 CASE RECORD
+//
+// It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case
+// could not run. With TROUBLE=0 in the environment it leaves the disruption out.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// maxTime is the longest time that a case may take.
+const maxTime = 118 * time.Second
+
+// verdict is the outcome of a case.
+type verdict struct {
+	broken bool
+	text   string
+}
+
+var cases = map[string]func(*record, bool) (verdict, error){
+	"stale-order":  staleOrder,
+	"table-memory": tableMemory,
+	"sized-stream": sizedStream,
+}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: driver2 CASE RECORD")
+		os.Exit(2)
+	}
+	rec, err := newRecord(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	time.AfterFunc(maxTime, func() {
+		rec.add("the case takes longer than %v", maxTime)
+		os.Exit(2) // The hosts end with this process.
+	})
+	trouble := os.Getenv("TROUBLE") != "0"
+	rec.add("case %s, disruption: %t", os.Args[1], trouble)
+	v, err := cases[os.Args[1]](rec, trouble)
+	if err != nil {
+		rec.add("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	rec.add("rule broken: %t: %s", v.broken, v.text)
+	fmt.Printf("rule broken: %t: %s\n", v.broken, v.text)
+	if v.broken {
+		os.Exit(1)
+	}
+}
