--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(*record, bool) (verdict, error){
 	"stale-order":  staleOrder,
 	"table-memory": tableMemory,
+	"core-memory":  coreMemory,
 	"sized-stream": sizedStream,
 }
 
