--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of the second review start.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -o target/review/driver2 ./review/driver2
+go test -c -tags review -o target/review/replayer ./review/replayer
--- a/review/driver2/core_memory.go
+++ b/review/replayer/core_memory_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"encoding/json"
@@ -68,7 +68,7 @@
 				rec.add("%s uses %d MB, more than memoryMb; the platform kills and restarts it", h.name, n>>20)
 				ends[i].Add(1)
 				h.kill()
-				time.Sleep(restartTime)
+				pause(restartTime)
 				h.bootstrap = false
 				if err := h.start(); err != nil {
 					rec.add("%s cannot be started: %v", h.name, err)
@@ -78,7 +78,7 @@
 		})
 	}
 	for i := range coreGrowths {
-		time.Sleep(growthGap)
+		pause(growthGap)
 		version += 3
 		if err := o.put(deskConfig(version, (i+1)*grownRoutes), f.controls...); err != nil {
 			return verdict{}, err
@@ -106,14 +106,14 @@
 					status, _ := o.call(f.controls[try%controls], http.MethodPost, "/v1/config/put", body)
 					acknowledged = status == http.StatusOK
 					if !acknowledged {
-						time.Sleep(min(time.Duration(50<<min(try, 5))*time.Millisecond, time.Second))
+						pause(min(time.Duration(50<<min(try, 5))*time.Millisecond, time.Second))
 					}
 				}
 			})
-			time.Sleep(coreStormGap)
+			pause(coreStormGap)
 		}
 	} else {
-		time.Sleep(10 * time.Second)
+		pause(10 * time.Second)
 	}
 	close(stop)
 	wg.Wait()
--- a/review/driver2/fleet.go
+++ b/review/replayer/fleet_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"context"
@@ -360,7 +360,7 @@
 	if h.control {
 		addr = h.controlAddr()
 	}
-	for end := time.Now().Add(startTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+	for end := time.Now().Add(startTime); time.Now().Before(end); pause(20 * time.Millisecond) {
 		c, err := net.DialTimeout("tcp", addr, time.Second)
 		if err == nil {
 			c.Close()
@@ -406,7 +406,7 @@
 	for _, h := range f.entries {
 		url := fmt.Sprintf("http://%s:%d/v1/ready", h.ip, f.ports.ready)
 		ok := false
-		for end := time.Now().Add(startTime); !ok && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for end := time.Now().Add(startTime); !ok && time.Now().Before(end); pause(50 * time.Millisecond) {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			req, _ := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 			if resp, err := http.DefaultClient.Do(req); err == nil {
--- a/review/driver2/main.go
+++ b/review/replayer/main_test.go
@@ -1,20 +1,22 @@
 //go:build review
 
-// Driver runs the scripted cases of the second review. Each starts the programs of the
-// deploy file as processes, with stand-ins for callers, replicas, the operator and the
-// platform in this process, and writes what these have seen to a record.
+// The scripted cases of the second review. Each starts the programs of the deploy file as
+// processes, with stand-ins for callers, replicas, the operator and the platform in this
+// process, and writes what these have seen to a record.
 //
 // # Usage
 //
-//	driver2 CASE RECORD
+//	go test -c -tags review -o target/review/replayer ./review/replayer
+//	target/review/replayer CASE RECORD
 //
-// It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case
-// could not run. With TROUBLE=0 in the environment it leaves the disruption out.
-package main
+// It exits with 1 if the rule of the case was broken, 0 if it held, and 2 if the case could
+// not run. With TROUBLE=0 in the environment it leaves the disruption out.
+package replayer_test
 
 import (
 	"fmt"
 	"os"
+	"testing"
 	"time"
 )
 
@@ -34,9 +36,10 @@
 	"sized-stream": sizedStream,
 }
 
-func main() {
+// TestMain runs the case that the arguments name.
+func TestMain(*testing.M) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: driver2 CASE RECORD")
+		fmt.Fprintln(os.Stderr, "usage: replayer CASE RECORD")
 		os.Exit(2)
 	}
 	rec, err := newRecord(os.Args[2])
@@ -62,3 +65,6 @@
 		os.Exit(1)
 	}
 }
+
+// pause waits for d.
+func pause(d time.Duration) { <-time.After(d) }
--- a/review/driver2/memory.go
+++ b/review/replayer/memory_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"bufio"
@@ -222,7 +222,7 @@
 			}
 		})
 	}
-	time.Sleep(2 * time.Second)
+	pause(2 * time.Second)
 	begin := time.Now()
 	slots := make(chan struct{}, 8)
 	for time.Since(begin) < stormTime && killedAt.Load() == nil {
@@ -237,7 +237,7 @@
 				}
 			})
 		}
-		time.Sleep(stormGap)
+		pause(stormGap)
 	}
 	close(stop)
 	wg.Wait()
--- a/review/driver2/operator.go
+++ b/review/replayer/operator_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"bytes"
@@ -92,7 +92,7 @@
 		case status == 400 || status == 409 || status == 412 || status == 413 || status == 422:
 			return answer, fmt.Errorf("%s %s: status %d", method, path, status)
 		}
-		time.Sleep(backoff)
+		pause(backoff)
 		backoff = min(backoff*3/2, time.Second)
 	}
 	return nil, fmt.Errorf("%s %s is not acknowledged", method, path)
--- a/review/driver2/record.go
+++ b/review/replayer/record_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"fmt"
--- a/review/driver2/replica.go
+++ b/review/replayer/replica_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"fmt"
@@ -86,7 +86,7 @@
 func answerPlain(r *replica, w http.ResponseWriter, req *http.Request) {
 	id := req.Header.Get("Foxtailwall-Request-Id")
 	r.begin(id)
-	time.Sleep(work)
+	pause(work)
 	w.Header().Set("Foxtailwall-Request-Id", id)
 	w.Header().Set("Foxtailwall-Replica-Stamp", r.id+"."+id)
 	fmt.Fprintf(w, "done %s by %s", id, r.id)
--- a/review/driver2/sized.go
+++ b/review/replayer/sized_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"fmt"
@@ -80,7 +80,7 @@
 				answered++
 			}
 		})
-		time.Sleep(50 * time.Millisecond)
+		pause(50 * time.Millisecond)
 	}
 	wg.Wait()
 	runs := make(map[string]int)
--- a/review/driver2/stale_order.go
+++ b/review/replayer/stale_order_test.go
@@ -1,6 +1,6 @@
 //go:build review
 
-package main
+package replayer_test
 
 import (
 	"fmt"
@@ -105,12 +105,12 @@
 			if err := evacuate("end", f.controls...); err != nil {
 				return verdict{}, err
 			}
-			time.Sleep(time.Second)
+			pause(time.Second)
 		}
 		if err := evacuate("start", f.controls...); err != nil {
 			return verdict{}, err
 		}
-		time.Sleep(time.Second)
+		pause(time.Second)
 		slow, others := f.controls[1], []*host{f.controls[0], f.controls[2]}
 		frozenAt := time.Now()
 		if trouble {
@@ -123,7 +123,7 @@
 			return verdict{}, err
 		}
 		acknowledged := time.Now()
-		time.Sleep(max(0, frozen-time.Since(frozenAt)))
+		pause(max(0, frozen-time.Since(frozenAt)))
 		if trouble {
 			slow.signal(syscall.SIGCONT)
 		}
@@ -133,7 +133,7 @@
 			from = t
 		}
 		w := window{from, from.Add(observed)}
-		time.Sleep(time.Until(w.to))
+		pause(time.Until(w.to))
 		windows = append(windows, w)
 	}
 	close(stop)
