review: case 7 changes the configuration each 250 ms

With 160 ms the control group stopped acknowledging changes in two later runs, before the edge reached its limit.

--- a/review/replayer/memory_test.go
+++ b/review/replayer/memory_test.go
@@ -20,8 +20,8 @@
 	// number of routes that each adds.
 	growths, grownRoutes = 32, 350
 	// stormGap is the time between two changes, stormTime how long they go on.
-	stormGap  = 160 * time.Millisecond
-	stormTime = 30 * time.Second
+	stormGap  = 250 * time.Millisecond
+	stormTime = 45 * time.Second
 	// memoryLimit is memoryMb of an edge machine.
 	memoryLimit = 284 << 20
 )
