--- a/review/replayer/client_test.go
+++ b/review/replayer/client_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 		header http.Header
 		body   string
 		err    error
+		// kept reports whether the connection had served an earlier request, begun whether
+		// a part of an answer came.
+		kept, begun bool
 	}
 )
 
@@ -53,6 +57,7 @@
 		req.Header.Set(k, v)
 	}
 	c.f.rec.add("client sends %s (%s %s) to %s", a.id, method, path, h.name)
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { a.kept = i.Reused }}))
 	resp, err := c.http.Do(req)
 	if err != nil {
 		a.err = err
@@ -60,6 +65,7 @@
 		return a
 	}
 	defer resp.Body.Close()
+	a.begun = true
 	b, err := io.ReadAll(resp.Body)
 	a.header, a.body, a.err = resp.Header, string(b), err
 	if err != nil {
--- a/review/replayer/fleet_test.go
+++ b/review/replayer/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,6 +56,10 @@
 		list     *list
 		log      *os.File
 		fields   string
+
+		// mu guards stopped, after which no process is started.
+		mu      sync.Mutex
+		stopped bool
 	}
 
 	fleetPorts struct{ front, ready, control, first, last, cloud int }
@@ -106,6 +111,7 @@
 	for i := range entries {
 		f.entries = append(f.entries, &host{f: f, name: fmt.Sprintf("edge-%d", i+1), ip: fmt.Sprintf(entryIP, i+1), zone: zones[i%len(zones)]})
 	}
+	running.Store(f)
 	return f, f.list.serve(fmt.Sprintf("%s:%d", platformIP, f.ports.cloud))
 }
 
@@ -187,6 +193,9 @@
 
 // stop ends all processes that were started.
 func (f *fleet) stop() {
+	f.mu.Lock()
+	f.stopped = true
+	f.mu.Unlock()
 	for _, h := range f.all() {
 		h.kill()
 	}
@@ -304,6 +313,12 @@
 	cmd := exec.Command(h.f.program, role, "--metrics-port", "9464")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + h.f.dir, "FOXTAILWALL_NODE_FILE=" + path}
 	cmd.Stdout, cmd.Stderr = h.f.log, h.f.log
+	h.f.mu.Lock()
+	defer h.f.mu.Unlock()
+	if h.f.stopped {
+		return errors.New("the case has ended")
+	}
+	// The hosts end with this process, whatever ends it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := startOnOneCore(cmd, h.index()); err != nil {
 		return err
